--- /dev/null
+++ b/bin/lh-entry/src/main.rs
@@ -0,0 +1,7 @@
+//! The program `lh-entry`.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    kernel::finish(lh_entry::run(), lh_entry::Error::class)
+}
--- /dev/null
+++ b/bin/lh-standin/src/client.rs
@@ -0,0 +1,66 @@
+//! One request at a time, for scripts.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+
+use crate::error::{Error, Result};
+
+/// Time between two tries.
+const RETRY: Duration = Duration::from_millis(50);
+/// Longest wait for one answer.
+const TIME: Duration = Duration::from_secs(5);
+
+/// Sends one request; gives status and body.
+pub(crate) async fn exchange(method: &str, url: &str, body: &str) -> Result<(u16, Bytes)> {
+    let request = Request::builder()
+        .method(method)
+        .uri(url)
+        .header("content-type", "application/json")
+        .body(Full::new(Bytes::from(body.to_owned())))
+        .map_err(|_| Error::Url(url.to_owned()))?;
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let failed = |cause: String| Error::Exchange(format!("{url}: {cause}"));
+    let exchange = async {
+        let response = client.request(request).await.map_err(|cause| failed(cause.to_string()))?;
+        let status = response.status().as_u16();
+        let body = response.into_body().collect().await;
+        let body = body.map_err(|cause| failed(cause.to_string()))?.to_bytes();
+        Ok((status, body))
+    };
+    tokio::time::timeout(TIME, exchange)
+        .await
+        .unwrap_or_else(|_| Err(failed("no answer in time".to_owned())))
+}
+
+/// Sends one request and prints the answer.
+pub(crate) async fn send(method: &str, url: &str, body: &str) -> Result<()> {
+    let (status, answer) = exchange(method, url, body).await?;
+    println!("{}", String::from_utf8_lossy(&answer));
+    if (200..300).contains(&status) {
+        return Ok(());
+    }
+    Err(Error::Exchange(format!("{url}: status {status}")))
+}
+
+/// Waits until every URL answers with success.
+pub(crate) async fn wait(urls: &[String], seconds: u64) -> Result<()> {
+    let until = Instant::now() + Duration::from_secs(seconds);
+    for url in urls {
+        loop {
+            let answered = exchange("GET", url, "").await;
+            if matches!(answered, Ok((200..300, _))) {
+                break;
+            }
+            if Instant::now() >= until {
+                return Err(Error::Exchange(format!("{url}: not ready after {seconds} s")));
+            }
+            tokio::time::sleep(RETRY).await;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/bin/lh-standin/src/lib.rs
@@ -0,0 +1,37 @@
+//! Stand-ins as programs: the platform, backend servers, callers, and small helpers
+//! for scripts.
+
+mod callers;
+mod cli;
+mod client;
+mod error;
+mod report;
+mod servers;
+
+use clap::Parser;
+
+pub use error::{Error, Result};
+
+/// Reads the command line and does what it says.
+///
+/// # Errors
+/// Where an address can't be used, an answer makes no sense or a promise was broken.
+pub fn run() -> Result<()> {
+    let arguments = cli::Arguments::parse();
+    kernel::start_logs(&conf::LogSettings {
+        level: if arguments.verbose { "debug" } else { "warn" },
+        ..conf::LogSettings::default()
+    });
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(async {
+        match arguments.command {
+            cli::Command::Platform { listen } => servers::platform(listen).await,
+            cli::Command::Servers { deploy, control } => servers::backends(&deploy, control).await,
+            cli::Command::Callers(load) => callers::run(&load).await,
+            cli::Command::Send { method, url, body } => client::send(&method, &url, &body).await,
+            cli::Command::Wait { urls, seconds } => client::wait(&urls, seconds).await,
+        }
+    })
+}
--- /dev/null
+++ b/bin/lhctl/src/apply.rs
@@ -0,0 +1,126 @@
+//! `check`, `diff` and `apply`.
+
+use std::path::Path;
+
+use conf::{ConfigBundle, DRAIN_FILE};
+
+use crate::cli::{ApplyArguments, PlatformArguments, WaitArguments};
+use crate::error::{Error, Result};
+use crate::platform::ConfigDesk;
+use crate::status;
+
+/// Checks a folder.
+pub(crate) fn check(folder: &Path, json: bool) -> Result<()> {
+    let bundle = ConfigBundle::from_folder(folder)?;
+    let deployment = bundle.deployment()?;
+    if json {
+        let summary = serde_json::json!({
+            "name": deployment.name,
+            "hash": bundle.hash(),
+            "regions": deployment.regions.len(),
+            "services": deployment.services.len(),
+            "pools": deployment.pools.len(),
+        });
+        println!("{summary}");
+        return Ok(());
+    }
+    println!("{}: valid", deployment.name);
+    for service in deployment.services.keys() {
+        let slots = |region: &base::id::RegionId| {
+            let slots = deployment.capacity(region.as_str(), service.as_str());
+            format!("{region} {slots}")
+        };
+        let slots: Vec<_> = deployment.regions.keys().map(slots).collect();
+        println!("  {service}: slots by region: {}", slots.join(", "));
+    }
+    Ok(())
+}
+
+/// Drains that are in force live on when a folder without a drain file is applied.
+fn with_present_drains(bundle: ConfigBundle, present: Option<&ConfigBundle>) -> ConfigBundle {
+    let kept = present.and_then(|present| present.files.get(DRAIN_FILE));
+    match kept {
+        Some(drains) if !bundle.files.contains_key(DRAIN_FILE) => {
+            bundle.with_file(DRAIN_FILE, drains)
+        }
+        _ => bundle,
+    }
+}
+
+/// Shows what applying a folder would change.
+pub(crate) async fn diff(folder: &Path, platform: &PlatformArguments, json: bool) -> Result<()> {
+    let bundle = ConfigBundle::from_folder(folder)?;
+    bundle.deployment()?;
+    let present = ConfigDesk::new(platform.platform).present().await?;
+    let Some((head, before)) = present else {
+        println!("nothing is in force yet; everything would be new");
+        return Ok(());
+    };
+    let bundle = with_present_drains(bundle, Some(&before));
+    let changes = conf::diff(&before, &bundle)?;
+    if json {
+        println!("{}", serde_json::json!({"version": head.version, "changes": changes}));
+        return Ok(());
+    }
+    println!("against version {} by {}:", head.version, head.author);
+    for change in &changes {
+        println!("  {change}");
+    }
+    if changes.is_empty() {
+        println!("  no difference");
+    }
+    Ok(())
+}
+
+/// Makes a folder the next version.
+pub(crate) async fn apply(arguments: &ApplyArguments, json: bool) -> Result<()> {
+    let bundle = ConfigBundle::from_folder(&arguments.folder)?;
+    let desk = ConfigDesk::new(arguments.platform.platform);
+    let present = desk.present().await?;
+    let (version, before) = match &present {
+        Some((head, before)) => (head.version, Some(before)),
+        None => (0, None),
+    };
+    let bundle = with_present_drains(bundle, before);
+    let edited = arguments.edited.unwrap_or(version);
+    publish(&desk, edited, before, &bundle, &arguments.author, &arguments.wait, json).await
+}
+
+/// Checks `bundle` against what is in force, publishes it, and waits where asked to.
+pub(crate) async fn publish(
+    desk: &ConfigDesk,
+    edited: u64,
+    before: Option<&ConfigBundle>,
+    bundle: &ConfigBundle,
+    author: &str,
+    wait: &WaitArguments,
+    json: bool,
+) -> Result<()> {
+    let deployment = bundle.deployment()?;
+    if let Some(before) = before {
+        deployment.check_successor(&before.deployment()?)?;
+        if before == bundle {
+            return Err(Error::Refused("nothing differs from what is in force".to_owned()));
+        }
+    }
+    let head = desk.publish(edited, before, bundle, author).await?;
+    let took = if wait.wait {
+        Some(status::wait_for(&wait.instances.instances, head.version, wait.seconds).await?)
+    } else {
+        None
+    };
+    if json {
+        let took_ms = took.map(|took| took.as_millis() as u64);
+        println!("{}", serde_json::json!({"version": head.version, "in_force_after_ms": took_ms}));
+        return Ok(());
+    }
+    match took {
+        Some(took) => println!(
+            "version {} is in force everywhere after {} ms",
+            head.version,
+            took.as_millis()
+        ),
+        None => println!("version {} is accepted", head.version),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/bin/lhctl/src/cli.rs
@@ -0,0 +1,141 @@
+//! The command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::{Args, CommandFactory, Parser, Subcommand};
+use clap_complete::Shell;
+
+use crate::error::Result;
+
+/// laurelhill: the operators' tool.
+///
+/// Exit codes: 0 done, 1 refused or not done, 2 wrong usage or settings, 3 outcome
+/// unknown; the message then says what to run next.
+#[derive(Debug, Parser)]
+#[command(version, about)]
+pub(crate) struct Arguments {
+    /// Print JSON.
+    #[arg(long, global = true)]
+    pub(crate) json: bool,
+    #[command(subcommand)]
+    pub(crate) command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+pub(crate) enum Command {
+    /// Check base and overlays together; nothing is written.
+    Check {
+        /// Folder with the base and the overlays.
+        folder: PathBuf,
+    },
+    /// Show what applying a folder would change.
+    Diff {
+        /// Folder with the base and the overlays.
+        folder: PathBuf,
+        #[command(flatten)]
+        platform: PlatformArguments,
+    },
+    /// Make a folder's base and overlays the next version.
+    Apply(ApplyArguments),
+    /// Give a server, domain, region or instance no new work.
+    Drain(DrainArguments),
+    /// Take a drain back.
+    Undrain(DrainArguments),
+    /// Show what instances have in force.
+    Status {
+        #[command(flatten)]
+        instances: InstanceArguments,
+    },
+    /// Show why a service's traffic is where it is.
+    Explain {
+        /// The service.
+        service: String,
+        /// Where an entry answers look-ups.
+        #[arg(long, value_name = "ADDRESS")]
+        lookup: SocketAddr,
+        #[command(flatten)]
+        instances: InstanceArguments,
+    },
+    /// Print the tables of the settings page.
+    Settings,
+    /// Print a shell's completions.
+    Completions {
+        /// The shell.
+        shell: Shell,
+    },
+    /// Print the manual page.
+    Manual,
+}
+
+#[derive(Debug, Clone, Args)]
+pub(crate) struct PlatformArguments {
+    /// The platform's address.
+    #[arg(long, env = "LAURELHILL_PLATFORM", value_name = "ADDRESS")]
+    pub(crate) platform: SocketAddr,
+}
+
+#[derive(Debug, Clone, Args)]
+pub(crate) struct InstanceArguments {
+    /// Admin addresses of lh-steer processes.
+    #[arg(long, value_name = "ADDRESS", value_delimiter = ',')]
+    pub(crate) instances: Vec<SocketAddr>,
+}
+
+#[derive(Debug, Clone, Args)]
+pub(crate) struct WaitArguments {
+    /// Wait until the version is in force at every one of --instances.
+    #[arg(long, requires = "instances")]
+    pub(crate) wait: bool,
+    /// Longest wait in seconds.
+    #[arg(long, default_value_t = 14)]
+    pub(crate) seconds: u64,
+    #[command(flatten)]
+    pub(crate) instances: InstanceArguments,
+}
+
+#[derive(Debug, Clone, Args)]
+pub(crate) struct ApplyArguments {
+    /// Folder with the base and the overlays.
+    pub(crate) folder: PathBuf,
+    #[command(flatten)]
+    pub(crate) platform: PlatformArguments,
+    /// The version that was edited; without it, the one in force now.
+    #[arg(long)]
+    pub(crate) edited: Option<u64>,
+    /// Who makes the change.
+    #[arg(long, env = "USER", default_value = "operator")]
+    pub(crate) author: String,
+    #[command(flatten)]
+    pub(crate) wait: WaitArguments,
+}
+
+#[derive(Debug, Clone, Args)]
+pub(crate) struct DrainArguments {
+    /// server, domain, region or instance.
+    pub(crate) kind: String,
+    /// Its name; a server's name is its address.
+    pub(crate) name: String,
+    #[command(flatten)]
+    pub(crate) platform: PlatformArguments,
+    /// Why.
+    #[arg(long, default_value = "maintenance")]
+    pub(crate) reason: String,
+    /// Who makes the change.
+    #[arg(long, env = "USER", default_value = "operator")]
+    pub(crate) author: String,
+    #[command(flatten)]
+    pub(crate) wait: WaitArguments,
+}
+
+/// Prints completions.
+pub(crate) fn completions(shell: Shell) {
+    let mut command = Arguments::command();
+    clap_complete::generate(shell, &mut command, "lhctl", &mut std::io::stdout());
+}
+
+/// Prints the manual page.
+pub(crate) fn manual() -> Result<()> {
+    clap_mangen::Man::new(Arguments::command()).render(&mut std::io::stdout())?;
+    Ok(())
+}
--- /dev/null
+++ b/bin/lhctl/src/lib.rs
@@ -0,0 +1,52 @@
+//! The operators' tool: check, compare, apply and drain configurations, and see why
+//! traffic is where it is.
+
+mod apply;
+mod cli;
+mod drain;
+mod error;
+mod explain;
+mod platform;
+mod status;
+
+use clap::Parser;
+
+pub use error::{Error, Result};
+
+/// Reads the command line and does what it says.
+///
+/// # Errors
+/// Where the settings are wrong, the change is refused, or its outcome is unknown.
+pub fn run() -> Result<()> {
+    let arguments = cli::Arguments::parse();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(dispatch(arguments))
+}
+
+async fn dispatch(arguments: cli::Arguments) -> Result<()> {
+    let json = arguments.json;
+    match arguments.command {
+        cli::Command::Check { folder } => apply::check(&folder, json),
+        cli::Command::Diff { folder, platform } => apply::diff(&folder, &platform, json).await,
+        cli::Command::Apply(change) => apply::apply(&change, json).await,
+        cli::Command::Drain(target) => drain::change(&target, drain::Direction::Drain, json).await,
+        cli::Command::Undrain(target) => {
+            drain::change(&target, drain::Direction::Undrain, json).await
+        }
+        cli::Command::Status { instances } => status::show(&instances, json).await,
+        cli::Command::Explain { service, lookup, instances } => {
+            explain::show(&service, lookup, &instances, json).await
+        }
+        cli::Command::Settings => {
+            print!("{}", conf::schema::markdown());
+            Ok(())
+        }
+        cli::Command::Completions { shell } => {
+            cli::completions(shell);
+            Ok(())
+        }
+        cli::Command::Manual => cli::manual(),
+    }
+}
--- /dev/null
+++ b/bin/lhctl/src/status.rs
@@ -0,0 +1,101 @@
+//! `status`, and waiting until a version is in force.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::Request;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use serde_json::Value;
+
+use crate::cli::InstanceArguments;
+use crate::error::{Error, Result};
+
+/// Time between two looks.
+const LOOK_PERIOD: Duration = Duration::from_millis(50);
+/// Longest wait for one answer.
+const ANSWER_TIME: Duration = Duration::from_secs(2);
+
+/// Fetches a JSON document from `address`.
+pub(crate) async fn fetch(address: SocketAddr, path: &str) -> Option<Value> {
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let request = Request::builder()
+        .uri(format!("http://{address}{path}"))
+        .body(Empty::<Bytes>::new())
+        .ok()?;
+    let asking = async {
+        let response = client.request(request).await.ok()?;
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        serde_json::from_slice(&body).ok()
+    };
+    tokio::time::timeout(ANSWER_TIME, asking).await.ok()?
+}
+
+/// Waits until `version` or a later one is in force at every instance.
+pub(crate) async fn wait_for(instances: &[SocketAddr], version: u64, seconds: u64) -> Result<Duration> {
+    let began = Instant::now();
+    let mut missing: Vec<SocketAddr> = instances.to_vec();
+    while !missing.is_empty() {
+        let mut still = Vec::new();
+        for address in missing {
+            let status = fetch(address, "/v1/status").await;
+            let in_force = status.and_then(|status| status["version"].as_u64());
+            if in_force.is_none_or(|in_force| in_force < version) {
+                still.push(address);
+            }
+        }
+        missing = still;
+        if began.elapsed() > Duration::from_secs(seconds) && !missing.is_empty() {
+            let names: Vec<_> = missing.iter().map(ToString::to_string).collect();
+            return Err(Error::NotEverywhere(version, names.join(", ")));
+        }
+        if !missing.is_empty() {
+            tokio::time::sleep(LOOK_PERIOD).await;
+        }
+    }
+    Ok(began.elapsed())
+}
+
+/// Shows what instances have in force.
+pub(crate) async fn show(arguments: &InstanceArguments, json: bool) -> Result<()> {
+    if arguments.instances.is_empty() {
+        return Err(Error::Usage("name the admin addresses with --instances".to_owned()));
+    }
+    let mut silent = Vec::new();
+    let mut all = Vec::new();
+    for address in &arguments.instances {
+        match fetch(*address, "/v1/status").await {
+            Some(status) => all.push(status),
+            None => silent.push(address.to_string()),
+        }
+    }
+    if json {
+        println!("{}", serde_json::json!({"instances": all, "silent": silent}));
+    } else {
+        for status in &all {
+            println!("{}", line(status));
+        }
+    }
+    if silent.is_empty() {
+        return Ok(());
+    }
+    Err(Error::Refused(format!("no answer from {}", silent.join(", "))))
+}
+
+fn line(status: &Value) -> String {
+    let text = |key: &str| status[key].as_str().unwrap_or("?").to_owned();
+    let seats = status["seats"].as_array().map_or(0, Vec::len);
+    let servers = status["servers"].as_array().cloned().unwrap_or_default();
+    let open = servers.iter().filter(|server| server["open"] == true).count();
+    format!(
+        "{} in {} ({}): version {}, {seats} seats, {open} of {} backend servers open, {} instances known",
+        text("instance"),
+        text("domain"),
+        text("region"),
+        status["version"],
+        servers.len(),
+        status["members"],
+    )
+}
--- /dev/null
+++ b/crates/conf/src/lib.rs
@@ -0,0 +1,32 @@
+//! Settings of laurelhill: INI files that are checked against one table of
+//! sections and keys, the deployment's base with its overlays, and the hash
+//! that names a checked set of files.
+//!
+//! ```
+//! let base = "[deployment]\nname = demo\n[region north]\ndomains = n-1\n\
+//!             [service board]\nrepeat = idempotent\n";
+//! let site = "[pool board n-1]\nservers = 127.0.0.1:7001\nslots = 3\n";
+//! let bundle = conf::ConfigBundle::new()
+//!     .with_file("base.ini", base)
+//!     .with_file("north.ini", site);
+//! let deployment = bundle.deployment()?;
+//! assert_eq!(deployment.capacity("north", "board"), 3);
+//! # Ok::<(), conf::Error>(())
+//! ```
+
+mod bundle;
+mod deployment;
+mod error;
+mod overlay;
+mod process;
+pub mod schema;
+mod section;
+mod value;
+
+pub use bundle::{BASE_FILE, ConfigBundle, DRAIN_FILE};
+pub use deployment::{Deployment, DrainTarget, Objective, Pool, Region, Repeat, Service};
+pub use error::{Error, Result};
+pub use overlay::{ChangeKind, KeyChange, diff};
+pub use process::{LogFormat, LogSettings, ProcessFile};
+pub use section::{CheckedFile, CheckedSection};
+pub use value::{parse_duration, parse_percent, parse_size};
--- /dev/null
+++ b/crates/conf/src/section.rs
@@ -0,0 +1,276 @@
+//! Files and sections that have been checked against the schema.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ini::Ini;
+
+use crate::error::{Error, Result};
+use crate::schema::{FileSpec, KeySpec, SectionSpec};
+use crate::value::{parse_duration, parse_percent, parse_size, split_list};
+
+/// One section whose keys and values are known to be allowed.
+#[derive(Debug, Clone)]
+pub struct CheckedSection {
+    spec: &'static SectionSpec,
+    header: String,
+    names: Vec<String>,
+    values: BTreeMap<&'static str, (String, String)>,
+}
+
+impl CheckedSection {
+    /// The first word of the header.
+    pub fn kind(&self) -> &'static str {
+        self.spec.kind
+    }
+
+    /// The whole header.
+    pub fn header(&self) -> &str {
+        &self.header
+    }
+
+    /// The names behind the first word.
+    pub fn names(&self) -> &[String] {
+        &self.names
+    }
+
+    /// The keys that were written, with file and value.
+    pub fn written(&self) -> impl Iterator<Item = (&'static str, &str, &str)> {
+        self.values
+            .iter()
+            .map(|(key, (file, value))| (*key, file.as_str(), value.as_str()))
+    }
+
+    /// The file in which the section's first key stands.
+    pub fn file(&self) -> &str {
+        self.values
+            .values()
+            .next()
+            .map_or("", |(file, _)| file.as_str())
+    }
+
+    pub(crate) fn set(&mut self, key: &'static str, file: &str, value: &str) {
+        self.values.insert(key, (file.to_owned(), value.to_owned()));
+    }
+
+    pub(crate) fn get(&self, key: &str) -> Option<(&str, &str)> {
+        self.values
+            .get(key)
+            .map(|(file, value)| (file.as_str(), value.as_str()))
+    }
+
+    /// Fails where a required key is missing.
+    pub(crate) fn require_keys(&self, file: &str) -> Result<()> {
+        for key in self.spec.keys {
+            if key.default.is_some() || self.values.contains_key(key.key) {
+                continue;
+            }
+            return Err(Error::MissingKey(
+                file.to_owned(),
+                self.header.clone(),
+                key.key.to_owned(),
+                key.kind.allowed(),
+            ));
+        }
+        Ok(())
+    }
+
+    /// The key's text, or its default.
+    ///
+    /// # Errors
+    /// [`Error::MissingKey`] where a required key is absent.
+    pub fn text(&self, key: &str) -> Result<&str> {
+        if let Some((_, value)) = self.get(key) {
+            return Ok(value);
+        }
+        let spec = self.spec.keys.iter().find(|spec| spec.key == key);
+        spec.and_then(|spec| spec.default).ok_or_else(|| {
+            Error::MissingKey(
+                self.file().to_owned(),
+                self.header.clone(),
+                key.to_owned(),
+                spec.map_or_else(String::new, |spec| spec.kind.allowed()),
+            )
+        })
+    }
+
+    fn parsed<T>(&self, key: &str, parse: impl Fn(&str) -> Option<T>) -> Result<T> {
+        let text = self.text(key)?;
+        parse(text).ok_or_else(|| {
+            Error::BadValue(
+                self.file().to_owned(),
+                self.header.clone(),
+                key.to_owned(),
+                text.to_owned(),
+                "a value of another kind".to_owned(),
+            )
+        })
+    }
+
+    /// The key as a duration.
+    ///
+    /// # Errors
+    /// Where the key is absent without a default or isn't a duration.
+    pub fn duration(&self, key: &str) -> Result<Duration> {
+        self.parsed(key, parse_duration)
+    }
+
+    /// The key as a share of one.
+    ///
+    /// # Errors
+    /// Where the key is absent without a default or isn't a percentage.
+    pub fn share(&self, key: &str) -> Result<f64> {
+        self.parsed(key, parse_percent)
+    }
+
+    /// The key as a size in bytes.
+    ///
+    /// # Errors
+    /// Where the key is absent without a default or isn't a size.
+    pub fn size(&self, key: &str) -> Result<u64> {
+        self.parsed(key, parse_size)
+    }
+
+    /// The key as a whole number that fits `N`.
+    ///
+    /// # Errors
+    /// Where the key is absent without a default or isn't such a number.
+    pub fn count<N: TryFrom<u64>>(&self, key: &str) -> Result<N> {
+        self.parsed(key, |text| N::try_from(text.parse().ok()?).ok())
+    }
+
+    /// The key as an address.
+    ///
+    /// # Errors
+    /// Where the key is absent without a default or isn't an address.
+    pub fn address(&self, key: &str) -> Result<SocketAddr> {
+        self.parsed(key, |text| text.parse().ok())
+    }
+
+    /// The key as a list of words.
+    ///
+    /// # Errors
+    /// Where the key is absent without a default.
+    pub fn list(&self, key: &str) -> Result<Vec<&str>> {
+        Ok(split_list(self.text(key)?).collect())
+    }
+}
+
+/// A file whose sections and keys are known to be allowed.
+#[derive(Debug, Clone)]
+pub struct CheckedFile {
+    name: String,
+    sections: Vec<CheckedSection>,
+}
+
+impl CheckedFile {
+    /// Reads `text` and checks sections, keys and values, but not that required keys are there.
+    ///
+    /// # Errors
+    /// The first fault found, with file, section and key.
+    pub fn new(name: &str, text: &str, spec: &'static FileSpec) -> Result<Self> {
+        let ini = Ini::load_from_str_noescape(text)
+            .map_err(|cause| Error::Syntax(name.to_owned(), cause.to_string()))?;
+        let mut sections: Vec<CheckedSection> = Vec::new();
+        for (header, properties) in &ini {
+            let header = header.unwrap_or("");
+            if header.is_empty() && properties.is_empty() {
+                continue;
+            }
+            let mut section = checked_header(name, header, spec)?;
+            if sections.iter().any(|known| known.header == section.header) {
+                return Err(Error::RepeatedSection(name.to_owned(), section.header));
+            }
+            for (key, value) in properties {
+                let key = checked_key(name, &section, key, value)?;
+                section.set(key.key, name, value);
+            }
+            sections.push(section);
+        }
+        Ok(Self {
+            name: name.to_owned(),
+            sections,
+        })
+    }
+
+    /// The file's name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// The sections in the order of the file.
+    pub fn sections(&self) -> &[CheckedSection] {
+        &self.sections
+    }
+
+    /// The section `kind`, with every required key there.
+    ///
+    /// # Errors
+    /// Where the section or one of its required keys is missing.
+    pub fn section(&self, kind: &str) -> Result<&CheckedSection> {
+        let section = self
+            .sections
+            .iter()
+            .find(|section| section.kind() == kind)
+            .ok_or_else(|| Error::MissingSection(self.name.clone(), kind.to_owned()))?;
+        section.require_keys(&self.name)?;
+        Ok(section)
+    }
+}
+
+fn checked_header(file: &str, header: &str, spec: &'static FileSpec) -> Result<CheckedSection> {
+    let mut words = header.split_whitespace();
+    let kind = words.next().unwrap_or("");
+    let names: Vec<String> = words.map(str::to_owned).collect();
+    let Some(section) = spec.sections.iter().find(|section| section.kind == kind) else {
+        let allowed: Vec<_> = spec.sections.iter().map(|s| format!("[{}]", s.form)).collect();
+        return Err(Error::UnknownSection(
+            file.to_owned(),
+            header.to_owned(),
+            allowed.join(", "),
+        ));
+    };
+    if names.len() != section.names {
+        return Err(Error::SectionName(
+            file.to_owned(),
+            header.to_owned(),
+            section.form.to_owned(),
+        ));
+    }
+    let mut canonical = vec![kind.to_owned()];
+    canonical.extend(names.iter().cloned());
+    Ok(CheckedSection {
+        spec: section,
+        header: canonical.join(" "),
+        names,
+        values: BTreeMap::new(),
+    })
+}
+
+fn checked_key(
+    file: &str,
+    section: &CheckedSection,
+    key: &str,
+    value: &str,
+) -> Result<&'static KeySpec> {
+    let Some(spec) = section.spec.keys.iter().find(|spec| spec.key == key) else {
+        let allowed: Vec<_> = section.spec.keys.iter().map(|spec| spec.key).collect();
+        return Err(Error::UnknownKey(
+            file.to_owned(),
+            section.header.clone(),
+            key.to_owned(),
+            allowed.join(", "),
+        ));
+    };
+    if !spec.kind.accepts(value) {
+        return Err(Error::BadValue(
+            file.to_owned(),
+            section.header.clone(),
+            key.to_owned(),
+            value.to_owned(),
+            spec.kind.allowed(),
+        ));
+    }
+    Ok(spec)
+}
--- /dev/null
+++ b/crates/conf/src/value.rs
@@ -0,0 +1,116 @@
+//! Kinds of values, their bounds, and how each is read.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The kind of a value with its bounds, both ends included.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum ValueKind {
+    /// A length of time such as `250ms`, in milliseconds.
+    Duration { min_ms: u64, max_ms: u64 },
+    /// A share such as `12.5%`.
+    Percent { min: f64, max: f64 },
+    /// A whole number.
+    Count { min: u64, max: u64 },
+    /// A size such as `64KB`, in bytes.
+    Size { min: u64, max: u64 },
+    /// One address, `IP:port`.
+    Address,
+    /// Addresses separated by commas; may be empty.
+    Addresses,
+    /// One of these words.
+    Word(&'static [&'static str]),
+    /// Names separated by commas.
+    Names,
+    /// One name: letters, digits, `.`, `-` and `_`.
+    Name,
+    /// Any text.
+    Text,
+}
+
+impl ValueKind {
+    /// What is allowed, in words for an error message and the settings page.
+    pub fn allowed(&self) -> String {
+        match *self {
+            Self::Duration { min_ms, max_ms } => format!(
+                "a duration with its unit, {} to {}",
+                words(min_ms),
+                words(max_ms)
+            ),
+            Self::Percent { min, max } => format!("a percentage, {min}% to {max}%"),
+            Self::Count { min, max } => format!("a whole number, {min} to {max}"),
+            Self::Size { min, max } => {
+                format!("a size in B, KB, MB or GB, {min}B to {max}B")
+            }
+            Self::Address => "one IP address with its port, such as 127.0.0.1:7000".into(),
+            Self::Addresses => "IP addresses with ports, separated by commas".into(),
+            Self::Word(words) => format!("one of {}", words.join(", ")),
+            Self::Names => "names separated by commas".into(),
+            Self::Name => "one name of letters, digits, '.', '-' and '_'".into(),
+            Self::Text => "any text".into(),
+        }
+    }
+
+    /// Whether `text` is a value of this kind and inside its bounds.
+    pub fn accepts(&self, text: &str) -> bool {
+        match *self {
+            Self::Duration { min_ms, max_ms } => parse_duration(text).is_some_and(|d| {
+                (u128::from(min_ms)..=u128::from(max_ms)).contains(&d.as_millis())
+            }),
+            Self::Percent { min, max } => {
+                parse_percent(text).is_some_and(|p| (min..=max).contains(&(p * 100.0)))
+            }
+            Self::Count { min, max } => text
+                .parse::<u64>()
+                .is_ok_and(|n| (min..=max).contains(&n)),
+            Self::Size { min, max } => {
+                parse_size(text).is_some_and(|n| (min..=max).contains(&n))
+            }
+            Self::Address => text.parse::<SocketAddr>().is_ok(),
+            Self::Addresses => split_list(text).all(|a| a.parse::<SocketAddr>().is_ok()),
+            Self::Word(words) => words.contains(&text),
+            Self::Names => !text.is_empty() && split_list(text).all(is_name),
+            Self::Name => is_name(text),
+            Self::Text => true,
+        }
+    }
+}
+
+fn words(milliseconds: u64) -> String {
+    humantime::format_duration(Duration::from_millis(milliseconds)).to_string()
+}
+
+fn is_name(text: &str) -> bool {
+    !text.is_empty()
+        && text
+            .chars()
+            .all(|c| c.is_ascii_alphanumeric() || matches!(c, '.' | '-' | '_'))
+}
+
+/// The parts of a comma-separated list, trimmed, without empty ones.
+pub(crate) fn split_list(text: &str) -> impl Iterator<Item = &str> {
+    text.split(',').map(str::trim).filter(|part| !part.is_empty())
+}
+
+/// Reads a duration such as `14s` or `1m 30s`.
+pub fn parse_duration(text: &str) -> Option<Duration> {
+    humantime::parse_duration(text).ok()
+}
+
+/// Reads a percentage such as `10%` as a share of one.
+pub fn parse_percent(text: &str) -> Option<f64> {
+    let number: f64 = text.strip_suffix('%')?.trim().parse().ok()?;
+    number.is_finite().then_some(number / 100.0)
+}
+
+/// Reads a size such as `64KB` in bytes; units are powers of 1024.
+pub fn parse_size(text: &str) -> Option<u64> {
+    const UNITS: [(&str, u64); 4] = [("KB", 1 << 10), ("MB", 1 << 20), ("GB", 1 << 30), ("B", 1)];
+    for (suffix, factor) in UNITS {
+        let Some(number) = text.strip_suffix(suffix) else {
+            continue;
+        };
+        return number.trim().parse::<u64>().ok()?.checked_mul(factor);
+    }
+    None
+}
--- /dev/null
+++ b/crates/kernel/src/lib.rs
@@ -0,0 +1,26 @@
+//! A micro-kernel: services register under a name, find each other by name
+//! while they are wired, start in the order of registration and stop in reverse.
+//!
+//! Look-ups by name happen only while wiring. The request path keeps the typed
+//! handle that it got then.
+//!
+//! ```
+//! use kernel::ServiceRegistry;
+//!
+//! let mut registry = ServiceRegistry::new();
+//! registry.register("counter", 7_u32)?;
+//! assert_eq!(*registry.find::<u32>("counter")?, 7);
+//! # Ok::<(), kernel::Error>(())
+//! ```
+
+mod error;
+mod exit;
+mod logs;
+mod registry;
+mod stop;
+
+pub use exit::{ExitClass, finish};
+pub use logs::start_logs;
+pub use error::{Error, Result};
+pub use registry::ServiceRegistry;
+pub use stop::{StopSignal, StopTrigger, stop_channel, terminated};
--- /dev/null
+++ b/crates/relay/src/once.rs
@@ -0,0 +1,181 @@
+//! Records of requests that must not repeat, kept by the one run they are bound to.
+//!
+//! A key is recorded before its request may be dispatched and kept until no copy of
+//! it can be accepted any more. A key that was refused stays refused: a late copy of
+//! a request that was answered "not run" must not run.
+
+use std::collections::{BTreeSet, HashMap};
+
+use base::prelude::*;
+use bytes::Bytes;
+
+/// Time that a record is kept after its ticket has ended.
+const MEMORY: Duration = Duration::from_secs(900);
+/// Largest answer that is kept, in bytes.
+const MAX_KEPT_ANSWER: usize = 16 << 10;
+/// Bytes of all kept answers together.
+const MAX_KEPT_TOTAL: usize = 32 << 20;
+
+/// Names a request that must not repeat.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum OnceKey {
+    /// A number under a ticket.
+    Ticket {
+        /// The ticket's nonce.
+        nonce: u64,
+        /// The caller's number.
+        number: u64,
+    },
+    /// The hash of the caller's own idempotency key.
+    Caller([u8; 32]),
+}
+
+/// An answer that is kept for repeats of its request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeptAnswer {
+    /// The status code.
+    pub status: u16,
+    /// The content type, where given.
+    pub content_type: Option<String>,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// What became of a recorded request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OnceState {
+    /// It is being worked on.
+    Running,
+    /// It was refused and will never run.
+    Refused,
+    /// It was run; the answer is kept if it was small.
+    Done(Option<KeptAnswer>),
+    /// It may have run.
+    Unknown,
+}
+
+/// What a key's first or repeated arrival means.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OnceVerdict {
+    /// It is new and recorded now: go on.
+    Run,
+    /// It is known; nothing may be run.
+    Known(OnceState),
+    /// It is known with another request.
+    OtherRequest,
+    /// Too many records; it was not recorded and must not run.
+    Full,
+}
+
+#[derive(Debug, Clone)]
+struct OnceRecord {
+    fingerprint: u64,
+    state: OnceState,
+    forget_at: Instant,
+}
+
+/// The records of one run of an instance.
+#[derive(Debug, Clone)]
+pub struct OnceTable {
+    records: HashMap<OnceKey, OnceRecord>,
+    by_end: BTreeSet<(Instant, OnceKey)>,
+    most: usize,
+    kept_bytes: usize,
+}
+
+impl OnceTable {
+    /// A table of at most `most` records.
+    pub fn new(most: usize) -> Self {
+        Self {
+            records: HashMap::new(),
+            by_end: BTreeSet::new(),
+            most,
+            kept_bytes: 0,
+        }
+    }
+
+    /// How long a record outlives its ticket. Copies that come later can't be judged.
+    pub const fn memory() -> Duration {
+        MEMORY
+    }
+
+    /// A request with `key` has arrived; its ticket ends at `valid_until`.
+    pub fn begin(
+        &mut self,
+        now: Instant,
+        key: &OnceKey,
+        fingerprint: u64,
+        valid_until: Instant,
+    ) -> OnceVerdict {
+        self.expire(now);
+        if let Some(record) = self.records.get(key) {
+            if record.fingerprint != fingerprint {
+                return OnceVerdict::OtherRequest;
+            }
+            return OnceVerdict::Known(record.state.clone());
+        }
+        if self.records.len() >= self.most {
+            return OnceVerdict::Full;
+        }
+        let forget_at = valid_until + MEMORY;
+        self.by_end.insert((forget_at, key.clone()));
+        self.records.insert(
+            key.clone(),
+            OnceRecord {
+                fingerprint,
+                state: OnceState::Running,
+                forget_at,
+            },
+        );
+        OnceVerdict::Run
+    }
+
+    /// What is recorded of `key`, if anything.
+    pub fn find(&self, key: &OnceKey) -> Option<&OnceState> {
+        self.records.get(key).map(|record| &record.state)
+    }
+
+    /// Records what became of `key`. Large answers are not kept.
+    pub fn finish(&mut self, key: &OnceKey, state: OnceState) {
+        let Some(record) = self.records.get_mut(key) else {
+            return;
+        };
+        let state = match state {
+            OnceState::Done(Some(answer)) => {
+                let size = answer.body.len();
+                let fits = size <= MAX_KEPT_ANSWER && self.kept_bytes + size <= MAX_KEPT_TOTAL;
+                self.kept_bytes += if fits { size } else { 0 };
+                OnceState::Done(fits.then_some(answer))
+            }
+            other => other,
+        };
+        record.state = state;
+    }
+
+    /// Forgets the records whose time is over.
+    pub fn expire(&mut self, now: Instant) {
+        while let Some((end, key)) = self.by_end.first().cloned() {
+            if end > now {
+                return;
+            }
+            self.by_end.remove(&(end, key.clone()));
+            let Some(record) = self.records.remove(&key) else {
+                continue;
+            };
+            debug_assert_eq!(record.forget_at, end);
+            if let OnceState::Done(Some(answer)) = record.state {
+                self.kept_bytes = self.kept_bytes.saturating_sub(answer.body.len());
+            }
+        }
+    }
+
+    /// Number of records.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether nothing is recorded.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/standin/src/caller.rs
@@ -0,0 +1,285 @@
+//! A caller: looks up, keeps the answer for its time to live, sends, and keeps a ledger.
+
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use base::outcome::OUTCOME_HEADER;
+use base::prelude::*;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::handshake;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use tokio::net::TcpSocket;
+
+use crate::error::{Error, Result};
+use crate::ledger::{LedgerEntry, REQUEST_ID_HEADER, checksum, payload};
+
+/// Longest wait for a connection or a look-up.
+const CONNECT_TIME: Duration = Duration::from_secs(1);
+/// Added to a request's deadline before the caller gives up.
+const PATIENCE: Duration = Duration::from_millis(500);
+
+/// What a caller is like.
+#[derive(Debug, Clone)]
+pub struct CallerSpec {
+    /// Address it sends from; tells its home region.
+    pub source: IpAddr,
+    /// Where it may look up.
+    pub lookups: Vec<SocketAddr>,
+}
+
+/// One request to make.
+#[derive(Debug, Clone)]
+pub struct CallSpec {
+    /// Its name.
+    pub id: String,
+    /// The service.
+    pub service: String,
+    /// Whether it must not repeat.
+    pub at_most_once: bool,
+    /// Longest time.
+    pub deadline: Duration,
+    /// Bytes of its body.
+    pub body: usize,
+}
+
+/// How one attempt ended.
+#[derive(Debug)]
+pub enum CallResult {
+    /// An answer came, with its outcome, whether its body was wrong, and its reason.
+    Answered(Outcome, bool, String),
+    /// Nothing was sent.
+    Unsent,
+    /// The connection broke after something was sent.
+    Broken(String),
+}
+
+#[derive(Debug, Clone, Deserialize)]
+struct FoundEntry {
+    address: SocketAddr,
+    ticket: String,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+struct FoundEntries {
+    ttl_ms: u64,
+    entries: Vec<FoundEntry>,
+}
+
+#[derive(Debug)]
+struct CachedLookup {
+    found: FoundEntries,
+    until: Instant,
+}
+
+/// A caller with its cache.
+#[derive(Debug)]
+pub struct CallerSim {
+    spec: CallerSpec,
+    cache: Mutex<HashMap<String, CachedLookup>>,
+    numbers: std::sync::atomic::AtomicU64,
+}
+
+impl CallerSim {
+    /// A caller with an empty cache.
+    pub fn new(spec: CallerSpec) -> Self {
+        Self {
+            spec,
+            cache: Mutex::new(HashMap::new()),
+            numbers: std::sync::atomic::AtomicU64::new(1),
+        }
+    }
+
+    /// Makes one request, trying the instances of its look-up in order where nothing
+    /// was sent. An at-most-once request that broke is repeated once, elsewhere, with
+    /// the same ticket and number.
+    pub async fn call(&self, call: &CallSpec) -> LedgerEntry {
+        let began = Instant::now();
+        let mut entry = LedgerEntry {
+            id: call.id.clone(),
+            service: call.service.clone(),
+            at_most_once: call.at_most_once,
+            outcome: None,
+            detail: String::new(),
+            wrong: false,
+            took: Duration::ZERO,
+        };
+        let found = match self.look_up(&call.service).await {
+            Ok(found) => found,
+            Err(error) => {
+                entry.detail = format!("look-up: {error}");
+                entry.took = began.elapsed();
+                // Nothing was sent, so nothing was run.
+                entry.outcome = Some(Outcome::NotRun);
+                return entry;
+            }
+        };
+        let number = self.numbers.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let mut sent_to: Option<&FoundEntry> = None;
+        entry.outcome = Some(Outcome::NotRun);
+        entry.detail = "no instance could be reached".to_owned();
+        for found in &found.entries {
+            let ticket = sent_to.unwrap_or(found);
+            match self.attempt(call, found.address, &ticket.ticket, number).await {
+                CallResult::Answered(outcome, wrong, detail) => {
+                    entry.outcome = Some(outcome);
+                    entry.wrong = wrong;
+                    entry.detail = detail;
+                    break;
+                }
+                CallResult::Unsent => self.forget(&call.service),
+                CallResult::Broken(detail) => {
+                    self.forget(&call.service);
+                    entry.outcome = None;
+                    entry.detail = detail;
+                    if sent_to.is_some() || began.elapsed() > call.deadline {
+                        break;
+                    }
+                    sent_to = Some(found);
+                }
+            }
+        }
+        entry.took = began.elapsed();
+        entry
+    }
+
+    fn forget(&self, service: &str) {
+        let mut cache = self.cache.lock().unwrap_or_else(PoisonError::into_inner);
+        cache.remove(service);
+    }
+
+    async fn look_up(&self, service: &str) -> Result<FoundEntries> {
+        if let Some(found) = self.cached(service) {
+            return Ok(found);
+        }
+        let start = rand::random_range(0..self.spec.lookups.len().max(1));
+        let count = self.spec.lookups.len();
+        let mut last = Error::Answer("nowhere to look up".to_owned());
+        for step in 0..count {
+            let address = self.spec.lookups[(start + step) % count];
+            match self.ask(address, service).await {
+                Ok(found) if !found.entries.is_empty() => {
+                    let until = Instant::now() + Duration::from_millis(found.ttl_ms);
+                    let cached = CachedLookup {
+                        found: found.clone(),
+                        until,
+                    };
+                    let mut cache = self.cache.lock().unwrap_or_else(PoisonError::into_inner);
+                    cache.insert(service.to_owned(), cached);
+                    return Ok(found);
+                }
+                Ok(_) => last = Error::Answer("the look-up named no instance".to_owned()),
+                Err(error) => last = error,
+            }
+        }
+        Err(last)
+    }
+
+    fn cached(&self, service: &str) -> Option<FoundEntries> {
+        let cache = self.cache.lock().unwrap_or_else(PoisonError::into_inner);
+        let cached = cache.get(service)?;
+        (cached.until > Instant::now()).then(|| cached.found.clone())
+    }
+
+    async fn ask(&self, address: SocketAddr, service: &str) -> Result<FoundEntries> {
+        let request = Request::builder()
+            .uri(format!("/v1/entries?service={service}"))
+            .header("host", address.to_string())
+            .body(Full::new(Bytes::new()))
+            .map_err(|cause| Error::Answer(cause.to_string()))?;
+        let asking = async {
+            let response = self.send(address, request).await?;
+            let body = response.into_body().collect().await;
+            let body = body.map_err(|cause| Error::Answer(cause.to_string()))?.to_bytes();
+            serde_json::from_slice(&body).map_err(|cause| Error::Answer(cause.to_string()))
+        };
+        tokio::time::timeout(CONNECT_TIME, asking)
+            .await
+            .unwrap_or_else(|_| Err(Error::Answer("no answer in time".to_owned())))
+    }
+
+    async fn connect(&self, address: SocketAddr) -> std::io::Result<tokio::net::TcpStream> {
+        let socket = TcpSocket::new_v4()?;
+        socket.bind(SocketAddr::new(self.spec.source, 0))?;
+        let stream = tokio::time::timeout(CONNECT_TIME, socket.connect(address)).await??;
+        stream.set_nodelay(true)?;
+        Ok(stream)
+    }
+
+    async fn send(&self, address: SocketAddr, request: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
+        let stream = self.connect(address).await?;
+        let broken = |cause: hyper::Error| Error::Answer(cause.to_string());
+        let (mut sender, connection) = handshake(TokioIo::new(stream)).await.map_err(broken)?;
+        tokio::spawn(connection);
+        sender.send_request(request).await.map_err(broken)
+    }
+
+    async fn attempt(
+        &self,
+        call: &CallSpec,
+        address: SocketAddr,
+        ticket: &str,
+        number: u64,
+    ) -> CallResult {
+        let body = vec![b'x'; call.body];
+        let expected = payload(&call.id, call.body as u64, checksum(0, &body));
+        let mut request = Request::builder()
+            .method(if call.body > 0 { "POST" } else { "GET" })
+            .uri(format!("/{}/work", call.service))
+            .header("host", address.to_string())
+            .header(REQUEST_ID_HEADER, &call.id)
+            .header("laurelhill-deadline-ms", call.deadline.as_millis().to_string());
+        if call.at_most_once {
+            request = request
+                .header("laurelhill-ticket", ticket)
+                .header("laurelhill-number", number.to_string());
+        }
+        let Ok(request) = request.body(Full::new(Bytes::from(body))) else {
+            return CallResult::Unsent;
+        };
+        let exchange = async {
+            let response = match self.send(address, request).await {
+                Ok(response) => response,
+                Err(Error::Socket(_)) => return CallResult::Unsent,
+                Err(error) => return CallResult::Broken(error.to_string()),
+            };
+            read_answer(response, &expected).await
+        };
+        tokio::time::timeout(call.deadline + PATIENCE, exchange)
+            .await
+            .unwrap_or_else(|_| CallResult::Broken("no answer in time".to_owned()))
+    }
+}
+
+async fn read_answer(response: Response<Incoming>, expected: &str) -> CallResult {
+    let status = response.status();
+    let outcome = response
+        .headers()
+        .get(OUTCOME_HEADER)
+        .and_then(|value| value.to_str().ok())
+        .and_then(Outcome::parse);
+    let body = match response.into_body().collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(cause) => return CallResult::Broken(format!("answer cut: {cause}")),
+    };
+    let Some(outcome) = outcome else {
+        return CallResult::Broken(format!("status {status} without an outcome"));
+    };
+    if outcome != Outcome::Done || status != StatusCode::OK {
+        let text = String::from_utf8_lossy(&body);
+        return CallResult::Answered(outcome, false, reason(&text));
+    }
+    CallResult::Answered(outcome, body != expected.as_bytes(), String::new())
+}
+
+/// The kind of a problem document.
+fn reason(text: &str) -> String {
+    let document: serde_json::Value = serde_json::from_str(text).unwrap_or_default();
+    let kind = document["type"].as_str().unwrap_or("unreadable");
+    kind.trim_start_matches("urn:laurelhill:").to_owned()
+}
--- /dev/null
+++ b/crates/steer/src/blocks.rs
@@ -0,0 +1,177 @@
+//! Client address blocks: which region or site a caller's address belongs to.
+
+use std::fmt;
+use std::net::IpAddr;
+
+/// A block that can't be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BlockParseError(String);
+
+impl fmt::Display for BlockParseError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "'{}' is no address block; write it as 10.1.0.0/16", self.0)
+    }
+}
+
+impl std::error::Error for BlockParseError {}
+
+/// Reads a block such as `10.1.0.0/16`.
+///
+/// # Errors
+/// Where the address or the prefix length can't be read.
+pub fn parse_block(text: &str) -> Result<(IpAddr, u8), BlockParseError> {
+    let fail = || BlockParseError(text.to_owned());
+    let (address, length) = text.trim().split_once('/').ok_or_else(fail)?;
+    let address: IpAddr = address.parse().map_err(|_| fail())?;
+    let length: u8 = length.parse().map_err(|_| fail())?;
+    let bits = if address.is_ipv4() { 32 } else { 128 };
+    if length > bits {
+        return Err(fail());
+    }
+    Ok((address, length))
+}
+
+/// Value of addresses outside every block.
+const NO_SITE: u16 = u16::MAX;
+
+/// Disjoint ranges of addresses in two flat arrays: where each starts, and its site.
+#[derive(Debug, Clone)]
+struct RangeTable<A> {
+    starts: Vec<A>,
+    sites: Vec<u16>,
+}
+
+impl<A: Copy + Ord> RangeTable<A> {
+    /// Flattens blocks, of which the longest prefix counts. `blocks` holds the first
+    /// and last address and the site; `next` gives the address after one, if any.
+    fn new(mut blocks: Vec<(A, A, u16)>, next: impl Fn(A) -> Option<A>) -> Self {
+        blocks.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.cmp(&a.1)));
+        let mut table = Self {
+            starts: Vec::with_capacity(blocks.len() * 2),
+            sites: Vec::with_capacity(blocks.len() * 2),
+        };
+        let mut open: Vec<(A, u16)> = Vec::new();
+        for (first, last, site) in blocks {
+            table.close_before(&mut open, Some(first), &next);
+            table.push(first, site);
+            open.push((last, site));
+        }
+        table.close_before(&mut open, None, &next);
+        table.starts.shrink_to_fit();
+        table.sites.shrink_to_fit();
+        table
+    }
+
+    /// Ends the open blocks that lie before `first`, going back to the block around each.
+    fn close_before(
+        &mut self,
+        open: &mut Vec<(A, u16)>,
+        first: Option<A>,
+        next: impl Fn(A) -> Option<A>,
+    ) {
+        while let Some((last, _)) = open.last().copied() {
+            if first.is_some_and(|first| first <= last) {
+                return;
+            }
+            open.pop();
+            let around = open.last().map_or(NO_SITE, |(_, site)| *site);
+            if let Some(after) = next(last) {
+                self.push(after, around);
+            }
+        }
+    }
+
+    fn push(&mut self, start: A, site: u16) {
+        if self.starts.last() == Some(&start) {
+            self.starts.pop();
+            self.sites.pop();
+        }
+        if self.sites.last() == Some(&site) {
+            return;
+        }
+        self.starts.push(start);
+        self.sites.push(site);
+    }
+
+    fn find(&self, address: A) -> Option<u16> {
+        let after = self.starts.partition_point(|start| *start <= address);
+        let site = *self.sites.get(after.checked_sub(1)?)?;
+        (site != NO_SITE).then_some(site)
+    }
+
+    fn bytes(&self) -> usize {
+        self.starts.len() * (size_of::<A>() + size_of::<u16>())
+    }
+}
+
+/// Collects blocks for a [`BlockTable`].
+#[derive(Debug, Clone, Default)]
+pub struct BlockTableBuilder {
+    four: Vec<(u32, u32, u16)>,
+    six: Vec<(u128, u128, u16)>,
+}
+
+impl BlockTableBuilder {
+    /// Without any block.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a block for `site`, which must be below 65,535.
+    #[must_use]
+    pub fn with_block(mut self, address: IpAddr, length: u8, site: u16) -> Self {
+        match address {
+            IpAddr::V4(address) => {
+                let host = u32::MAX.checked_shr(u32::from(length)).unwrap_or(0);
+                let first = u32::from(address) & !host;
+                self.four.push((first, first | host, site));
+            }
+            IpAddr::V6(address) => {
+                let host = u128::MAX.checked_shr(u32::from(length)).unwrap_or(0);
+                let first = u128::from(address) & !host;
+                self.six.push((first, first | host, site));
+            }
+        }
+        self
+    }
+
+    /// Builds the table.
+    pub fn build(self) -> BlockTable {
+        BlockTable {
+            four: RangeTable::new(self.four, |address| address.checked_add(1)),
+            six: RangeTable::new(self.six, |address| address.checked_add(1)),
+        }
+    }
+}
+
+/// Finds the site of an address by binary search in flat arrays.
+///
+/// ```
+/// use steer::{BlockTableBuilder, parse_block};
+///
+/// let (address, length) = parse_block("10.1.0.0/16")?;
+/// let table = BlockTableBuilder::new().with_block(address, length, 7).build();
+/// assert_eq!(table.find("10.1.2.3".parse().unwrap()), Some(7));
+/// assert_eq!(table.find("10.2.0.0".parse().unwrap()), None);
+/// # Ok::<(), steer::BlockParseError>(())
+/// ```
+#[derive(Debug, Clone)]
+pub struct BlockTable {
+    four: RangeTable<u32>,
+    six: RangeTable<u128>,
+}
+
+impl BlockTable {
+    /// The site of `address`.
+    pub fn find(&self, address: IpAddr) -> Option<u16> {
+        match address.to_canonical() {
+            IpAddr::V4(address) => self.four.find(u32::from(address)),
+            IpAddr::V6(address) => self.six.find(u128::from(address)),
+        }
+    }
+
+    /// Memory of the arrays in bytes.
+    pub fn bytes(&self) -> usize {
+        self.four.bytes() + self.six.bytes()
+    }
+}
--- /dev/null
+++ b/crates/steer/src/guard.rs
@@ -0,0 +1,53 @@
+//! Whether this instance may still use its seats.
+
+use base::prelude::*;
+
+/// How long one sign of a peer keeps a lapsed lease usable.
+const PEER_WINDOW: Duration = Duration::from_secs(3);
+
+/// Permission to use seats, checked before every admission.
+///
+/// The lease is counted from before it was asked for. Past its end the permission
+/// goes on only through an unbroken chain of messages from peers, since nobody
+/// takes over a holder that a peer hears. A process that was paused past the end
+/// of its permission finds the chain broken and needs a new lease.
+#[derive(Debug, Clone, Default)]
+pub struct SeatGuard {
+    permitted_until: Option<Instant>,
+}
+
+impl SeatGuard {
+    /// Without any permission.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// A lease with `remaining` time left, asked for at `asked_at`.
+    pub fn on_lease(&mut self, asked_at: Instant, remaining: Duration) {
+        let end = asked_at + remaining;
+        let later = self.permitted_until.is_none_or(|until| until < end);
+        if later {
+            self.permitted_until = Some(end);
+        }
+    }
+
+    /// The seats are lost.
+    pub fn on_lost(&mut self) {
+        self.permitted_until = None;
+    }
+
+    /// A peer's message came in.
+    pub fn on_peer(&mut self, now: Instant) {
+        let Some(until) = self.permitted_until else {
+            return;
+        };
+        if now < until {
+            self.permitted_until = Some(until.max(now + PEER_WINDOW));
+        }
+    }
+
+    /// Whether work may be admitted at `now`.
+    pub fn permits(&self, now: Instant) -> bool {
+        self.permitted_until.is_some_and(|until| now < until)
+    }
+}
