Gate: loans that pay, waits that are learnt, slots that cool after an abort

Late grants of asks that had been given up were ignored, so the right lay idle until the loan's end; expected waits left aborted runs out; an aborted run blocked its slot 100 ms. Change: a given-up ask is remembered as withdrawn and its grant returned; waits count every hold and are corrected by the waits that really came; own requests go before loans; surplus asks are withdrawn; aborted runs cool for 20 ms; a queue without any right in sight isn't joined.

--- a/crates/steer/src/gate.rs
+++ b/crates/steer/src/gate.rs
@@ -37,6 +37,9 @@
 const DIGEST_AGE: Duration = Duration::from_secs(2);
 /// Time for which a late grant of a withdrawn ask is recognised and returned.
 const WITHDRAWN_AGE: Duration = Duration::from_secs(60);
+/// Time for which the slot of an aborted run isn't used again: its backend server has
+/// to notice first.
+const ABORT_GRACE: Duration = Duration::from_millis(20);
 /// Added to the longest deadline before slots of a former holder are used.
 const TAKEOVER_GRACE: Duration = Duration::from_millis(500);
 /// Time to come back where the instance may not admit.
@@ -318,11 +321,12 @@
             return Err(self.refusal(RefusalReason::NoServer, NO_SEAT_RETRY));
         }
         let link_open = self.link_open();
-        let Some(pool) = self.pools.get_mut(&arrival.service) else {
+        let Some(pool) = self.pools.get(&arrival.service) else {
             return Err(self.refusal(RefusalReason::UnknownService, NO_SEAT_RETRY));
         };
         let waits = !pool.queue.is_empty() || !link_open || pool.rights.spare(now) == 0;
-        if waits && !pool.can_wait(now, arrival.deadline) {
+        let peers_spare = || self.peers_spare(now, &arrival.service);
+        if waits && !pool.can_wait(now, arrival.deadline, peers_spare()) {
             let wait = pool.expected_wait() + pool.mean();
             return Err(self.refusal(RefusalReason::Overloaded, wait));
         }
@@ -332,9 +336,11 @@
             return Ok(());
         }
         if let Some(pool) = self.pools.get_mut(&arrival.service) {
+            let predicted = pool.predicted_wait();
             pool.queue.push_back(WaitingRequest {
                 arrival: arrival.clone(),
                 since: now,
+                predicted,
             });
         }
         self.serve(now, &arrival.service, actions);
@@ -417,6 +423,12 @@
         best.map(|(_, peer)| peer)
     }
 
+    /// Whether a peer of the region tells of a spare right.
+    fn peers_spare(&self, now: Instant, service: &ServiceId) -> bool {
+        let mut peers = self.near.iter();
+        peers.any(|peer| self.spare_of(now, &peer.node, service) > 0)
+    }
+
     fn spare_of(&self, now: Instant, node: &NodeId, service: &ServiceId) -> u16 {
         let Some(load) = self.loads.get(node) else {
             return 0;
@@ -443,13 +455,19 @@
         let Some(pool) = self.pools.get_mut(&service) else {
             return;
         };
-        pool.rights.finish(now, request);
+        if result == RunResult::Failed {
+            // The server may still be busy with it for a moment.
+            pool.cooling.push_back((now + ABORT_GRACE, request));
+        } else {
+            pool.rights.finish(now, request);
+        }
         if let Some(running) = pool.running.remove(&request) {
             let held = now.saturating_duration_since(running.since);
             match result {
-                RunResult::Answered => pool.record_run(held),
+                RunResult::Answered => pool.record_run(held, true),
+                RunResult::Failed => pool.record_run(held + ABORT_GRACE, false),
                 RunResult::Unreachable => pool.rights.suspect(now, &running.server),
-                RunResult::Shed | RunResult::Failed => {}
+                RunResult::Shed => {}
             }
         }
         self.serve(now, &service, actions);
@@ -480,11 +498,8 @@
             return false;
         };
         pool.peer_asks.retain(|ask| ask.until > now);
-        if pool.own_first() {
-            self.dispatch_first(now, service, actions) || self.lend_one(now, service, actions)
-        } else {
-            self.lend_one(now, service, actions) || self.dispatch_first(now, service, actions)
-        }
+        // A loan leaves its slot idle for the way there and back: own requests go first.
+        self.dispatch_first(now, service, actions) || self.lend_one(now, service, actions)
     }
 
     fn dispatch_first(
@@ -499,13 +514,15 @@
         let Some(waiting) = pool.queue.pop_front() else {
             return false;
         };
-        if self.dispatch(now, &waiting.arrival, actions) {
-            return true;
-        }
+        let dispatched = self.dispatch(now, &waiting.arrival, actions);
         if let Some(pool) = self.pools.get_mut(service) {
-            pool.queue.push_front(waiting);
+            if dispatched {
+                pool.record_wait(now, &waiting);
+            } else {
+                pool.queue.push_front(waiting);
+            }
         }
-        false
+        dispatched
     }
 
     fn refuse_hopeless(&mut self, now: Instant, service: &ServiceId, actions: &mut Vec<GateAction>) {
@@ -517,14 +534,18 @@
         kept.retain(|waiting| {
             let hopeless = pool.is_hopeless(now, waiting);
             if hopeless {
-                refused.push(waiting.arrival.request);
+                refused.push(waiting.clone());
             }
             !hopeless
         });
         pool.queue = kept;
+        for waiting in &refused {
+            pool.record_wait(now, waiting);
+        }
         let wait = pool.expected_wait() + pool.mean();
-        for request in refused {
+        for waiting in refused {
             let refusal = self.refusal(RefusalReason::Overloaded, wait);
+            let request = waiting.arrival.request;
             actions.push(GateAction::Refuse { request, refusal });
         }
     }
@@ -618,14 +639,15 @@
         let Some(pool) = self.pools.get_mut(service) else {
             return;
         };
-        if pool.queue.is_empty() && !pool.asks.is_empty() {
-            for (ask, open) in pool.asks.drain() {
-                pool.withdrawn.insert(ask, now);
-                actions.push(GateAction::Send {
-                    to: open.lender,
-                    body: EntryMessage::Withdraw { ask },
-                });
-            }
+        while pool.asks.len() > pool.queue.len() * ASK_FANOUT {
+            let Some((ask, open)) = pool.asks.pop_first() else {
+                break;
+            };
+            pool.withdrawn.insert(ask, now);
+            actions.push(GateAction::Send {
+                to: open.lender,
+                body: EntryMessage::Withdraw { ask },
+            });
         }
         let linger = pool.mean().mul_f64(LINGER_SHARE);
         for (lender, loan) in pool.rights.release_idle(now, linger) {
@@ -768,10 +790,9 @@
         let services: Vec<ServiceId> = self.pools.keys().cloned().collect();
         for service in &services {
             if let Some(pool) = self.pools.get_mut(service) {
+                pool.end_cooling(now);
                 pool.rights.expire(now);
-                let age = pool.service.deadline;
-                pool.asks
-                    .retain(|_, open| now.saturating_duration_since(open.sent) < age);
+                pool.give_up_asks(now);
                 pool.withdrawn
                     .retain(|_, at| now.saturating_duration_since(*at) < WITHDRAWN_AGE);
             }
