Seats: a release that waits to be written is not forgotten

Cause: the new test seats_spread_when_an_instance_joins failed ('seat 2 is used twice'): rows read between asking for a release and writing it carry the same epoch, which the keeper took for a sign that the write was superseded. It forgot the write, wrote it all the same, and went on using the seat that the table showed as released. Ruled out: a double claim (the other keeper's claim was right) and the guard (lease was valid). Change: a pending write is over only when the row has moved past the revision it expects; a row that shows our own tenure as released ends it.

--- a/crates/steer/src/seat.rs
+++ b/crates/steer/src/seat.rs
@@ -112,6 +112,14 @@
     vacate: bool,
 }
 
+impl Tenure {
+    /// Whether `row` shows that somebody else holds the seat, or nobody.
+    fn is_ended_by(&self, row: &SeatRow) -> bool {
+        let same = self.token == row.token;
+        (same && row.released) || (!same && self.epoch <= row.epoch)
+    }
+}
+
 #[derive(Debug, Clone)]
 struct PendingWrite {
     sent: Instant,
@@ -283,30 +291,29 @@
                 };
                 self.rows.insert(*index, observed);
             }
-            self.settle_pending(now, *index, row);
+            self.settle_pending(now, *index, *revision, row);
             let lost = self
                 .held
                 .get(index)
-                .is_some_and(|tenure| tenure.token != row.token && tenure.epoch <= row.epoch);
+                .is_some_and(|tenure| tenure.is_ended_by(row));
             if lost {
                 self.held.remove(index);
             }
         }
     }
 
-    /// A write whose answer was lost has taken effect if the row carries its token.
-    fn settle_pending(&mut self, now: Instant, index: u16, row: &SeatRow) {
-        let took_effect = self
-            .pending
-            .get(&index)
-            .is_some_and(|pending| pending.row == *row);
-        if took_effect {
+    /// A write whose answer was lost has taken effect if the row is the one written, and
+    /// never will if the row has moved past the revision that it expects.
+    fn settle_pending(&mut self, now: Instant, index: u16, revision: u64, row: &SeatRow) {
+        let Some(pending) = self.pending.get(&index) else {
+            return;
+        };
+        if revision <= pending.expect {
+            return;
+        }
+        if pending.row == *row {
             self.on_written(now, index);
-        } else if self
-            .pending
-            .get(&index)
-            .is_some_and(|pending| pending.row.epoch <= row.epoch)
-        {
+        } else {
             self.pending.remove(&index);
         }
     }
