Shift cap: held in every late part of the window too

Moves crowd into the end of a window; when the arrivals before them leave it, the share rises without any new move. Change: the cap is held over the last whole, half and quarter window; 90% of it is used. It costs a tenth of the cap and somewhat slower shifts.

--- a/crates/steer/src/shift.rs
+++ b/crates/steer/src/shift.rs
@@ -8,8 +8,13 @@
 
 /// Parts that a window is counted in.
 const BUCKETS_PER_WINDOW: u32 = 20;
-/// Part of the cap that is used; the rest covers digests that lag.
-const USED_CAP: f64 = 0.95;
+/// Part of the cap that is used; the rest covers digests that lag and buckets that are
+/// coarse.
+const USED_CAP: f64 = 0.9;
+/// Parts of the window, counted back from now, in each of which the cap must hold.
+/// Moves that are crowded into the end of a window would raise the share later, when
+/// the arrivals before them have left the window.
+const HELD_PARTS: [u32; 3] = [1, 2, 4];
 
 #[derive(Debug, Clone)]
 struct CountBucket {
@@ -60,11 +65,13 @@
     /// # Errors
     /// The time after which the cap allows more.
     pub fn try_move(&mut self, now: Instant, region: &RegionId) -> Result<(), Duration> {
-        let recent = self.counts(now, 0);
         let allowed = (self.base_share(now, region) + self.cap * USED_CAP).min(1.0);
-        let moved = f64::from(moved_of(&recent, region) + 1);
-        if moved > allowed * f64::from(recent.total) {
-            return Err(self.window / BUCKETS_PER_WINDOW * 2);
+        for part in HELD_PARTS {
+            let recent = self.counts_between(now, Duration::ZERO, self.window / part);
+            let moved = f64::from(moved_of(&recent, region) + 1);
+            if moved > allowed * f64::from(recent.total) {
+                return Err(self.window / BUCKETS_PER_WINDOW * 2);
+            }
         }
         *self.bucket(now).moved.entry(region.clone()).or_default() += 1;
         Ok(())
@@ -109,10 +116,15 @@
 
     /// Counts of the window that ended `back` windows ago.
     fn counts(&self, now: Instant, back: u32) -> ShiftCounts {
+        self.counts_between(now, self.window * back, self.window * (back + 1))
+    }
+
+    /// Counts of the buckets that began between `least` and `most` ago.
+    fn counts_between(&self, now: Instant, least: Duration, most: Duration) -> ShiftCounts {
         let mut counts = ShiftCounts::default();
         for bucket in &self.buckets {
             let age = now.saturating_duration_since(bucket.start);
-            if age < self.window * back || age >= self.window * (back + 1) {
+            if age < least || age >= most {
                 continue;
             }
             counts.total += bucket.total;
--- a/crates/steer/tests/seats.rs
+++ b/crates/steer/tests/seats.rs
@@ -38,7 +38,13 @@
     }
 
     /// One round as lh-steer makes it: entry's ask, rows, list, tick, writes.
-    async fn round(&mut self, now: Instant, platform: &FakePlatform, listed: &[&str], live: &[&str]) {
+    async fn round(
+        &mut self,
+        now: Instant,
+        platform: &FakePlatform,
+        listed: &[&str],
+        live: &[&str],
+    ) {
         let held: Vec<(u16, u64)> = self.held(now).iter().map(|s| (s.0, s.1)).collect();
         let entry = SeatEvent::Entry {
             node: self.node.clone(),
@@ -56,12 +62,23 @@
             let write = RowWrite::new("seats", &format!("north.{index}"), expect, &value);
             let event = match platform.commit(&[write]).await {
                 Ok(Commit::Done) => SeatEvent::Written { index },
-                Ok(Commit::Conflict) | Err(Error::Unavailable(_)) => SeatEvent::NotWritten { index, certain: true },
-                Err(_) => SeatEvent::NotWritten { index, certain: false },
+                Ok(Commit::Conflict) | Err(Error::Unavailable(_)) => SeatEvent::NotWritten {
+                    index,
+                    certain: true,
+                },
+                Err(_) => SeatEvent::NotWritten {
+                    index,
+                    certain: false,
+                },
             };
             self.event(now, &event);
         }
-        let remaining = self.keeper.held(now).iter().map(|seat| seat.remaining).min();
+        let remaining = self
+            .keeper
+            .held(now)
+            .iter()
+            .map(|seat| seat.remaining)
+            .min();
         match remaining {
             Some(remaining) => self.guard.on_lease(now, remaining),
             None if self.keeper.is_informed() => self.guard.on_lost(),
@@ -89,7 +106,10 @@
 
     fn vacating(&self, now: Instant) -> Vec<u16> {
         let held = self.keeper.held(now);
-        held.iter().filter(|seat| seat.vacate).map(|seat| seat.index).collect()
+        held.iter()
+            .filter(|seat| seat.vacate)
+            .map(|seat| seat.index)
+            .collect()
     }
 
     /// Seats that may be used at `now`.
@@ -109,7 +129,14 @@
     let mut all = BTreeSet::new();
     for holder in holders {
         for seat in holder.usable(now) {
-            assert!(all.insert(seat), "seat {seat} is used twice: {:?}", holders.iter().map(|h| h.keeper.held(now)).collect::<Vec<_>>());
+            assert!(
+                all.insert(seat),
+                "seat {seat} is used twice: {:?}",
+                holders
+                    .iter()
+                    .map(|h| h.keeper.held(now))
+                    .collect::<Vec<_>>()
+            );
         }
     }
 }
@@ -151,16 +178,30 @@
     for _ in 0..120 {
         now += STEP;
         b.round(now, &platform, &["a", "b"], &["b"]).await;
-        assert_eq!(b.usable(now).len(), 2, "taken over although the list shows the holder");
+        assert_eq!(
+            b.usable(now).len(),
+            2,
+            "taken over although the list shows the holder"
+        );
     }
-    assert!(a.usable(now).is_empty(), "a frozen holder's lease must have ended");
+    assert!(
+        a.usable(now).is_empty(),
+        "a frozen holder's lease must have ended"
+    );
     for _ in 0..40 {
         now += STEP;
         b.round(now, &platform, &["b"], &["b"]).await;
         assert_disjoint(&[&a, &b], now);
     }
     assert_eq!(b.usable(now).len(), 4);
-    assert!(b.keeper.held(now).iter().filter(|seat| seat.contested).count() == 2);
+    assert!(
+        b.keeper
+            .held(now)
+            .iter()
+            .filter(|seat| seat.contested)
+            .count()
+            == 2
+    );
     // a wakes and believes nothing of the past: it asks, and finds its seats gone.
     now += STEP;
     assert!(a.usable(now).is_empty());
@@ -273,7 +314,13 @@
     }
     let in_use = a.held(now);
     let mut fresh = Holder::new("a", 1);
-    fresh.keeper = SeatKeeper::new(SeatSettings { seats: SEATS, lease: LEASE }, 77);
+    fresh.keeper = SeatKeeper::new(
+        SeatSettings {
+            seats: SEATS,
+            lease: LEASE,
+        },
+        77,
+    );
     fresh.read(now, &platform).await;
     let entry = SeatEvent::Entry {
         node: fresh.node.clone(),
