--- a/crates/relay/src/controller.rs
+++ b/crates/relay/src/controller.rs
@@ -360,7 +360,7 @@
 
     /// Claims the caller's own key in the table service before anything is sent.
     async fn claim(&self, work: &CheckedWork) -> Result<(), Problem> {
-        let Some(OnceKey::Caller(key)) = &work.once else {
+        let Some(once @ OnceKey::Caller(key)) = &work.once else {
             return Ok(());
         };
         match self
@@ -369,13 +369,11 @@
             .await
         {
             Ok(ClaimVerdict::Ours) => Ok(()),
-            Ok(ClaimVerdict::Taken(value)) if value.ends_with(" refused") => {
-                Err(self.repeat_problem(OnceState::Refused))
-            }
-            Ok(ClaimVerdict::Taken(value)) if value.ends_with(" done") => {
-                Err(self.repeat_problem(OnceState::Done(None)))
+            Ok(ClaimVerdict::Taken(value)) => {
+                // The table keeps the record; a later copy has to ask it again.
+                lock(&self.once).forget(once);
+                Err(self.repeat_problem(claimed_state(&value)))
             }
-            Ok(ClaimVerdict::Taken(_)) => Err(self.repeat_problem(OnceState::Unknown)),
             Err(cause) => {
                 log::warn!(cause:% = cause; "claim failed");
                 Err(Problem::new(
@@ -712,6 +710,15 @@
     OnceKey::Caller(hasher.finalize().into())
 }
 
+/// What a claim's row says of its request.
+fn claimed_state(value: &str) -> OnceState {
+    match value.rsplit(' ').next() {
+        Some("refused") => OnceState::Refused,
+        Some("done") => OnceState::Done(None),
+        _ => OnceState::Unknown,
+    }
+}
+
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
--- a/crates/relay/src/once.rs
+++ b/crates/relay/src/once.rs
@@ -152,6 +152,21 @@
         record.state = state;
     }
 
+    /// Forgets `key`, because its record is kept elsewhere.
+    pub fn forget(&mut self, key: &OnceKey) {
+        let Some(record) = self.records.remove(key) else {
+            return;
+        };
+        self.by_end.remove(&(record.forget_at, key.clone()));
+        self.release_answer(&record);
+    }
+
+    fn release_answer(&mut self, record: &OnceRecord) {
+        if let OnceState::Done(Some(answer)) = &record.state {
+            self.kept_bytes = self.kept_bytes.saturating_sub(answer.body.len());
+        }
+    }
+
     /// Forgets the records whose time is over.
     pub fn expire(&mut self, now: Instant) {
         while let Some((end, key)) = self.by_end.first().cloned() {
@@ -162,10 +177,7 @@
             let Some(record) = self.records.remove(&key) else {
                 continue;
             };
-            debug_assert_eq!(record.forget_at, end);
-            if let OnceState::Done(Some(answer)) = record.state {
-                self.kept_bytes = self.kept_bytes.saturating_sub(answer.body.len());
-            }
+            self.release_answer(&record);
         }
     }
 
--- a/crates/steer/src/pool.rs
+++ b/crates/steer/src/pool.rs
@@ -148,12 +148,15 @@
             .max(usize::from(self.rights.owned()))
     }
 
-    /// Whether a request with `deadline` would still be useful if it joined the queue.
-    /// Without any right in sight nothing would ever end its wait.
+    /// Whether a request with `deadline` would still be useful if it joined the queue:
+    /// in time, and without a wait that alone breaks the latency objective. Without any
+    /// right in sight nothing would ever end its wait.
     pub(crate) fn can_wait(&self, now: Instant, deadline: Instant, peers_spare: bool) -> bool {
+        let wait = self.expected_wait();
         (peers_spare || self.parallel() > 0)
             && self.queue.len() < self.service.queue
-            && now + self.expected_wait() + self.margin() <= deadline
+            && wait <= self.service.objective.latency
+            && now + wait + self.margin() <= deadline
     }
 
     /// Whether a waiting request has become useless.
