--- /dev/null
+++ b/bin/lh-burn/src/collect.rs
@@ -0,0 +1,69 @@
+//! `collect`: reads metrics and keeps slices.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use burn::{Scrape, SliceBook, parse_scrape};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::Request;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use store::PlatformClient;
+
+use crate::cli::CollectArguments;
+use crate::error::Result;
+use crate::slices;
+
+/// Longest wait for one instance.
+const READ_TIME: Duration = Duration::from_secs(2);
+/// Largest metrics text in bytes.
+const MAX_TEXT: usize = 4 << 20;
+
+/// Collects until SIGTERM or for the number of readings.
+pub(crate) async fn run(arguments: &CollectArguments) -> Result<()> {
+    let platform = PlatformClient::new(arguments.platform);
+    let mut book = SliceBook::new();
+    if let Some(slice) = slices::load(&platform, slices::present()).await? {
+        book.resume(slice);
+    }
+    let mut readings = tokio::time::interval(Duration::from_secs(arguments.period.max(1)));
+    let mut count = 0;
+    let mut stop = std::pin::pin!(kernel::terminated());
+    loop {
+        tokio::select! {
+            _ = readings.tick() => {}
+            stopped = &mut stop => return Ok(stopped?),
+        }
+        for instance in &arguments.instances {
+            match read(*instance).await {
+                Some(scrape) => book.record(slices::present(), &scrape),
+                None => log::warn!(instance:% = instance; "metrics not read"),
+            }
+        }
+        if let Err(error) = slices::store(&platform, book.slice()).await {
+            log::warn!(error:% = error; "slice not stored; it will be with the next reading");
+        }
+        count += 1;
+        if arguments.readings.is_some_and(|most| count >= most) {
+            return Ok(());
+        }
+    }
+}
+
+async fn read(instance: SocketAddr) -> Option<Scrape> {
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let request = Request::builder()
+        .uri(format!("http://{instance}/metrics"))
+        .body(Empty::<Bytes>::new())
+        .ok()?;
+    let reading = async {
+        let response = client.request(request).await.ok()?;
+        let body = Limited::new(response.into_body(), MAX_TEXT)
+            .collect()
+            .await
+            .ok()?;
+        parse_scrape(&String::from_utf8_lossy(&body.to_bytes())).ok()
+    };
+    tokio::time::timeout(READ_TIME, reading).await.ok()?
+}
--- /dev/null
+++ b/bin/lh-burn/src/slices.rs
@@ -0,0 +1,31 @@
+//! Slices in the platform's object store, one object each.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use burn::{BurnSlice, SLICE};
+use store::{ObjectStore, PlatformClient};
+
+use crate::error::Result;
+
+/// Number of the present slice.
+pub(crate) fn present() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    since.as_secs() / SLICE.as_secs()
+}
+
+/// Reads the slice `number`; `None` where there is none or it can't be read.
+pub(crate) async fn load(platform: &PlatformClient, number: u64) -> Result<Option<BurnSlice>> {
+    let content = platform.get(&format!("burn-{number}")).await?;
+    Ok(content.and_then(|content| serde_json::from_slice(&content).ok()))
+}
+
+/// Stores a slice, over its earlier state.
+pub(crate) async fn store(platform: &PlatformClient, slice: &BurnSlice) -> Result<()> {
+    let content = serde_json::to_vec(slice).unwrap_or_default();
+    platform
+        .put(&format!("burn-{}", slice.number), &content)
+        .await?;
+    Ok(())
+}
--- a/bin/lh-entry/src/app.rs
+++ b/bin/lh-entry/src/app.rs
@@ -47,6 +47,7 @@
     let gate = registry.share("gate", GateHandle::new(gate, outbox))?;
     let snapshots = registry.register("snapshots", SnapshotCell::new())?;
     let metrics = registry.register("metrics", RelayMetrics::new()?)?;
+    metrics.show_instance(&config.instance, &config.region);
     let controller = registry.share(
         "relay",
         RelayController::new(
@@ -109,6 +110,7 @@
         gate,
         snapshots,
         window: config.drain_window,
+        metrics,
         leaving: leave,
         closing: close,
     };
--- a/bin/lh-entry/src/stop.rs
+++ b/bin/lh-entry/src/stop.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use kernel::StopTrigger;
-use relay::{GateHandle, SnapshotCell};
+use relay::{GateHandle, RelayMetrics, SnapshotCell};
 
 /// Time for the news of leaving to reach every look-up.
 const NEWS_TIME: Duration = Duration::from_millis(1500);
@@ -18,6 +18,7 @@
     pub(crate) gate: Arc<GateHandle>,
     pub(crate) snapshots: Arc<SnapshotCell>,
     pub(crate) window: Duration,
+    pub(crate) metrics: Arc<RelayMetrics>,
     /// Tells lh-steer that this entry leaves.
     pub(crate) leaving: StopTrigger,
     /// Ends the listener and idle connections.
@@ -37,6 +38,7 @@
         tokio::time::sleep(wait).await;
         self.closing.stop();
         while began.elapsed() < self.window {
+            self.metrics.show_draining(began.elapsed());
             if self.gate.with_gate(|gate| gate.is_idle()) {
                 break;
             }
--- /dev/null
+++ b/crates/burn/src/objective.rs
@@ -0,0 +1,181 @@
+//! Burn rates: the share of bad events over what the objective allows. A rate of 1
+//! uses the budget up exactly by the end of its period.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use conf::{Deployment, Objective};
+
+use crate::slice::{BurnSlice, SLICE, SliceKey, SliceSums};
+
+/// A window with the burn rate from which somebody should be woken or told.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BurnWindow {
+    /// Its name in the report.
+    pub name: &'static str,
+    /// Its length.
+    pub length: Duration,
+    /// The burn rate that is too fast for it.
+    pub alarm: f64,
+}
+
+/// The fast and the slow windows, for a budget of 28 days.
+pub const WINDOWS: [BurnWindow; 4] = [
+    BurnWindow {
+        name: "5m",
+        length: Duration::from_secs(300),
+        alarm: 14.4,
+    },
+    BurnWindow {
+        name: "1h",
+        length: Duration::from_secs(3600),
+        alarm: 14.4,
+    },
+    BurnWindow {
+        name: "6h",
+        length: Duration::from_secs(6 * 3600),
+        alarm: 6.0,
+    },
+    BurnWindow {
+        name: "3d",
+        length: Duration::from_secs(3 * 86400),
+        alarm: 1.0,
+    },
+];
+
+base::common! {
+    /// What an objective is about.
+    #[derive(Copy, Eq)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum BurnKind {
+        /// Answers within the latency objective.
+        Latency,
+        /// Requests that were answered.
+        Availability,
+        /// Rights that stay free.
+        Headroom,
+    }
+
+    /// One line of the report.
+    pub struct BurnRow {
+        /// The service and region.
+        pub key: SliceKey,
+        /// What the objective is about.
+        pub kind: BurnKind,
+        /// Share that must be good.
+        pub goal: f64,
+        /// Share that was good over the longest window; 1 without any event.
+        pub reached: f64,
+        /// Burn rates in the order of [`WINDOWS`]; `None` without any event.
+        pub rates: Vec<Option<f64>>,
+        /// Share of the budget that is left over the longest window.
+        pub budget_left: f64,
+        /// Whether the fast or the slow windows burn too fast.
+        pub alarm: bool,
+    }
+}
+
+impl BurnKind {
+    /// The name in the report.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Latency => "latency",
+            Self::Availability => "availability",
+            Self::Headroom => "headroom",
+        }
+    }
+
+    fn goal(self, objective: &Objective) -> f64 {
+        match self {
+            Self::Latency => objective.latency_goal,
+            Self::Availability => objective.availability_goal,
+            Self::Headroom => objective.headroom_goal,
+        }
+    }
+
+    /// Share of bad events over the share that is allowed. For headroom, the part of
+    /// the wanted free rights that is missing.
+    fn rate(self, sums: &SliceSums, goal: f64) -> Option<f64> {
+        match self {
+            Self::Latency => rate(sums.done - sums.good, sums.done, goal),
+            Self::Availability => rate(sums.failed, sums.done + sums.failed, goal),
+            Self::Headroom => {
+                let free = (sums.owned > 0.0).then(|| sums.spare / sums.owned)?;
+                let missing = (goal - free).max(0.0);
+                Some(if goal > 0.0 { missing / goal } else { 0.0 })
+            }
+        }
+    }
+
+    fn reached(self, sums: &SliceSums) -> f64 {
+        let share = |good: f64, all: f64| if all > 0.0 { good / all } else { 1.0 };
+        match self {
+            Self::Latency => share(sums.good, sums.done),
+            Self::Availability => share(sums.done, sums.done + sums.failed),
+            Self::Headroom => share(sums.spare, sums.owned),
+        }
+    }
+}
+
+fn rate(bad: f64, all: f64, goal: f64) -> Option<f64> {
+    if all <= 0.0 {
+        return None;
+    }
+    Some(bad / all / (1.0 - goal).max(1e-9))
+}
+
+/// The report's rows at the end of slice `now`.
+pub fn burn_rows(deployment: &Deployment, slices: &[BurnSlice], now: u64) -> Vec<BurnRow> {
+    let sums: Vec<BTreeMap<SliceKey, SliceSums>> = WINDOWS
+        .iter()
+        .map(|window| window_sums(slices, now, window.length))
+        .collect();
+    let longest = &sums[WINDOWS.len() - 1];
+    let mut rows = Vec::new();
+    for (key, total) in longest {
+        let Some(service) = deployment.services.get(key.service.as_str()) else {
+            continue;
+        };
+        for kind in [
+            BurnKind::Latency,
+            BurnKind::Availability,
+            BurnKind::Headroom,
+        ] {
+            let goal = kind.goal(&service.objective);
+            let in_window = |window: &BTreeMap<SliceKey, SliceSums>| {
+                window.get(key).and_then(|sums| kind.rate(sums, goal))
+            };
+            let rates: Vec<Option<f64>> = sums.iter().map(in_window).collect();
+            rows.push(BurnRow {
+                key: key.clone(),
+                kind,
+                goal,
+                reached: kind.reached(total),
+                budget_left: 1.0 - kind.rate(total, goal).unwrap_or(0.0),
+                alarm: is_alarm(&rates),
+                rates,
+            });
+        }
+    }
+    rows
+}
+
+/// Too fast means: in a short window and in a longer one that confirms it.
+fn is_alarm(rates: &[Option<f64>]) -> bool {
+    let over = |index: usize| rates[index].is_some_and(|rate| rate >= WINDOWS[index].alarm);
+    (over(0) && over(1)) || (over(1) && over(2)) || (over(2) && over(3))
+}
+
+fn window_sums(slices: &[BurnSlice], now: u64, length: Duration) -> BTreeMap<SliceKey, SliceSums> {
+    let count = length.as_secs() / SLICE.as_secs();
+    let mut sums: BTreeMap<SliceKey, SliceSums> = BTreeMap::new();
+    for slice in slices {
+        if slice.number > now || slice.number + count <= now {
+            continue;
+        }
+        for (key, part) in &slice.sums {
+            sums.entry(key.clone()).or_default().add(part);
+        }
+    }
+    sums
+}
--- /dev/null
+++ b/crates/burn/src/scrape.rs
@@ -0,0 +1,100 @@
+//! One reading of an instance's metrics.
+
+use std::collections::BTreeMap;
+
+use prometheus_parse::{Scrape as ParsedText, Value};
+
+use crate::error::{Error, Result};
+
+base::common! {
+    /// Counters of one service at one instance; they only rise within one run.
+    #[derive(Copy, Default)]
+    pub struct ServiceCounters {
+        /// Requests done.
+        pub done: f64,
+        /// Requests done within the latency objective.
+        pub good: f64,
+        /// Requests that this system failed: refused, or of unknown outcome.
+        pub failed: f64,
+        /// Slot rights owned, a gauge.
+        pub owned: f64,
+        /// Slot rights free, a gauge.
+        pub spare: f64,
+    }
+
+    /// One reading.
+    #[derive(Default)]
+    pub struct Scrape {
+        /// The instance.
+        pub instance: String,
+        /// Its region.
+        pub region: String,
+        /// Time since a planned stop began, in seconds.
+        pub draining: f64,
+        /// Counters by service.
+        pub services: CounterSet,
+    }
+}
+
+/// Counters by service.
+pub type CounterSet = BTreeMap<String, ServiceCounters>;
+
+/// Reasons of refusals that are the caller's doing and burn no budget.
+const CALLERS_REASONS: [&str; 4] = [
+    "unknown-service",
+    "deadline-too-short",
+    "refused-before",
+    "done-before",
+];
+
+/// Reads metrics in the text format.
+///
+/// # Errors
+/// Where the text is none, or tells no instance.
+pub fn parse_scrape(text: &str) -> Result<Scrape> {
+    let lines = text.lines().map(|line| Ok(line.to_owned()));
+    let parsed = ParsedText::parse(lines).map_err(|cause| Error::Metrics(cause.to_string()))?;
+    let mut scrape = Scrape::default();
+    for sample in &parsed.samples {
+        let (Value::Counter(value) | Value::Gauge(value) | Value::Untyped(value)) = sample.value
+        else {
+            continue;
+        };
+        let label = |name: &str| sample.labels.get(name).unwrap_or("");
+        match sample.metric.as_str() {
+            "laurelhill_instance_info" => {
+                label("instance").clone_into(&mut scrape.instance);
+                label("region").clone_into(&mut scrape.region);
+            }
+            "laurelhill_draining_seconds" => scrape.draining = value,
+            "laurelhill_requests_total" => {
+                let counters = service(&mut scrape, label("service"));
+                if label("outcome") == "done" {
+                    counters.done += value;
+                } else if !CALLERS_REASONS.contains(&label("reason")) {
+                    counters.failed += value;
+                }
+            }
+            "laurelhill_good_total" => service(&mut scrape, label("service")).good += value,
+            "laurelhill_rights" => {
+                let counters = service(&mut scrape, label("service"));
+                match label("state") {
+                    "owned" => counters.owned = value,
+                    "spare" => counters.spare = value,
+                    _ => {}
+                }
+            }
+            _ => {}
+        }
+    }
+    if scrape.instance.is_empty() {
+        return Err(Error::Metrics(
+            "laurelhill_instance_info is missing".to_owned(),
+        ));
+    }
+    Ok(scrape)
+}
+
+fn service<'a>(scrape: &'a mut Scrape, name: &str) -> &'a mut ServiceCounters {
+    scrape.services.entry(name.to_owned()).or_default()
+}
--- /dev/null
+++ b/crates/burn/src/slice.rs
@@ -0,0 +1,141 @@
+//! Slices of time in which the counters of all instances are summed up.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use crate::scrape::{CounterSet, Scrape, ServiceCounters};
+
+/// Length of a slice.
+pub const SLICE: Duration = Duration::from_secs(300);
+
+base::common! {
+    /// A service in a region.
+    #[derive(Eq, Hash, PartialOrd, Ord)]
+    pub struct SliceKey {
+        /// The service.
+        pub service: String,
+        /// The region.
+        pub region: String,
+    }
+
+    /// What happened to a service in a region within a slice.
+    #[derive(Copy, Default)]
+    pub struct SliceSums {
+        /// Requests done.
+        pub done: f64,
+        /// Requests done within the latency objective.
+        pub good: f64,
+        /// Requests that this system failed.
+        pub failed: f64,
+        /// Sum of readings of owned rights.
+        pub owned: f64,
+        /// Sum of readings of free rights.
+        pub spare: f64,
+    }
+
+    /// One slice.
+    #[derive(Default)]
+    pub struct BurnSlice {
+        /// Number of the slice: time since 1970 over the slice's length.
+        pub number: u64,
+        /// Sums by service and region.
+        pub sums: Vec<(SliceKey, SliceSums)>,
+        /// Longest planned stop seen by instance, in seconds.
+        pub drains: BTreeMap<String, f64>,
+    }
+}
+
+impl SliceSums {
+    /// Adds `other`.
+    pub fn add(&mut self, other: &Self) {
+        self.done += other.done;
+        self.good += other.good;
+        self.failed += other.failed;
+        self.owned += other.owned;
+        self.spare += other.spare;
+    }
+}
+
+/// Turns readings into slices. A counter that falls belongs to a new run of its instance.
+#[derive(Debug, Default)]
+pub struct SliceBook {
+    last: HashMap<String, CounterSet>,
+    slice: BurnSlice,
+}
+
+impl SliceBook {
+    /// An empty book.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Goes on with a slice that was stored before a restart.
+    pub fn resume(&mut self, slice: BurnSlice) {
+        self.slice = slice;
+    }
+
+    /// The slice that is being filled.
+    pub fn slice(&self) -> &BurnSlice {
+        &self.slice
+    }
+
+    /// Takes a reading in that was made in the slice `number`.
+    pub fn record(&mut self, number: u64, scrape: &Scrape) {
+        if self.slice.number != number {
+            self.slice = BurnSlice {
+                number,
+                ..BurnSlice::default()
+            };
+        }
+        if scrape.draining > 0.0 {
+            let longest = self
+                .slice
+                .drains
+                .entry(scrape.instance.clone())
+                .or_default();
+            *longest = longest.max(scrape.draining);
+        }
+        let before = self
+            .last
+            .insert(scrape.instance.clone(), scrape.services.clone());
+        for (service, now) in &scrape.services {
+            let key = SliceKey {
+                service: service.clone(),
+                region: scrape.region.clone(),
+            };
+            let old = before
+                .as_ref()
+                .map(|set| set.get(service).copied().unwrap_or_default());
+            let sums = rise(old, now);
+            self.add(key, &sums);
+        }
+    }
+
+    fn add(&mut self, key: SliceKey, sums: &SliceSums) {
+        match self.slice.sums.iter_mut().find(|(known, _)| *known == key) {
+            Some((_, known)) => known.add(sums),
+            None => self.slice.sums.push((key, *sums)),
+        }
+    }
+}
+
+/// What the counters rose by. The first reading of an instance counts nothing, since
+/// nobody knows when its counters rose.
+fn rise(before: Option<ServiceCounters>, now: &ServiceCounters) -> SliceSums {
+    let mut sums = SliceSums {
+        owned: now.owned,
+        spare: now.spare,
+        ..SliceSums::default()
+    };
+    let Some(mut before) = before else {
+        return sums;
+    };
+    let restarted = now.done < before.done || now.failed < before.failed;
+    if restarted {
+        before = ServiceCounters::default();
+    }
+    sums.done = now.done - before.done;
+    sums.good = (now.good - before.good).max(0.0);
+    sums.failed = now.failed - before.failed;
+    sums
+}
--- /dev/null
+++ b/crates/burn/tests/burn.rs
@@ -0,0 +1,108 @@
+//! Burn rates from readings, across restarts of instances.
+
+use burn::{BurnKind, BurnSlice, SliceBook, burn_rows, page, parse_scrape, text};
+use conf::{ConfigBundle, Deployment};
+
+fn deployment() -> Deployment {
+    let base = "[deployment]\nname = demo\n[region north]\ndomains = n-1\n\
+                [service board]\nrepeat = idempotent\nlatency_goal = 90%\navailability_goal = 99%\n\
+                headroom_goal = 20%\n";
+    ConfigBundle::new()
+        .with_file("base.ini", base)
+        .deployment()
+        .unwrap()
+}
+
+fn metrics(done: u32, good: u32, refused: u32, spare: u32) -> String {
+    format!(
+        "# TYPE laurelhill_instance_info gauge\n\
+         laurelhill_instance_info{{instance=\"a\",region=\"north\"}} 1\n\
+         # TYPE laurelhill_requests_total counter\n\
+         laurelhill_requests_total{{service=\"board\",outcome=\"done\",reason=\"\"}} {done}\n\
+         laurelhill_requests_total{{service=\"board\",outcome=\"not-run\",reason=\"overloaded\"}} {refused}\n\
+         laurelhill_requests_total{{service=\"board\",outcome=\"not-run\",reason=\"refused-before\"}} 50\n\
+         # TYPE laurelhill_good_total counter\n\
+         laurelhill_good_total{{service=\"board\"}} {good}\n\
+         # TYPE laurelhill_rights gauge\n\
+         laurelhill_rights{{service=\"board\",state=\"owned\"}} 10\n\
+         laurelhill_rights{{service=\"board\",state=\"spare\"}} {spare}\n"
+    )
+}
+
+fn slice(number: u64, readings: &[(u32, u32, u32, u32)]) -> BurnSlice {
+    let mut book = SliceBook::new();
+    for (done, good, refused, spare) in readings {
+        let scrape = parse_scrape(&metrics(*done, *good, *refused, *spare)).unwrap();
+        book.record(number, &scrape);
+    }
+    book.slice().clone()
+}
+
+/// 100 done of which 80 good, with a goal of 90%: twice the budget. One refused of 101.
+#[test]
+fn rates_are_bad_over_allowed() {
+    let slices = [slice(1000, &[(0, 0, 0, 10), (100, 80, 1, 1)])];
+    let rows = burn_rows(&deployment(), &slices, 1000);
+    let rate = |kind: BurnKind| rows.iter().find(|row| row.kind == kind).unwrap().rates[0].unwrap();
+    assert!((rate(BurnKind::Latency) - 2.0).abs() < 1e-9);
+    assert!((rate(BurnKind::Availability) - 100.0 / 101.0).abs() < 1e-9);
+    assert_eq!(rate(BurnKind::Headroom), 0.0);
+}
+
+/// A counter that falls belongs to a new run, and nothing of it is lost or counted twice.
+#[test]
+fn restarts_of_an_instance_keep_the_sums_right() {
+    let slices = [slice(
+        1000,
+        &[
+            (50, 50, 0, 5),
+            (100, 100, 0, 5),
+            (30, 30, 0, 5),
+            (40, 40, 0, 5),
+        ],
+    )];
+    let (_, sums) = &slices[0].sums[0];
+    assert_eq!((sums.done, sums.good), (90.0, 90.0));
+}
+
+/// Fast burn that a longer window confirms is an alarm; a short peak isn't.
+#[test]
+fn an_alarm_needs_two_windows() {
+    let bad = |number| slice(number, &[(0, 0, 0, 5), (100, 0, 60, 5)]);
+    let good = |number| slice(number, &[(0, 0, 0, 5), (10_000, 10_000, 0, 5)]);
+    let alarm = |slices: &[BurnSlice]| {
+        burn_rows(&deployment(), slices, 1000)
+            .iter()
+            .any(|row| row.alarm)
+    };
+    let peak: Vec<BurnSlice> = (900..1000).map(good).chain([bad(1000)]).collect();
+    assert!(!alarm(&peak));
+    let lasting: Vec<BurnSlice> = (900..=1000).map(bad).collect();
+    assert!(alarm(&lasting));
+}
+
+/// Text and page show every objective; the page needs no network and escapes names.
+#[test]
+fn text_and_page_show_the_objectives() {
+    let slices = [
+        slice(999, &[(0, 0, 0, 1), (100, 80, 1, 1)]),
+        slice(1000, &[(0, 0, 0, 1), (10, 1, 1, 1)]),
+    ];
+    let shown = text(&burn_rows(&deployment(), &slices, 1000), &slices);
+    for word in ["board", "north", "latency", "availability", "headroom"] {
+        assert!(shown.contains(word), "{shown}");
+    }
+    let page = page(&deployment(), &slices, 1000).unwrap();
+    assert!(
+        page.contains("<svg")
+            && page.contains("&lt;- burns too fast") == page.contains("burns too fast")
+    );
+    assert!(!page.contains("src=") && !page.contains("href="));
+}
+
+/// Text that is no metrics is an error, never a panic.
+#[test]
+fn strange_metrics_are_an_error() {
+    assert!(parse_scrape("").is_err());
+    assert!(parse_scrape("<html>").is_err());
+}
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -13,7 +13,7 @@
 ];
 
 /// Name, kind, labels and meaning of every metric of lh-entry.
-pub const METRICS: [(&str, &str, &str, &str); 11] = [
+pub const METRICS: [(&str, &str, &str, &str); 13] = [
     (
         "laurelhill_requests_total",
         "counter",
@@ -69,6 +69,18 @@
         "",
         "Version of the configuration in force.",
     ),
+    (
+        "laurelhill_instance_info",
+        "gauge",
+        "instance, region",
+        "Always 1; tells which instance this is.",
+    ),
+    (
+        "laurelhill_draining_seconds",
+        "gauge",
+        "",
+        "Time since a planned stop began; 0 before.",
+    ),
     (
         "laurelhill_plan_age_seconds",
         "gauge",
@@ -92,6 +104,8 @@
     admitting: IntGauge,
     version: IntGauge,
     plan_age: Gauge,
+    draining: Gauge,
+    info: IntGaugeVec,
 }
 
 fn meaning(name: &str) -> &'static str {
@@ -124,9 +138,16 @@
         let rights = "laurelhill_rights";
         let rights = IntGaugeVec::new(Opts::new(rights, meaning(rights)), &["service", "state"])?;
         registry.register(Box::new(rights.clone()))?;
-        let plan_age = "laurelhill_plan_age_seconds";
-        let plan_age = Gauge::new(plan_age, meaning(plan_age))?;
-        registry.register(Box::new(plan_age.clone()))?;
+        let seconds = |name: &str| {
+            let gauge = Gauge::new(name, meaning(name))?;
+            registry.register(Box::new(gauge.clone()))?;
+            prometheus::Result::Ok(gauge)
+        };
+        let info = "laurelhill_instance_info";
+        let info = IntGaugeVec::new(Opts::new(info, meaning(info)), &["instance", "region"])?;
+        registry.register(Box::new(info.clone()))?;
+        let plan_age = seconds("laurelhill_plan_age_seconds")?;
+        let draining = seconds("laurelhill_draining_seconds")?;
         Ok(Self {
             requests: counter(
                 "laurelhill_requests_total",
@@ -142,6 +163,8 @@
             latency,
             rights,
             plan_age,
+            draining,
+            info,
             registry,
         })
     }
@@ -171,6 +194,17 @@
         self.spills.with_label_values(&[service.as_str()]).inc();
     }
 
+    /// Tells which instance this is.
+    pub fn show_instance(&self, instance: &InstanceId, region: &RegionId) {
+        let labels = [instance.as_str(), region.as_str()];
+        self.info.with_label_values(&labels).set(1);
+    }
+
+    /// Shows how long a planned stop has been going on.
+    pub fn show_draining(&self, since: Duration) {
+        self.draining.set(since.as_secs_f64());
+    }
+
     /// Counts a look-up.
     pub fn looked_up(&self, service: &str) {
         self.lookups.with_label_values(&[service]).inc();
--- a/crates/steer/src/gate.rs
+++ b/crates/steer/src/gate.rs
@@ -348,7 +348,7 @@
         let Some(pool) = self.pools.get(&arrival.service) else {
             return Err(self.refusal(RefusalReason::UnknownService, NO_SEAT_RETRY));
         };
-        let waits = !pool.queue.is_empty() || !link_open || pool.rights.spare(now) == 0;
+        let waits = !pool.queue.is_empty() || !link_open || !pool.rights.has_spare(now);
         let peers_spare = || self.peers_spare(now, &arrival.service);
         if waits && !pool.can_wait(now, arrival.deadline, peers_spare()) {
             let wait = pool.expected_wait() + pool.mean();
@@ -603,7 +603,7 @@
         let Some(ask) = pool.peer_asks.front() else {
             return false;
         };
-        if !link_open || pool.rights.spare(now) == 0 {
+        if !link_open || !pool.rights.has_spare(now) {
             return false;
         }
         let number = LoanId(self.next_loan);
--- a/crates/steer/src/member.rs
+++ b/crates/steer/src/member.rs
@@ -18,8 +18,12 @@
 const DEAD_AFTER: Duration = Duration::from_secs(3);
 /// Time after which a dead instance is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
-/// Records in one digest.
+/// Records of others in one digest of a small fleet.
 const DIGEST_RECORDS: usize = 24;
+/// Records of others in one digest of a large fleet, to keep within a node's bytes.
+const LARGE_DIGEST_RECORDS: usize = 6;
+/// Members from which a fleet is large.
+const LARGE_FLEET: usize = 64;
 /// Peers of the region that hear from us in one round.
 const NEAR_FANOUT: usize = 2;
 /// Records of one other region that are kept.
@@ -179,7 +183,12 @@
             .values()
             .filter(|known| is_alive(known, now))
             .collect();
-        let chosen = alive.choose_multiple(&mut self.rng, DIGEST_RECORDS);
+        let most = if alive.len() < LARGE_FLEET {
+            DIGEST_RECORDS
+        } else {
+            LARGE_DIGEST_RECORDS
+        };
+        let chosen = alive.choose_multiple(&mut self.rng, most);
         let others = chosen.map(|known| known.record.clone());
         GossipDigest {
             records: std::iter::once(own).chain(others).collect(),
--- a/crates/steer/src/rights.rs
+++ b/crates/steer/src/rights.rs
@@ -20,6 +20,9 @@
 /// Time for which a server that could not be reached gets no new work.
 const SUSPECT_TIME: Duration = Duration::from_millis(500);
 
+/// Servers with a free slot that one choice looks at.
+const PICK_AMONG: usize = 8;
+
 /// The seat that owns slot `slot` of `server` in a region of `seats` seats.
 pub fn slot_owner(server: &ServerId, slot: u16, seats: u16) -> u16 {
     let offset = server.as_str().bytes().fold(0_u32, |hash, byte| {
@@ -109,9 +112,13 @@
 #[derive(Debug, Clone, Default)]
 pub struct RightsBook {
     servers: Vec<ServerRights>,
+    /// Places in `servers` by name.
+    places: HashMap<ServerId, usize>,
     next_server: usize,
     lent: BTreeMap<LoanId, LentRight>,
     borrowed: Vec<BorrowedRight>,
+    /// Own rights in use or lent.
+    committed: u32,
     held: HashMap<RequestId, HeldRight>,
 }
 
@@ -133,7 +140,7 @@
             server.open = false;
         }
         for grant in grants {
-            match self.servers.iter_mut().find(|server| server.id == grant.id) {
+            match self.server_mut(&grant.id) {
                 Some(server) => {
                     server.own = grant.own;
                     server.open = grant.open;
@@ -150,6 +157,10 @@
         }
         self.servers
             .retain(|server| named.contains(&server.id) || server.lent + server.used > 0);
+        let places = self.servers.iter().enumerate();
+        self.places = places
+            .map(|(place, server)| (server.id.clone(), place))
+            .collect();
     }
 
     /// Takes a right for `request`, which ends at `deadline` at the latest; an own
@@ -164,6 +175,7 @@
         let own = if own_allowed { self.pick(now) } else { None };
         if let Some(server) = own {
             self.servers[server].used += 1;
+            self.committed += 1;
             let id = self.servers[server].id.clone();
             self.held.insert(request, HeldRight::Own(id.clone()));
             return Some(TakenRight {
@@ -194,16 +206,25 @@
         Some(taken)
     }
 
-    /// The server with most free own slots; ties go round.
+    /// The server with most free own slots among the next few that have any, so that
+    /// the choice costs the same in a large region; ties go round.
     fn pick(&mut self, now: Instant) -> Option<usize> {
         let count = self.servers.len();
         let mut best: Option<(u16, usize)> = None;
+        let mut seen = 0;
         for step in 0..count {
             let index = (self.next_server + step) % count;
             let free = self.servers[index].free(now);
+            if free == 0 {
+                continue;
+            }
             if free > best.map_or(0, |(most, _)| most) {
                 best = Some((free, index));
             }
+            seen += 1;
+            if seen == PICK_AMONG {
+                break;
+            }
         }
         let (_, index) = best?;
         self.next_server = (index + 1) % count;
@@ -217,6 +238,7 @@
                 if let Some(server) = self.server_mut(&id) {
                     server.used = server.used.saturating_sub(1);
                 }
+                self.committed = self.committed.saturating_sub(1);
             }
             Some(HeldRight::Borrowed(lender, loan)) => {
                 for right in &mut self.borrowed {
@@ -256,6 +278,7 @@
         }
         let index = self.pick(now)?;
         self.servers[index].lent += 1;
+        self.committed += 1;
         let server = self.servers[index].id.clone();
         self.lent.insert(
             loan,
@@ -284,6 +307,7 @@
         if let Some(server) = self.server_mut(&lent.server) {
             server.lent = server.lent.saturating_sub(1);
         }
+        self.committed = self.committed.saturating_sub(1);
     }
 
     /// Takes a borrowed right in, usable until `ends` by this instance's clock.
@@ -331,6 +355,11 @@
         self.servers.iter().map(|server| server.free(now)).sum()
     }
 
+    /// Whether any own right is neither used nor lent.
+    pub fn has_spare(&self, now: Instant) -> bool {
+        self.servers.iter().any(|server| server.free(now) > 0)
+    }
+
     /// Own rights on servers that take new work.
     pub fn owned(&self) -> u16 {
         let open = self.servers.iter().filter(|server| server.open);
@@ -344,10 +373,7 @@
 
     /// Own rights in use or lent, which count against the own part of the link.
     pub fn committed(&self) -> u32 {
-        self.servers
-            .iter()
-            .map(|server| u32::from(server.used) + u32::from(server.lent))
-            .sum()
+        self.committed
     }
 
     /// Whether uses and loans of every server fit the slots that are owned now.
@@ -373,6 +399,7 @@
     }
 
     fn server_mut(&mut self, id: &ServerId) -> Option<&mut ServerRights> {
-        self.servers.iter_mut().find(|server| server.id == *id)
+        let place = *self.places.get(id)?;
+        self.servers.get_mut(place)
     }
 }
