--- a/bin/lh-steer/src/lib.rs
+++ b/bin/lh-steer/src/lib.rs
@@ -16,6 +16,7 @@
 use clap::Parser;
 
 pub use error::{Error, Result};
+pub use metrics::METRICS;
 
 /// Reads the command line and the settings, then runs until SIGTERM.
 ///
--- a/bin/lh-steer/src/metrics.rs
+++ b/bin/lh-steer/src/metrics.rs
@@ -7,7 +7,7 @@
 use crate::error::Result;
 
 /// Name and meaning of every metric of lh-steer.
-pub(crate) const METRICS: [(&str, &str); 4] = [
+pub const METRICS: [(&str, &str); 4] = [
     (
         "laurelhill_steer_config_version",
         "Version of the configuration in force.",
--- a/crates/relay/src/controller.rs
+++ b/crates/relay/src/controller.rs
@@ -9,7 +9,7 @@
 use bytes::{Bytes, BytesMut};
 use conf::{Repeat, Service};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use sha2::{Digest, Sha256};
@@ -516,16 +516,23 @@
             parts.headers.insert(OUTCOME_HEADER, done);
         }
         let mut guard = StreamGuard::new(&self.pool, connection, lease);
-        let Some(key) = &work.once else {
+        if let Some(key) = &work.once {
+            lock(&self.once).finish(key, OnceState::Done(None));
+        }
+        let small = body
+            .size_hint()
+            .exact()
+            .is_some_and(|size| size <= KEEP_LIMIT as u64);
+        if work.once.is_none() && !small {
             let answer = StreamedAnswer::new(Bytes::new(), body, guard, until);
             return Response::from_parts(parts, AnswerBody::Stream(Box::new(answer)));
-        };
-        lock(&self.once).finish(key, OnceState::Done(None));
+        }
+        // A small answer is read first: its slot is free however slowly its caller reads.
         let gathered = tokio::time::timeout_at(until, read_up_to(&mut body, KEEP_LIMIT)).await;
         let answer = match gathered {
             Ok(Some((bytes, true))) => {
                 guard.completed();
-                self.keep(key, &parts, &bytes);
+                self.keep(work, &parts, &bytes);
                 AnswerBody::full(bytes)
             }
             Ok(Some((bytes, false))) => {
@@ -533,19 +540,18 @@
             }
             _ => {
                 guard.failed();
-                let problem = Problem::new(
-                    StatusCode::BAD_GATEWAY,
-                    "answer-cut",
-                    "the request was run, but its answer was cut",
-                );
-                return problem.with_outcome(Outcome::Done).into_response();
+                return cut_answer(work.once.is_some()).into_response();
             }
         };
         self.settle_claim(work, Outcome::Done).await;
         Response::from_parts(parts, answer)
     }
 
-    fn keep(&self, key: &OnceKey, parts: &hyper::http::response::Parts, body: &Bytes) {
+    /// Keeps the answer for repeats, where the request must not repeat.
+    fn keep(&self, work: &CheckedWork, parts: &hyper::http::response::Parts, body: &Bytes) {
+        let Some(key) = &work.once else {
+            return;
+        };
         let content_type = parts.headers.get(CONTENT_TYPE);
         let content_type = content_type.and_then(|value| value.to_str().ok());
         let answer = KeptAnswer {
@@ -678,16 +684,36 @@
 
 /// Reads until the end or just past `limit`; the flag tells whether the end was reached.
 async fn read_up_to(body: &mut Incoming, limit: usize) -> Option<(Bytes, bool)> {
+    let mut first = Bytes::new();
     let mut gathered = BytesMut::new();
-    while gathered.len() <= limit {
+    while gathered.len().max(first.len()) <= limit {
         let Some(frame) = body.frame().await else {
-            return Some((gathered.freeze(), true));
+            let whole = if gathered.is_empty() {
+                first
+            } else {
+                gathered.freeze()
+            };
+            return Some((whole, true));
+        };
+        let Ok(data) = frame.ok()?.into_data() else {
+            continue;
         };
-        if let Some(data) = frame.ok()?.data_ref() {
-            gathered.extend_from_slice(data);
+        if first.is_empty() {
+            // Most answers are one frame, which needs no copy.
+            first = data;
+            continue;
+        }
+        if gathered.is_empty() {
+            gathered.extend_from_slice(&first);
         }
+        gathered.extend_from_slice(&data);
     }
-    Some((gathered.freeze(), false))
+    let part = if gathered.is_empty() {
+        first
+    } else {
+        gathered.freeze()
+    };
+    Some((part, false))
 }
 
 fn fingerprint(head: &RequestHead, outgoing: &OutgoingHead, body: &WorkBody) -> u64 {
@@ -759,6 +785,21 @@
     unknown("the instance that the ticket is bound to can't be reached")
 }
 
+/// The answer was cut on its way. Of a request that must not repeat it is known that
+/// it was run.
+fn cut_answer(at_most_once: bool) -> Problem {
+    let problem = Problem::new(
+        StatusCode::BAD_GATEWAY,
+        "answer-cut",
+        "the backend server's answer was cut",
+    );
+    problem.with_outcome(if at_most_once {
+        Outcome::Done
+    } else {
+        Outcome::Unknown
+    })
+}
+
 fn unreachable_server() -> Problem {
     Problem::new(
         StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/relay/src/handle.rs
+++ b/crates/relay/src/handle.rs
@@ -92,8 +92,9 @@
             handle: self,
             request,
         };
-        self.lock().waiting.insert(request, sender);
-        self.event(&GateEvent::Arrive(arrival));
+        self.event_with(&GateEvent::Arrive(arrival), |state| {
+            state.waiting.insert(request, sender);
+        });
         let decision = receiver.await;
         std::mem::forget(waiting);
         match decision {
@@ -115,8 +116,14 @@
 
     /// Feeds one event to the gate and carries its actions out.
     pub fn event(&self, event: &GateEvent) {
+        self.event_with(event, |_| {});
+    }
+
+    /// The same, with something else to be done under the same lock.
+    fn event_with(&self, event: &GateEvent, work: impl FnOnce(&mut GateState)) {
         let mut messages = Vec::new();
         let mut state = self.lock();
+        work(&mut state);
         state.feed(event, &mut messages);
         drop(state);
         for message in messages {
@@ -171,6 +178,20 @@
         }
     }
 
+    fn tally(&mut self, server: &ServerId, result: RunResult) {
+        if !self.tallies.contains_key(server) {
+            self.tallies.insert(server.clone(), RunTally::default());
+        }
+        let Some(tally) = self.tallies.get_mut(server) else {
+            return;
+        };
+        match result {
+            RunResult::Answered => tally.answered += 1,
+            RunResult::Unreachable | RunResult::Failed => tally.failed += 1,
+            RunResult::Shed => {}
+        }
+    }
+
     fn decide(&mut self, request: RequestId, decision: Decision) -> bool {
         self.waiting
             .remove(&request)
@@ -228,15 +249,9 @@
 impl Drop for SlotLease {
     fn drop(&mut self) {
         let result = self.result;
-        let mut state = self.handle.lock();
-        let tally = state.tallies.entry(self.server.clone()).or_default();
-        match result {
-            RunResult::Answered => tally.answered += 1,
-            RunResult::Unreachable | RunResult::Failed => tally.failed += 1,
-            RunResult::Shed => {}
-        }
-        drop(state);
         let request = self.request;
-        self.handle.event(&GateEvent::Finished { request, result });
+        let event = GateEvent::Finished { request, result };
+        self.handle
+            .event_with(&event, |state| state.tally(&self.server, result));
     }
 }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,9 +1,12 @@
 //! What the request path counts.
 
+use std::collections::HashMap;
+use std::sync::{Arc, PoisonError, RwLock};
+
 use base::prelude::*;
 use prometheus::{
-    Encoder, Gauge, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 use steer::GateStats;
 
@@ -89,10 +92,19 @@
     ),
 ];
 
+/// What is counted of a done request of one service.
+#[derive(Debug, Clone)]
+struct DoneCounters {
+    requests: IntCounter,
+    good: IntCounter,
+    latency: Histogram,
+}
+
 /// The request path's metrics.
 #[derive(Debug, Clone)]
 pub struct RelayMetrics {
     registry: Registry,
+    done: Arc<RwLock<HashMap<ServiceId, DoneCounters>>>,
     requests: IntCounterVec,
     good: IntCounterVec,
     latency: HistogramVec,
@@ -165,18 +177,37 @@
             plan_age,
             draining,
             info,
+            done: Arc::default(),
             registry,
         })
     }
 
+    /// The counters of a service's done requests, found once and then kept.
+    fn done_counters(&self, service: &ServiceId) -> DoneCounters {
+        let kept = self.done.read().unwrap_or_else(PoisonError::into_inner);
+        if let Some(counters) = kept.get(service) {
+            return counters.clone();
+        }
+        drop(kept);
+        let name = service.as_str();
+        let counters = DoneCounters {
+            requests: self
+                .requests
+                .with_label_values(&[name, Outcome::Done.as_str(), ""]),
+            good: self.good.with_label_values(&[name]),
+            latency: self.latency.with_label_values(&[name]),
+        };
+        let mut kept = self.done.write().unwrap_or_else(PoisonError::into_inner);
+        kept.insert(service.clone(), counters.clone());
+        counters
+    }
+
     pub(crate) fn done(&self, service: &ServiceId, took: Duration, objective: Duration) {
-        self.count(service, Outcome::Done, "");
-        let labels = &[service.as_str()];
-        self.latency
-            .with_label_values(labels)
-            .observe(took.as_secs_f64());
+        let counters = self.done_counters(service);
+        counters.requests.inc();
+        counters.latency.observe(took.as_secs_f64());
         if took <= objective {
-            self.good.with_label_values(labels).inc();
+            counters.good.inc();
         }
     }
 
--- a/crates/steer/src/gate.rs
+++ b/crates/steer/src/gate.rs
@@ -516,6 +516,9 @@
 
     /// Gives free rights to waiting requests and peers, first come first served.
     fn serve(&mut self, now: Instant, service: &ServiceId, actions: &mut Vec<GateAction>) {
+        if self.pools.get(service).is_none_or(PoolGate::is_quiet) {
+            return;
+        }
         self.refuse_hopeless(now, service, actions);
         while self.guard.permits(now) && self.serve_one(now, service, actions) {}
         self.settle_asks(now, service, actions);
--- a/crates/steer/src/pool.rs
+++ b/crates/steer/src/pool.rs
@@ -96,6 +96,14 @@
         }
     }
 
+    /// Whether nobody waits here for a right, and nothing is borrowed or asked for.
+    pub(crate) fn is_quiet(&self) -> bool {
+        self.queue.is_empty()
+            && self.peer_asks.is_empty()
+            && self.asks.is_empty()
+            && !self.rights.is_borrowing()
+    }
+
     /// Mean time that a backend server takes.
     pub(crate) fn mean(&self) -> Duration {
         Duration::from_secs_f64(self.run_seconds.value().max(0.0))
--- a/crates/steer/src/rights.rs
+++ b/crates/steer/src/rights.rs
@@ -366,6 +366,11 @@
         open.map(|server| server.own).sum()
     }
 
+    /// Whether any right is borrowed.
+    pub fn is_borrowing(&self) -> bool {
+        !self.borrowed.is_empty()
+    }
+
     /// Requests in flight on own and borrowed rights.
     pub fn in_flight(&self) -> usize {
         self.held.len()
