Contested slots: the entry takes idle servers over from lh-steer

Ruled out: probes (in_use was 0), the gate (its own test passed). Change: lh-entry hands the idle servers to the gate; a test of the real program, which failed for 30 s before, holds it. Digests go every 250 ms and the gate ticks every 20 ms, for less processor time.

--- a/bin/lh-entry/src/app.rs
+++ b/bin/lh-entry/src/app.rs
@@ -22,7 +22,7 @@
 /// Longest wait for an answer of lh-steer.
 const ASK_TIME: Duration = Duration::from_millis(500);
 /// Time between two ticks of the gate.
-const TICK: Duration = Duration::from_millis(10);
+const TICK: Duration = Duration::from_millis(20);
 /// Time between two rounds of housekeeping.
 const SWEEP: Duration = Duration::from_secs(1);
 
--- a/bin/lh-entry/src/poll.rs
+++ b/bin/lh-entry/src/poll.rs
@@ -106,9 +106,11 @@
                 log::warn!("an older configuration was refused");
             }
         }
-        if let Some(seats) = &answer.seats {
-            self.gate
-                .with_gate(|gate| gate.apply_seats(now, asked_at, seats));
-        }
+        self.gate.with_gate(|gate| {
+            gate.apply_idle(asked_at, &answer.idle);
+            if let Some(seats) = &answer.seats {
+                gate.apply_seats(now, asked_at, seats);
+            }
+        });
     }
 }
--- a/bin/lh-entry/tests/bench/mod.rs
+++ b/bin/lh-entry/tests/bench/mod.rs
@@ -5,7 +5,7 @@
 
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -50,6 +50,8 @@
     pub backends: Vec<BackendSim>,
     pub deployment: Arc<Deployment>,
     pub members: Arc<Mutex<Vec<MemberPlan>>>,
+    /// Whether seats are granted as contested, with every server found idle just now.
+    pub contested: Arc<AtomicBool>,
 }
 
 pub const SERVICE_TIME: Duration = Duration::from_millis(20);
@@ -98,6 +100,7 @@
             backends,
             deployment: Arc::new(bundle.deployment().unwrap()),
             members: Arc::new(Mutex::new(Vec::new())),
+            contested: Arc::new(AtomicBool::new(false)),
         }
     }
 
@@ -138,9 +141,17 @@
         let [lookup, relay, mesh, steer] = std::array::from_fn(|_| free_address());
         let members = Arc::clone(&world.members);
         let deployment = Arc::clone(&world.deployment);
+        let contested = Arc::clone(&world.contested);
         let serial = Arc::new(Mutex::new((1_u64, Vec::new())));
         let server = AskServer::listen(steer, move |ask: PollAsk| {
-            answer(&ask, seat, &deployment, &members, &serial)
+            answer(
+                &ask,
+                seat,
+                &deployment,
+                &members,
+                &serial,
+                contested.load(Ordering::Relaxed),
+            )
         })
         .unwrap();
         let folder = tempfile::tempdir().unwrap();
@@ -229,6 +240,7 @@
     deployment: &Arc<Deployment>,
     members: &Mutex<Vec<MemberPlan>>,
     serial: &Mutex<(u64, Vec<MemberPlan>)>,
+    contested: bool,
 ) -> PollAnswer {
     let mut members = members.lock().unwrap();
     members.retain(|member| member.node.instance != ask.node.instance);
@@ -265,9 +277,11 @@
         index: seat,
         epoch: 1,
         remaining: Duration::from_secs(10),
-        contested: false,
+        contested,
         vacate: false,
     };
+    let found = deployment.pools.iter().flat_map(|pool| &pool.servers);
+    let idle = found.map(|id| (id.clone(), Duration::ZERO));
     PollAnswer {
         serial: serial.0,
         plan: (ask.serial != serial.0).then_some(plan),
@@ -276,7 +290,11 @@
         } else {
             vec![grant]
         }),
-        idle: Vec::new(),
+        idle: if contested {
+            idle.collect()
+        } else {
+            Vec::new()
+        },
     }
 }
 
--- a/bin/lh-entry/tests/path.rs
+++ b/bin/lh-entry/tests/path.rs
@@ -257,3 +257,25 @@
     let text = String::from_utf8(text.to_vec()).unwrap();
     assert!(text.contains("laurelhill_good_total{service=\"board\"} 1"));
 }
+
+/// Promise: slots of a former holder are used as soon as their servers were found idle, and
+/// not only after the service's whole deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_servers_end_the_wait_for_a_former_holder() {
+    let world = World::new(1, 3, SERVICE_TIME).await;
+    world
+        .contested
+        .store(true, std::sync::atomic::Ordering::Relaxed);
+    let entry = EntryProcess::start(&world, "a", 0).await;
+    let began = std::time::Instant::now();
+    let mut outcome = String::new();
+    while outcome != "done" && began.elapsed() < Duration::from_secs(30) {
+        let answer = send(entry.relay, "/locker/x", &[(REQUEST_ID_HEADER, "r")], b"").await;
+        outcome = answer.unwrap().outcome;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(
+        outcome, "done",
+        "the slots stayed unused for 30 s of a 60 s deadline"
+    );
+}
--- a/crates/steer/src/gate.rs
+++ b/crates/steer/src/gate.rs
@@ -30,7 +30,7 @@
 /// Part of the mean service time for which an idle borrowed right is kept.
 const LINGER_SHARE: f64 = 0.1;
 /// Time between two load digests.
-const DIGEST_PERIOD: Duration = Duration::from_millis(100);
+const DIGEST_PERIOD: Duration = Duration::from_millis(250);
 /// Peers of the region, and as many outside it, that get one load digest.
 const DIGEST_FANOUT: usize = 3;
 /// Age at which a peer's digest says nothing any more.
