--- a/bin/lh-entry/src/poll.rs
+++ b/bin/lh-entry/src/poll.rs
@@ -11,7 +11,7 @@
 use crate::config::Config;
 
 /// Time between two asks.
-const POLL_PERIOD: Duration = Duration::from_millis(100);
+const POLL_PERIOD: Duration = Duration::from_millis(200);
 /// Age up to which an entry counts as heard.
 const HEARD_AGE: Duration = Duration::from_secs(3);
 /// Time between two stamps.
--- a/bin/lh-entry/tests/bench/mod.rs
+++ b/bin/lh-entry/tests/bench/mod.rs
@@ -5,7 +5,7 @@
 
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -52,6 +52,8 @@
     pub members: Arc<Mutex<Vec<MemberPlan>>>,
     /// Whether seats are granted as contested, with every server found idle just now.
     pub contested: Arc<AtomicBool>,
+    /// What is left of every lease when it is asked for, in milliseconds; 0 takes the seats away.
+    pub lease_ms: Arc<AtomicU64>,
 }
 
 pub const SERVICE_TIME: Duration = Duration::from_millis(20);
@@ -101,6 +103,7 @@
             deployment: Arc::new(bundle.deployment().unwrap()),
             members: Arc::new(Mutex::new(Vec::new())),
             contested: Arc::new(AtomicBool::new(false)),
+            lease_ms: Arc::new(AtomicU64::new(10_000)),
         }
     }
 
@@ -142,15 +145,17 @@
         let members = Arc::clone(&world.members);
         let deployment = Arc::clone(&world.deployment);
         let contested = Arc::clone(&world.contested);
+        let lease_ms = Arc::clone(&world.lease_ms);
         let serial = Arc::new(Mutex::new((1_u64, Vec::new())));
         let server = AskServer::listen(steer, move |ask: PollAsk| {
+            let lease = Duration::from_millis(lease_ms.load(Ordering::Relaxed));
+            let contested = contested.load(Ordering::Relaxed);
             answer(
                 &ask,
-                seat,
                 &deployment,
                 &members,
                 &serial,
-                contested.load(Ordering::Relaxed),
+                grant(seat, lease, contested),
             )
         })
         .unwrap();
@@ -234,13 +239,22 @@
     }
 }
 
+fn grant(index: u16, remaining: Duration, contested: bool) -> SeatGrant {
+    SeatGrant {
+        index,
+        epoch: 1,
+        remaining,
+        contested,
+        vacate: false,
+    }
+}
+
 fn answer(
     ask: &PollAsk,
-    seat: u16,
     deployment: &Arc<Deployment>,
     members: &Mutex<Vec<MemberPlan>>,
     serial: &Mutex<(u64, Vec<MemberPlan>)>,
-    contested: bool,
+    grant: SeatGrant,
 ) -> PollAnswer {
     let mut members = members.lock().unwrap();
     members.retain(|member| member.node.instance != ask.node.instance);
@@ -273,23 +287,14 @@
         servers: servers.collect(),
         members: members.clone(),
     };
-    let grant = SeatGrant {
-        index: seat,
-        epoch: 1,
-        remaining: Duration::from_secs(10),
-        contested,
-        vacate: false,
-    };
+    let contested = grant.contested;
+    let lost = ask.releasing || grant.remaining.is_zero();
     let found = deployment.pools.iter().flat_map(|pool| &pool.servers);
     let idle = found.map(|id| (id.clone(), Duration::ZERO));
     PollAnswer {
         serial: serial.0,
         plan: (ask.serial != serial.0).then_some(plan),
-        seats: Some(if ask.releasing {
-            Vec::new()
-        } else {
-            vec![grant]
-        }),
+        seats: Some(if lost { Vec::new() } else { vec![grant] }),
         idle: if contested {
             idle.collect()
         } else {
--- a/bin/lh-entry/tests/path.rs
+++ b/bin/lh-entry/tests/path.rs
@@ -2,11 +2,12 @@
 
 mod bench;
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bench::{EntryProcess, SERVICE_TIME, World, book, connect, get, send, until};
 use bytes::Bytes;
-use http_body_util::{BodyExt, StreamBody};
+use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::Request;
 use hyper::body::Frame;
 use hyper::client::conn::http1::handshake;
@@ -263,9 +264,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn idle_servers_end_the_wait_for_a_former_holder() {
     let world = World::new(1, 3, SERVICE_TIME).await;
-    world
-        .contested
-        .store(true, std::sync::atomic::Ordering::Relaxed);
+    world.contested.store(true, Ordering::Relaxed);
     let entry = EntryProcess::start(&world, "a", 0).await;
     let began = std::time::Instant::now();
     let mut outcome = String::new();
@@ -279,3 +278,30 @@
         "the slots stayed unused for 30 s of a 60 s deadline"
     );
 }
+
+/// Promise: an entry that was frozen past its lease admits nothing on waking, though it
+/// believes that it holds its seat.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_entry_admits_nothing_when_it_wakes() {
+    const LEASE_MS: u64 = 2000;
+    let world = World::new(1, 3, SERVICE_TIME).await;
+    world.lease_ms.store(LEASE_MS, Ordering::Relaxed);
+    let entry = EntryProcess::start(&world, "a", 0).await;
+    let mut sender = connect(entry.relay).await.unwrap();
+    entry.signal("STOP");
+    world.lease_ms.store(0, Ordering::Relaxed);
+    let request = Request::post("/board/x")
+        .header("host", "test")
+        .header(REQUEST_ID_HEADER, "frozen")
+        .body(Full::new(Bytes::new()))
+        .unwrap();
+    let waiting = tokio::spawn(async move { sender.send_request(request).await.unwrap() });
+    tokio::time::sleep(Duration::from_millis(LEASE_MS + 500)).await;
+    entry.signal("CONT");
+    let answer = bench::seen(waiting.await.unwrap()).await.unwrap();
+    assert_eq!(
+        (answer.outcome.as_str(), answer.kind.as_str()),
+        ("not-run", "no-seat")
+    );
+    assert_eq!(world.runs("frozen"), 0);
+}
