--- a/bin/lh-entry/tests/path.rs
+++ b/bin/lh-entry/tests/path.rs
@@ -25,6 +25,9 @@
     parts.join("~")
 }
 
+/// Name, path, headers and body.
+type BadCase<'a> = (&'a str, &'a str, Vec<(&'a str, &'a str)>, &'a [u8]);
+
 /// Promise: bad input gets a clear 4xx, was not run, and the process goes on.
 #[tokio::test(flavor = "multi_thread")]
 async fn bad_input_is_refused_and_not_run() {
@@ -34,7 +37,7 @@
     let stranger = ticket.replacen("a~", "ghost~", 1);
     let forged = forge(&ticket);
     let big = vec![0; 200 << 10];
-    let cases: Vec<(&str, &str, Vec<(&str, &str)>, &[u8])> = vec![
+    let cases: [BadCase<'_>; 11] = [
         ("unknown service", "/nothing/x", vec![], b""),
         ("no service", "/", vec![], b""),
         ("body too large", "/board/x", vec![], &big),
--- a/bin/lh-steer/src/platform.rs
+++ b/bin/lh-steer/src/platform.rs
@@ -104,12 +104,13 @@
             state.seat_event(Instant::now(), &SeatEvent::Tick);
             state.take_seat_writes()
         };
-        let wrote = !writes.is_empty();
+        let mut failed = false;
         for SeatAction::Write { index, expect, row } in writes {
             let event = self.write_seat(index, expect, &row).await;
+            failed |= matches!(event, SeatEvent::NotWritten { .. });
             self.core.lock().seat_event(Instant::now(), &event);
         }
-        wrote
+        failed
     }
 
     async fn write_seat(&self, index: u16, expect: u64, row: &SeatRow) -> SeatEvent {
--- a/crates/relay/src/problem.rs
+++ b/crates/relay/src/problem.rs
@@ -21,7 +21,7 @@
     detail: String,
     outcome: Outcome,
     retry_after: Option<Duration>,
-    replay: Option<KeptAnswer>,
+    replay: Option<Box<KeptAnswer>>,
 }
 
 impl Problem {
@@ -40,7 +40,7 @@
     /// The kept answer of a request that was run before, given again.
     pub(crate) fn replay(answer: KeptAnswer) -> Self {
         let mut problem = Self::new(StatusCode::OK, "replay", "").with_outcome(Outcome::Done);
-        problem.replay = Some(answer);
+        problem.replay = Some(Box::new(answer));
         problem
     }
 
@@ -119,7 +119,7 @@
     /// The response.
     pub fn into_response(self) -> Response<AnswerBody> {
         if let Some(answer) = self.replay {
-            return replayed(answer);
+            return replayed(*answer);
         }
         let body = serde_json::json!({
             "type": format!("urn:laurelhill:{}", self.kind),
--- a/crates/steer/tests/fleet/mod.rs
+++ b/crates/steer/tests/fleet/mod.rs
@@ -172,6 +172,9 @@
     }
 }
 
+/// Looks at what is in use after every step.
+pub type StepCheck = Box<dyn FnMut(&HashMap<ServerId, u16>)>;
+
 /// Gates of one region, driven under virtual time.
 pub struct Fleet {
     pub spec: FleetSpec,
@@ -180,7 +183,7 @@
     pub gates: Vec<RegionGate>,
     pub tally: Tally,
     pub cut: Box<dyn Fn(usize, usize) -> bool>,
-    pub on_step: Option<Box<dyn FnMut(&HashMap<ServerId, u16>)>>,
+    pub on_step: Option<StepCheck>,
     nodes: Vec<NodeId>,
     in_use: HashMap<ServerId, u16>,
     runs: HashMap<(usize, RequestId), Run>,
@@ -411,11 +414,11 @@
                     .or_default() += 1;
             }
             GateAction::Spill { .. } => self.tally.spilled += 1,
-            GateAction::Send { to, body } => self.post(gate, &to, body),
+            GateAction::Send { to, body } => self.post(gate, &to, &body),
         }
     }
 
-    fn post(&mut self, from: usize, to: &NodeId, body: EntryMessage) {
+    fn post(&mut self, from: usize, to: &NodeId, body: &EntryMessage) {
         self.tally.messages += 1;
         let Some(target) = self.nodes.iter().position(|n| n.instance == to.instance) else {
             return;
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -102,7 +102,7 @@
     serde_json::from_slice(body).map_err(malformed)
 }
 
-fn malformed(cause: serde_json::Error) -> Error {
+fn malformed(cause: impl std::fmt::Display) -> Error {
     Error::Malformed(cause.to_string())
 }
 
