--- a/bin/lh-entry/src/app.rs
+++ b/bin/lh-entry/src/app.rs
@@ -47,6 +47,7 @@
     let gate = registry.share("gate", GateHandle::new(gate, outbox))?;
     let snapshots = registry.register("snapshots", SnapshotCell::new())?;
     let metrics = registry.register("metrics", RelayMetrics::new()?)?;
+    registry.register("region", config.region.clone())?;
     metrics.show_instance(&config.instance, &config.region);
     let controller = registry.share(
         "relay",
--- a/bin/lh-entry/src/lookup.rs
+++ b/bin/lh-entry/src/lookup.rs
@@ -17,6 +17,7 @@
     snapshots: Arc<SnapshotCell>,
     gate: Arc<GateHandle>,
     metrics: Arc<RelayMetrics>,
+    region: Arc<RegionId>,
 }
 
 #[derive(Deserialize)]
@@ -48,6 +49,7 @@
         snapshots: registry.find("snapshots")?,
         gate: registry.find("gate")?,
         metrics: registry.find("metrics")?,
+        region: registry.find("region")?,
     });
     Ok(Route::new()
         .at("/v1/entries", get(entries))
@@ -120,6 +122,7 @@
         .collect();
     Json(serde_json::json!({
         "version": version,
+        "region": *desk.region,
         "admitting": stats.permitted,
         "seats": stats.seats,
         "services": services,
--- a/bin/lh-standin/src/callers.rs
+++ b/bin/lh-standin/src/callers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io::Write;
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -39,6 +39,7 @@
         seed: arguments.seed,
     };
     let before = overbooked(arguments).await?;
+    let sampled = tokio::spawn(headroom(arguments.lookups.clone(), spec.time / 2));
     let entries = run_load(&spec, &callers).await;
     tokio::time::sleep(SETTLE).await;
     let runs: RunLedger = fetch(arguments, "runs").await?;
@@ -48,6 +49,9 @@
         println!("{}", report::header());
     }
     println!("{}", report::row(&arguments.phase, &report, overbooked));
+    if let Ok(line) = sampled.await {
+        println!("    free slots half-way: {line}");
+    }
     if let Some(path) = &arguments.ledger {
         write_ledger(path, &entries)?;
     }
@@ -120,6 +124,31 @@
         .sum())
 }
 
+/// Free slots as a share of those owned, by region, after `wait`.
+async fn headroom(lookups: Vec<SocketAddr>, wait: Duration) -> String {
+    tokio::time::sleep(wait).await;
+    let mut regions: BTreeMap<String, (u64, u64)> = BTreeMap::new();
+    for address in lookups {
+        let Ok((_, body)) = exchange("GET", &format!("http://{address}/v1/status"), "").await
+        else {
+            continue;
+        };
+        let status: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+        let region = status["region"].as_str().unwrap_or("?").to_owned();
+        let (owned, spare) = regions.entry(region).or_default();
+        for service in status["services"].as_array().into_iter().flatten() {
+            *owned += service["owned"].as_u64().unwrap_or(0);
+            *spare += service["spare"].as_u64().unwrap_or(0);
+        }
+    }
+    let share = |(region, (owned, spare)): (String, (u64, u64))| {
+        let percent = spare * 100 / owned.max(1);
+        format!("{region} {spare} of {owned} ({percent}%)")
+    };
+    let lines: Vec<String> = regions.into_iter().map(share).collect();
+    lines.join(", ")
+}
+
 fn write_ledger(path: &std::path::Path, entries: &[LedgerEntry]) -> Result<()> {
     let mut file = std::io::BufWriter::new(std::fs::File::create(path)?);
     for entry in entries {
--- a/bin/lh-standin/src/cli.rs
+++ b/bin/lh-standin/src/cli.rs
@@ -45,6 +45,14 @@
         #[arg(default_value = "")]
         body: String,
     },
+    /// Wait until a backend server runs nothing, and print how long that took.
+    Drained {
+        /// Its address.
+        server: SocketAddr,
+        /// Where the backend servers are judged.
+        #[arg(long, value_name = "ADDRESS")]
+        control: SocketAddr,
+    },
     /// Wait until every URL answers with success.
     Wait {
         /// http://IP:port/path
--- a/bin/lh-standin/src/client.rs
+++ b/bin/lh-standin/src/client.rs
@@ -1,5 +1,6 @@
 //! One request at a time, for scripts.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -7,6 +8,7 @@
 use hyper::Request;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
+use standin::ServerView;
 
 use crate::error::{Error, Result};
 
@@ -50,6 +52,31 @@
     Err(Error::Exchange(format!("{url}: status {status}")))
 }
 
+/// Waits until `server` has run nothing for a while, and prints how long its work lasted.
+pub(crate) async fn drained(server: SocketAddr, control: SocketAddr) -> Result<()> {
+    const QUIET: Duration = Duration::from_millis(500);
+    let began = Instant::now();
+    let mut last_work = began;
+    while last_work.elapsed() < QUIET {
+        let (_, body) = exchange("GET", &format!("http://{control}/servers"), "").await?;
+        let views: Vec<ServerView> = serde_json::from_slice(&body)
+            .map_err(|cause| Error::Exchange(format!("{control}: {cause}")))?;
+        let name = server.to_string();
+        let busy = views
+            .iter()
+            .any(|view| view.address == name && view.in_use > 0);
+        if busy {
+            last_work = Instant::now();
+        }
+        tokio::time::sleep(RETRY / 5).await;
+    }
+    println!(
+        "    {server} was drained after {} ms",
+        (last_work - began).as_millis()
+    );
+    Ok(())
+}
+
 /// Waits until every URL answers with success.
 pub(crate) async fn wait(urls: &[String], seconds: u64) -> Result<()> {
     let until = Instant::now() + Duration::from_secs(seconds);
--- a/bin/lh-standin/src/lib.rs
+++ b/bin/lh-standin/src/lib.rs
@@ -31,6 +31,7 @@
             cli::Command::Servers { deploy, control } => servers::backends(&deploy, control).await,
             cli::Command::Callers(load) => callers::run(&load).await,
             cli::Command::Send { method, url, body } => client::send(&method, &url, &body).await,
+            cli::Command::Drained { server, control } => client::drained(server, control).await,
             cli::Command::Wait { urls, seconds } => client::wait(&urls, seconds).await,
         }
     })
