Gate and controller split by job

Change: gate/ has the flow (mod), loans, grants and loads; controller/ has the flow, once and runs; problems of the request path are made in problem.rs. No behaviour changed.

--- a/crates/relay/src/problem.rs
+++ b/crates/relay/src/problem.rs
@@ -10,6 +10,8 @@
 use crate::answer::AnswerBody;
 use crate::once::KeptAnswer;
 
+/// Time to come back where another instance, or this one a little later, can serve.
+pub(crate) const PLAN_RETRY: Duration = Duration::from_secs(1);
 /// Header with the time to come back in milliseconds, finer than `Retry-After`.
 const RETRY_AFTER_MS: &str = "laurelhill-retry-after-ms";
 
@@ -163,3 +165,53 @@
 fn number(value: u128) -> HeaderValue {
     HeaderValue::from(u64::try_from(value).unwrap_or(u64::MAX))
 }
+
+pub(crate) fn unknown(detail: &str) -> Problem {
+    Problem::new(StatusCode::CONFLICT, "outcome-unknown", detail).with_outcome(Outcome::Unknown)
+}
+
+/// The run that the ticket is bound to is gone. Only the caller can know whether an
+/// earlier copy of the request reached it.
+pub(crate) fn stale_ticket(first_attempt: bool) -> Problem {
+    if first_attempt {
+        return Problem::new(
+            StatusCode::GONE,
+            "ticket-stale",
+            "the instance that the ticket is bound to is gone; look up again",
+        );
+    }
+    unknown("the instance that the ticket is bound to can't be reached")
+}
+
+/// The answer was cut on its way. Of a request that must not repeat it is known that
+/// it was run.
+pub(crate) fn cut_answer(at_most_once: bool) -> Problem {
+    let problem = Problem::new(
+        StatusCode::BAD_GATEWAY,
+        "answer-cut",
+        "the backend server's answer was cut",
+    );
+    problem.with_outcome(if at_most_once {
+        Outcome::Done
+    } else {
+        Outcome::Unknown
+    })
+}
+
+pub(crate) fn unreachable_server() -> Problem {
+    Problem::new(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "no-server",
+        "the chosen server can't be reached; the request was not run",
+    )
+    .with_retry_after(PLAN_RETRY)
+}
+
+pub(crate) fn shed_problem() -> Problem {
+    Problem::new(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "shed",
+        "the backend server sheds load; the request was not run",
+    )
+    .with_retry_after(PLAN_RETRY)
+}
--- a/crates/steer/src/gate.rs
+++ b/crates/steer/src/gate/mod.rs
@@ -4,47 +4,32 @@
 //! with a right, waits only if it would still be useful, and is refused at once
 //! otherwise. Nothing here waits for another instance.
 
+mod grants;
+mod loads;
+mod loans;
+
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
 use base::prelude::*;
-use conf::{Deployment, Region};
+use conf::Deployment;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use crate::event::{Arrival, GateAction, GateEvent, Origin, RequestId, RunResult};
 use crate::guard::SeatGuard;
-use crate::message::{AskId, EntryMessage, LoadDigest, LoanId};
+use crate::message::EntryMessage;
 use crate::plan::{MemberPlan, Plan, SeatGrant, ServerPlan};
-use crate::pool::{OpenAsk, PeerAsk, PoolGate, RunningRequest, WaitingRequest};
+use crate::pool::{PeerAsk, PoolGate, RunningRequest, WaitingRequest};
 use crate::refusal::{Refusal, RefusalReason};
-use crate::rights::{NewLoan, ServerGrant, slot_owner};
+use crate::rights::NewLoan;
 use crate::shift::ShiftLimiter;
 
-/// Peers that one waiting request asks for a right.
-const ASK_FANOUT: usize = 3;
-/// Peers of the region that an instance trades rights with.
-const LOAN_GROUP: usize = 16;
-/// Longest use of a borrowed right, in deadlines of its service.
-const LOAN_TERM: u32 = 2;
-/// Part of the mean service time for which an idle borrowed right is kept.
-const LINGER_SHARE: f64 = 0.1;
-/// Time between two load digests.
-const DIGEST_PERIOD: Duration = Duration::from_millis(250);
-/// Peers of the region, and as many outside it, that get one load digest.
-const DIGEST_FANOUT: usize = 3;
-/// Age at which a peer's digest says nothing any more.
-const DIGEST_AGE: Duration = Duration::from_secs(2);
 /// Time for which a late grant of a withdrawn ask is recognised and returned.
 const WITHDRAWN_AGE: Duration = Duration::from_secs(60);
 /// Time for which the slot of an aborted run isn't used again: its backend server has
 /// to notice first.
 const ABORT_GRACE: Duration = Duration::from_millis(20);
-/// Added to the longest deadline before slots of a former holder are used.
-const TAKEOVER_GRACE: Duration = Duration::from_millis(500);
-/// Time after a takeover from which a server's idleness counts: work of the former
-/// holder may have been on its way before.
-const IDLE_GRACE: Duration = Duration::from_millis(200);
 /// Time to come back where the instance may not admit.
 const NO_SEAT_RETRY: Duration = Duration::from_secs(1);
 /// Shortest time to come back.
@@ -167,7 +152,7 @@
         self.servers.clone_from(&plan.servers);
         let others = plan.members.iter().filter(|peer| peer.node != self.node);
         let (near, far) = others.cloned().partition(|peer| peer.region == self.region);
-        self.near = loan_group(&self.node, near);
+        self.near = loans::loan_group(&self.node, near);
         self.far = far;
         let known: HashSet<&NodeId> = self.near.iter().chain(&self.far).map(|p| &p.node).collect();
         self.loads.retain(|node, _| known.contains(node));
@@ -412,65 +397,6 @@
         true
     }
 
-    /// Hands an overload or a region without seats over to another region, if the cap allows it.
-    fn spill(
-        &mut self,
-        now: Instant,
-        arrival: &Arrival,
-        reason: RefusalReason,
-    ) -> Option<GateAction> {
-        let worth_it = matches!(
-            reason,
-            RefusalReason::Overloaded | RefusalReason::NoServer | RefusalReason::NoSeat
-        );
-        let from_caller = matches!(arrival.origin, Origin::Caller { .. });
-        if !worth_it || !from_caller || !arrival.may_spill {
-            return None;
-        }
-        let target = self.spill_target(now, &arrival.service)?;
-        let (region, node) = (target.region.clone(), target.node.clone());
-        self.leaving.try_move(now, &region).ok()?;
-        Some(GateAction::Spill {
-            request: arrival.request,
-            region,
-            node,
-        })
-    }
-
-    /// The open instance of another region that tells of most spare rights.
-    fn spill_target(&self, now: Instant, service: &ServiceId) -> Option<&MemberPlan> {
-        let mut best: Option<(u16, &MemberPlan)> = None;
-        for peer in &self.far {
-            if !peer.open {
-                continue;
-            }
-            let spare = self.spare_of(now, &peer.node, service);
-            if spare > best.map_or(0, |(most, _)| most) {
-                best = Some((spare, peer));
-            }
-        }
-        best.map(|(_, peer)| peer)
-    }
-
-    /// Whether a peer of the region tells of a spare right.
-    fn peers_spare(&self, now: Instant, service: &ServiceId) -> bool {
-        let mut peers = self.near.iter();
-        peers.any(|peer| self.spare_of(now, &peer.node, service) > 0)
-    }
-
-    fn spare_of(&self, now: Instant, node: &NodeId, service: &ServiceId) -> u16 {
-        let Some(load) = self.loads.get(node) else {
-            return 0;
-        };
-        let fresh = load
-            .at
-            .is_some_and(|at| now.saturating_duration_since(at) < DIGEST_AGE);
-        if !fresh {
-            return 0;
-        }
-        load.spare.get(service).copied().unwrap_or(0)
-    }
-
     fn finish(
         &mut self,
         now: Instant,
@@ -592,116 +518,6 @@
         }
     }
 
-    /// Lends a right to the first peer that waits; `false` where there is none to lend.
-    fn lend_one(
-        &mut self,
-        now: Instant,
-        service: &ServiceId,
-        actions: &mut Vec<GateAction>,
-    ) -> bool {
-        let link_open = self.link_open();
-        let Some(pool) = self.pools.get_mut(service) else {
-            return false;
-        };
-        let Some(ask) = pool.peer_asks.front() else {
-            return false;
-        };
-        if !link_open || !pool.rights.has_spare(now) {
-            return false;
-        }
-        let number = LoanId(self.next_loan);
-        self.next_loan += 1;
-        let loan = pool.rights.lend(now, number, &ask.from, ask.ask, ask.term);
-        let Some(ask) = pool.peer_asks.pop_front() else {
-            return false;
-        };
-        let Some(loan) = loan else {
-            return true;
-        };
-        actions.push(GateAction::Send {
-            to: ask.from,
-            body: EntryMessage::Grant {
-                ask: ask.ask,
-                loan: loan.loan,
-                server: loan.server,
-                term: ask.term,
-            },
-        });
-        true
-    }
-
-    /// Asks peers for rights, as long as more requests wait than asks are open.
-    fn ask_peers(&mut self, now: Instant, service: &ServiceId, actions: &mut Vec<GateAction>) {
-        let Some(pool) = self.pools.get(service) else {
-            return;
-        };
-        if pool.queue.is_empty() || pool.asks.len() >= pool.queue.len() * ASK_FANOUT {
-            return;
-        }
-        let term = pool.service.deadline * LOAN_TERM;
-        let wait = pool.service.deadline;
-        for lender in self.lenders(now, service) {
-            let ask = AskId(self.next_ask);
-            self.next_ask += 1;
-            let open = OpenAsk {
-                lender: lender.clone(),
-                sent: now,
-                term,
-            };
-            if let Some(pool) = self.pools.get_mut(service) {
-                pool.asks.insert(ask, open);
-            }
-            actions.push(GateAction::Send {
-                to: lender,
-                body: EntryMessage::Ask {
-                    ask,
-                    service: service.clone(),
-                    term,
-                    wait,
-                },
-            });
-        }
-    }
-
-    /// Peers of the region to ask: those that tell of most spare rights, then round robin.
-    fn lenders(&mut self, now: Instant, service: &ServiceId) -> Vec<NodeId> {
-        let near = &self.near;
-        if near.is_empty() {
-            return Vec::new();
-        }
-        let start = self.next_peer % near.len();
-        let mut ranked: Vec<(u16, NodeId)> = near[start..]
-            .iter()
-            .chain(&near[..start])
-            .map(|peer| (self.spare_of(now, &peer.node, service), peer.node.clone()))
-            .collect();
-        ranked.sort_by_key(|(spare, _)| std::cmp::Reverse(*spare));
-        self.next_peer = self.next_peer.wrapping_add(1);
-        let best = ranked.into_iter().take(ASK_FANOUT);
-        best.map(|(_, node)| node).collect()
-    }
-
-    /// Withdraws asks that no request waits for, and returns idle borrowed rights.
-    fn settle_asks(&mut self, now: Instant, service: &ServiceId, actions: &mut Vec<GateAction>) {
-        let Some(pool) = self.pools.get_mut(service) else {
-            return;
-        };
-        while pool.asks.len() > pool.queue.len() * ASK_FANOUT {
-            let Some((ask, open)) = pool.asks.pop_first() else {
-                break;
-            };
-            pool.withdrawn.insert(ask, now);
-            actions.push(GateAction::Send {
-                to: open.lender,
-                body: EntryMessage::Withdraw { ask },
-            });
-        }
-        let linger = pool.mean().mul_f64(LINGER_SHARE);
-        for (lender, loan) in pool.rights.release_idle(now, linger) {
-            actions.push(return_loan(lender, loan));
-        }
-    }
-
     fn message(
         &mut self,
         now: Instant,
@@ -744,91 +560,6 @@
         }
     }
 
-    fn on_ask(
-        &mut self,
-        now: Instant,
-        service: &ServiceId,
-        ask: PeerAsk,
-        actions: &mut Vec<GateAction>,
-    ) {
-        let Some(pool) = self.pools.get_mut(service) else {
-            return;
-        };
-        if pool.peer_asks.len() < pool.service.queue {
-            pool.peer_asks.push_back(ask);
-        }
-        self.serve(now, service, actions);
-    }
-
-    fn on_grant(
-        &mut self,
-        now: Instant,
-        from: &NodeId,
-        ask: AskId,
-        loan: &NewLoan,
-        term: Duration,
-        actions: &mut Vec<GateAction>,
-    ) {
-        let Some(service) = self.service_of_ask(ask) else {
-            return;
-        };
-        let Some(pool) = self.pools.get_mut(&service) else {
-            return;
-        };
-        if pool.withdrawn.remove(&ask).is_some() {
-            actions.push(return_loan(from.clone(), loan.loan));
-            return;
-        }
-        let Some(open) = pool.asks.remove(&ask) else {
-            return;
-        };
-        let ends = open.sent + term.min(open.term);
-        if open.lender == *from && ends > now {
-            pool.rights.borrow(now, from, loan, ends);
-        }
-        self.serve(now, &service, actions);
-    }
-
-    fn service_of_ask(&self, ask: AskId) -> Option<ServiceId> {
-        self.pools
-            .iter()
-            .find(|(_, pool)| pool.asks.contains_key(&ask) || pool.withdrawn.contains_key(&ask))
-            .map(|(service, _)| service.clone())
-    }
-
-    fn on_withdraw(&mut self, from: &NodeId, ask: AskId) {
-        for pool in self.pools.values_mut() {
-            pool.peer_asks
-                .retain(|known| known.ask != ask || known.from != *from);
-        }
-    }
-
-    fn on_return(
-        &mut self,
-        now: Instant,
-        from: &NodeId,
-        loan: LoanId,
-        actions: &mut Vec<GateAction>,
-    ) {
-        // Loan numbers are unique to the pool that lent, so the borrower's name decides.
-        let services: Vec<ServiceId> = self.pools.keys().cloned().collect();
-        for service in services {
-            if let Some(pool) = self.pools.get_mut(&service) {
-                pool.rights.on_return(from, loan);
-            }
-            self.serve(now, &service, actions);
-        }
-    }
-
-    fn on_load(&mut self, now: Instant, from: &NodeId, digest: &LoadDigest) {
-        let load = self.loads.entry(from.clone()).or_default();
-        load.spare = digest.spare.iter().cloned().collect();
-        if digest.region == self.region {
-            self.leaving.on_peer(now, from, &digest.leaving);
-            self.entering.on_peer(now, from, &digest.entering);
-        }
-    }
-
     fn tick(&mut self, now: Instant, actions: &mut Vec<GateAction>) {
         if self.contested_until.is_some_and(|until| until <= now) {
             self.set_grants(now);
@@ -848,121 +579,6 @@
         self.send_digest(now, actions);
     }
 
-    fn send_digest(&mut self, now: Instant, actions: &mut Vec<GateAction>) {
-        let due = self
-            .last_digest
-            .is_none_or(|at| now.saturating_duration_since(at) >= DIGEST_PERIOD);
-        if !due {
-            return;
-        }
-        self.last_digest = Some(now);
-        let open = self.guard.permits(now) && !self.stopping;
-        let spare = |pool: &PoolGate| if open { pool.rights.spare(now) } else { 0 };
-        let digest = LoadDigest {
-            region: self.region.clone(),
-            spare: self
-                .pools
-                .iter()
-                .map(|(service, pool)| (service.clone(), spare(pool)))
-                .collect(),
-            leaving: self.leaving.previous_counts(now),
-            entering: self.entering.previous_counts(now),
-        };
-        for group in [&self.near, &self.far] {
-            if group.is_empty() {
-                continue;
-            }
-            let start = self.rng.random_range(0..group.len());
-            for step in 0..group.len().min(DIGEST_FANOUT) {
-                let peer = &group[(start + step) % group.len()];
-                actions.push(GateAction::Send {
-                    to: peer.node.clone(),
-                    body: EntryMessage::Load(digest.clone()),
-                });
-            }
-        }
-    }
-
-    /// Works out anew which slots the held seats own.
-    fn set_grants(&mut self, now: Instant) {
-        let Some(deployment) = self.deployment.clone() else {
-            return;
-        };
-        let Some(region) = deployment.regions.get(&self.region) else {
-            return;
-        };
-        let usable = self.seats.values().filter(|seat| !seat.vacate).count();
-        let usable = u32::try_from(usable).unwrap_or(0);
-        self.link_share = region.link_limit / u32::from(region.seats) * usable;
-        self.contested_until = None;
-        let mut grants: HashMap<ServiceId, Vec<ServerGrant>> = HashMap::new();
-        for pool in deployment.pools_in(region) {
-            let Some(service) = deployment.services.get(&pool.service) else {
-                continue;
-            };
-            let quarantine = service.deadline + TAKEOVER_GRACE;
-            for id in &pool.servers {
-                let seats = self.ready_seats(now, quarantine, id);
-                let grant = self.server_grant(region, pool.slots, id, &seats);
-                grants.entry(pool.service.clone()).or_default().push(grant);
-            }
-        }
-        for (service, pool) in &mut self.pools {
-            let none = Vec::new();
-            pool.rights.set_grants(grants.get(service).unwrap_or(&none));
-        }
-    }
-
-    /// Seats whose slots on `server` may be used: not the vacated ones, and those of a
-    /// former holder only after its longest work must have ended, or after the server
-    /// was found idle.
-    fn ready_seats(&mut self, now: Instant, quarantine: Duration, server: &ServerId) -> Vec<u16> {
-        let mut ready = Vec::new();
-        for (index, seat) in &self.seats {
-            if seat.vacate {
-                continue;
-            }
-            let from = seat.since + quarantine;
-            let found_idle = self
-                .idle_at
-                .get(server)
-                .is_some_and(|at| *at > seat.since + IDLE_GRACE);
-            if seat.contested && now < from && !found_idle {
-                let earliest = self.contested_until.map_or(from, |until| until.min(from));
-                self.contested_until = Some(earliest);
-                continue;
-            }
-            ready.push(*index);
-        }
-        ready
-    }
-
-    fn server_grant(
-        &self,
-        region: &Region,
-        slots: u16,
-        id: &ServerId,
-        seats: &[u16],
-    ) -> ServerGrant {
-        let plan = self.servers.iter().find(|server| server.id == *id);
-        let active = plan.map_or(0, |server| server.active_slots.min(slots));
-        let owned = (0..active).filter(|slot| seats.contains(&slot_owner(id, *slot, region.seats)));
-        ServerGrant {
-            id: id.clone(),
-            own: u16::try_from(owned.count()).unwrap_or(u16::MAX),
-            open: plan.is_some_and(|server| server.open),
-        }
-    }
-
-    fn link_open(&self) -> bool {
-        let committed: u32 = self
-            .pools
-            .values()
-            .map(|pool| pool.rights.committed())
-            .sum();
-        committed < self.link_share
-    }
-
     /// A refusal whose time to come back is spread over `wait` to twice `wait`.
     fn refusal(&mut self, reason: RefusalReason, wait: Duration) -> Refusal {
         let spread = 1.0 + self.rng.random::<f64>();
@@ -973,16 +589,6 @@
     }
 }
 
-/// The peers that follow `node` in the order of names, at most [`LOAN_GROUP`], so that
-/// every instance trades with a bounded group and the groups overlap.
-fn loan_group(node: &NodeId, mut near: Vec<MemberPlan>) -> Vec<MemberPlan> {
-    near.sort_by(|a, b| a.node.cmp(&b.node));
-    let after = near.partition_point(|peer| peer.node < *node);
-    near.rotate_left(after);
-    near.truncate(LOAN_GROUP);
-    near
-}
-
 fn foreign_home<'a>(origin: &'a Origin, here: &RegionId) -> Option<&'a RegionId> {
     let home = match origin {
         Origin::Caller { home } => home.as_ref()?,
@@ -990,10 +596,3 @@
     };
     (home != here).then_some(home)
 }
-
-fn return_loan(lender: NodeId, loan: LoanId) -> GateAction {
-    GateAction::Send {
-        to: lender,
-        body: EntryMessage::Return { loan },
-    }
-}
