Shared daemon parts, stand-ins on loopback, and the request path wired from parts

Cause: a search for doubled lines showed the two daemons' errors, the tests' platforms and free addresses twice or three times, and RelayController took eight arguments. Change: crate daemon (errors, listeners, metrics text); standin::spawn_platform and free_address; RelayParts. No behaviour changed.

--- a/bin/lh-entry/src/app.rs
+++ b/bin/lh-entry/src/app.rs
@@ -1,23 +1,24 @@
 //! Wires the entry's services and runs them until a planned stop.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use base::prelude::*;
 use kernel::{ServiceRegistry, stop_channel, terminated};
 use mesh::{AskClient, LetterBox, LetterSender};
 use poem::listener::TcpAcceptor;
 use rand::Rng;
-use relay::{GateHandle, OnceTable, RelayController, RelayMetrics, SnapshotCell, StampKey, serve};
+use relay::{
+    GateHandle, OnceTable, RelayController, RelayMetrics, RelayParts, SnapshotCell, StampKey, serve,
+};
 use steer::{EntryMessage, Envelope, GateEvent, RegionGate};
 use store::{ClaimStore, PlatformClient};
-use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
 use crate::config::Config;
-use crate::error::{Error, Result};
 use crate::lookup;
 use crate::poll::PlanPoller;
 use crate::stop::StopPlan;
+use daemon::{Error, Result, listen};
 
 /// Longest wait for an answer of lh-steer.
 const ASK_TIME: Duration = Duration::from_millis(500);
@@ -51,16 +52,16 @@
     metrics.show_instance(&config.instance, &config.region);
     let controller = registry.share(
         "relay",
-        RelayController::new(
-            &node,
-            &config.region,
-            Arc::clone(&gate),
-            Arc::clone(&snapshots),
-            OnceTable::new(config.once_records),
-            stamps.clone(),
-            ClaimStore::new(PlatformClient::new(config.platform)),
-            (*metrics).clone(),
-        ),
+        RelayController::new(RelayParts {
+            node: node.clone(),
+            region: config.region.clone(),
+            gate: Arc::clone(&gate),
+            snapshots: Arc::clone(&snapshots),
+            once: Mutex::new(OnceTable::new(config.once_records)),
+            stamps: stamps.clone(),
+            claims: ClaimStore::new(PlatformClient::new(config.platform)),
+            metrics: (*metrics).clone(),
+        }),
     )?;
 
     let (leave, leaving) = stop_channel();
@@ -122,12 +123,6 @@
     Ok(())
 }
 
-async fn listen(what: &'static str, address: std::net::SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|cause| Error::Listen(what, address, cause))
-}
-
 async fn receive(node: NodeId, mut inbox: LetterBox<Letter>, gate: Arc<GateHandle>) {
     while let Some(letter) = inbox.next().await {
         if letter.to != node.incarnation || letter.from == node {
--- a/bin/lh-entry/src/config.rs
+++ b/bin/lh-entry/src/config.rs
@@ -7,7 +7,7 @@
 use relay::ServerBounds;
 
 use crate::cli::Arguments;
-use crate::error::Result;
+use daemon::Result;
 
 /// Checked settings of `lh-entry`.
 #[derive(Debug, Clone)]
--- a/bin/lh-entry/src/lib.rs
+++ b/bin/lh-entry/src/lib.rs
@@ -5,14 +5,13 @@
 mod app;
 mod cli;
 mod config;
-mod error;
 mod lookup;
 mod poll;
 mod stop;
 
 use clap::Parser;
 
-pub use error::{Error, Result};
+pub use daemon::{Error, Result};
 
 /// Reads the command line and the settings, then runs until SIGTERM.
 ///
--- a/bin/lh-entry/src/lookup.rs
+++ b/bin/lh-entry/src/lookup.rs
@@ -10,7 +10,7 @@
 use relay::{GateHandle, RelayMetrics, SnapshotCell, Ticket};
 use serde::{Deserialize, Serialize};
 
-use crate::error::Result;
+use daemon::{Result, metrics_text};
 
 /// What the look-up side shares.
 pub(crate) struct LookupDesk {
@@ -134,7 +134,7 @@
 fn metrics(Data(desk): Data<&Arc<LookupDesk>>) -> Response {
     let stats = desk.gate.with_gate(|gate| gate.stats(Instant::now()));
     desk.metrics.show_gate(&stats);
-    desk.metrics.text().into_response()
+    metrics_text(desk.metrics.registry()).into_response()
 }
 
 #[handler]
--- a/bin/lh-entry/tests/bench/mod.rs
+++ b/bin/lh-entry/tests/bench/mod.rs
@@ -3,9 +3,9 @@
 
 #![allow(dead_code, unreachable_pub, missing_docs)]
 
-use std::net::{SocketAddr, TcpListener as StdListener};
+use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -18,7 +18,8 @@
 use hyper_util::rt::TokioIo;
 use mesh::AskServer;
 use standin::{
-    BackendSim, BackendSpec, FakePlatform, REQUEST_ID_HEADER, platform_routes, serve_backend,
+    BackendSim, BackendSpec, FakePlatform, REQUEST_ID_HEADER, free_address, serve_backend,
+    spawn_platform,
 };
 use steer::{MemberPlan, Plan, PollAnswer, PollAsk, SeatGrant, ServerPlan};
 use tokio::net::{TcpListener, TcpStream};
@@ -26,23 +27,6 @@
 /// Longest wait for anything; generous, since nothing here measures time.
 const PATIENCE: Duration = Duration::from_secs(60);
 
-/// A free address on a loopback address that no other test process uses, so that
-/// nothing takes the port before it is used.
-pub fn free_address() -> SocketAddr {
-    static NEXT: AtomicU8 = AtomicU8::new(1);
-    let [_, _, high, low] = std::process::id().to_be_bytes();
-    let ip = [
-        127,
-        64 + high % 64,
-        low,
-        NEXT.fetch_add(1, Ordering::Relaxed),
-    ];
-    StdListener::bind((std::net::IpAddr::from(ip), 0))
-        .unwrap()
-        .local_addr()
-        .unwrap()
-}
-
 /// What the test sets up.
 pub struct World {
     pub platform: FakePlatform,
@@ -62,12 +46,7 @@
     /// `count` servers for the services `board` (idempotent), `desk` (at most once) and
     /// `locker` (large bodies), each with `slots` slots and the given mean time.
     pub async fn new(count: usize, slots: u16, service_time: Duration) -> Self {
-        let platform = FakePlatform::new();
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let platform_address = listener.local_addr().unwrap();
-        let acceptor = poem::listener::TcpAcceptor::from_tokio(listener).unwrap();
-        let routes = platform_routes(&platform);
-        tokio::spawn(async move { poem::Server::new_with_acceptor(acceptor).run(routes).await });
+        let (platform, platform_address) = spawn_platform().await.unwrap();
         let mut text = "[deployment]\nname = test\nlookup_ttl = 500ms\n[region north]\ndomains = n1\nseats = 2\n\
              [service board]\nrepeat = idempotent\ndeadline = 5s\nmax_body = 100KB\n\
              [service desk]\nrepeat = at-most-once\ndeadline = 5s\nmax_body = 100KB\n\
@@ -141,7 +120,7 @@
 impl EntryProcess {
     /// Starts the entry of instance `name`, which holds `seat`, and waits until it is ready.
     pub async fn start(world: &World, name: &str, seat: u16) -> Self {
-        let [lookup, relay, mesh, steer] = std::array::from_fn(|_| free_address());
+        let [lookup, relay, mesh, steer] = std::array::from_fn(|_| free_address().unwrap());
         let members = Arc::clone(&world.members);
         let deployment = Arc::clone(&world.deployment);
         let contested = Arc::clone(&world.contested);
--- a/bin/lh-steer/src/app.rs
+++ b/bin/lh-steer/src/app.rs
@@ -5,15 +5,14 @@
 use mesh::{AskServer, LetterBox, LetterSender};
 use poem::listener::TcpAcceptor;
 use store::PlatformClient;
-use tokio::net::TcpListener;
 
 use crate::config::Config;
 use crate::core::SteerCore;
-use crate::error::{Error, Result};
 use crate::gossip::{self, GossipLetter};
 use crate::metrics::SteerMetrics;
 use crate::platform::PlatformLoop;
 use crate::{admin, probe};
+use daemon::{Error, Result, listen};
 
 /// Worker threads; the control side must stay small.
 const THREADS: usize = 2;
@@ -30,9 +29,7 @@
 async fn steer(config: &Config) -> Result<()> {
     let core = SteerCore::new(config);
     let metrics = SteerMetrics::new()?;
-    let admin_listener = TcpListener::bind(config.admin)
-        .await
-        .map_err(|cause| Error::Listen("operators", config.admin, cause))?;
+    let admin_listener = listen("operators", config.admin).await?;
     let inbox = LetterBox::<GossipLetter>::listen(config.gossip)
         .map_err(|cause| Error::Mesh("gossip", cause))?;
     let polled = core.clone();
--- a/bin/lh-steer/src/config.rs
+++ b/bin/lh-steer/src/config.rs
@@ -6,7 +6,7 @@
 use conf::{LogSettings, ProcessFile, schema};
 
 use crate::cli::Arguments;
-use crate::error::Result;
+use daemon::Result;
 
 /// Checked settings of `lh-steer`.
 #[derive(Debug, Clone)]
--- a/bin/lh-steer/src/lib.rs
+++ b/bin/lh-steer/src/lib.rs
@@ -7,7 +7,6 @@
 mod cli;
 mod config;
 mod core;
-mod error;
 mod gossip;
 mod metrics;
 mod platform;
@@ -15,7 +14,7 @@
 
 use clap::Parser;
 
-pub use error::{Error, Result};
+pub use daemon::{Error, Result};
 pub use metrics::METRICS;
 
 /// Reads the command line and the settings, then runs until SIGTERM.
--- a/bin/lh-steer/src/metrics.rs
+++ b/bin/lh-steer/src/metrics.rs
@@ -1,10 +1,10 @@
 //! What the control side shows.
 
 use base::prelude::*;
-use prometheus::{Encoder, IntGauge, Registry, TextEncoder};
+use prometheus::{IntGauge, Registry};
 
 use crate::core::SteerCore;
-use crate::error::Result;
+use daemon::{Result, metrics_text};
 
 /// Name and meaning of every metric of lh-steer.
 pub const METRICS: [(&str, &str); 4] = [
@@ -64,13 +64,6 @@
         for (gauge, value) in self.gauges.iter().zip(values) {
             gauge.set(value);
         }
-        let mut text = Vec::new();
-        if TextEncoder::new()
-            .encode(&self.registry.gather(), &mut text)
-            .is_err()
-        {
-            return String::new();
-        }
-        String::from_utf8(text).unwrap_or_default()
+        metrics_text(&self.registry)
     }
 }
--- a/bin/lh-steer/tests/fleet.rs
+++ b/bin/lh-steer/tests/fleet.rs
@@ -1,46 +1,22 @@
 //! Real lh-steer processes with a stand-in for the platform; the test plays their entries.
 
-use std::net::{IpAddr, SocketAddr, TcpListener as StdListener};
+use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use base::prelude::*;
 use conf::ConfigBundle;
 use mesh::AskClient;
-use standin::{FakePlatform, FaultPlan, platform_routes};
+use standin::{FakePlatform, FaultPlan, free_address, spawn_platform};
 use steer::{PollAnswer, PollAsk};
 use store::{HeadStore, InstanceState, ListedInstance, Publication};
-use tokio::net::TcpListener;
 
 const PATIENCE: Duration = Duration::from_secs(60);
 const BASE: &str = "[deployment]\nname = test\nlease = 4s\n[region north]\ndomains = n1\nseats = 4\n\
                     [service board]\nrepeat = idempotent\n";
 
-fn free_address() -> SocketAddr {
-    static NEXT: AtomicU8 = AtomicU8::new(1);
-    let [_, _, high, low] = std::process::id().to_be_bytes();
-    let ip = [
-        127,
-        128 + high % 64,
-        low,
-        NEXT.fetch_add(1, Ordering::Relaxed),
-    ];
-    let listener = StdListener::bind((IpAddr::from(ip), 0));
-    listener.unwrap().local_addr().unwrap()
-}
-
-async fn platform() -> (FakePlatform, SocketAddr) {
-    let platform = FakePlatform::new();
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let acceptor = poem::listener::TcpAcceptor::from_tokio(listener).unwrap();
-    let routes = platform_routes(&platform);
-    tokio::spawn(async move { poem::Server::new_with_acceptor(acceptor).run(routes).await });
-    (platform, address)
-}
-
 async fn publish(platform: &FakePlatform, edited: u64, lease: &str) {
     let bundle = ConfigBundle::new().with_file("base.ini", &BASE.replace("4s", lease));
     let content = serde_json::to_vec(&bundle).unwrap();
@@ -83,7 +59,7 @@
 
 impl Steer {
     fn start(name: &str, platform: SocketAddr, peers: &[SocketAddr]) -> Self {
-        let [steer, gossip, admin] = std::array::from_fn(|_| free_address());
+        let [steer, gossip, admin] = std::array::from_fn(|_| free_address().unwrap());
         let peers: Vec<String> = peers.iter().map(ToString::to_string).collect();
         let text = format!(
             "[instance]\nname = {name}\nregion = north\ndomain = n1\n[steer]\nsteer = {steer}\ngossip = {gossip}\n\
@@ -183,7 +159,7 @@
 /// Promise: an instance that boots in an outage gets the newest configuration from its peers.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_instance_boots_in_an_outage_from_its_peers() {
-    let (platform, address) = platform().await;
+    let (platform, address) = spawn_platform().await.unwrap();
     publish(&platform, 0, "4s").await;
     let first = Steer::start("a", address, &[]);
     first.list(&platform);
@@ -209,7 +185,7 @@
 /// Promise: a change reaches every instance, and the seats spread without being held twice.
 #[tokio::test(flavor = "multi_thread")]
 async fn changes_and_seats_reach_every_instance() {
-    let (platform, address) = platform().await;
+    let (platform, address) = spawn_platform().await.unwrap();
     publish(&platform, 0, "4s").await;
     let fleet: Vec<Steer> = ["a", "b", "c"]
         .map(|name| Steer::start(name, address, &[]))
@@ -237,7 +213,7 @@
 /// Promise: a restarted lh-steer takes up the seats that its entry uses, in the same epoch.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_restarted_steer_takes_the_seats_up_again() {
-    let (platform, address) = platform().await;
+    let (platform, address) = spawn_platform().await.unwrap();
     publish(&platform, 0, "4s").await;
     let mut steer = Steer::start("a", address, &[]);
     steer.list(&platform);
--- a/bin/lhctl/tests/program.rs
+++ b/bin/lhctl/tests/program.rs
@@ -4,24 +4,13 @@
 use std::path::Path;
 use std::process::{Command, Output};
 
-use standin::{FakePlatform, FaultPlan, platform_routes};
+use standin::{FaultPlan, spawn_platform};
 use tempfile::TempDir;
-use tokio::net::TcpListener;
 
 const BASE: &str = "[deployment]\nname = demo\n[region north]\ndomains = n-1\n\
                     [service board]\nrepeat = idempotent\n";
 const SITE: &str = "[pool board n-1]\nservers = 127.0.0.1:1, 127.0.0.1:2\nslots = 3\n";
 
-async fn platform() -> (FakePlatform, SocketAddr) {
-    let platform = FakePlatform::new();
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let acceptor = poem::listener::TcpAcceptor::from_tokio(listener).unwrap();
-    let routes = platform_routes(&platform);
-    tokio::spawn(async move { poem::Server::new_with_acceptor(acceptor).run(routes).await });
-    (platform, address)
-}
-
 fn folder(site: &str) -> TempDir {
     let folder = tempfile::tempdir().unwrap();
     std::fs::write(folder.path().join("base.ini"), BASE).unwrap();
@@ -53,7 +42,7 @@
 /// Apply, look at the difference, drain, apply again: the drain lives on.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_drain_outlives_an_apply() {
-    let (_platform, address) = platform().await;
+    let (_platform, address) = spawn_platform().await.unwrap();
     let first = folder(SITE);
     assert_eq!(
         lhctl(address, &["apply", path(&first)]).await,
@@ -91,7 +80,7 @@
 /// Promise: the loser of a race is told what changed under them, and nothing is written.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_race_names_the_change() {
-    let (_platform, address) = platform().await;
+    let (_platform, address) = spawn_platform().await.unwrap();
     let first = folder(SITE);
     lhctl(address, &["apply", path(&first)]).await;
     let second = folder(&SITE.replace("slots = 3", "slots = 4"));
@@ -106,7 +95,7 @@
 /// An outage: exit code 1 and nothing written. Lost answers: exit code 3 with what to run next.
 #[tokio::test(flavor = "multi_thread")]
 async fn outages_and_lost_answers_have_their_exit_codes() {
-    let (fake, address) = platform().await;
+    let (fake, address) = spawn_platform().await.unwrap();
     let first = folder(SITE);
     fake.set_faults(FaultPlan {
         outage: true,
@@ -125,7 +114,7 @@
 /// Wrong settings and usage end with 2.
 #[tokio::test(flavor = "multi_thread")]
 async fn wrong_settings_end_with_two() {
-    let (_platform, address) = platform().await;
+    let (_platform, address) = spawn_platform().await.unwrap();
     let bad = folder("[pool board n-9]\nservers = 127.0.0.1:1\nslots = 3\n");
     for words in [
         vec!["check", path(&bad)],
--- a/bin/lh-entry/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -1,10 +1,10 @@
-//! Errors that end the program.
+//! Errors that end a daemon.
 
 use kernel::ExitClass;
 use quick_error::quick_error;
 
 quick_error! {
-    /// Why the program can't run.
+    /// Why the daemon can't run.
     #[derive(Debug)]
     pub enum Error {
         /// The settings are wrong.
@@ -50,5 +50,5 @@
     }
 }
 
-/// Result of the program.
+/// Result of a daemon.
 pub type Result<T> = std::result::Result<T, Error>;
--- a/crates/relay/benches/overhead.rs
+++ b/crates/relay/benches/overhead.rs
@@ -3,7 +3,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use base::prelude::*;
@@ -18,7 +18,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use relay::{
-    AnswerBody, ConnectionPool, GateHandle, OnceTable, RelayController, RelayMetrics,
+    AnswerBody, ConnectionPool, GateHandle, OnceTable, RelayController, RelayMetrics, RelayParts,
     RelaySnapshot, RequestBody, ServerBounds, SnapshotCell, StampKey, serve,
 };
 use standin::FakePlatform;
@@ -118,16 +118,16 @@
     gate.apply_seats(now, now, &[seat]);
     let snapshots = Arc::new(SnapshotCell::new());
     snapshots.set(RelaySnapshot::new(plan));
-    let controller = RelayController::new(
-        &node,
-        &region,
-        GateHandle::new(gate, sink),
+    let controller = RelayController::new(RelayParts {
+        gate: GateHandle::new(gate, sink),
         snapshots,
-        OnceTable::new(1000),
-        StampKey::new(&node, [1; 32], now),
-        ClaimStore::new(FakePlatform::new()),
-        RelayMetrics::new().unwrap(),
-    );
+        once: Mutex::new(OnceTable::new(1000)),
+        stamps: StampKey::new(&node, [1; 32], now),
+        claims: ClaimStore::new(FakePlatform::new()),
+        metrics: RelayMetrics::new().unwrap(),
+        node,
+        region,
+    });
     let (trigger, signal) = kernel::stop_channel();
     std::mem::forget(trigger);
     tokio::spawn(serve(listener, BOUNDS, signal, move |request, peer| {
--- a/crates/relay/src/controller/mod.rs
+++ b/crates/relay/src/controller/mod.rs
@@ -29,21 +29,38 @@
 /// Bodies up to this size are read before dispatch, so that they can be sent again.
 const GATHER_LIMIT: u64 = 16 << 10;
 
+/// Share of retries until a plan tells another one.
+const FIRST_RETRY_SHARE: f64 = 0.1;
+
 type Answer = std::result::Result<Response<AnswerBody>, Problem>;
 
+/// What the request path of one instance is wired from.
+#[derive(Debug)]
+pub struct RelayParts<P> {
+    /// The run of the entry process.
+    pub node: NodeId,
+    /// Its region.
+    pub region: RegionId,
+    /// The region's door.
+    pub gate: Arc<GateHandle>,
+    /// The plan in force.
+    pub snapshots: Arc<SnapshotCell>,
+    /// Records of requests that must not repeat.
+    pub once: Mutex<OnceTable>,
+    /// Signs and checks tickets.
+    pub stamps: StampKey,
+    /// Claims on callers' own keys.
+    pub claims: ClaimStore<P>,
+    /// What is counted.
+    pub metrics: RelayMetrics,
+}
+
 /// Everything that the request path of one instance shares.
 #[derive(Debug)]
 pub struct RelayController<P> {
-    node: NodeId,
-    region: RegionId,
-    gate: Arc<GateHandle>,
-    snapshots: Arc<SnapshotCell>,
+    parts: RelayParts<P>,
     pool: Arc<ConnectionPool>,
-    once: Mutex<OnceTable>,
-    stamps: StampKey,
-    claims: ClaimStore<P>,
     budget: Mutex<RetryBudget>,
-    metrics: RelayMetrics,
 }
 
 /// A request that has passed the checks of its head.
@@ -85,29 +102,12 @@
 }
 
 impl<P: TableService + 'static> RelayController<P> {
-    /// Wires the request path of `node` in `region`.
-    #[allow(clippy::too_many_arguments)]
-    pub fn new(
-        node: &NodeId,
-        region: &RegionId,
-        gate: Arc<GateHandle>,
-        snapshots: Arc<SnapshotCell>,
-        once: OnceTable,
-        stamps: StampKey,
-        claims: ClaimStore<P>,
-        metrics: RelayMetrics,
-    ) -> Arc<Self> {
+    /// Wires the request path.
+    pub fn new(parts: RelayParts<P>) -> Arc<Self> {
         Arc::new(Self {
-            node: node.clone(),
-            region: region.clone(),
-            gate,
-            snapshots,
+            parts,
             pool: Arc::new(ConnectionPool::new()),
-            once: Mutex::new(once),
-            stamps,
-            claims,
-            budget: Mutex::new(RetryBudget::new(0.1)),
-            metrics,
+            budget: Mutex::new(RetryBudget::new(FIRST_RETRY_SHARE)),
         })
     }
 
@@ -119,7 +119,7 @@
     /// Housekeeping, to be called every second or so.
     pub fn sweep(&self) {
         self.pool.sweep();
-        lock(&self.once).expire(Instant::now());
+        lock(&self.parts.once).expire(Instant::now());
     }
 
     /// Answers one request.
@@ -141,7 +141,7 @@
         peer: SocketAddr,
         started: Instant,
     ) -> Answer {
-        let snapshot = self.snapshots.get().ok_or_else(|| {
+        let snapshot = self.parts.snapshots.get().ok_or_else(|| {
             Problem::new(
                 StatusCode::SERVICE_UNAVAILABLE,
                 "starting",
@@ -160,7 +160,7 @@
             headers: parts.headers,
         };
         if let Some(RepeatKey::Ticket(ticket, _)) = &head.key
-            && ticket.node != self.node
+            && ticket.node != self.parts.node
         {
             let outgoing = OutgoingHead {
                 path: parts.uri.to_string(),
@@ -220,7 +220,7 @@
             self.close(&work, problem);
         })?;
         loop {
-            let admitting = self.gate.admit(
+            let admitting = self.parts.gate.admit(
                 &work.service.id,
                 work.deadline,
                 &work.origin,
@@ -240,7 +240,7 @@
                 },
             };
             match step {
-                NextStep::TryAgain => self.metrics.retried(&work.service.id),
+                NextStep::TryAgain => self.parts.metrics.retried(&work.service.id),
                 NextStep::GiveUp(problem) => {
                     self.close(&work, &problem);
                     self.settle_claim(&work, problem.outcome()).await;
--- a/crates/relay/src/controller/once.rs
+++ b/crates/relay/src/controller/once.rs
@@ -49,7 +49,7 @@
             Some(RepeatKey::Caller(key)) => (caller_key(service, key), now),
         };
         let fingerprint = fingerprint(head, outgoing, body);
-        let verdict = lock(&self.once).begin(now, &key, fingerprint, valid_until);
+        let verdict = lock(&self.parts.once).begin(now, &key, fingerprint, valid_until);
         match verdict {
             OnceVerdict::Run => Ok(Some(key)),
             OnceVerdict::Known(state) => Err(self.repeat_problem(state)),
@@ -77,7 +77,7 @@
             nonce: ticket.nonce,
             number,
         };
-        match self.stamps.check(now, ticket) {
+        match self.parts.stamps.check(now, ticket) {
             TicketVerdict::Valid(end) => Ok((key, end)),
             TicketVerdict::Forged => Err(Problem::new(
                 StatusCode::FORBIDDEN,
@@ -85,7 +85,7 @@
                 "the ticket was not issued by this instance; look up again",
             )),
             TicketVerdict::Expired(end) if now < end + OnceTable::memory() => {
-                let state = lock(&self.once).find(&key).cloned();
+                let state = lock(&self.parts.once).find(&key).cloned();
                 match state {
                     Some(state) => Err(self.repeat_problem(state)),
                     None => Err(Problem::new(
@@ -128,6 +128,7 @@
             return Ok(());
         };
         match self
+            .parts
             .claims
             .claim(&hex(key), &self.claim_value(work, "claimed"))
             .await
@@ -135,7 +136,7 @@
             Ok(ClaimVerdict::Ours) => Ok(()),
             Ok(ClaimVerdict::Taken(value)) => {
                 // The table keeps the record; a later copy has to ask it again.
-                lock(&self.once).forget(once);
+                lock(&self.parts.once).forget(once);
                 Err(self.repeat_problem(claimed_state(&value)))
             }
             Err(cause) => {
@@ -151,7 +152,7 @@
     }
 
     pub(super) fn claim_value(&self, work: &CheckedWork, state: &str) -> String {
-        format!("{} {:016x} {state}", self.node, work.claim_token)
+        format!("{} {:016x} {state}", self.parts.node, work.claim_token)
     }
 
     /// Writes what became of a claimed request, for repeats at other instances.
@@ -165,6 +166,7 @@
             Outcome::Unknown => return,
         };
         let settled = self
+            .parts
             .claims
             .settle(
                 &hex(key),
@@ -179,7 +181,8 @@
 
     /// Records that a request ended without an answer from a backend server.
     pub(super) fn close(&self, work: &CheckedWork, problem: &Problem) {
-        self.metrics
+        self.parts
+            .metrics
             .count(&work.service.id, problem.outcome(), problem.kind());
         let Some(key) = &work.once else {
             return;
@@ -189,7 +192,7 @@
             Outcome::Done => OnceState::Done(None),
             Outcome::Unknown => OnceState::Unknown,
         };
-        lock(&self.once).finish(key, state);
+        lock(&self.parts.once).finish(key, state);
     }
 
     /// Keeps the answer for repeats, where the request must not repeat.
@@ -209,7 +212,7 @@
             content_type: content_type.map(str::to_owned),
             body: body.clone(),
         };
-        lock(&self.once).finish(key, OnceState::Done(Some(answer)));
+        lock(&self.parts.once).finish(key, OnceState::Done(Some(answer)));
     }
 }
 
--- a/crates/relay/src/controller/runs.rs
+++ b/crates/relay/src/controller/runs.rs
@@ -112,7 +112,8 @@
         let until = tokio::time::Instant::from_std(until);
         let (mut parts, mut body) = response.into_parts();
         let took = started.elapsed();
-        self.metrics
+        self.parts
+            .metrics
             .done(&work.service.id, took, work.service.objective.latency);
         if !parts.headers.contains_key(OUTCOME_HEADER) {
             let done = HeaderValue::from_static(Outcome::Done.as_str());
@@ -120,7 +121,7 @@
         }
         let mut guard = StreamGuard::new(&self.pool, connection, lease);
         if let Some(key) = &work.once {
-            lock(&self.once).finish(key, OnceState::Done(None));
+            lock(&self.parts.once).finish(key, OnceState::Done(None));
         }
         let small = body
             .size_hint()
@@ -165,8 +166,8 @@
             path: format!("/{}{}", work.service.id, work.head.path),
             ..work.head.clone()
         };
-        self.metrics.spilled(&work.service.id);
-        let hop = Some(&self.region);
+        self.parts.metrics.spilled(&work.service.id);
+        let hop = Some(&self.parts.region);
         let exchanged = match head.request(member.relay, work.deadline, hop, body) {
             Ok(request) => exchange(&self.pool, member.relay, request, work.deadline, true).await,
             Err(error) => Err(error),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,7 +20,7 @@
 
 pub use answer::AnswerBody;
 pub use connect::{ConnectionPool, RequestBody};
-pub use controller::RelayController;
+pub use controller::{RelayController, RelayParts};
 pub use error::{Error, Result};
 pub use handle::{Admission, GateHandle, MessageSink, RunTally};
 pub use head::{
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -5,8 +5,8 @@
 
 use base::prelude::*;
 use prometheus::{
-    Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-    IntGaugeVec, Opts, Registry, TextEncoder,
+    Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry,
 };
 use steer::GateStats;
 
@@ -263,15 +263,8 @@
         self.plan_age.set(age.as_secs_f64());
     }
 
-    /// All metrics in the text format.
-    pub fn text(&self) -> String {
-        let mut text = Vec::new();
-        if TextEncoder::new()
-            .encode(&self.registry.gather(), &mut text)
-            .is_err()
-        {
-            return String::new();
-        }
-        String::from_utf8(text).unwrap_or_default()
+    /// The registry, for whoever shows the metrics.
+    pub fn registry(&self) -> &Registry {
+        &self.registry
     }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 mod fault;
 mod ledger;
 mod load;
+mod local;
 mod platform;
 mod platform_http;
 mod server;
@@ -21,6 +22,7 @@
     LedgerEntry, PhaseReport, REQUEST_ID_HEADER, RunLedger, checksum, judge, payload,
 };
 pub use load::{LoadMix, LoadSpec, run_load};
+pub use local::{free_address, spawn_platform};
 pub use platform::{FakePlatform, PlatformState};
 pub use platform_http::platform_routes;
 pub use server::{BackendSim, BackendSpec, ServerMode, ServerView};
