--- a/crates/steer/src/gate/loans.rs
+++ b/crates/steer/src/gate/loans.rs
@@ -15,8 +15,6 @@
 const LOAN_GROUP: usize = 16;
 /// Longest use of a borrowed right, in deadlines of its service.
 const LOAN_TERM: u32 = 2;
-/// Part of the mean service time for which an idle borrowed right is kept.
-const LINGER_SHARE: f64 = 0.1;
 
 impl RegionGate {
     /// Asks peers for rights, as long as more requests wait than asks are open.
@@ -133,8 +131,7 @@
                 body: EntryMessage::Withdraw { ask },
             });
         }
-        let linger = pool.mean().mul_f64(LINGER_SHARE);
-        for (lender, loan) in pool.rights.release_idle(now, linger) {
+        for (lender, loan) in pool.rights.release_idle() {
             actions.push(return_loan(lender, loan));
         }
     }
@@ -179,7 +176,7 @@
         };
         let ends = open.sent + term.min(open.term);
         if open.lender == *from && ends > now {
-            pool.rights.borrow(now, from, loan, ends);
+            pool.rights.borrow(from, loan, ends);
         }
         self.serve(now, &service, actions);
     }
--- a/crates/steer/src/gate/mod.rs
+++ b/crates/steer/src/gate/mod.rs
@@ -414,7 +414,7 @@
             // The server may still be busy with it for a moment.
             pool.cooling.push_back((now + ABORT_GRACE, request));
         } else {
-            pool.rights.finish(now, request);
+            pool.rights.finish(request);
         }
         if let Some(running) = pool.running.remove(&request) {
             let held = now.saturating_duration_since(running.since);
--- a/crates/steer/src/pool.rs
+++ b/crates/steer/src/pool.rs
@@ -189,7 +189,7 @@
     pub(crate) fn end_cooling(&mut self, now: Instant) {
         while let Some((_, request)) = self.cooling.front().copied().filter(|(at, _)| *at <= now) {
             self.cooling.pop_front();
-            self.rights.finish(now, request);
+            self.rights.finish(request);
         }
     }
 
--- a/crates/steer/src/rights.rs
+++ b/crates/steer/src/rights.rs
@@ -81,7 +81,6 @@
     server: ServerId,
     ends: Instant,
     used: bool,
-    idle_since: Instant,
 }
 
 #[derive(Debug, Clone)]
@@ -232,7 +231,7 @@
     }
 
     /// Gives back the right that `request` held.
-    pub fn finish(&mut self, now: Instant, request: RequestId) {
+    pub fn finish(&mut self, request: RequestId) {
         match self.held.remove(&request) {
             Some(HeldRight::Own(id)) => {
                 if let Some(server) = self.server_mut(&id) {
@@ -244,7 +243,6 @@
                 for right in &mut self.borrowed {
                     if right.loan == loan && right.lender == lender {
                         right.used = false;
-                        right.idle_since = now;
                     }
                 }
             }
@@ -311,28 +309,25 @@
     }
 
     /// Takes a borrowed right in, usable until `ends` by this instance's clock.
-    pub fn borrow(&mut self, now: Instant, lender: &NodeId, loan: &NewLoan, ends: Instant) {
+    pub fn borrow(&mut self, lender: &NodeId, loan: &NewLoan, ends: Instant) {
         self.borrowed.push(BorrowedRight {
             lender: lender.clone(),
             loan: loan.loan,
             server: loan.server.clone(),
             ends,
             used: false,
-            idle_since: now,
         });
     }
 
-    /// Removes borrowed rights that have been idle for `linger` or are about to end,
-    /// and names them with their lenders so that they can be returned.
-    pub fn release_idle(&mut self, now: Instant, linger: Duration) -> Vec<(NodeId, LoanId)> {
+    /// Removes the borrowed rights that no request uses, and names them with their
+    /// lenders so that they can be returned.
+    pub fn release_idle(&mut self) -> Vec<(NodeId, LoanId)> {
         let mut released = Vec::new();
         self.borrowed.retain(|right| {
-            let idle = now.saturating_duration_since(right.idle_since) >= linger;
-            if right.used || !(idle || right.ends <= now) {
-                return true;
+            if !right.used {
+                released.push((right.lender.clone(), right.loan));
             }
-            released.push((right.lender.clone(), right.loan));
-            false
+            right.used
         });
         released
     }
