--- a/bin/lh-entry/tests/bench/mod.rs
+++ b/bin/lh-entry/tests/bench/mod.rs
@@ -240,7 +240,7 @@
     members.push(MemberPlan {
         node: ask.node.clone(),
         region: RegionId::new("north"),
-        domain: DomainId::new("n1"),
+        domain: FailureDomainId::new("n1"),
         relay: ask.relay,
         lookup: ask.lookup,
         mesh: ask.mesh,
--- a/bin/lh-steer/src/config.rs
+++ b/bin/lh-steer/src/config.rs
@@ -13,7 +13,7 @@
 pub(crate) struct Config {
     pub(crate) instance: InstanceId,
     pub(crate) region: RegionId,
-    pub(crate) domain: DomainId,
+    pub(crate) domain: FailureDomainId,
     pub(crate) steer: SocketAddr,
     pub(crate) gossip: SocketAddr,
     pub(crate) admin: SocketAddr,
--- a/bin/lh-steer/src/core.rs
+++ b/bin/lh-steer/src/core.rs
@@ -114,7 +114,7 @@
     }
 
     /// Servers found idle, which matters only while a seat is contested.
-    fn idle_servers(&self, now: Instant) -> Vec<(ServerId, Duration)> {
+    fn idle_servers(&self, now: Instant) -> Vec<(BackendServerId, Duration)> {
         let seats = self
             .keeper
             .as_ref()
--- a/bin/lh-steer/src/probe.rs
+++ b/bin/lh-steer/src/probe.rs
@@ -27,14 +27,14 @@
     rounds.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         rounds.tick().await;
-        let servers: Vec<ServerId> = core.lock().health.servers().cloned().collect();
+        let servers: Vec<BackendServerId> = core.lock().health.servers().cloned().collect();
         for server in servers {
             tokio::spawn(probe(core.clone(), client.clone(), server, period));
         }
     }
 }
 
-async fn probe(core: SteerCore, client: ProbeClient, server: ServerId, time: Duration) {
+async fn probe(core: SteerCore, client: ProbeClient, server: BackendServerId, time: Duration) {
     let sent = Instant::now();
     let report = tokio::time::timeout(time, ask(&client, &server)).await;
     let now = Instant::now();
@@ -45,7 +45,7 @@
     }
 }
 
-async fn ask(client: &ProbeClient, server: &ServerId) -> Option<ProbeReport> {
+async fn ask(client: &ProbeClient, server: &BackendServerId) -> Option<ProbeReport> {
     let address: SocketAddr = server.as_str().parse().ok()?;
     let request = Request::builder()
         .uri(format!("http://{address}{PROBE_PATH}"))
--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -6,11 +6,11 @@
     /// A region: a group of failure domains that share one capacity guard.
     RegionId;
     /// A failure domain inside a region.
-    DomainId;
+    FailureDomainId;
     /// A service that callers ask for, such as `booking-desk`.
     ServiceId;
     /// A backend server, named by its address.
-    ServerId;
+    BackendServerId;
     /// An instance of laurelhill, named by the platform.
     InstanceId;
 }
--- a/crates/base/src/prelude.rs
+++ b/crates/base/src/prelude.rs
@@ -2,5 +2,7 @@
 
 pub use std::time::{Duration, Instant};
 
-pub use crate::id::{DomainId, Incarnation, InstanceId, NodeId, RegionId, ServerId, ServiceId};
+pub use crate::id::{
+    BackendServerId, FailureDomainId, Incarnation, InstanceId, NodeId, RegionId, ServiceId,
+};
 pub use crate::outcome::Outcome;
--- a/crates/conf/src/deployment.rs
+++ b/crates/conf/src/deployment.rs
@@ -54,7 +54,7 @@
         /// Its name.
         pub id: RegionId,
         /// Its failure domains.
-        pub domains: Vec<DomainId>,
+        pub domains: Vec<FailureDomainId>,
         /// Seats that share its capacity.
         pub seats: u16,
         /// Requests that may use its link at once.
@@ -68,9 +68,9 @@
         /// The service.
         pub service: ServiceId,
         /// The failure domain.
-        pub domain: DomainId,
+        pub domain: FailureDomainId,
         /// The servers' addresses.
-        pub servers: Vec<ServerId>,
+        pub servers: Vec<BackendServerId>,
         /// Slots of one server.
         pub slots: u16,
         /// Connections that one server takes.
@@ -84,11 +84,11 @@
     #[serde(rename_all = "kebab-case")]
     pub enum DrainTarget {
         /// One backend server.
-        Server(ServerId),
+        Server(BackendServerId),
         /// One instance.
         Instance(InstanceId),
         /// A failure domain.
-        Domain(DomainId),
+        Domain(FailureDomainId),
         /// A region.
         Region(RegionId),
     }
@@ -122,9 +122,9 @@
     /// Makes a target from the words that `lhctl drain` and `[drain]` use.
     pub fn parse(kind: &str, name: &str) -> Option<Self> {
         match kind {
-            "server" => Some(Self::Server(ServerId::new(name))),
+            "server" => Some(Self::Server(BackendServerId::new(name))),
             "instance" => Some(Self::Instance(InstanceId::new(name))),
-            "domain" => Some(Self::Domain(DomainId::new(name))),
+            "domain" => Some(Self::Domain(FailureDomainId::new(name))),
             "region" => Some(Self::Region(RegionId::new(name))),
             _ => None,
         }
@@ -177,7 +177,7 @@
             domains: section
                 .list("domains")?
                 .into_iter()
-                .map(DomainId::new)
+                .map(FailureDomainId::new)
                 .collect(),
             seats: section.count("seats")?,
             link_limit: section.count("link_limit")?,
@@ -231,7 +231,7 @@
 
     fn add_pool(&mut self, section: &CheckedSection) -> Result<()> {
         let service = ServiceId::new(&section.names()[0]);
-        let domain = DomainId::new(&section.names()[1]);
+        let domain = FailureDomainId::new(&section.names()[1]);
         if !self.services.contains_key(&service) {
             return Err(dangling(section, "service", service.as_str()));
         }
@@ -244,7 +244,7 @@
             servers: section
                 .list("servers")?
                 .into_iter()
-                .map(ServerId::new)
+                .map(BackendServerId::new)
                 .collect(),
             slots: section.count("slots")?,
             connections: section.count("connections")?,
@@ -307,7 +307,7 @@
     }
 
     /// The region that a failure domain belongs to.
-    pub fn region_of(&self, domain: &DomainId) -> Option<&Region> {
+    pub fn region_of(&self, domain: &FailureDomainId) -> Option<&Region> {
         self.regions
             .values()
             .find(|region| region.domains.contains(domain))
@@ -321,7 +321,7 @@
     }
 
     /// Whether `server` of `pool` is to get no new work.
-    pub fn is_drained(&self, pool: &Pool, server: &ServerId) -> bool {
+    pub fn is_drained(&self, pool: &Pool, server: &BackendServerId) -> bool {
         self.drains.iter().any(|target| match target {
             DrainTarget::Server(id) => id == server,
             DrainTarget::Domain(id) => *id == pool.domain,
--- a/crates/conf/src/process.rs
+++ b/crates/conf/src/process.rs
@@ -74,12 +74,12 @@
     ///
     /// # Errors
     /// Where the section or a required key is missing.
-    pub fn instance(&self) -> Result<(InstanceId, RegionId, DomainId)> {
+    pub fn instance(&self) -> Result<(InstanceId, RegionId, FailureDomainId)> {
         let section = self.section("instance")?;
         Ok((
             InstanceId::new(section.text("name")?),
             RegionId::new(section.text("region")?),
-            DomainId::new(section.text("domain")?),
+            FailureDomainId::new(section.text("domain")?),
         ))
     }
 
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -1,5 +1,5 @@
-//! A micro-kernel: services register under a name, find each other by name
-//! while they are wired, start in the order of registration and stop in reverse.
+//! A micro-kernel: services register under a name and find each other by name while
+//! they are wired. Besides, what every program needs: stops, logs and exit codes.
 //!
 //! Look-ups by name happen only while wiring. The request path keeps the typed
 //! handle that it got then.
--- a/crates/relay/benches/overhead.rs
+++ b/crates/relay/benches/overhead.rs
@@ -94,7 +94,7 @@
         version: 1,
         hash: String::new(),
         servers: vec![ServerPlan {
-            id: ServerId::new(backend.to_string()),
+            id: BackendServerId::new(backend.to_string()),
             open: true,
             active_slots: 1000,
         }],
--- a/crates/relay/src/handle.rs
+++ b/crates/relay/src/handle.rs
@@ -36,7 +36,10 @@
 
 #[derive(Debug)]
 enum Decision {
-    Dispatch { server: ServerId, until: Instant },
+    Dispatch {
+        server: BackendServerId,
+        until: Instant,
+    },
     Refuse(Refusal),
     Spill(NodeId),
 }
@@ -45,7 +48,7 @@
 struct GateState {
     gate: RegionGate,
     waiting: HashMap<RequestId, oneshot::Sender<Decision>>,
-    tallies: HashMap<ServerId, RunTally>,
+    tallies: HashMap<BackendServerId, RunTally>,
 }
 
 /// A shared gate.
@@ -138,7 +141,7 @@
     }
 
     /// Takes the tallies of runs since the last call.
-    pub fn take_tallies(&self) -> HashMap<ServerId, RunTally> {
+    pub fn take_tallies(&self) -> HashMap<BackendServerId, RunTally> {
         std::mem::take(&mut self.lock().tallies)
     }
 
@@ -178,7 +181,7 @@
         }
     }
 
-    fn tally(&mut self, server: &ServerId, result: RunResult) {
+    fn tally(&mut self, server: &BackendServerId, result: RunResult) {
         if !self.tallies.contains_key(server) {
             self.tallies.insert(server.clone(), RunTally::default());
         }
@@ -224,14 +227,14 @@
 pub struct SlotLease {
     handle: Arc<GateHandle>,
     request: RequestId,
-    server: ServerId,
+    server: BackendServerId,
     until: Instant,
     result: RunResult,
 }
 
 impl SlotLease {
     /// The server whose slot it is.
-    pub fn server(&self) -> &ServerId {
+    pub fn server(&self) -> &BackendServerId {
         &self.server
     }
 
--- a/crates/relay/src/once.rs
+++ b/crates/relay/src/once.rs
@@ -75,6 +75,18 @@
 }
 
 /// The records of one run of an instance.
+///
+/// ```
+/// use std::time::Instant;
+/// use relay::{OnceKey, OnceState, OnceTable, OnceVerdict};
+///
+/// let now = Instant::now();
+/// let key = OnceKey::Ticket { nonce: 7, number: 1 };
+/// let mut table = OnceTable::new(1000);
+/// assert_eq!(table.begin(now, &key, 42, now), OnceVerdict::Run);
+/// table.finish(&key, OnceState::Refused);
+/// assert_eq!(table.begin(now, &key, 42, now), OnceVerdict::Known(OnceState::Refused));
+/// ```
 #[derive(Debug, Clone)]
 pub struct OnceTable {
     records: HashMap<OnceKey, OnceRecord>,
--- a/crates/steer/benches/slopes.rs
+++ b/crates/steer/benches/slopes.rs
@@ -88,7 +88,7 @@
 fn plan_of(deployment: &Arc<Deployment>, members: Vec<steer::MemberPlan>) -> steer::Plan {
     let mut whole = plan(deployment, members);
     let region = &deployment.regions["r0"];
-    let own: Vec<&ServerId> = deployment
+    let own: Vec<&BackendServerId> = deployment
         .pools_in(region)
         .flat_map(|pool| &pool.servers)
         .collect();
--- a/crates/steer/src/event.rs
+++ b/crates/steer/src/event.rs
@@ -88,7 +88,7 @@
         /// The request.
         request: RequestId,
         /// The backend server whose slot it holds.
-        server: ServerId,
+        server: BackendServerId,
         /// When the slot must be given back.
         until: Instant,
     },
--- a/crates/steer/src/gate/grants.rs
+++ b/crates/steer/src/gate/grants.rs
@@ -52,7 +52,7 @@
         &mut self,
         now: Instant,
         quarantine: Duration,
-        server: &ServerId,
+        server: &BackendServerId,
     ) -> Vec<u16> {
         let mut ready = Vec::new();
         for (index, seat) in &self.seats {
@@ -78,7 +78,7 @@
         &self,
         region: &Region,
         slots: u16,
-        id: &ServerId,
+        id: &BackendServerId,
         seats: &[u16],
     ) -> ServerGrant {
         let plan = self.servers.iter().find(|server| server.id == *id);
--- a/crates/steer/src/gate/mod.rs
+++ b/crates/steer/src/gate/mod.rs
@@ -84,7 +84,7 @@
     pools: HashMap<ServiceId, PoolGate>,
     services_of: HashMap<RequestId, ServiceId>,
     servers: Vec<ServerPlan>,
-    idle_at: HashMap<ServerId, Instant>,
+    idle_at: HashMap<BackendServerId, Instant>,
     seats: BTreeMap<u16, HeldSeat>,
     guard: SeatGuard,
     stopping: bool,
@@ -188,7 +188,7 @@
 
     /// Servers that were found idle, as long ago as told, before `asked_at`. What ran
     /// there for a former holder of a seat has ended.
-    pub fn apply_idle(&mut self, asked_at: Instant, idle: &[(ServerId, Duration)]) {
+    pub fn apply_idle(&mut self, asked_at: Instant, idle: &[(BackendServerId, Duration)]) {
         for (server, age) in idle {
             let Some(at) = asked_at.checked_sub(*age) else {
                 continue;
@@ -244,7 +244,7 @@
     }
 
     /// Rights in use on `server`, own and borrowed.
-    pub fn used_on(&self, server: &ServerId) -> u16 {
+    pub fn used_on(&self, server: &BackendServerId) -> u16 {
         let used = self.pools.values().map(|pool| pool.rights.used_on(server));
         used.sum()
     }
--- a/crates/steer/src/guard.rs
+++ b/crates/steer/src/guard.rs
@@ -11,6 +11,17 @@
 /// goes on only through an unbroken chain of messages from peers, since nobody
 /// takes over a holder that a peer hears. A process that was paused past the end
 /// of its permission finds the chain broken and needs a new lease.
+///
+/// ```
+/// use std::time::{Duration, Instant};
+/// use steer::SeatGuard;
+///
+/// let now = Instant::now();
+/// let mut guard = SeatGuard::new();
+/// guard.on_lease(now, Duration::from_secs(10));
+/// assert!(guard.permits(now + Duration::from_secs(9)));
+/// assert!(!guard.permits(now + Duration::from_secs(11)));
+/// ```
 #[derive(Debug, Clone, Default)]
 pub struct SeatGuard {
     permitted_until: Option<Instant>,
--- a/crates/steer/src/health.rs
+++ b/crates/steer/src/health.rs
@@ -124,7 +124,7 @@
 /// What this instance makes of the backend servers of its region.
 #[derive(Debug, Clone, Default)]
 pub struct HealthView {
-    servers: HashMap<ServerId, ServerHealth>,
+    servers: HashMap<BackendServerId, ServerHealth>,
     pools: usize,
 }
 
@@ -160,7 +160,7 @@
     }
 
     /// The servers to probe.
-    pub fn servers(&self) -> impl Iterator<Item = &ServerId> {
+    pub fn servers(&self) -> impl Iterator<Item = &BackendServerId> {
         self.servers.keys()
     }
 
@@ -169,7 +169,7 @@
         &mut self,
         now: Instant,
         sent: Instant,
-        server: &ServerId,
+        server: &BackendServerId,
         report: &ProbeReport,
     ) {
         let Some(health) = self.servers.get_mut(server) else {
@@ -193,7 +193,7 @@
     }
 
     /// A probe failed.
-    pub fn on_probe_failed(&mut self, now: Instant, server: &ServerId) {
+    pub fn on_probe_failed(&mut self, now: Instant, server: &BackendServerId) {
         let Some(health) = self.servers.get_mut(server) else {
             return;
         };
@@ -203,7 +203,7 @@
     }
 
     /// Requests found the server failing `failed` times and answering `answered` times.
-    pub fn on_runs(&mut self, now: Instant, server: &ServerId, failed: u32, answered: u32) {
+    pub fn on_runs(&mut self, now: Instant, server: &BackendServerId, failed: u32, answered: u32) {
         let Some(health) = self.servers.get_mut(server) else {
             return;
         };
@@ -219,8 +219,8 @@
     }
 
     /// Servers that were found idle, and how long ago that was asked.
-    pub fn idle_ages(&self, now: Instant) -> Vec<(ServerId, Duration)> {
-        let idle = |(id, health): (&ServerId, &ServerHealth)| {
+    pub fn idle_ages(&self, now: Instant) -> Vec<(BackendServerId, Duration)> {
+        let idle = |(id, health): (&BackendServerId, &ServerHealth)| {
             let age = now.saturating_duration_since(health.idle_at?);
             Some((id.clone(), age))
         };
@@ -228,7 +228,7 @@
     }
 
     /// What is made of `server`; `None` where it isn't watched.
-    pub fn verdict(&self, server: &ServerId) -> Option<ServerVerdict> {
+    pub fn verdict(&self, server: &BackendServerId) -> Option<ServerVerdict> {
         let health = self.servers.get(server)?;
         Some(match (health.drained || health.leaving, health.ejected) {
             (true, _) => ServerVerdict::Leaving,
@@ -256,7 +256,7 @@
     }
 
     /// Ejected servers that stay open, because too much of their pool looks dead.
-    fn overruled(&self) -> Vec<&ServerId> {
+    fn overruled(&self) -> Vec<&BackendServerId> {
         let mut overruled = Vec::new();
         for pool in 0..self.pools {
             let members: Vec<_> = self
--- a/crates/steer/src/message.rs
+++ b/crates/steer/src/message.rs
@@ -62,7 +62,7 @@
             /// Names the loan.
             loan: LoanId,
             /// The backend server whose slot is lent.
-            server: ServerId,
+            server: BackendServerId,
             /// How long.
             term: Duration,
         },
--- a/crates/steer/src/plan.rs
+++ b/crates/steer/src/plan.rs
@@ -24,7 +24,7 @@
     /// A backend server as health and ramps see it.
     pub struct ServerPlan {
         /// The server.
-        pub id: ServerId,
+        pub id: BackendServerId,
         /// Whether new work may go to it.
         pub open: bool,
         /// Slots that may be used now: all of them, or fewer while it warms up.
@@ -38,7 +38,7 @@
         /// Its region.
         pub region: RegionId,
         /// Its failure domain.
-        pub domain: DomainId,
+        pub domain: FailureDomainId,
         /// Where it takes requests.
         pub relay: SocketAddr,
         /// Where it takes look-ups.
@@ -86,7 +86,7 @@
         /// Instances whose messages came in lately.
         pub heard: Vec<InstanceId>,
         /// Connection failures and answers by server since the last ask.
-        pub seen: Vec<(ServerId, u32, u32)>,
+        pub seen: Vec<(BackendServerId, u32, u32)>,
         /// Whether the entry wants no new callers.
         pub leaving: bool,
         /// Whether the entry admits nothing more and gives its seats back.
@@ -102,6 +102,6 @@
         /// The seats; `None` while lh-steer doesn't know yet which are held.
         pub seats: Option<Vec<SeatGrant>>,
         /// Servers found idle, and how long ago, while a seat is contested.
-        pub idle: Vec<(ServerId, Duration)>,
+        pub idle: Vec<(BackendServerId, Duration)>,
     }
 }
--- a/crates/steer/src/pool.rs
+++ b/crates/steer/src/pool.rs
@@ -55,7 +55,7 @@
 /// A request that a backend server is working on.
 #[derive(Debug, Clone)]
 pub(crate) struct RunningRequest {
-    pub(crate) server: ServerId,
+    pub(crate) server: BackendServerId,
     pub(crate) since: Instant,
 }
 
--- a/crates/steer/src/retry.rs
+++ b/crates/steer/src/retry.rs
@@ -5,6 +5,15 @@
 
 /// Earns a part of a retry with every first try and spends one per retry, so that
 /// retries never exceed the share, however much fails.
+///
+/// ```
+/// let mut budget = steer::RetryBudget::new(0.5);
+/// budget.first_try();
+/// assert!(!budget.try_retry());
+/// budget.first_try();
+/// assert!(budget.try_retry());
+/// assert!(!budget.try_retry());
+/// ```
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
     share: f64,
--- a/crates/steer/src/rights.rs
+++ b/crates/steer/src/rights.rs
@@ -24,7 +24,7 @@
 const PICK_AMONG: usize = 8;
 
 /// The seat that owns slot `slot` of `server` in a region of `seats` seats.
-pub fn slot_owner(server: &ServerId, slot: u16, seats: u16) -> u16 {
+pub fn slot_owner(server: &BackendServerId, slot: u16, seats: u16) -> u16 {
     let offset = server.as_str().bytes().fold(0_u32, |hash, byte| {
         hash.wrapping_mul(31).wrapping_add(u32::from(byte))
     });
@@ -36,7 +36,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServerGrant {
     /// The server.
-    pub id: ServerId,
+    pub id: BackendServerId,
     /// Slots that this instance's seats own.
     pub own: u16,
     /// Whether new work may go there.
@@ -45,7 +45,7 @@
 
 #[derive(Debug, Clone)]
 struct ServerRights {
-    id: ServerId,
+    id: BackendServerId,
     own: u16,
     open: bool,
     lent: u16,
@@ -70,7 +70,7 @@
 struct LentRight {
     to: NodeId,
     ask: AskId,
-    server: ServerId,
+    server: BackendServerId,
     ends: Instant,
 }
 
@@ -78,14 +78,14 @@
 struct BorrowedRight {
     lender: NodeId,
     loan: LoanId,
-    server: ServerId,
+    server: BackendServerId,
     ends: Instant,
     used: bool,
 }
 
 #[derive(Debug, Clone)]
 enum HeldRight {
-    Own(ServerId),
+    Own(BackendServerId),
     Borrowed(NodeId, LoanId),
 }
 
@@ -93,7 +93,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TakenRight {
     /// The server whose slot it is.
-    pub server: ServerId,
+    pub server: BackendServerId,
     /// When the slot must be given back.
     pub until: Instant,
 }
@@ -104,7 +104,7 @@
     /// Names the loan.
     pub loan: LoanId,
     /// The server whose slot is lent.
-    pub server: ServerId,
+    pub server: BackendServerId,
 }
 
 /// The rights of one service at one instance.
@@ -112,7 +112,7 @@
 pub struct RightsBook {
     servers: Vec<ServerRights>,
     /// Places in `servers` by name.
-    places: HashMap<ServerId, usize>,
+    places: HashMap<BackendServerId, usize>,
     next_server: usize,
     lent: BTreeMap<LoanId, LentRight>,
     borrowed: Vec<BorrowedRight>,
@@ -130,7 +130,7 @@
     /// Replaces what this instance's seats own. Work and loans on servers that are
     /// not named any more, or that own fewer slots now, go on until they end.
     pub fn set_grants(&mut self, grants: &[ServerGrant]) {
-        let named: HashSet<&ServerId> = grants.iter().map(|grant| &grant.id).collect();
+        let named: HashSet<&BackendServerId> = grants.iter().map(|grant| &grant.id).collect();
         for server in &mut self.servers {
             if named.contains(&server.id) {
                 continue;
@@ -251,7 +251,7 @@
     }
 
     /// Sends no new work to `server` for a short while.
-    pub fn suspect(&mut self, now: Instant, server: &ServerId) {
+    pub fn suspect(&mut self, now: Instant, server: &BackendServerId) {
         if let Some(server) = self.server_mut(server) {
             server.suspect_until = Some(now + SUSPECT_TIME);
         }
@@ -384,7 +384,7 @@
     }
 
     /// Rights in use on `server` by this instance, borrowed ones included.
-    pub fn used_on(&self, server: &ServerId) -> u16 {
+    pub fn used_on(&self, server: &BackendServerId) -> u16 {
         let own = self
             .servers
             .iter()
@@ -398,7 +398,7 @@
         own + u16::try_from(borrowed).unwrap_or(u16::MAX)
     }
 
-    fn server_mut(&mut self, id: &ServerId) -> Option<&mut ServerRights> {
+    fn server_mut(&mut self, id: &BackendServerId) -> Option<&mut ServerRights> {
         let place = *self.places.get(id)?;
         self.servers.get_mut(place)
     }
--- a/crates/steer/src/shift.rs
+++ b/crates/steer/src/shift.rs
@@ -30,6 +30,23 @@
 /// the share in V is the region's as a whole as far as peers have told it, and
 /// this instance's own otherwise. If every instance keeps to that, the sum does,
 /// however the traffic is spread over them.
+///
+/// ```
+/// use std::time::{Duration, Instant};
+/// use base::prelude::*;
+/// use steer::ShiftLimiter;
+///
+/// let mut limiter = ShiftLimiter::new(0.10, Duration::from_secs(10));
+/// let south = RegionId::new("south");
+/// let mut now = Instant::now();
+/// let mut moved = 0;
+/// for _ in 0..1000 {
+///     now += Duration::from_millis(10);
+///     limiter.arrive(now);
+///     moved += usize::from(limiter.try_move(now, &south).is_ok());
+/// }
+/// assert!(moved <= 100, "at most a tenth of a window's arrivals");
+/// ```
 #[derive(Debug, Clone)]
 pub struct ShiftLimiter {
     cap: f64,
@@ -77,13 +94,6 @@
         Ok(())
     }
 
-    /// Takes a moved arrival back that was not served after all.
-    pub fn undo_move(&mut self, now: Instant, region: &RegionId) {
-        if let Some(moved) = self.bucket(now).moved.get_mut(region) {
-            *moved = moved.saturating_sub(1);
-        }
-    }
-
     /// A peer's counts of its window before the present one.
     pub fn on_peer(&mut self, now: Instant, from: &NodeId, counts: &ShiftCounts) {
         self.peers.insert(from.clone(), (now, counts.clone()));
@@ -97,11 +107,6 @@
         self.counts(now, 1)
     }
 
-    /// The share that `region` has in the present window.
-    pub fn recent_share(&self, now: Instant, region: &RegionId) -> f64 {
-        share(&[&self.counts(now, 0)], region)
-    }
-
     /// The share from which a rise is measured: the region's own as a whole.
     fn base_share(&self, now: Instant, region: &RegionId) -> f64 {
         let own = self.counts(now, 1);
--- a/crates/steer/src/version.rs
+++ b/crates/steer/src/version.rs
@@ -29,6 +29,17 @@
 }
 
 /// Watches that the version in force never falls.
+///
+/// ```
+/// use steer::{ConfigVersion, VersionGuard, VersionVerdict};
+///
+/// let version = |number| ConfigVersion { number, hash: format!("hash {number}") };
+/// let mut guard = VersionGuard::new();
+/// assert_eq!(guard.on_store(&version(2)), VersionVerdict::Fetch);
+/// assert!(guard.put_in_force(&version(2)));
+/// assert_eq!(guard.on_store(&version(1)), VersionVerdict::Refuse);
+/// assert!(!guard.put_in_force(&version(1)));
+/// ```
 #[derive(Debug, Clone, Default)]
 pub struct VersionGuard {
     in_force: ConfigVersion,
--- a/crates/steer/tests/decisions.rs
+++ b/crates/steer/tests/decisions.rs
@@ -25,10 +25,10 @@
     }
 }
 
-fn health() -> (HealthView, Vec<ServerId>) {
+fn health() -> (HealthView, Vec<BackendServerId>) {
     let mut view = HealthView::new();
     view.set_servers(&deployment(&FleetSpec::default()), &RegionId::new("north"));
-    let mut servers: Vec<ServerId> = view.servers().cloned().collect();
+    let mut servers: Vec<BackendServerId> = view.servers().cloned().collect();
     servers.sort();
     (view, servers)
 }
--- a/crates/steer/tests/fleet/mod.rs
+++ b/crates/steer/tests/fleet/mod.rs
@@ -74,7 +74,7 @@
 }
 
 struct Run {
-    server: ServerId,
+    server: BackendServerId,
     token: u64,
     answered: bool,
 }
@@ -136,7 +136,7 @@
     MemberPlan {
         node: node.clone(),
         region: RegionId::new(region),
-        domain: DomainId::new("n1"),
+        domain: FailureDomainId::new("n1"),
         relay: address,
         lookup: address,
         mesh: address,
@@ -173,7 +173,7 @@
 }
 
 /// Looks at what is in use after every step.
-pub type StepCheck = Box<dyn FnMut(&HashMap<ServerId, u16>)>;
+pub type StepCheck = Box<dyn FnMut(&HashMap<BackendServerId, u16>)>;
 
 /// Gates of one region, driven under virtual time.
 pub struct Fleet {
@@ -185,7 +185,7 @@
     pub cut: Box<dyn Fn(usize, usize) -> bool>,
     pub on_step: Option<StepCheck>,
     nodes: Vec<NodeId>,
-    in_use: HashMap<ServerId, u16>,
+    in_use: HashMap<BackendServerId, u16>,
     runs: HashMap<(usize, RequestId), Run>,
     began: HashMap<RequestId, Instant>,
     events: BinaryHeap<Reverse<(Instant, u64)>>,
--- a/crates/steer/tests/rights.rs
+++ b/crates/steer/tests/rights.rs
@@ -27,7 +27,7 @@
 fn most_in_use(fleet: &mut Fleet) -> Rc<RefCell<u16>> {
     let most = Rc::new(RefCell::new(0));
     let seen = Rc::clone(&most);
-    fleet.on_step = Some(Box::new(move |in_use: &HashMap<ServerId, u16>| {
+    fleet.on_step = Some(Box::new(move |in_use: &HashMap<BackendServerId, u16>| {
         let now = in_use.values().copied().max().unwrap_or(0);
         let mut seen = seen.borrow_mut();
         *seen = now.max(*seen);
--- a/crates/store/src/head.rs
+++ b/crates/store/src/head.rs
@@ -37,6 +37,22 @@
 }
 
 /// Reads and moves the head.
+///
+/// ```
+/// use standin::FakePlatform;
+/// use store::{HeadStore, Publication};
+///
+/// # tokio::runtime::Builder::new_current_thread().build()?.block_on(async {
+/// let heads = HeadStore::new(FakePlatform::new());
+/// let hash = "0".repeat(64);
+/// let first = heads.publish(0, &hash, b"content", "anna", "token 1").await?;
+/// assert!(matches!(first, Publication::Accepted(head) if head.version == 1));
+/// let late = heads.publish(0, &hash, b"other", "bert", "token 2").await?;
+/// assert!(matches!(late, Publication::Raced(Some(head)) if head.author == "anna"));
+/// # Ok::<(), store::Error>(())
+/// # })?;
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
 #[derive(Debug, Clone)]
 pub struct HeadStore<P> {
     platform: P,
