Seats: the shortest lease decides, and an adopted seat waits for its renewal

Cause: reading the guard again: with several seats it kept the latest end, so a seat with a shorter lease could be used past it, by up to a third of a lease. Also a request that found a free right and could then not take it would have hung. Ruled out: peers' messages (their chain is meant to go past a lease). Change: the guard follows the lease that ends first and keeps the chain of peers apart; lh-steer tells no seats until those it took up from its predecessor are renewed, so a restart doesn't end a permission; a right that can't be taken puts the request into the queue.

--- a/crates/steer/src/gate/mod.rs
+++ b/crates/steer/src/gate/mod.rs
@@ -340,8 +340,7 @@
             return Err(self.refusal(RefusalReason::Overloaded, wait));
         }
         self.count_foreign(now, arrival)?;
-        if !waits {
-            self.dispatch(now, arrival, actions);
+        if !waits && self.dispatch(now, arrival, actions) {
             return Ok(());
         }
         if let Some(pool) = self.pools.get_mut(&arrival.service) {
--- a/crates/steer/src/guard.rs
+++ b/crates/steer/src/guard.rs
@@ -24,7 +24,8 @@
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct SeatGuard {
-    permitted_until: Option<Instant>,
+    leased_until: Option<Instant>,
+    heard_until: Option<Instant>,
 }
 
 impl SeatGuard {
@@ -33,32 +34,26 @@
         Self::default()
     }
 
-    /// A lease with `remaining` time left, asked for at `asked_at`.
+    /// The lease that ends first has `remaining` time left, asked for at `asked_at`.
     pub fn on_lease(&mut self, asked_at: Instant, remaining: Duration) {
-        let end = asked_at + remaining;
-        let later = self.permitted_until.is_none_or(|until| until < end);
-        if later {
-            self.permitted_until = Some(end);
-        }
+        self.leased_until = Some(asked_at + remaining);
     }
 
     /// The seats are lost.
     pub fn on_lost(&mut self) {
-        self.permitted_until = None;
+        *self = Self::default();
     }
 
     /// A peer's message came in.
     pub fn on_peer(&mut self, now: Instant) {
-        let Some(until) = self.permitted_until else {
-            return;
-        };
-        if now < until {
-            self.permitted_until = Some(until.max(now + PEER_WINDOW));
+        if self.permits(now) {
+            self.heard_until = Some(now + PEER_WINDOW);
         }
     }
 
     /// Whether work may be admitted at `now`.
     pub fn permits(&self, now: Instant) -> bool {
-        self.permitted_until.is_some_and(|until| now < until)
+        let before = |until: Option<Instant>| until.is_some_and(|until| now < until);
+        before(self.leased_until) || before(self.heard_until)
     }
 }
--- a/crates/steer/src/seat.rs
+++ b/crates/steer/src/seat.rs
@@ -184,9 +184,11 @@
         self.settings.lease = lease;
     }
 
-    /// Whether the table's rows have been read, so that the seats held are known.
+    /// Whether the table's rows have been read and every seat that was taken up from a
+    /// former lh-steer has been renewed, so that seats and leases are known.
     pub fn is_informed(&self) -> bool {
-        self.rows_known
+        let renewed = self.held.values().all(|tenure| tenure.leased_at.is_some());
+        self.rows_known && renewed
     }
 
     /// The seats held, for the entry.
--- a/crates/steer/tests/seats.rs
+++ b/crates/steer/tests/seats.rs
@@ -354,3 +354,15 @@
     guard.on_lease(woken, LEASE);
     assert!(guard.permits(woken));
 }
+
+/// Promise: no seat is used past its own lease because another seat's lease is longer.
+#[test]
+fn the_shortest_lease_decides() {
+    let now = Instant::now();
+    let mut guard = SeatGuard::new();
+    guard.on_lease(now, LEASE);
+    // A seat came in whose lease ends sooner.
+    guard.on_lease(now + STEP, LEASE / 2);
+    assert!(guard.permits(now + LEASE / 2));
+    assert!(!guard.permits(now + LEASE / 2 + STEP * 2));
+}
