Tests: addresses that no other process can hold

A port was found free by binding it; a program that another test started in the same moment inherits that socket until it runs, and keeps the port in use. Ruled out: other programs on the port (every process has IP numbers of its own). Change: addresses are made from process id and a counter, with a fixed port, and nothing is bound.

--- a/bin/lh-entry/tests/bench/mod.rs
+++ b/bin/lh-entry/tests/bench/mod.rs
@@ -120,7 +120,7 @@
 impl EntryProcess {
     /// Starts the entry of instance `name`, which holds `seat`, and waits until it is ready.
     pub async fn start(world: &World, name: &str, seat: u16) -> Self {
-        let [lookup, relay, mesh, steer] = std::array::from_fn(|_| free_address().unwrap());
+        let [lookup, relay, mesh, steer] = std::array::from_fn(|_| free_address());
         let members = Arc::clone(&world.members);
         let deployment = Arc::clone(&world.deployment);
         let contested = Arc::clone(&world.contested);
--- a/bin/lh-steer/tests/fleet.rs
+++ b/bin/lh-steer/tests/fleet.rs
@@ -59,7 +59,7 @@
 
 impl Steer {
     fn start(name: &str, platform: SocketAddr, peers: &[SocketAddr]) -> Self {
-        let [steer, gossip, admin] = std::array::from_fn(|_| free_address().unwrap());
+        let [steer, gossip, admin] = std::array::from_fn(|_| free_address());
         let peers: Vec<String> = peers.iter().map(ToString::to_string).collect();
         let text = format!(
             "[instance]\nname = {name}\nregion = north\ndomain = n1\n[steer]\nsteer = {steer}\ngossip = {gossip}\n\
--- a/crates/mesh/tests/mesh.rs
+++ b/crates/mesh/tests/mesh.rs
@@ -1,20 +1,14 @@
 //! Messages: hostile bytes, and letters and asks over real sockets.
 
-use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 
 use base::prelude::*;
 use mesh::{AskClient, AskServer, LetterBox, LetterSender, decode, encode};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use standin::free_address;
 use steer::{EntryMessage, Envelope, GossipDigest, PollAnswer, PollAsk};
 
-fn address(last: u8) -> SocketAddr {
-    let [_, _, high, low] = std::process::id().to_be_bytes();
-    let listener = TcpListener::bind((std::net::IpAddr::from([127, 32 + high % 32, low, last]), 0));
-    listener.unwrap().local_addr().unwrap()
-}
-
 /// Whatever bytes come, decoding ends in a message or an error.
 #[test]
 fn hostile_bytes_end_in_an_error() {
@@ -67,7 +61,7 @@
 /// Letters reach a peer, also one that starts listening later.
 #[tokio::test]
 async fn letters_arrive() {
-    let address = address(1);
+    let address = free_address();
     let sender = LetterSender::new();
     sender.send(address, &"early".to_owned()).unwrap();
     let mut inbox = LetterBox::<String>::listen(address).unwrap();
@@ -80,7 +74,7 @@
 /// Asks are answered; without a server they fail and don't hang.
 #[test]
 fn asks_are_answered() {
-    let address = address(2);
+    let address = free_address();
     let client = AskClient::dial(address, Duration::from_millis(200)).unwrap();
     assert!(client.ask::<_, u32>(&1_u32).is_err());
     let _server = AskServer::listen(address, |number: u32| number * 2).unwrap();
--- a/crates/standin/src/local.rs
+++ b/crates/standin/src/local.rs
@@ -1,6 +1,6 @@
 //! Stand-ins on this machine's loopback addresses, for tests of real programs.
 
-use std::net::{IpAddr, SocketAddr, TcpListener as StdListener};
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicU8, Ordering};
 
 use tokio::net::TcpListener;
@@ -13,17 +13,18 @@
 const FIRST_BLOCK: u8 = 128;
 const BLOCKS: u8 = 96;
 
-/// A free address on a loopback address that no other test process uses, so that
-/// nothing takes the port before it is used.
-///
-/// # Errors
-/// Where the address can't be bound.
-pub fn free_address() -> Result<SocketAddr> {
+/// Port of every address that is handed out, below those that the system gives away.
+const PORT: u16 = 20_000;
+
+/// A loopback address with a port that nothing else uses: every process and every call
+/// gets an IP number of its own. Nothing is bound to find out, since a process that is
+/// started in the same moment would inherit the socket and keep it in use.
+pub fn free_address() -> SocketAddr {
     static NEXT: AtomicU8 = AtomicU8::new(1);
     let [_, _, high, low] = std::process::id().to_be_bytes();
     let last = NEXT.fetch_add(1, Ordering::Relaxed);
     let ip = IpAddr::from([127, FIRST_BLOCK + high % BLOCKS, low, last]);
-    Ok(StdListener::bind((ip, 0))?.local_addr()?)
+    SocketAddr::new(ip, PORT)
 }
 
 /// Serves an empty platform on a free port.
