--- a/crates/steer/tests/seats.rs
+++ b/crates/steer/tests/seats.rs
@@ -143,6 +143,19 @@
 
 const STEP: Duration = Duration::from_millis(500);
 
+/// Two instances that have shared the seats for a while, and the time then.
+async fn two_holders(platform: &FakePlatform) -> (Holder, Holder, Instant) {
+    let (mut a, mut b) = (Holder::new("a", 1), Holder::new("b", 2));
+    let mut now = Instant::now();
+    for _ in 0..30 {
+        now += STEP;
+        for holder in [&mut a, &mut b] {
+            holder.round(now, platform, &["a", "b"], &["a", "b"]).await;
+        }
+    }
+    (a, b, now)
+}
+
 /// Promise: seats are spread over the live instances, and move without ever being held twice.
 #[tokio::test]
 async fn seats_spread_when_an_instance_joins() {
@@ -166,13 +179,7 @@
 #[tokio::test]
 async fn seats_are_taken_over_after_a_death_and_not_before() {
     let platform = FakePlatform::new();
-    let (mut a, mut b) = (Holder::new("a", 1), Holder::new("b", 2));
-    let mut now = Instant::now();
-    for _ in 0..30 {
-        now += STEP;
-        a.round(now, &platform, &["a", "b"], &["a", "b"]).await;
-        b.round(now, &platform, &["a", "b"], &["a", "b"]).await;
-    }
+    let (mut a, mut b, mut now) = two_holders(&platform).await;
     assert_eq!(b.usable(now).len(), 2);
     // a freezes: no round any more, but the list still shows it for a minute.
     for _ in 0..120 {
@@ -213,13 +220,7 @@
 #[tokio::test]
 async fn a_heard_holder_keeps_its_seats_when_the_list_drops_it() {
     let platform = FakePlatform::new();
-    let (mut a, mut b) = (Holder::new("a", 1), Holder::new("b", 2));
-    let mut now = Instant::now();
-    for _ in 0..30 {
-        now += STEP;
-        a.round(now, &platform, &["a", "b"], &["a", "b"]).await;
-        b.round(now, &platform, &["a", "b"], &["a", "b"]).await;
-    }
+    let (mut a, mut b, mut now) = two_holders(&platform).await;
     for _ in 0..80 {
         now += STEP;
         // a can't reach the table, but it and b hear each other.
@@ -236,13 +237,7 @@
 #[tokio::test]
 async fn holders_go_on_through_an_outage_while_they_hear_peers() {
     let platform = FakePlatform::new();
-    let (mut a, mut b) = (Holder::new("a", 1), Holder::new("b", 2));
-    let mut now = Instant::now();
-    for _ in 0..30 {
-        now += STEP;
-        a.round(now, &platform, &["a", "b"], &["a", "b"]).await;
-        b.round(now, &platform, &["a", "b"], &["a", "b"]).await;
-    }
+    let (mut a, mut b, mut now) = two_holders(&platform).await;
     platform.set_faults(FaultPlan {
         outage: true,
         ..FaultPlan::default()
