--- a/bin/lh-entry/src/config.rs
+++ b/bin/lh-entry/src/config.rs
@@ -4,10 +4,10 @@
 
 use base::prelude::*;
 use conf::{LogSettings, ProcessFile, schema};
+use daemon::{Arguments, DaemonConfig, Result};
 use relay::ServerBounds;
 
-use crate::cli::Arguments;
-use daemon::Result;
+use crate::app;
 
 /// Checked settings of `lh-entry`.
 #[derive(Debug, Clone)]
@@ -25,9 +25,11 @@
     pub(crate) log: LogSettings,
 }
 
-impl Config {
-    /// Reads and checks the settings file.
-    pub(crate) fn load(arguments: &Arguments) -> Result<Self> {
+impl DaemonConfig for Config {
+    const NAME: &str = "lh-entry";
+    const ABOUT: &str = "laurelhill: the request path of one instance";
+
+    fn load(arguments: &Arguments) -> Result<Self> {
         let file = ProcessFile::load(&arguments.settings, &schema::ENTRY)?;
         let (instance, region, _) = file.instance()?;
         let entry = file.section("entry")?;
@@ -49,4 +51,12 @@
             log: file.log()?,
         })
     }
+
+    fn log(&self) -> &LogSettings {
+        &self.log
+    }
+
+    fn serve(&self) -> Result<()> {
+        app::run(self)
+    }
 }
--- a/bin/lh-steer/src/config.rs
+++ b/bin/lh-steer/src/config.rs
@@ -4,9 +4,9 @@
 
 use base::prelude::*;
 use conf::{LogSettings, ProcessFile, schema};
+use daemon::{Arguments, DaemonConfig, Result};
 
-use crate::cli::Arguments;
-use daemon::Result;
+use crate::app;
 
 /// Checked settings of `lh-steer`.
 #[derive(Debug, Clone)]
@@ -26,9 +26,11 @@
     pub(crate) log: LogSettings,
 }
 
-impl Config {
-    /// Reads and checks the settings file.
-    pub(crate) fn load(arguments: &Arguments) -> Result<Self> {
+impl DaemonConfig for Config {
+    const NAME: &str = "lh-steer";
+    const ABOUT: &str = "laurelhill: the control side of one instance";
+
+    fn load(arguments: &Arguments) -> Result<Self> {
         let file = ProcessFile::load(&arguments.settings, &schema::STEER)?;
         let (instance, region, domain) = file.instance()?;
         let steer = file.section("steer")?;
@@ -52,4 +54,12 @@
             log: file.log()?,
         })
     }
+
+    fn log(&self) -> &LogSettings {
+        &self.log
+    }
+
+    fn serve(&self) -> Result<()> {
+        app::run(self)
+    }
 }
--- a/bin/lh-steer/src/lib.rs
+++ b/bin/lh-steer/src/lib.rs
@@ -4,7 +4,6 @@
 
 mod admin;
 mod app;
-mod cli;
 mod config;
 mod core;
 mod gossip;
@@ -12,8 +11,6 @@
 mod platform;
 mod probe;
 
-use clap::Parser;
-
 pub use daemon::{Error, Result};
 pub use metrics::METRICS;
 
@@ -22,12 +19,5 @@
 /// # Errors
 /// Where the settings are wrong or an address can't be used.
 pub fn run() -> Result<()> {
-    let arguments = cli::Arguments::parse();
-    let config = config::Config::load(&arguments)?;
-    if arguments.check {
-        println!("{}: settings are valid", arguments.settings.display());
-        return Ok(());
-    }
-    kernel::start_logs(&config.log);
-    app::run(&config)
+    daemon::run::<config::Config>()
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,7 +1,8 @@
-//! What `lh-entry` and `lh-steer` share around their own work: errors with their exit
-//! codes, listeners, and the metrics' text.
+//! What `lh-entry` and `lh-steer` share around their own work: the command line, errors
+//! with their exit codes, listeners, and the metrics' text.
 
 mod error;
+mod program;
 
 use std::net::SocketAddr;
 
@@ -9,6 +10,7 @@
 use tokio::net::TcpListener;
 
 pub use error::{Error, Result};
+pub use program::{Arguments, DaemonConfig, run};
 
 /// Listens on `address` for `what`.
 ///
