--- /dev/null
+++ b/bin/lh-edge/src/beat.rs
@@ -0,0 +1,111 @@
+//! Beats between the entries: datagrams to every other entry. An entry finds
+//! the others through the seeds of its settings, the store, and the others.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use place::peers::PeerBeat;
+use tokio::net::UdpSocket;
+
+use crate::error::{Error, Result};
+use crate::state::EdgeState;
+use crate::stop::StopPhase;
+
+/// Time between beats: a quarter of the time after which a silent entry is
+/// taken as gone.
+const BEAT_EVERY: Duration = Duration::from_millis(600);
+/// Largest beat that is read, in bytes.
+const BEAT_BYTES: usize = 8192;
+/// Others named in a beat; all find all within a few beats.
+const KNOWN_MOST: usize = 24;
+
+/// Opens the socket for beats.
+///
+/// # Errors
+/// Where the address can't be used.
+pub(crate) async fn open(state: &EdgeState) -> Result<UdpSocket> {
+    let address = state.config.beat_address;
+    UdpSocket::bind(address)
+        .await
+        .map_err(|cause| Error::Listen("beats", address, cause))
+}
+
+/// Sends and receives beats until the process ends.
+pub(crate) async fn run(state: Rc<EdgeState>, socket: Rc<UdpSocket>) {
+    let mut tick = tokio::time::interval(BEAT_EVERY);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut buffer = vec![0; BEAT_BYTES];
+    loop {
+        tokio::select! {
+            _ = tick.tick() => {
+                send(&state, &socket, false).await;
+                state.refresh_entries();
+            }
+            received = socket.recv_from(&mut buffer) => {
+                match received {
+                    Ok((length, _)) => on_datagram(&state, &buffer[..length]),
+                    Err(error) => log::debug!(error:%; "beat not received"),
+                }
+            }
+        }
+    }
+}
+
+/// Tells all others at once that this entry takes no more callers.
+pub(crate) async fn tell_all(state: &Rc<EdgeState>) {
+    // A second socket: the first belongs to the loop above.
+    let any = std::net::SocketAddr::new(state.config.beat_address.ip(), 0);
+    match UdpSocket::bind(any).await {
+        Ok(socket) => send(state, &socket, true).await,
+        Err(error) => log::warn!(error:%; "the others were not told of the stop"),
+    }
+}
+
+async fn send(state: &EdgeState, socket: &UdpSocket, twice: bool) {
+    let now = Instant::now();
+    let beat = own_beat(state, now);
+    let Ok(bytes) = postcard::to_allocvec(&beat) else {
+        return;
+    };
+    let targets = state.peers.borrow_mut().targets(now);
+    for target in targets {
+        if target == state.config.beat_address {
+            continue;
+        }
+        for _ in 0..=usize::from(twice) {
+            if let Err(error) = socket.send_to(&bytes, target).await {
+                log::debug!(error:%, target:%; "beat not sent");
+            }
+        }
+    }
+}
+
+fn own_beat(state: &EdgeState, now: Instant) -> PeerBeat {
+    let known = {
+        let peers = state.peers.borrow();
+        let heard = peers.heard(now).map(|beat| beat.gossip);
+        heard.take(KNOWN_MOST).collect()
+    };
+    PeerBeat {
+        node: state.config.node.clone(),
+        incarnation: state.incarnation,
+        zone: state.config.zone.clone(),
+        region: state.config.region.clone(),
+        front: state.config.caller_address,
+        gossip: state.config.beat_address,
+        ready: state.is_ready(),
+        leaving: state.stop.get() != StopPhase::Serving,
+        version: state.version(),
+        known,
+    }
+}
+
+fn on_datagram(state: &EdgeState, bytes: &[u8]) {
+    match postcard::from_bytes::<PeerBeat>(bytes) {
+        Ok(beat) if beat.node != state.config.node => {
+            state.peers.borrow_mut().on_beat(Instant::now(), beat);
+        }
+        Ok(_) => {}
+        Err(error) => log::debug!(error:%; "beat not understood"),
+    }
+}
--- /dev/null
+++ b/bin/lh-edge/src/forward.rs
@@ -0,0 +1,588 @@
+//! The path of a request: its route, its body, one server after the other, and
+//! the answer. Dropping the future gives the request up: the connection to its
+//! server is closed at once.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use base::outcome::{OUTCOME_HEADER, Outcome};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use place::catalog::ServerHandle;
+use place::desired::RouteSpec;
+use place::placer::{Placement, PlacementRequest, Refusal, ServerOutcome};
+use place::rank::stable_hash;
+use place::server::ServerReport;
+use platform::headers::{self, CallerHead, ServerHead};
+use tokio::time::timeout_at;
+
+use crate::body::{AnswerBody, CountGuard, RequestBody};
+use crate::pool::Lease;
+use crate::record::{RequestOutcome, RequestRecord};
+use crate::state::EdgeState;
+use crate::stop::StopPhase;
+
+/// Bodies up to this size are read before they are sent on, so that a server
+/// that rejects one doesn't cost the request, in bytes.
+const WHOLE_BODY: usize = 1 << 20;
+/// Answers up to this size are read before they are passed on, so that one
+/// that breaks off can be asked for again, in bytes.
+const WHOLE_ANSWER: usize = 256 << 10;
+/// Part of the memory that bodies may fill.
+const BODY_MEMORY: usize = 4;
+/// How long a request without a deadline or a bound of its route may take.
+const DEFAULT_TIME: Duration = Duration::from_secs(30);
+/// When a caller comes back to an entry that knows no desired state yet.
+const UNKNOWN_RETURN: Duration = Duration::from_millis(400);
+/// When a caller that is refused by a stopping entry comes back, to another.
+const STOPPING_RETURN: Duration = Duration::from_millis(50);
+/// Servers that can't be reached are passed over this many times a request.
+const UNREACHABLE_MOST: u32 = 4;
+
+/// Headers that concern one connection only.
+const HOP_HEADERS: [HeaderName; 9] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+];
+
+/// A request on its way.
+struct RequestJob {
+    state: Rc<EdgeState>,
+    record: RequestRecord,
+    caller: CallerHead,
+    object: Option<u64>,
+    method: Method,
+    target: hyper::Uri,
+    headers: HeaderMap,
+    ends: Instant,
+    part: usize,
+    tried: Vec<ServerHandle>,
+    runs: u32,
+    unreachable: u32,
+    may_have_run: bool,
+}
+
+/// The body of a request on its way.
+enum JobBody {
+    Whole(Bytes, CountGuard),
+    Streamed(Option<(Bytes, Incoming)>),
+}
+
+/// Counts a request at its server until its outcome is known.
+struct AttemptGuard {
+    state: Rc<EdgeState>,
+    route: Rc<RouteSpec>,
+    part: usize,
+    object: Option<u64>,
+    placement: Placement,
+    done: bool,
+}
+
+/// What came of an attempt.
+enum AttemptEnd {
+    Answer(Response<AnswerBody>),
+    NotRun,
+    Unreachable,
+    Failed(Response<AnswerBody>),
+    Broken,
+    OutOfTime,
+}
+
+/// Answers `request`.
+pub(crate) async fn serve(
+    state: Rc<EdgeState>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let guard = CountGuard::new(&state.in_flight, 1);
+    let stop = Rc::clone(&state);
+    let mut answer = answer(state, request).await;
+    if stop.stop.get() != StopPhase::Serving {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(header::CONNECTION, close);
+    }
+    Ok(answer.map(|body| body.with_guard(guard)))
+}
+
+async fn answer(state: Rc<EdgeState>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let (parts, body) = request.into_parts();
+    let caller = headers::read_caller(&parts.headers);
+    let id = caller.request_id.as_ref().and_then(|id| id.to_str().ok());
+    let mut record = RequestRecord::new(&state, id.unwrap_or(""));
+    if state.stop.get() == StopPhase::Refusing {
+        return refuse(&mut record, &caller, STOPPING_RETURN);
+    }
+    let routes = Rc::clone(&state.routes.borrow());
+    if routes.version() == 0 {
+        return refuse(&mut record, &caller, UNKNOWN_RETURN);
+    }
+    let host = parts.headers.get(header::HOST);
+    let host = host.and_then(|host| host.to_str().ok()).or(parts.uri.host());
+    let Some(host) = host else {
+        return reject(&mut record, &caller, StatusCode::BAD_REQUEST);
+    };
+    let Some(route) = routes.find(host, parts.uri.path()).cloned() else {
+        return reject(&mut record, &caller, StatusCode::NOT_FOUND);
+    };
+    let limits = state.limits.get();
+    if body.size_hint().lower() > limits.body_bytes as u64 {
+        return reject(&mut record, &caller, StatusCode::PAYLOAD_TOO_LARGE);
+    }
+    let now = record.begun;
+    let (part, returning) = state
+        .placer
+        .borrow_mut()
+        .on_request(now, &route, caller.deadline);
+    record.returning = returning;
+    record.route = Some(Rc::clone(&route));
+    let bound = [caller.deadline, route.timeout];
+    let bound = bound.into_iter().flatten().min().unwrap_or(DEFAULT_TIME);
+    let object = caller.object.as_ref().map(|key| stable_hash(key.as_bytes()));
+    let job = RequestJob {
+        record,
+        object,
+        method: parts.method,
+        target: parts.uri,
+        headers: parts.headers,
+        ends: now + bound,
+        part,
+        tried: Vec::new(),
+        runs: 0,
+        unreachable: 0,
+        may_have_run: false,
+        caller,
+        state,
+    };
+    job.run(&route, body, limits.body_bytes).await
+}
+
+impl RequestJob {
+    async fn run(
+        mut self,
+        route: &Rc<RouteSpec>,
+        body: Incoming,
+        limit: usize,
+    ) -> Response<AnswerBody> {
+        let mut body = match self.read_body(body, limit).await {
+            Ok(body) => body,
+            Err(status) => return reject(&mut self.record, &self.caller, status),
+        };
+        let mut last: Option<Response<AnswerBody>> = None;
+        loop {
+            let guard = match self.place(route, &body) {
+                Ok(guard) => guard,
+                Err(refusal) => return self.give_up(last, refusal),
+            };
+            self.record.on_placed(&guard.placement);
+            let end = self.attempt(route, guard, &mut body).await;
+            match end {
+                AttemptEnd::Answer(answer) => {
+                    self.record
+                        .finish(RequestOutcome::Answered, answer.status().as_u16());
+                    return answer;
+                }
+                AttemptEnd::OutOfTime => {
+                    return fail(&mut self.record, &self.caller, StatusCode::GATEWAY_TIMEOUT);
+                }
+                AttemptEnd::Unreachable => {
+                    self.unreachable += 1;
+                    if self.unreachable < UNREACHABLE_MOST {
+                        continue;
+                    }
+                }
+                AttemptEnd::Failed(answer) => {
+                    last = Some(answer);
+                    self.runs += 1;
+                    self.may_have_run = true;
+                }
+                AttemptEnd::Broken => {
+                    self.runs += 1;
+                    self.may_have_run = true;
+                }
+                AttemptEnd::NotRun => {}
+            }
+            if !self.may_try_again(route, &body) {
+                let refusal = self.state.placer.borrow_mut().full();
+                return self.give_up(last, refusal);
+            }
+        }
+    }
+
+    fn may_try_again(&mut self, route: &RouteSpec, body: &JobBody) -> bool {
+        if self.may_have_run && !route.kind.may_repeat() {
+            return false;
+        }
+        if matches!(body, JobBody::Streamed(None)) {
+            return false;
+        }
+        if self.runs >= route.max_attempts || self.tried.len() as u32 > route.max_attempts {
+            return false;
+        }
+        let Some(part) = route.parts.get(self.part) else {
+            return false;
+        };
+        let now = Instant::now();
+        self.state
+            .placer
+            .borrow_mut()
+            .take_repeat(now, &part.service)
+    }
+
+    fn give_up(
+        mut self,
+        last: Option<Response<AnswerBody>>,
+        refusal: Refusal,
+    ) -> Response<AnswerBody> {
+        if let Some(answer) = last {
+            let status = answer.status().as_u16();
+            self.record.finish(RequestOutcome::Answered, status);
+            return answer;
+        }
+        if self.may_have_run {
+            return fail(&mut self.record, &self.caller, StatusCode::BAD_GATEWAY);
+        }
+        self.record.on_refused(refusal);
+        refuse(&mut self.record, &self.caller, refusal.retry_after)
+    }
+
+    fn place(&mut self, route: &Rc<RouteSpec>, body: &JobBody) -> Result<AttemptGuard, Refusal> {
+        let now = Instant::now();
+        let request = PlacementRequest {
+            route,
+            part: self.part,
+            object: self.object,
+            remaining: self.ends.saturating_duration_since(now),
+            returning: self.record.returning,
+            body_bytes: body.size(),
+            tried: &self.tried,
+        };
+        let placement = self.state.placer.borrow_mut().place(now, &request)?;
+        self.tried.push(placement.handle);
+        Ok(AttemptGuard {
+            state: Rc::clone(&self.state),
+            route: Rc::clone(route),
+            part: self.part,
+            object: self.object,
+            placement,
+            done: false,
+        })
+    }
+
+    async fn attempt(
+        &mut self,
+        route: &RouteSpec,
+        mut guard: AttemptGuard,
+        body: &mut JobBody,
+    ) -> AttemptEnd {
+        let careful = !route.kind.may_repeat();
+        let mut lease = match self.connection(&guard.placement, careful).await {
+            Ok(lease) => lease,
+            Err(reason) => {
+                guard.finish(ServerOutcome::Unreachable, None);
+                self.record.on_result(&reason);
+                return AttemptEnd::Unreachable;
+            }
+        };
+        let Some(request) = self.request(&guard.placement, body) else {
+            guard.finish(ServerOutcome::Abandoned, None);
+            return AttemptEnd::Broken;
+        };
+        let Some(sender) = lease.sender() else {
+            guard.finish(ServerOutcome::Unreachable, None);
+            return AttemptEnd::Unreachable;
+        };
+        let sending = sender.try_send_request(request);
+        let answer = match timeout_at(self.ends.into(), sending).await {
+            Err(_) => {
+                guard.finish(ServerOutcome::Abandoned, None);
+                self.record.on_result("no answer in time");
+                return AttemptEnd::OutOfTime;
+            }
+            Ok(Err(error)) => {
+                let unsent = error.message().is_some();
+                let outcome = if unsent {
+                    ServerOutcome::Unreachable
+                } else {
+                    ServerOutcome::Broken
+                };
+                self.record.on_result(&format!("broke: {}", error.error()));
+                guard.finish(outcome, None);
+                return if unsent {
+                    AttemptEnd::Unreachable
+                } else {
+                    AttemptEnd::Broken
+                };
+            }
+            Ok(Ok(answer)) => answer,
+        };
+        self.take_answer(guard, lease, answer).await
+    }
+
+    async fn take_answer(
+        &mut self,
+        mut guard: AttemptGuard,
+        lease: Lease,
+        answer: Response<Incoming>,
+    ) -> AttemptEnd {
+        let (parts, body) = answer.into_parts();
+        let head = headers::read_server(parts.status, &parts.headers);
+        if !self.answers_this(&head, &lease) {
+            guard.finish(ServerOutcome::Broken, None);
+            self.record.on_result("answer to another request");
+            return AttemptEnd::Broken;
+        }
+        if head.not_executed {
+            let outcome = if parts.status == StatusCode::MISDIRECTED_REQUEST {
+                ServerOutcome::Misdirected
+            } else {
+                ServerOutcome::Full
+            };
+            guard.finish(outcome, head.report.as_ref());
+            self.record.on_result(&format!("not run ({})", parts.status.as_u16()));
+            return AttemptEnd::NotRun;
+        }
+        if !is_sound(parts.status, &parts.headers, &head) {
+            guard.finish(ServerOutcome::Broken, None);
+            self.record
+                .on_result(&format!("unsound answer ({})", parts.status.as_u16()));
+            return AttemptEnd::Broken;
+        }
+        let (bytes, rest) = match timeout_at(self.ends.into(), read_answer(body)).await {
+            Err(_) => {
+                guard.finish(ServerOutcome::Abandoned, None);
+                self.record.on_result("answer not whole in time");
+                return AttemptEnd::OutOfTime;
+            }
+            Ok(Err(error)) => {
+                guard.finish(ServerOutcome::Broken, None);
+                self.record.on_result(&format!("answer broke off: {error}"));
+                return AttemptEnd::Broken;
+            }
+            Ok(Ok(read)) => read,
+        };
+        let good = !parts.status.is_server_error();
+        guard.finish(ServerOutcome::Answered { good }, head.report.as_ref());
+        self.record
+            .on_result(&format!("status {}", parts.status.as_u16()));
+        let body = match rest {
+            Some(rest) => AnswerBody::streamed(bytes, rest, lease),
+            None => {
+                // A server that answers an upload early may still wait for the rest of it.
+                if parts.status.is_success() {
+                    self.state.pool.give_back(lease, &parts.headers);
+                }
+                AnswerBody::whole(bytes)
+            }
+        };
+        let mut response = Response::new(body);
+        *response.status_mut() = parts.status;
+        *response.headers_mut() = parts.headers;
+        strip_hop_headers(response.headers_mut());
+        if good {
+            AttemptEnd::Answer(response)
+        } else {
+            AttemptEnd::Failed(response)
+        }
+    }
+
+    /// Whether the answer is to this request. One without an id can only be so
+    /// on a connection that carried no other request.
+    fn answers_this(&self, head: &ServerHead, lease: &Lease) -> bool {
+        match &head.request_id {
+            Some(id) => self.caller.request_id.as_ref() == Some(id),
+            None => !lease.reused,
+        }
+    }
+
+    async fn connection(&self, placement: &Placement, careful: bool) -> Result<Lease, String> {
+        if let Some(lease) = self.state.pool.take(&placement.id, careful) {
+            return Ok(lease);
+        }
+        let patience = self.ends.saturating_duration_since(Instant::now());
+        self.state
+            .pool
+            .open(&placement.id, placement.address, patience)
+            .await
+    }
+
+    fn request(&self, placement: &Placement, body: &mut JobBody) -> Option<Request<RequestBody>> {
+        let body = match body {
+            JobBody::Whole(bytes, _) => RequestBody::whole(bytes.clone()),
+            JobBody::Streamed(stream) => {
+                let (first, rest) = stream.take()?;
+                RequestBody::streamed(first, rest)
+            }
+        };
+        let target = self.target.path_and_query().map_or("/", |target| target.as_str());
+        let mut request = Request::builder()
+            .method(self.method.clone())
+            .uri(target)
+            .body(body)
+            .ok()?;
+        let headers = request.headers_mut();
+        *headers = self.headers.clone();
+        strip_hop_headers(headers);
+        let left = self.ends.saturating_duration_since(Instant::now());
+        headers::write_attempt(headers, left, &placement.id);
+        Some(request)
+    }
+
+    async fn read_body(&self, mut body: Incoming, limit: usize) -> Result<JobBody, StatusCode> {
+        let mut bytes = BytesMut::new();
+        let memory = self.state.config.memory_bytes / BODY_MEMORY;
+        while !body.is_end_stream() {
+            let room = self.state.buffered.get() + bytes.len() < memory;
+            if bytes.len() >= WHOLE_BODY || !room {
+                return Ok(JobBody::Streamed(Some((bytes.freeze(), body))));
+            }
+            let frame = match timeout_at(self.ends.into(), body.frame()).await {
+                Err(_) => return Err(StatusCode::REQUEST_TIMEOUT),
+                Ok(None) => break,
+                Ok(Some(Err(_))) => return Err(StatusCode::BAD_REQUEST),
+                Ok(Some(Ok(frame))) => frame,
+            };
+            if let Some(data) = frame.data_ref() {
+                bytes.extend_from_slice(data);
+            }
+            if bytes.len() > limit {
+                return Err(StatusCode::PAYLOAD_TOO_LARGE);
+            }
+        }
+        let guard = CountGuard::new(&self.state.buffered, bytes.len());
+        Ok(JobBody::Whole(bytes.freeze(), guard))
+    }
+}
+
+impl JobBody {
+    fn size(&self) -> usize {
+        match self {
+            Self::Whole(bytes, _) => bytes.len(),
+            Self::Streamed(_) => WHOLE_BODY,
+        }
+    }
+}
+
+impl AttemptGuard {
+    fn finish(&mut self, outcome: ServerOutcome, report: Option<&ServerReport>) {
+        if self.done {
+            return;
+        }
+        self.done = true;
+        let request = PlacementRequest {
+            route: &self.route,
+            part: self.part,
+            object: self.object,
+            remaining: Duration::ZERO,
+            returning: false,
+            body_bytes: 0,
+            tried: &[],
+        };
+        if let Some(part) = self.route.parts.get(self.part) {
+            self.state.metrics.on_attempt(&part.service, outcome.as_str());
+        }
+        let mut placer = self.state.placer.borrow_mut();
+        placer.on_outcome(Instant::now(), &self.placement, &request, outcome, report);
+    }
+}
+
+impl Drop for AttemptGuard {
+    fn drop(&mut self) {
+        self.finish(ServerOutcome::Abandoned, None);
+    }
+}
+
+/// Reads an answer whole, or its beginning if it is long.
+async fn read_answer(mut body: Incoming) -> Result<(Bytes, Option<Incoming>), hyper::Error> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Some(data) = frame?.data_ref() {
+            bytes.extend_from_slice(data);
+        }
+        if bytes.len() >= WHOLE_ANSWER {
+            return Ok((bytes.freeze(), Some(body)));
+        }
+    }
+    Ok((bytes.freeze(), None))
+}
+
+/// Whether the answer may be passed on as the server's own. A refusal without
+/// the server's word that nothing ran would be a false promise.
+fn is_sound(status: StatusCode, headers: &HeaderMap, head: &ServerHead) -> bool {
+    if status.is_success() {
+        return head.stamped && !headers.contains_key(header::CONTENT_ENCODING);
+    }
+    !matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+fn strip_hop_headers(headers: &mut HeaderMap) {
+    let listed: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in listed {
+        headers.remove(name);
+    }
+    for name in &HOP_HEADERS {
+        headers.remove(name);
+    }
+}
+
+fn refuse(
+    record: &mut RequestRecord,
+    caller: &CallerHead,
+    retry_after: Duration,
+) -> Response<AnswerBody> {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let mut response = own_answer(status, Outcome::NotRun, caller);
+    headers::write_return(response.headers_mut(), retry_after);
+    record.finish(RequestOutcome::NotRun, status.as_u16());
+    response
+}
+
+fn reject(
+    record: &mut RequestRecord,
+    caller: &CallerHead,
+    status: StatusCode,
+) -> Response<AnswerBody> {
+    record.finish(RequestOutcome::Rejected, status.as_u16());
+    own_answer(status, Outcome::NotRun, caller)
+}
+
+fn fail(
+    record: &mut RequestRecord,
+    caller: &CallerHead,
+    status: StatusCode,
+) -> Response<AnswerBody> {
+    record.finish(RequestOutcome::Unknown, status.as_u16());
+    own_answer(status, Outcome::Unknown, caller)
+}
+
+fn own_answer(status: StatusCode, outcome: Outcome, caller: &CallerHead) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(Bytes::new()));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(
+        HeaderName::from_static(OUTCOME_HEADER),
+        HeaderValue::from_static(outcome.as_str()),
+    );
+    if let Some(id) = &caller.request_id {
+        headers::write_request_id(headers, id);
+    }
+    response
+}
--- /dev/null
+++ b/bin/lh-edge/src/metrics.rs
@@ -0,0 +1,96 @@
+//! Counters and histograms, and their text.
+
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+
+use crate::error::Result;
+
+/// Upper bounds of the latency buckets, in seconds: around the usual objectives.
+const LATENCY_BUCKETS: [f64; 11] = [
+    0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1.2, 2.0, 4.0,
+];
+
+/// All metrics of the entry.
+#[derive(Debug)]
+pub(crate) struct EdgeMetrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    latency: HistogramVec,
+    attempts: IntCounterVec,
+    store_calls: IntCounterVec,
+    pub(crate) version: IntGauge,
+    pub(crate) connections: IntGauge,
+}
+
+impl EdgeMetrics {
+    /// Registers all metrics.
+    ///
+    /// # Errors
+    /// Where a metric is registered twice.
+    pub(crate) fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let requests = IntCounterVec::new(
+            Opts::new("laurelhill_requests_total", "Requests by route and outcome"),
+            &["route", "outcome"],
+        )?;
+        let latency = HistogramVec::new(
+            HistogramOpts::new("laurelhill_request_seconds", "Time to the answer by route")
+                .buckets(LATENCY_BUCKETS.to_vec()),
+            &["route"],
+        )?;
+        let attempts = IntCounterVec::new(
+            Opts::new(
+                "laurelhill_attempts_total",
+                "Requests sent to servers, by service and what came of it",
+            ),
+            &["service", "result"],
+        )?;
+        let store_calls = IntCounterVec::new(
+            Opts::new("laurelhill_store_calls_total", "Calls to the store by result"),
+            &["call", "result"],
+        )?;
+        let version = IntGauge::new("laurelhill_desired_version", "Desired state in force")?;
+        let connections = IntGauge::new("laurelhill_caller_connections", "Open connections")?;
+        registry.register(Box::new(requests.clone()))?;
+        registry.register(Box::new(latency.clone()))?;
+        registry.register(Box::new(attempts.clone()))?;
+        registry.register(Box::new(store_calls.clone()))?;
+        registry.register(Box::new(version.clone()))?;
+        registry.register(Box::new(connections.clone()))?;
+        Ok(Self {
+            registry,
+            requests,
+            latency,
+            attempts,
+            store_calls,
+            version,
+            connections,
+        })
+    }
+
+    /// A request of `route` was answered.
+    pub(crate) fn on_request(&self, route: &str, outcome: &str, seconds: f64) {
+        self.requests.with_label_values(&[route, outcome]).inc();
+        self.latency.with_label_values(&[route]).observe(seconds);
+    }
+
+    /// An attempt at a server of `service` ended.
+    pub(crate) fn on_attempt(&self, service: &str, result: &str) {
+        self.attempts.with_label_values(&[service, result]).inc();
+    }
+
+    /// A call to the store ended.
+    pub(crate) fn on_store_call(&self, call: &str, error: Option<&platform::Error>) {
+        let result = error.map_or("ok", platform::Error::kind);
+        self.store_calls.with_label_values(&[call, result]).inc();
+    }
+
+    /// All metrics as text.
+    pub(crate) fn text(&self) -> String {
+        let encoder = TextEncoder::new();
+        encoder
+            .encode_to_string(&self.registry.gather())
+            .unwrap_or_else(|error| format!("# metrics can't be encoded: {error}\n"))
+    }
+}
--- /dev/null
+++ b/bin/lh-edge/src/record.rs
@@ -0,0 +1,136 @@
+//! The story of one request, told in one log line when it ends.
+
+use std::fmt::Write as _;
+use std::rc::Rc;
+use std::time::Instant;
+
+use place::desired::RouteSpec;
+use place::placer::{Placement, Refusal};
+
+use crate::state::EdgeState;
+
+/// What is known of a request, until it is answered or its caller has left.
+#[derive(Debug)]
+pub(crate) struct RequestRecord {
+    state: Rc<EdgeState>,
+    pub(crate) begun: Instant,
+    pub(crate) id: String,
+    pub(crate) route: Option<Rc<RouteSpec>>,
+    pub(crate) returning: bool,
+    attempts: String,
+    count: u32,
+    refusal: Option<Refusal>,
+    done: bool,
+}
+
+/// How a request ended, as callers see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RequestOutcome {
+    /// A server's answer was passed on.
+    Answered,
+    /// It has not run and never will.
+    NotRun,
+    /// It was not proper or not allowed.
+    Rejected,
+    /// It may have run; nobody knows.
+    Unknown,
+    /// The caller left.
+    CallerLeft,
+}
+
+impl RequestOutcome {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::NotRun => "not-run",
+            Self::Rejected => "rejected",
+            Self::Unknown => "unknown",
+            Self::CallerLeft => "caller-left",
+        }
+    }
+}
+
+impl RequestRecord {
+    /// The record of a request that has just been read.
+    pub(crate) fn new(state: &Rc<EdgeState>, id: &str) -> Self {
+        Self {
+            state: Rc::clone(state),
+            begun: Instant::now(),
+            id: id.to_owned(),
+            route: None,
+            returning: false,
+            attempts: String::new(),
+            count: 0,
+            refusal: None,
+            done: false,
+        }
+    }
+
+    /// Notes where the request is sent, and why there.
+    pub(crate) fn on_placed(&mut self, placement: &Placement) {
+        self.count += 1;
+        let reason = &placement.reason;
+        let _ = write!(
+            self.attempts,
+            "{}{}(expected {:.0}ms occupancy {:.1} warmth {:.2}{}{})",
+            if self.count > 1 { "; " } else { "" },
+            placement.id,
+            reason.expected,
+            reason.occupancy,
+            reason.warmth,
+            if reason.cold { " cold" } else { "" },
+            if reason.away { " away" } else { "" },
+        );
+    }
+
+    /// Notes what came of the newest attempt.
+    pub(crate) fn on_result(&mut self, result: &str) {
+        let at = self.begun.elapsed().as_millis();
+        let _ = write!(self.attempts, " -> {result} at {at}ms");
+    }
+
+    /// Notes that no server should get the request.
+    pub(crate) fn on_refused(&mut self, refusal: Refusal) {
+        self.refusal = Some(refusal);
+    }
+
+    /// Ends the record with `outcome` and the `status` that the caller gets.
+    pub(crate) fn finish(&mut self, outcome: RequestOutcome, status: u16) {
+        if self.done {
+            return;
+        }
+        self.done = true;
+        let took = self.begun.elapsed();
+        let route = self.route.as_ref().map_or("none", |route| &route.name);
+        let metrics = &self.state.metrics;
+        metrics.on_request(route, outcome.as_str(), took.as_secs_f64());
+        let read_at = self.state.placer.borrow().catalog.read_at();
+        let servers_age_ms = read_at.map_or(-1, |at| at.elapsed().as_millis() as i64);
+        let refused = self.refusal.map_or(String::new(), |refusal| {
+            format!("{:?}, back in {} ms", refusal.reason, refusal.retry_after.as_millis())
+        });
+        let may_repeat = self.route.as_ref().is_none_or(|route| route.kind.may_repeat());
+        let lost = outcome == RequestOutcome::Unknown && !may_repeat;
+        let level = if lost { log::Level::Warn } else { log::Level::Info };
+        log::log!(
+            level,
+            request = self.id.as_str(),
+            route,
+            outcome = outcome.as_str(),
+            status,
+            took_ms = took.as_millis() as u64,
+            attempts = self.attempts.as_str(),
+            refused = refused.as_str(),
+            returning = self.returning,
+            version = self.state.version(),
+            servers_age_ms;
+            "request"
+        );
+    }
+}
+
+impl Drop for RequestRecord {
+    fn drop(&mut self) {
+        self.finish(RequestOutcome::CallerLeft, 0);
+    }
+}
--- /dev/null
+++ b/bin/lh-edge/src/state.rs
@@ -0,0 +1,175 @@
+//! What the parts of the entry share. One thread, so plain cells do.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use place::catalog::CatalogChange;
+use place::prelude::*;
+use place::rank::stable_hash;
+use platform::desired::OperatorChange;
+
+use crate::config::EdgeConfig;
+use crate::metrics::EdgeMetrics;
+use crate::pool::ServerPool;
+use crate::stop::StopPhase;
+
+/// The entry's state.
+#[derive(Debug)]
+pub(crate) struct EdgeState {
+    pub(crate) config: EdgeConfig,
+    pub(crate) incarnation: u64,
+    pub(crate) placer: RefCell<RequestPlacer>,
+    pub(crate) routes: RefCell<Rc<RouteTable>>,
+    pub(crate) desired: RefCell<Option<Rc<DesiredState>>>,
+    pub(crate) limits: Cell<RequestLimits>,
+    pub(crate) evacuated: RefCell<HashSet<String>>,
+    pub(crate) peers: RefCell<PeerTable>,
+    pub(crate) pool: ServerPool,
+    pub(crate) metrics: EdgeMetrics,
+    pub(crate) stop: Cell<StopPhase>,
+    pub(crate) stopping: tokio::sync::watch::Sender<StopPhase>,
+    pub(crate) in_flight: Rc<Cell<usize>>,
+    pub(crate) buffered: Rc<Cell<usize>>,
+}
+
+impl EdgeState {
+    /// The state of an entry that knows nothing yet.
+    pub(crate) fn new(config: EdgeConfig, metrics: EdgeMetrics, incarnation: u64) -> Rc<Self> {
+        let own = stable_hash(config.node.as_bytes());
+        let placer = RequestPlacer::new(place::placer::PlacerConfig {
+            zone: config.zone.clone(),
+            region: config.region.clone(),
+            zones: config.zones.clone(),
+            budget: config.budget,
+            shift_cap: config.shift_cap,
+            own,
+        });
+        let now = Instant::now();
+        let mut peers = PeerTable::default();
+        for seed in &config.seeds {
+            peers.add_candidate(now, *seed);
+        }
+        let (stopping, _) = tokio::sync::watch::channel(StopPhase::Serving);
+        Rc::new(Self {
+            incarnation,
+            placer: RefCell::new(placer),
+            routes: RefCell::default(),
+            desired: RefCell::default(),
+            limits: Cell::new(RequestLimits::default()),
+            evacuated: RefCell::default(),
+            peers: RefCell::new(peers),
+            pool: ServerPool::default(),
+            metrics,
+            stop: Cell::new(StopPhase::Serving),
+            stopping,
+            in_flight: Rc::default(),
+            buffered: Rc::default(),
+            config,
+        })
+    }
+
+    /// Whether callers should be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        let known = self.version() > 0 && self.placer.borrow().catalog.read_at().is_some();
+        known && self.stop.get() == StopPhase::Serving
+    }
+
+    /// Version of the desired state in force; 0 before the first.
+    pub(crate) fn version(&self) -> u64 {
+        self.routes.borrow().version()
+    }
+
+    /// Takes in a change of the operator's; a desired state only if it is newer.
+    pub(crate) fn on_operator(&self, change: &OperatorChange) {
+        match change {
+            OperatorChange::Desired(desired) => self.on_desired(desired),
+            OperatorChange::Evacuate(zone) => {
+                let fresh = self.evacuated.borrow_mut().insert(zone.clone());
+                if fresh {
+                    log::info!(zone = zone.as_str(); "evacuation in force");
+                    self.apply_evacuations();
+                }
+            }
+            OperatorChange::Restore(zone) => {
+                let known = self.evacuated.borrow_mut().remove(zone);
+                if known {
+                    log::info!(zone = zone.as_str(); "evacuation taken back");
+                    self.apply_evacuations();
+                }
+            }
+        }
+    }
+
+    /// Takes in all of the operator's rows: evacuations that aren't among them
+    /// have been taken back.
+    pub(crate) fn on_operator_rows(&self, changes: &[OperatorChange]) {
+        let listed = |zone: &String| {
+            changes
+                .iter()
+                .any(|change| matches!(change, OperatorChange::Evacuate(listed) if listed == zone))
+        };
+        let over: Vec<String> = {
+            let evacuated = self.evacuated.borrow();
+            evacuated.iter().filter(|zone| !listed(zone)).cloned().collect()
+        };
+        for change in changes {
+            self.on_operator(change);
+        }
+        for zone in over {
+            self.on_operator(&OperatorChange::Restore(zone));
+        }
+    }
+
+    /// Takes in a reading of the registry.
+    pub(crate) fn on_servers(&self, snapshot: &CatalogSnapshot) {
+        let now = Instant::now();
+        let changes = self.placer.borrow_mut().catalog.on_read(now, snapshot);
+        for change in &changes {
+            match change {
+                CatalogChange::Joined(id) => log::info!(server = id.as_str(); "server joined"),
+                CatalogChange::Draining(id) => log::info!(server = id.as_str(); "server is leaving"),
+                CatalogChange::Gone(id) => log::info!(server = id.as_str(); "server is gone"),
+                CatalogChange::Cold(id) => log::info!(server = id.as_str(); "server is cold"),
+                CatalogChange::Missing(id) => {
+                    log::info!(server = id.as_str(); "server's entry missing, kept for now");
+                }
+            }
+        }
+    }
+
+    /// Divides shared rates among the entries that are live now.
+    pub(crate) fn refresh_entries(&self) {
+        let now = Instant::now();
+        let hashes = {
+            let peers = self.peers.borrow();
+            let live = peers.live(now).map(|beat| stable_hash(beat.node.as_bytes()));
+            live.collect()
+        };
+        self.placer.borrow_mut().set_entries(hashes);
+    }
+
+    fn on_desired(&self, desired: &DesiredState) {
+        let known = self.version();
+        if desired.version <= known {
+            if desired.version < known {
+                log::warn!(version = desired.version, known; "older desired state ignored");
+            }
+            return;
+        }
+        self.limits.set(desired.limits);
+        self.placer.borrow_mut().set_desired(desired);
+        *self.routes.borrow_mut() = Rc::new(RouteTable::new(desired));
+        *self.desired.borrow_mut() = Some(Rc::new(desired.clone()));
+        self.metrics.version.set(desired.version as i64);
+        log::info!(version = desired.version, before = known, routes = desired.routes.len(); "desired state in force");
+    }
+
+    fn apply_evacuations(&self) {
+        let zones = self.evacuated.borrow().clone();
+        let mut placer = self.placer.borrow_mut();
+        let warmup: Duration = placer.longest_warmup();
+        placer.catalog.set_evacuated(Instant::now(), zones, warmup);
+    }
+}
--- /dev/null
+++ b/bin/lh-edge/src/stop.rs
@@ -0,0 +1,64 @@
+//! The planned stop: told to callers first, then served to the end.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::beat;
+use crate::error::Result;
+use crate::state::EdgeState;
+
+/// Callers that keep an answer of the look-up three times its life have left by
+/// then; requests that come later are refused, so that all that was read is
+/// answered before the process is killed.
+const REFUSE_AFTER: Duration = Duration::from_millis(3200);
+/// Kept between the exit and the kill.
+const EXIT_MARGIN: Duration = Duration::from_millis(350);
+/// How often the stop looks whether everything is answered.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// After the last answer, connections get this long to carry it away.
+const LINGER: Duration = Duration::from_millis(150);
+
+/// How far the stop has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum StopPhase {
+    /// No stop.
+    Serving,
+    /// New requests are served; connections close after their answers.
+    Draining,
+    /// New requests are refused.
+    Refusing,
+}
+
+/// Waits for SIGTERM, then returns when everything that was read is answered.
+///
+/// # Errors
+/// Where the signals can't be had.
+pub(crate) async fn run(state: &Rc<EdgeState>) -> Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    let begun = Instant::now();
+    log::info!(in_flight = state.in_flight.get(); "stop requested");
+    enter(state, StopPhase::Draining);
+    beat::tell_all(state).await;
+    let refuse_after = REFUSE_AFTER.min(state.config.grace / 2);
+    tokio::time::sleep(refuse_after).await;
+    enter(state, StopPhase::Refusing);
+    let last = state.config.grace.saturating_sub(EXIT_MARGIN);
+    while state.in_flight.get() > 0 && begun.elapsed() < last {
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+    tokio::time::sleep(LINGER.min(last.saturating_sub(begun.elapsed()))).await;
+    log::info!(unanswered = state.in_flight.get(), took_ms = begun.elapsed().as_millis() as u64; "stopped");
+    Ok(())
+}
+
+fn enter(state: &EdgeState, phase: StopPhase) {
+    state.stop.set(phase);
+    state.stopping.send_replace(phase);
+}
--- /dev/null
+++ b/bin/lh-edge/src/watch.rs
@@ -0,0 +1,154 @@
+//! Keeps up with the platform's store: the operator's rows through a feed, the
+//! servers' registry by readings, the other entries' rows now and then.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use place::catalog::CatalogSnapshot;
+use platform::Error;
+use platform::client::StoreClient;
+
+use crate::state::EdgeState;
+
+/// Longest wait for an answer of the store. Slow answers of up to a second
+/// have been seen; after that a new connection is better.
+const PATIENCE: Duration = Duration::from_millis(1500);
+/// How long a feed without changes stays open. A connection that went silent
+/// is noticed after this and the patience: within the time in which an entry
+/// must be up to date again after its connections were disturbed.
+const FEED_WAIT: Duration = Duration::from_millis(2000);
+/// Time between two readings of the registry: well within the time in which
+/// a leaving server must get no more requests.
+const READ_EVERY: Duration = Duration::from_millis(900);
+/// Pause after a failed call, so that a store in trouble isn't pressed.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Time between two looks for other entries' rows.
+const ENTRIES_EVERY: Duration = Duration::from_secs(15);
+
+/// Keeps the operator's rows in force until the process ends.
+pub(crate) async fn watch_operator(state: Rc<EdgeState>) {
+    let mut client = StoreClient::new(state.config.store, PATIENCE);
+    let mut version = None;
+    let mut dependency = Dependency::new("operator feed");
+    loop {
+        let result = match version {
+            None => client.read_operator().await.map(|rows| {
+                state.on_operator_rows(&rows.changes);
+                rows.version
+            }),
+            Some(after) => client.watch_operator(after, FEED_WAIT).await.map(|rows| {
+                for change in &rows.changes {
+                    state.on_operator(change);
+                }
+                rows.version
+            }),
+        };
+        state.metrics.on_store_call("operator", result.as_ref().err());
+        match result {
+            Ok(newest) => {
+                dependency.regained();
+                version = Some(newest);
+            }
+            Err(Error::HistoryGone) => {
+                log::info!("history of the operator's rows is gone; reading all");
+                version = None;
+            }
+            Err(error) => {
+                dependency.lost(&error);
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Reads the registry at intervals until the process ends.
+pub(crate) async fn watch_servers(state: Rc<EdgeState>) {
+    let mut client = StoreClient::new(state.config.store, PATIENCE);
+    let mut dependency = Dependency::new("server registry");
+    loop {
+        let begun = Instant::now();
+        let result = client.read_servers().await;
+        state.metrics.on_store_call("servers", result.as_ref().err());
+        match result {
+            Ok(entries) => {
+                dependency.regained();
+                state.on_servers(&CatalogSnapshot { entries, begun });
+                tokio::time::sleep(READ_EVERY.saturating_sub(begun.elapsed())).await;
+            }
+            Err(error) => {
+                dependency.lost(&error);
+                state.placer.borrow_mut().catalog.on_read_failed();
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Records this entry in the store and looks for others, until the process ends.
+pub(crate) async fn watch_entries(state: Rc<EdgeState>) {
+    let mut client = StoreClient::new(state.config.store, PATIENCE);
+    let mut dependency = Dependency::new("entry table");
+    let mut written = false;
+    loop {
+        let result = exchange_entries(&state, &mut client, &mut written).await;
+        state.metrics.on_store_call("entries", result.as_ref().err());
+        match result {
+            Ok(()) => {
+                dependency.regained();
+                tokio::time::sleep(ENTRIES_EVERY).await;
+            }
+            Err(error) => {
+                dependency.lost(&error);
+                tokio::time::sleep(RETRY_PAUSE * 3).await;
+            }
+        }
+    }
+}
+
+async fn exchange_entries(
+    state: &EdgeState,
+    client: &mut StoreClient,
+    written: &mut bool,
+) -> platform::Result<()> {
+    if !*written {
+        let config = &state.config;
+        client.write_entry(&config.node, config.beat_address).await?;
+        *written = true;
+    }
+    let now = Instant::now();
+    for (node, address) in client.read_entries().await? {
+        if node != state.config.node {
+            state.peers.borrow_mut().add_candidate(now, address);
+        }
+    }
+    Ok(())
+}
+
+/// Logs when something the entry depends on is lost and regained, once each.
+struct Dependency {
+    name: &'static str,
+    lost_at: Option<Instant>,
+}
+
+impl Dependency {
+    fn new(name: &'static str) -> Self {
+        Self {
+            name,
+            lost_at: None,
+        }
+    }
+
+    fn lost(&mut self, error: &Error) {
+        if self.lost_at.is_none() {
+            self.lost_at = Some(Instant::now());
+            log::warn!(dependency = self.name, error:%; "dependency lost");
+        }
+    }
+
+    fn regained(&mut self) {
+        if let Some(lost_at) = self.lost_at.take() {
+            let after_ms = lost_at.elapsed().as_millis() as u64;
+            log::info!(dependency = self.name, after_ms; "dependency regained");
+        }
+    }
+}
--- /dev/null
+++ b/crates/place/src/budget.rs
@@ -0,0 +1,88 @@
+//! Bounds what is sent to a second server, as a share of the requests for a
+//! service. The bound is on all entries together; each takes its part.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+/// Share of the allowance that is spent; the rest covers entries that this one
+/// doesn't know of, and repeats that are under way.
+const SPENT_SHARE: f64 = 0.6;
+
+/// What the platform allows.
+#[derive(Debug, Clone, Copy)]
+pub struct BudgetBounds {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Repeats allowed besides, by all entries in a window.
+    pub slack: f64,
+    /// The sliding window.
+    pub window: Duration,
+}
+
+#[derive(Debug, Default)]
+struct ServiceWindow {
+    requests: VecDeque<Instant>,
+    repeats: VecDeque<Instant>,
+}
+
+/// Counts requests and repeats of each service in a sliding window.
+#[derive(Debug)]
+pub struct RetryBudget {
+    bounds: BudgetBounds,
+    entries: usize,
+    services: HashMap<String, ServiceWindow>,
+}
+
+impl RetryBudget {
+    /// A budget within `bounds`, alone.
+    pub fn new(bounds: BudgetBounds) -> Self {
+        Self {
+            bounds,
+            entries: 1,
+            services: HashMap::new(),
+        }
+    }
+
+    /// Divides the slack among `entries`.
+    pub fn set_entries(&mut self, entries: usize) {
+        self.entries = entries.max(1);
+    }
+
+    /// A caller's request for `service` arrived.
+    pub fn on_request(&mut self, now: Instant, service: &str) {
+        if !self.services.contains_key(service) {
+            self.services
+                .insert(service.to_owned(), ServiceWindow::default());
+        }
+        if let Some(window) = self.services.get_mut(service) {
+            window.requests.push_back(now);
+            trim(&mut window.requests, now, self.bounds.window);
+        }
+    }
+
+    /// Takes a repeat out of the budget; `false` where there is none left.
+    pub fn take(&mut self, now: Instant, service: &str) -> bool {
+        let Some(window) = self.services.get_mut(service) else {
+            return false;
+        };
+        trim(&mut window.requests, now, self.bounds.window);
+        trim(&mut window.repeats, now, self.bounds.window);
+        let slack = self.bounds.slack / self.entries as f64;
+        let earned = self.bounds.ratio * window.requests.len() as f64;
+        let allowed = SPENT_SHARE * (earned + slack);
+        if window.repeats.len() as f64 + 1.0 > allowed {
+            return false;
+        }
+        window.repeats.push_back(now);
+        true
+    }
+}
+
+fn trim(times: &mut VecDeque<Instant>, now: Instant, window: Duration) {
+    while let Some(first) = times.front() {
+        if now.saturating_duration_since(*first) <= window {
+            break;
+        }
+        times.pop_front();
+    }
+}
--- /dev/null
+++ b/crates/place/src/lib.rs
@@ -0,0 +1,21 @@
+//! Where a request goes on an entry that serves callers directly: routes, the
+//! catalog of backend servers, and the choice among them.
+//!
+//! Everything here is decision code: no sockets, clocks, threads or unseeded
+//! randomness. Callers pass `now`; the same code runs in the daemon and in tests
+//! under virtual time.
+
+pub mod budget;
+pub mod catalog;
+pub mod desired;
+pub mod peers;
+pub mod placer;
+pub mod prelude;
+pub mod ramp;
+pub mod rank;
+pub mod routes;
+pub mod server;
+pub mod shift;
+pub mod split;
+pub mod timing;
+pub mod warmth;
--- /dev/null
+++ b/crates/place/src/peers.rs
@@ -0,0 +1,97 @@
+//! The other entries: who is live, who takes callers, which state they hold.
+//!
+//! Each entry sends every other a beat; nobody votes. An entry that falls silent
+//! is left out of answers to callers and of the division of shared rates.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// An entry counts as live for this long after its last beat: several beats,
+/// since datagrams get lost.
+pub const LIVE_FOR: Duration = Duration::from_millis(2600);
+/// A silent entry is asked again for this long before it is forgotten.
+const REMEMBERED_FOR: Duration = Duration::from_secs(60);
+
+base::common! {
+    /// What an entry tells the others, several times in a lease.
+    #[derive(Eq)]
+    pub struct PeerBeat {
+        /// The instance's name.
+        pub node: String,
+        /// One run of its process; a later run has a higher number.
+        pub incarnation: u64,
+        /// Its failure domain.
+        pub zone: String,
+        /// Its region.
+        pub region: String,
+        /// Where it takes callers.
+        pub front: SocketAddr,
+        /// Where it takes beats.
+        pub gossip: SocketAddr,
+        /// Whether it takes callers now.
+        pub ready: bool,
+        /// Whether its process is about to end.
+        pub leaving: bool,
+        /// Version of the desired state in force there.
+        pub version: u64,
+        /// Gossip addresses of entries that it hears.
+        pub known: Vec<SocketAddr>,
+    }
+}
+
+#[derive(Debug, Clone)]
+struct PeerRecord {
+    beat: PeerBeat,
+    heard: Instant,
+}
+
+/// All other entries that were heard.
+#[derive(Debug, Default)]
+pub struct PeerTable {
+    peers: HashMap<String, PeerRecord>,
+    candidates: HashMap<SocketAddr, Instant>,
+}
+
+impl PeerTable {
+    /// An address at which an entry may be heard.
+    pub fn add_candidate(&mut self, now: Instant, address: SocketAddr) {
+        self.candidates.insert(address, now);
+    }
+
+    /// Takes in a beat; a beat of an earlier run changes nothing.
+    pub fn on_beat(&mut self, now: Instant, beat: PeerBeat) {
+        for address in &beat.known {
+            self.candidates.entry(*address).or_insert(now);
+        }
+        self.candidates.insert(beat.gossip, now);
+        let known = self.peers.get(&beat.node);
+        if known.is_some_and(|peer| peer.beat.incarnation > beat.incarnation) {
+            return;
+        }
+        let record = PeerRecord { beat, heard: now };
+        self.peers.insert(record.beat.node.clone(), record);
+    }
+
+    /// The live entries, without those about to end.
+    pub fn live(&self, now: Instant) -> impl Iterator<Item = &PeerBeat> {
+        self.heard(now).filter(|beat| !beat.leaving)
+    }
+
+    /// All entries whose processes are heard, also those about to end.
+    pub fn heard(&self, now: Instant) -> impl Iterator<Item = &PeerBeat> {
+        self.peers
+            .values()
+            .filter(move |peer| now.saturating_duration_since(peer.heard) < LIVE_FOR)
+            .map(|peer| &peer.beat)
+    }
+
+    /// Addresses to send beats to; forgets those that were silent for long.
+    pub fn targets(&mut self, now: Instant) -> Vec<SocketAddr> {
+        self.candidates
+            .retain(|_, at| now.saturating_duration_since(*at) < REMEMBERED_FOR);
+        self.peers
+            .retain(|_, peer| now.saturating_duration_since(peer.heard) < REMEMBERED_FOR);
+        self.candidates.keys().copied().collect()
+    }
+}
--- /dev/null
+++ b/crates/place/src/prelude.rs
@@ -0,0 +1,8 @@
+//! The types that almost every user of this crate needs.
+
+pub use crate::catalog::{CatalogSnapshot, ServerCatalog};
+pub use crate::desired::{DesiredState, RequestKind, RequestLimits, RouteSpec, ServiceSpec};
+pub use crate::peers::{PeerBeat, PeerTable};
+pub use crate::placer::{Placement, PlacementRequest, RefusalReason, RequestPlacer};
+pub use crate::routes::RouteTable;
+pub use crate::server::{EntryState, ServerEntry, ServerReport};
--- /dev/null
+++ b/crates/place/src/ramp.rs
@@ -0,0 +1,52 @@
+//! Holds all entries together within the rate that a cold server bears.
+//!
+//! The rate is divided without talking: a cold server is offered to as many
+//! entries as its rate allows, chosen by rendezvous hash over the live ones,
+//! and each sends it one request an interval.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use crate::rank::pair_weight;
+
+/// Shortest interval between two requests of one entry to a cold server. Over a
+/// second, so that no one-second window holds two of the same entry.
+const SHORTEST_INTERVAL: Duration = Duration::from_millis(1150);
+
+/// The last request of this entry to each cold server.
+#[derive(Debug, Default)]
+pub struct ColdRamp {
+    sent: HashMap<u64, Instant>,
+}
+
+impl ColdRamp {
+    /// Whether this entry may send `server` a request now. `entries` are the
+    /// hashes of all live entries, `own` among them; `rate` is in requests a second.
+    pub fn allows(&self, now: Instant, server: u64, own: u64, entries: &[u64], rate: f64) -> bool {
+        let interval = SHORTEST_INTERVAL;
+        let seats = (rate * interval.as_secs_f64()).floor() as usize;
+        if seats == 0 {
+            return false;
+        }
+        let weight = pair_weight(server, own);
+        let ahead = entries
+            .iter()
+            .filter(|entry| **entry != own && pair_weight(server, **entry) > weight)
+            .count();
+        if ahead >= seats {
+            return false;
+        }
+        self.sent
+            .get(&server)
+            .is_none_or(|at| now.saturating_duration_since(*at) >= interval)
+    }
+
+    /// This entry sent a cold server a request.
+    pub fn on_sent(&mut self, now: Instant, server: u64) {
+        self.sent.insert(server, now);
+        if self.sent.len() > 4096 {
+            self.sent
+                .retain(|_, at| now.saturating_duration_since(*at) < SHORTEST_INTERVAL);
+        }
+    }
+}
--- /dev/null
+++ b/crates/place/src/routes.rs
@@ -0,0 +1,51 @@
+//! Finds the route of a request by its host and the longest prefix of its path.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use crate::desired::{DesiredState, RouteSpec};
+
+/// The routes of one desired state, ready for look-ups.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    version: u64,
+    hosts: HashMap<String, Vec<Rc<RouteSpec>>>,
+}
+
+impl RouteTable {
+    /// Indexes the routes of `desired`.
+    pub fn new(desired: &DesiredState) -> Self {
+        let mut hosts: HashMap<String, Vec<Rc<RouteSpec>>> = HashMap::new();
+        for route in &desired.routes {
+            let host = hosts.entry(route.host.to_ascii_lowercase()).or_default();
+            host.push(Rc::new(route.clone()));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        Self {
+            version: desired.version,
+            hosts,
+        }
+    }
+
+    /// Version of the desired state behind this table.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The route of `path` on `host`; a port in `host` is ignored.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Rc<RouteSpec>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let routes = match self.hosts.get(name) {
+            Some(routes) => routes,
+            None => self.hosts.get(&name.to_ascii_lowercase())?,
+        };
+        routes.iter().find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// All routes, in no order.
+    pub fn iter(&self) -> impl Iterator<Item = &Rc<RouteSpec>> {
+        self.hosts.values().flatten()
+    }
+}
--- /dev/null
+++ b/crates/place/src/server.rs
@@ -0,0 +1,209 @@
+//! One backend server as this entry knows it: its entry in the registry, what it
+//! reported, and how it has behaved.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::timing::Average;
+
+/// A report of load counts less the older it is; after this time it counts 37 %.
+const REPORT_DECAY: Duration = Duration::from_millis(1000);
+/// First pause after a server could not be reached.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+/// Longest pause: a server that is back must be found within seconds.
+const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+/// Weight of the newest outcome in the failure rate.
+const FAILURE_WEIGHT: f64 = 0.15;
+/// The failure rate halves in this time, so that a recovered server is tried again.
+const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
+/// Weight of the newest answer in the speed of a server.
+const SPEED_WEIGHT: f64 = 0.2;
+/// The speed moves half way back to normal in this time without answers.
+const SPEED_HALF_LIFE: Duration = Duration::from_secs(3);
+
+base::common! {
+    /// What a server says of itself.
+    #[derive(Copy, Eq)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum EntryState {
+        /// Takes requests.
+        Ready,
+        /// Is about to leave and takes no new requests.
+        Draining,
+    }
+
+    /// A server's entry in the registry.
+    #[derive(Eq)]
+    pub struct ServerEntry {
+        /// Names one run of the server.
+        pub id: String,
+        /// The service that it belongs to.
+        pub service: String,
+        /// Where it listens.
+        pub address: SocketAddr,
+        /// Its failure domain.
+        pub zone: String,
+        /// Requests that it runs at the same time.
+        pub slots: u32,
+        /// Whether it takes requests.
+        pub state: EntryState,
+        /// How much longer it stays cold, at the time of the entry.
+        pub cold_remaining: Duration,
+        /// Rises with each heartbeat of the server.
+        pub seq: u64,
+    }
+
+    /// A server's own report of its load, in requests.
+    #[derive(Copy, Eq)]
+    pub struct ServerReport {
+        /// Requests that run.
+        pub running: u32,
+        /// Requests that wait.
+        pub waiting: u32,
+        /// Requests that can run at the same time.
+        pub slots: u32,
+    }
+}
+
+/// What is known of a server. Times are of the steady clock.
+#[derive(Debug, Clone)]
+pub struct ServerRecord {
+    /// The newest entry.
+    pub entry: ServerEntry,
+    /// The region of the entry's failure domain.
+    pub region: String,
+    /// Hash of the server's id, for ranking.
+    pub hash: u64,
+    /// The server is cold until then.
+    pub cold_until: Option<Instant>,
+    /// Since when the entry has been missing from the registry.
+    pub missing_since: Option<Instant>,
+    /// Own requests that are at the server.
+    pub in_flight: u32,
+    /// When one of them was sent or answered last.
+    pub touched: Option<Instant>,
+    others: f64,
+    others_at: Option<Instant>,
+    paused_until: Option<Instant>,
+    pause: Duration,
+    failure_rate: f64,
+    failure_at: Option<Instant>,
+    speed: f64,
+    speed_at: Option<Instant>,
+}
+
+impl ServerRecord {
+    /// A record of `entry` in `region`, with nothing known of its behaviour.
+    pub fn new(entry: ServerEntry, region: &str) -> Self {
+        Self {
+            hash: crate::rank::stable_hash(entry.id.as_bytes()),
+            entry,
+            region: region.to_owned(),
+            cold_until: None,
+            missing_since: None,
+            in_flight: 0,
+            touched: None,
+            others: 0.0,
+            others_at: None,
+            paused_until: None,
+            pause: FIRST_PAUSE,
+            failure_rate: 0.0,
+            failure_at: None,
+            speed: 1.0,
+            speed_at: None,
+        }
+    }
+
+    /// Whether the server tolerates only its cold rate.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.cold_until.is_some_and(|until| now < until)
+    }
+
+    /// Treats the server as cold for `span` from now on.
+    pub fn chill(&mut self, now: Instant, span: Duration) {
+        let until = now + span;
+        if self.cold_until.is_none_or(|known| known < until) {
+            self.cold_until = Some(until);
+        }
+    }
+
+    /// Whether the server is left alone after it could not be reached.
+    pub fn is_paused(&self, now: Instant) -> bool {
+        self.paused_until.is_some_and(|until| now < until)
+    }
+
+    /// Requests of everybody that are likely at the server.
+    pub fn occupancy(&self, now: Instant) -> f64 {
+        let fresh = self.others_at.map_or(0.0, |at| decay(now, at, REPORT_DECAY));
+        f64::from(self.in_flight) + self.others * fresh
+    }
+
+    /// Takes in a load report that came with an answer; call it while the
+    /// answered request still counts as in flight.
+    pub fn on_report(&mut self, now: Instant, report: &ServerReport) {
+        let total = f64::from(report.running + report.waiting);
+        // The answered request has left the server by the time of the report.
+        let own = f64::from(self.in_flight.saturating_sub(1));
+        self.others = (total - own).max(0.0);
+        self.others_at = Some(now);
+        if report.slots > 0 {
+            self.entry.slots = report.slots;
+        }
+    }
+
+    /// The server rejected a request as full: assume that its queue is at `occupancy`.
+    pub fn on_full(&mut self, now: Instant, occupancy: f64) {
+        let own = f64::from(self.in_flight.saturating_sub(1));
+        self.others = self.others.max(occupancy - own);
+        self.others_at = Some(now);
+    }
+
+    /// The server could not be reached: leave it alone, longer each time.
+    pub fn on_unreachable(&mut self, now: Instant) {
+        self.paused_until = Some(now + self.pause);
+        self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+        self.on_outcome(now, false);
+    }
+
+    /// The server answered; ends the pauses.
+    pub fn on_reached(&mut self) {
+        self.pause = FIRST_PAUSE;
+        self.paused_until = None;
+    }
+
+    /// Takes in whether the server did what it was asked for.
+    pub fn on_outcome(&mut self, now: Instant, good: bool) {
+        let outcome = if good { 0.0 } else { 1.0 };
+        let rate = self.failure_rate(now);
+        self.failure_rate = rate + FAILURE_WEIGHT * (outcome - rate);
+        self.failure_at = Some(now);
+    }
+
+    /// Share of requests that failed lately, 0 to 1.
+    pub fn failure_rate(&self, now: Instant) -> f64 {
+        let halved = self
+            .failure_at
+            .map_or(1.0, |at| decay(now, at, FAILURE_HALF_LIFE));
+        self.failure_rate * halved
+    }
+
+    /// Takes in how long an answer took, as a multiple of what was expected.
+    pub fn on_speed(&mut self, now: Instant, ratio: f64) {
+        let speed = self.speed(now);
+        self.speed = speed + SPEED_WEIGHT * (ratio.clamp(0.2, 20.0) - speed);
+        self.speed_at = Some(now);
+    }
+
+    /// How long this server takes, as a multiple of what is usual; 1 is usual.
+    pub fn speed(&self, now: Instant) -> f64 {
+        let kept = self
+            .speed_at
+            .map_or(0.0, |at| decay(now, at, SPEED_HALF_LIFE));
+        1.0 + (self.speed - 1.0) * kept
+    }
+}
+
+fn decay(now: Instant, at: Instant, span: Duration) -> f64 {
+    let age = now.saturating_duration_since(at);
+    Average::decay(age, span)
+}
