Shift cap holds in both directions; a request that need not wait is never refused as late

Cause: probes of routes were refused because the first estimate of their work exceeded their deadline, and entries could not send anything to other regions in their first seconds.

--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -14,7 +14,7 @@
 use crate::ramp::ColdRamp;
 use crate::rank::pair_weight;
 use crate::server::{ServerRecord, ServerReport};
-use crate::shift::ShiftLimiter;
+use crate::shift::{ShiftDirection, ShiftLimiter};
 use crate::split::TrafficSplitter;
 use crate::timing::{Average, millis};
 use crate::warmth::WarmthMap;
@@ -44,6 +44,9 @@
 const REGION_BYTES: f64 = 2.0;
 /// Latency that a certain failure is worth, as a multiple of the objective.
 const FAILURE_COST: f64 = 3.0;
+/// Keeps requests in another region while their share there may not fall
+/// faster, in milliseconds: more than any wait that is worth having.
+const HELD_COST: f64 = 2000.0;
 /// Shortest and longest time after which a caller is asked to come back.
 const RETURN_RANGE: (f64, f64) = (0.15, 0.9);
 /// A deadline below this share of the longest seen marks a returning request.
@@ -292,7 +295,7 @@
             return Err(self.refusal(RefusalReason::NoServer, 0.5));
         }
         let ranks = ranks(&candidates);
-        let may_leave = self.shift.may_leave(now);
+        let direction = self.shift.direction(now);
         let (warm, cold) = {
             let work = self.work_of(request.route);
             (work.warm.value(), work.cold.value())
@@ -308,7 +311,7 @@
                 continue;
             }
             let away = record.region != self.config.region;
-            if away && !may_leave {
+            if away && direction == ShiftDirection::Stay {
                 blocked = worse(blocked, RefusalReason::ShiftCap);
                 continue;
             }
@@ -335,12 +338,18 @@
             }
             let trip = self.trip(record);
             let expected = trip + wait + work;
-            if expected > millis(request.remaining) {
+            // Where nobody waits, only the work itself can tell how long it takes.
+            if wait > 0.0 && expected > millis(request.remaining) {
                 blocked = worse(blocked, RefusalReason::Late);
                 continue;
             }
             let failing = record.failure_rate(now) * FAILURE_COST * millis(request.route.objective);
-            let cost = expected + failing + self.byte_cost(record, request.body_bytes);
+            let held = if !away && direction == ShiftDirection::Leave {
+                HELD_COST
+            } else {
+                0.0
+            };
+            let cost = expected + held + failing + self.byte_cost(record, request.body_bytes);
             let reason = PlacementReason {
                 expected,
                 occupancy,
