Entries tell each other their load; queues bounded by the objective; warmth learned from answers

Change: a datagram each 80 ms or more with the sender's requests by server; a new request waits only where it is answered within its objective; likelihoods by sighting age and rank are learned from answers' times.

--- a/bin/lh-edge/src/beat.rs
+++ b/bin/lh-edge/src/beat.rs
@@ -4,7 +4,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use place::peers::PeerBeat;
+use place::peers::{LoadBeat, PeerBeat, PeerMessage};
+use place::rank::stable_hash;
 use tokio::net::UdpSocket;
 
 use crate::error::{Error, Result};
@@ -14,6 +15,11 @@
 /// Time between beats: a quarter of the time after which a silent entry is
 /// taken as gone.
 const BEAT_EVERY: Duration = Duration::from_millis(600);
+/// Time between words on load, for each live entry: what an entry sends and
+/// hears stays within 80 datagrams a second however many there are.
+const LOAD_EVERY: Duration = Duration::from_millis(12);
+/// Shortest time between words on load; requests take longer.
+const LOAD_LEAST: Duration = Duration::from_millis(80);
 /// Largest beat that is read, in bytes.
 const BEAT_BYTES: usize = 8192;
 /// Others named in a beat; all find all within a few beats.
@@ -35,8 +41,13 @@
     let mut tick = tokio::time::interval(BEAT_EVERY);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut buffer = vec![0; BEAT_BYTES];
+    let mut load_at = tokio::time::Instant::now();
     loop {
         tokio::select! {
+            () = tokio::time::sleep_until(load_at) => {
+                let heard = send_load(&state, &socket).await;
+                load_at = tokio::time::Instant::now() + (LOAD_EVERY * heard).max(LOAD_LEAST);
+            }
             _ = tick.tick() => {
                 send(&state, &socket, false).await;
                 state.refresh_entries();
@@ -64,7 +75,7 @@
 async fn send(state: &EdgeState, socket: &UdpSocket, twice: bool) {
     let now = Instant::now();
     let beat = own_beat(state, now);
-    let Ok(bytes) = postcard::to_allocvec(&beat) else {
+    let Ok(bytes) = postcard::to_allocvec(&PeerMessage::Beat(beat)) else {
         return;
     };
     let targets = state.peers.borrow_mut().targets(now);
@@ -80,6 +91,24 @@
     }
 }
 
+/// Tells the live entries where this one's requests are; returns their number.
+async fn send_load(state: &EdgeState, socket: &UdpSocket) -> u32 {
+    let targets = state.peers.borrow().live_targets(Instant::now());
+    let message = PeerMessage::Load(LoadBeat {
+        entry: stable_hash(state.config.node.as_bytes()),
+        load: state.placer.borrow().own_load(),
+    });
+    let Ok(bytes) = postcard::to_allocvec(&message) else {
+        return 0;
+    };
+    for target in &targets {
+        if let Err(error) = socket.send_to(&bytes, *target).await {
+            log::debug!(error:%, target:%; "load not told");
+        }
+    }
+    targets.len() as u32
+}
+
 fn own_beat(state: &EdgeState, now: Instant) -> PeerBeat {
     let known = {
         let peers = state.peers.borrow();
@@ -101,11 +130,16 @@
 }
 
 fn on_datagram(state: &EdgeState, bytes: &[u8]) {
-    match postcard::from_bytes::<PeerBeat>(bytes) {
-        Ok(beat) if beat.node != state.config.node => {
-            state.peers.borrow_mut().on_beat(Instant::now(), beat);
+    let now = Instant::now();
+    match postcard::from_bytes::<PeerMessage>(bytes) {
+        Ok(PeerMessage::Beat(beat)) if beat.node != state.config.node => {
+            state.peers.borrow_mut().on_beat(now, beat);
+        }
+        Ok(PeerMessage::Beat(_)) => {}
+        Ok(PeerMessage::Load(beat)) => {
+            let mut placer = state.placer.borrow_mut();
+            placer.on_peer_load(now, beat.entry, beat.load);
         }
-        Ok(_) => {}
         Err(error) => log::debug!(error:%; "beat not understood"),
     }
 }
--- a/bin/lh-edge/src/forward.rs
+++ b/bin/lh-edge/src/forward.rs
@@ -304,7 +304,7 @@
         let sending = sender.try_send_request(request);
         let answer = match timeout_at(self.ends.into(), sending).await {
             Err(_) => {
-                guard.finish(ServerOutcome::Abandoned, None);
+                guard.finish(ServerOutcome::OutOfTime, None);
                 self.record.on_result("no answer in time");
                 return AttemptEnd::OutOfTime;
             }
@@ -359,7 +359,7 @@
         }
         let (bytes, rest) = match timeout_at(self.ends.into(), read_answer(body)).await {
             Err(_) => {
-                guard.finish(ServerOutcome::Abandoned, None);
+                guard.finish(ServerOutcome::OutOfTime, None);
                 self.record.on_result("answer not whole in time");
                 return AttemptEnd::OutOfTime;
             }
--- a/crates/place/src/catalog.rs
+++ b/crates/place/src/catalog.rs
@@ -148,6 +148,11 @@
         self.records.iter().flatten()
     }
 
+    /// All known servers, for changes.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut ServerRecord> {
+        self.records.iter_mut().flatten()
+    }
+
     fn update(&mut self, begun: Instant, entry: &ServerEntry, changes: &mut Vec<CatalogChange>) {
         let Some(index) = self.by_id.get(&entry.id) else {
             self.insert(begun, entry, changes);
--- a/crates/place/src/peers.rs
+++ b/crates/place/src/peers.rs
@@ -14,6 +14,24 @@
 const REMEMBERED_FOR: Duration = Duration::from_secs(60);
 
 base::common! {
+    /// One datagram between entries.
+    #[derive(Eq)]
+    pub enum PeerMessage {
+        /// Who is there, a few times a second at most.
+        Beat(PeerBeat),
+        /// Where the sender's requests are, more often.
+        Load(LoadBeat),
+    }
+
+    /// An entry's requests at servers.
+    #[derive(Eq)]
+    pub struct LoadBeat {
+        /// Hash of the entry's name.
+        pub entry: u64,
+        /// Short names of servers, with the number of requests there.
+        pub load: Vec<(u32, u16)>,
+    }
+
     /// What an entry tells the others, several times in a lease.
     #[derive(Eq)]
     pub struct PeerBeat {
@@ -86,6 +104,11 @@
             .map(|peer| &peer.beat)
     }
 
+    /// Addresses of the live entries.
+    pub fn live_targets(&self, now: Instant) -> Vec<SocketAddr> {
+        self.heard(now).map(|beat| beat.gossip).collect()
+    }
+
     /// Addresses to send beats to; forgets those that were silent for long.
     pub fn targets(&mut self, now: Instant) -> Vec<SocketAddr> {
         self.candidates
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -17,14 +17,21 @@
 use crate::shift::{ShiftDirection, ShiftLimiter};
 use crate::split::TrafficSplitter;
 use crate::timing::{Average, millis};
-use crate::warmth::WarmthMap;
+use crate::warmth::{Belief, WarmthMap, WarmthRates};
 
 /// Requests at a server, as a multiple of its slots, up to which it gets more.
 /// Beyond, waiting costs the objective of those behind.
-const QUEUE_FACTOR: f64 = 2.25;
+const QUEUE_FACTOR: f64 = 2.5;
 /// The same for a request that was refused before: a second refusal is final
 /// for its caller.
-const RETURN_FACTOR: f64 = 2.75;
+const RETURN_FACTOR: f64 = 3.0;
+/// A new request waits only where it is answered within this multiple of its
+/// objective: beyond, it would make those behind it late as well.
+const OBJECTIVE_FACTOR: f64 = 1.0;
+/// A returning request waits where it is answered within this share of its time.
+const REMAINING_FACTOR: f64 = 0.8;
+/// Lower factor of the objective for each step of priority.
+const OBJECTIVE_STEP: f64 = 0.1;
 /// Lower factor for each step of priority, so that the urgent find room.
 const PRIORITY_STEP: f64 = 0.15;
 /// Weight of the newest answer in the work of a route.
@@ -32,7 +39,7 @@
 /// Work of a cold object at the beginning, as a share of the objective.
 const FIRST_WORK: f64 = 1.2;
 /// Work for a held object at the beginning, as a share of the objective.
-const FIRST_WARM_WORK: f64 = 0.45;
+const FIRST_WARM_WORK: f64 = 0.36;
 /// Round trip to another failure domain of the region, in milliseconds.
 const ZONE_TRIP: f64 = 3.0;
 /// Round trip to another region, in milliseconds.
@@ -47,6 +54,8 @@
 /// Keeps requests in another region while their share there may not fall
 /// faster, in milliseconds: more than any wait that is worth having.
 const HELD_COST: f64 = 2000.0;
+/// An entry's word on its requests counts for this long.
+const LOAD_LIFE: Duration = Duration::from_millis(1500);
 /// Shortest and longest time after which a caller is asked to come back.
 const RETURN_RANGE: (f64, f64) = (0.15, 0.9);
 /// A deadline below this share of the longest seen marks a returning request.
@@ -118,6 +127,7 @@
     /// Whether no other request had to be finished first.
     free: bool,
     work: f64,
+    belief: Option<Belief>,
 }
 
 /// Why a request was refused.
@@ -160,7 +170,9 @@
     Unreachable,
     /// The connection broke, or the answer was not one.
     Broken,
-    /// The caller left or time ran out.
+    /// The time ran out before the answer came.
+    OutOfTime,
+    /// The caller left.
     Abandoned,
 }
 
@@ -174,6 +186,7 @@
             Self::Misdirected => "misdirected",
             Self::Unreachable => "unreachable",
             Self::Broken => "broken",
+            Self::OutOfTime => "out-of-time",
             Self::Abandoned => "abandoned",
         }
     }
@@ -183,6 +196,7 @@
 struct RouteWork {
     warm: Average,
     cold: Average,
+    rates: WarmthRates,
     longest_deadline: Duration,
 }
 
@@ -200,6 +214,7 @@
     warmth: WarmthMap,
     work: HashMap<String, RouteWork>,
     entries: Vec<u64>,
+    loads: HashMap<u64, (Instant, Vec<(u32, u16)>)>,
     dice: u64,
 }
 
@@ -222,6 +237,7 @@
             warmth: WarmthMap::default(),
             work: HashMap::new(),
             entries: vec![config.own],
+            loads: HashMap::new(),
             dice: config.own | 1,
             config,
         }
@@ -245,6 +261,37 @@
         self.entries = entries;
     }
 
+    /// Takes in which servers the entry `entry` has requests at, and how many:
+    /// pairs of [`load_name`] and count.
+    pub fn on_peer_load(&mut self, now: Instant, entry: u64, load: Vec<(u32, u16)>) {
+        self.loads.insert(entry, (now, load));
+        self.sum_loads(now);
+    }
+
+    /// Own requests at servers, for the other entries.
+    pub fn own_load(&self) -> Vec<(u32, u16)> {
+        let busy = self.catalog.iter().filter(|record| record.in_flight > 0);
+        busy.map(|record| {
+            let count = u16::try_from(record.in_flight).unwrap_or(u16::MAX);
+            (load_name(record.hash), count)
+        })
+        .collect()
+    }
+
+    fn sum_loads(&mut self, now: Instant) {
+        self.loads
+            .retain(|_, (at, _)| now.saturating_duration_since(*at) < LOAD_LIFE);
+        let mut sums: HashMap<u32, f64> = HashMap::new();
+        for (_, load) in self.loads.values() {
+            for (name, count) in load {
+                *sums.entry(*name).or_default() += f64::from(*count);
+            }
+        }
+        for record in self.catalog.iter_mut() {
+            record.peer_load = sums.get(&load_name(record.hash)).copied().unwrap_or(0.0);
+        }
+    }
+
     /// The longest warm-up of any service.
     pub fn longest_warmup(&self) -> Duration {
         let warmups = self.services.values().map(|service| service.warmup);
@@ -296,10 +343,12 @@
         }
         let ranks = ranks(&candidates);
         let direction = self.shift.direction(now);
-        let (warm, cold) = {
-            let work = self.work_of(request.route);
-            (work.warm.value(), work.cold.value())
+        self.work_of(request.route);
+        let Some(known) = self.work.get(&request.route.name) else {
+            return Err(self.refusal(RefusalReason::NoServer, 0.5));
         };
+        let (warm, cold) = (known.warm.value(), known.cold.value());
+        let patience = patience(request);
         let mut best: Option<(f64, ServerHandle, PlacementReason)> = None;
         let mut blocked = RefusalReason::Late;
         let mut room_in = f64::MAX;
@@ -322,9 +371,10 @@
             }
             let occupancy = record.occupancy(now);
             let slots = f64::from(record.entry.slots.max(1));
-            let likelihood = request.object.map_or(0.0, |object| {
-                self.warmth.likelihood(now, record.hash, object, *rank)
-            });
+            let belief = request
+                .object
+                .map(|object| self.warmth.belief(now, record.hash, object, *rank));
+            let likelihood = belief.map_or(0.0, |belief| known.rates.likelihood(belief));
             let speed = record.speed(now) * if is_cold { 2.0 } else { 1.0 };
             let work = (warm * likelihood + cold * (1.0 - likelihood)) * speed;
             let usual = warm.midpoint(cold).min(work);
@@ -339,8 +389,9 @@
             let trip = self.trip(record);
             let expected = trip + wait + work;
             // Where nobody waits, only the work itself can tell how long it takes.
-            if wait > 0.0 && expected > millis(request.remaining) {
+            if wait > 0.0 && expected > patience {
                 blocked = worse(blocked, RefusalReason::Late);
+                room_in = room_in.min(expected - patience);
                 continue;
             }
             let failing = record.failure_rate(now) * FAILURE_COST * millis(request.route.objective);
@@ -358,6 +409,7 @@
                 away,
                 free: occupancy < slots,
                 work,
+                belief,
             };
             if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
                 best = Some((cost, candidate.handle, reason));
@@ -409,6 +461,14 @@
                 record.chill(now, warmup);
             }
             ServerOutcome::Broken => record.on_outcome(now, false),
+            ServerOutcome::OutOfTime => {
+                record.on_outcome(now, false);
+                let took = millis(now.saturating_duration_since(placement.started));
+                let ratio = took / placement.reason.expected.max(1.0);
+                if placement.reason.free && ratio > 1.0 {
+                    record.on_speed(now, ratio * record.speed(now));
+                }
+            }
             ServerOutcome::Abandoned => {}
         }
         record.in_flight = record.in_flight.saturating_sub(1);
@@ -437,11 +497,16 @@
         let work = took - trip;
         if reason.free && !reason.cold {
             let known = self.work_of(request.route);
-            if reason.warmth > 0.7 {
+            // Nearer to the one or the other, by ratio.
+            let held = work * work < known.warm.value() * known.cold.value();
+            if held {
                 known.warm.add(work);
-            } else if reason.warmth < 0.3 {
+            } else {
                 known.cold.add(work);
             }
+            if let Some(belief) = reason.belief {
+                known.rates.on_answer(belief, held);
+            }
         }
         if let Some(record) = self.catalog.get_mut(placement.handle)
             && reason.free
@@ -546,6 +611,7 @@
             let work = RouteWork {
                 warm: Average::new(FIRST_WARM_WORK * objective, WORK_WEIGHT),
                 cold: Average::new(FIRST_WORK * objective, WORK_WEIGHT),
+                rates: WarmthRates::default(),
                 longest_deadline: Duration::ZERO,
             };
             self.work.insert(route.name.clone(), work);
@@ -568,6 +634,17 @@
     }
 }
 
+/// The longest expected time to the answer for which a request may wait, in
+/// milliseconds.
+fn patience(request: &PlacementRequest<'_>) -> f64 {
+    let remaining = REMAINING_FACTOR * millis(request.remaining);
+    if request.returning {
+        return remaining;
+    }
+    let step = OBJECTIVE_STEP * f64::from(request.route.priority.min(3));
+    remaining.min((OBJECTIVE_FACTOR - step) * millis(request.route.objective))
+}
+
 fn queue_factor(request: &PlacementRequest<'_>) -> f64 {
     if request.returning {
         return RETURN_FACTOR;
@@ -575,6 +652,12 @@
     QUEUE_FACTOR - PRIORITY_STEP * f64::from(request.route.priority.min(3))
 }
 
+/// Short name of a server in words on load, from its hash. Two servers with one
+/// name are merely thought to be busier.
+pub fn load_name(hash: u64) -> u32 {
+    (hash ^ (hash >> 32)) as u32
+}
+
 fn worse(known: RefusalReason, found: RefusalReason) -> RefusalReason {
     if known == RefusalReason::Full {
         known
--- a/crates/place/src/server.rs
+++ b/crates/place/src/server.rs
@@ -7,7 +7,8 @@
 use crate::timing::Average;
 
 /// A report of load counts less the older it is; after this time it counts 37 %.
-const REPORT_DECAY: Duration = Duration::from_millis(1000);
+/// Most work ends within it.
+const REPORT_DECAY: Duration = Duration::from_millis(400);
 /// First pause after a server could not be reached.
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 /// Longest pause: a server that is back must be found within seconds.
@@ -82,6 +83,8 @@
     pub in_flight: u32,
     /// When one of them was sent or answered last.
     pub touched: Option<Instant>,
+    /// Requests of other entries at the server, by their own word.
+    pub peer_load: f64,
     others: f64,
     others_at: Option<Instant>,
     paused_until: Option<Instant>,
@@ -103,6 +106,7 @@
             missing_since: None,
             in_flight: 0,
             touched: None,
+            peer_load: 0.0,
             others: 0.0,
             others_at: None,
             paused_until: None,
@@ -135,7 +139,7 @@
     /// Requests of everybody that are likely at the server.
     pub fn occupancy(&self, now: Instant) -> f64 {
         let fresh = self.others_at.map_or(0.0, |at| decay(now, at, REPORT_DECAY));
-        f64::from(self.in_flight) + self.others * fresh
+        f64::from(self.in_flight) + (self.others * fresh).max(self.peer_load)
     }
 
     /// Takes in a load report that came with an answer; call it while the
--- a/crates/place/src/warmth.rs
+++ b/crates/place/src/warmth.rs
@@ -1,19 +1,36 @@
-//! Which servers have handled which objects lately, as far as this entry knows.
+//! Which servers likely hold which objects.
+//!
+//! What an entry saw itself is remembered; for the rest the common rank tells
+//! where other entries send an object. How far either may be relied on depends
+//! on how much a server keeps and how many objects there are, so it is learned
+//! from the answers' times.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-/// A server is taken to hold an object for this long after it handled it.
-const MEMORY: Duration = Duration::from_secs(20);
+use crate::timing::Average;
+
+/// Ages of a sighting that are told apart.
+const AGES: [Duration; 3] = [
+    Duration::from_secs(2),
+    Duration::from_secs(6),
+    Duration::from_secs(20),
+];
+/// Ranks that are told apart where there was no sighting.
+const RANKS: usize = 4;
 /// Pairs kept at most; 64 bytes each.
 const PAIRS: usize = 16_384;
-/// Likelihood that a server holds an object that it was seen to handle.
-const SEEN: f64 = 0.95;
-/// Likelihood by rank in the common order, for pairs not seen here: other
-/// entries send the object there as well.
-const BY_RANK: [f64; 3] = [0.75, 0.4, 0.2];
-/// Likelihood for all other pairs.
-const UNSEEN: f64 = 0.05;
+/// Likelihood at the beginning: after sightings, then by rank. Low for ranks:
+/// nothing is held when everything has just begun.
+const FIRST: [f64; BELIEFS] = [0.95, 0.9, 0.8, 0.3, 0.2, 0.1, 0.05];
+/// Kinds of belief that are told apart.
+const BELIEFS: usize = AGES.len() + RANKS;
+/// Weight of the newest answer in a likelihood.
+const WEIGHT: f64 = 0.03;
+
+/// Why a server may hold an object: an index into the learned likelihoods.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Belief(usize);
 
 /// What this entry saw of objects at servers.
 #[derive(Debug, Default)]
@@ -21,12 +38,19 @@
     seen: HashMap<(u64, u64), Instant>,
 }
 
+/// How likely each kind of belief has proved to be right, for one route.
+#[derive(Debug)]
+pub struct WarmthRates {
+    rates: [Average; BELIEFS],
+}
+
 impl WarmthMap {
     /// The server `server` handled `object`.
     pub fn on_handled(&mut self, now: Instant, server: u64, object: u64) {
         if self.seen.len() >= PAIRS {
+            let oldest = AGES[AGES.len() - 1];
             self.seen
-                .retain(|_, at| now.saturating_duration_since(*at) < MEMORY);
+                .retain(|_, at| now.saturating_duration_since(*at) < oldest);
         }
         if self.seen.len() < PAIRS {
             self.seen.insert((server, object), now);
@@ -38,15 +62,34 @@
         self.seen.retain(|(known, _), _| *known != server);
     }
 
-    /// How likely `server`, at `rank` for `object`, holds it; 0 to 1.
-    pub fn likelihood(&self, now: Instant, server: u64, object: u64, rank: usize) -> f64 {
-        let recent = self
-            .seen
-            .get(&(server, object))
-            .is_some_and(|at| now.saturating_duration_since(*at) < MEMORY);
-        if recent {
-            return SEEN;
+    /// What speaks for `server`, at `rank` for `object`, holding it.
+    pub fn belief(&self, now: Instant, server: u64, object: u64, rank: usize) -> Belief {
+        if let Some(at) = self.seen.get(&(server, object)) {
+            let age = now.saturating_duration_since(*at);
+            if let Some(index) = AGES.iter().position(|limit| age < *limit) {
+                return Belief(index);
+            }
+        }
+        Belief(AGES.len() + rank.min(RANKS - 1))
+    }
+}
+
+impl WarmthRates {
+    /// The likelihood of `belief`, 0 to 1.
+    pub fn likelihood(&self, belief: Belief) -> f64 {
+        self.rates[belief.0].value()
+    }
+
+    /// Takes in whether the server held the object.
+    pub fn on_answer(&mut self, belief: Belief, held: bool) {
+        self.rates[belief.0].add(if held { 1.0 } else { 0.0 });
+    }
+}
+
+impl Default for WarmthRates {
+    fn default() -> Self {
+        Self {
+            rates: FIRST.map(|rate| Average::new(rate, WEIGHT)),
         }
-        BY_RANK.get(rank).copied().unwrap_or(UNSEEN)
     }
 }
