Objects keep to the first servers of their rank

Change: a server's distance in the common order costs up to 0.7 of what a held object saves; log lines carry the load that servers report.

--- a/bin/lh-edge/src/forward.rs
+++ b/bin/lh-edge/src/forward.rs
@@ -348,7 +348,7 @@
                 ServerOutcome::Full
             };
             guard.finish(outcome, head.report.as_ref());
-            self.record.on_result(&format!("not run ({})", parts.status.as_u16()));
+            self.record.on_answer(parts.status, head.report.as_ref());
             return AttemptEnd::NotRun;
         }
         if !is_sound(parts.status, &parts.headers, &head) {
@@ -372,8 +372,7 @@
         };
         let good = !parts.status.is_server_error();
         guard.finish(ServerOutcome::Answered { good }, head.report.as_ref());
-        self.record
-            .on_result(&format!("status {}", parts.status.as_u16()));
+        self.record.on_answer(parts.status, head.report.as_ref());
         let body = match rest {
             Some(rest) => AnswerBody::streamed(bytes, rest, lease),
             None => {
--- a/bin/lh-edge/src/record.rs
+++ b/bin/lh-edge/src/record.rs
@@ -5,7 +5,9 @@
 use std::time::Instant;
 
 use place::desired::RouteSpec;
+use hyper::StatusCode;
 use place::placer::{Placement, Refusal};
+use place::server::ServerReport;
 
 use crate::state::EdgeState;
 
@@ -89,6 +91,17 @@
         let _ = write!(self.attempts, " -> {result} at {at}ms");
     }
 
+    /// Notes the server's answer and the load that it reported with it.
+    pub(crate) fn on_answer(&mut self, status: StatusCode, report: Option<&ServerReport>) {
+        let load = report.map_or(String::new(), |report| {
+            format!(
+                " (load {}+{}/{})",
+                report.running, report.waiting, report.slots
+            )
+        });
+        self.on_result(&format!("status {}{load}", status.as_u16()));
+    }
+
     /// Notes that no server should get the request.
     pub(crate) fn on_refused(&mut self, refusal: Refusal) {
         self.refusal = Some(refusal);
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -54,6 +54,9 @@
 /// Keeps requests in another region while their share there may not fall
 /// faster, in milliseconds: more than any wait that is worth having.
 const HELD_COST: f64 = 2000.0;
+/// What it costs to send an object where it doesn't belong, as a multiple of
+/// what a held object saves: it drives out another one there.
+const AFFINITY_COST: f64 = 0.7;
 /// An entry's word on its requests counts for this long.
 const LOAD_LIFE: Duration = Duration::from_millis(1500);
 /// Shortest and longest time after which a caller is asked to come back.
@@ -400,7 +403,8 @@
             } else {
                 0.0
             };
-            let cost = expected + held + failing + self.byte_cost(record, request.body_bytes);
+            let strange = AFFINITY_COST * affinity(*rank) * (cold - warm).max(0.0);
+            let cost = expected + held + strange + failing + self.byte_cost(record, request.body_bytes);
             let reason = PlacementReason {
                 expected,
                 occupancy,
@@ -658,6 +662,12 @@
     (hash ^ (hash >> 32)) as u32
 }
 
+/// How far a server at `rank` is from where an object belongs, 0 to 1.
+fn affinity(rank: usize) -> f64 {
+    const BY_RANK: [f64; 4] = [0.0, 0.3, 0.6, 0.8];
+    BY_RANK.get(rank).copied().unwrap_or(1.0)
+}
+
 fn worse(known: RefusalReason, found: RefusalReason) -> RefusalReason {
     if known == RefusalReason::Full {
         known
