--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -56,7 +56,7 @@
 const HELD_COST: f64 = 2000.0;
 /// What it costs to send an object where it doesn't belong, as a multiple of
 /// what a held object saves: it drives out another one there.
-const AFFINITY_COST: f64 = 0.7;
+const AFFINITY_COST: f64 = 2.0;
 /// An entry's word on its requests counts for this long.
 const LOAD_LIFE: Duration = Duration::from_millis(1500);
 /// Shortest and longest time after which a caller is asked to come back.
