--- a/bin/lh-edge/src/record.rs
+++ b/bin/lh-edge/src/record.rs
@@ -74,12 +74,13 @@
         let reason = &placement.reason;
         let _ = write!(
             self.attempts,
-            "{}{}(expected {:.0}ms occupancy {:.1} warmth {:.2}{}{})",
+            "{}{}(expected {:.0}ms occupancy {:.1} warmth {:.2} rank {}{}{})",
             if self.count > 1 { "; " } else { "" },
             placement.id,
             reason.expected,
             reason.occupancy,
             reason.warmth,
+            reason.rank,
             if reason.cold { " cold" } else { "" },
             if reason.away { " away" } else { "" },
         );
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -54,6 +54,8 @@
 /// Keeps requests in another region while their share there may not fall
 /// faster, in milliseconds: more than any wait that is worth having.
 const HELD_COST: f64 = 2000.0;
+/// Servers of a region at which an object's requests may wait.
+const HOME_RANKS: usize = 3;
 /// What it costs to send an object where it doesn't belong, as a multiple of
 /// what a held object saves: it drives out another one there.
 const AFFINITY_COST: f64 = 2.0;
@@ -123,6 +125,8 @@
     pub occupancy: f64,
     /// Likelihood that the server holds the object.
     pub warmth: f64,
+    /// The server's rank for the object within its region; 0 is the first.
+    pub rank: usize,
     /// Whether the server is cold.
     pub cold: bool,
     /// Whether it is in another region.
@@ -389,6 +393,11 @@
                 room_in = room_in.min((occupancy + 1.0 - limit) * usual / slots);
                 continue;
             }
+            if request.object.is_some() && *rank >= HOME_RANKS && ahead > 0.0 {
+                blocked = worse(blocked, RefusalReason::Full);
+                room_in = room_in.min(ahead * usual / slots);
+                continue;
+            }
             let trip = self.trip(record);
             let expected = trip + wait + work;
             // Where nobody waits, only the work itself can tell how long it takes.
@@ -409,6 +418,7 @@
                 expected,
                 occupancy,
                 warmth: likelihood,
+                rank: *rank,
                 cold: is_cold,
                 away,
                 free: occupancy < slots,
