An object's requests go to the first two servers of its rank and no further

Ruled out: a higher price for spilling (0.7 to 2.0 times what a held object saves: no change), no waiting there (no change). Change: beyond the second server of a region a request is refused.

--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -55,7 +55,7 @@
 /// faster, in milliseconds: more than any wait that is worth having.
 const HELD_COST: f64 = 2000.0;
 /// Servers of a region at which an object's requests may wait.
-const HOME_RANKS: usize = 3;
+const HOME_RANKS: usize = 2;
 /// What it costs to send an object where it doesn't belong, as a multiple of
 /// what a held object saves: it drives out another one there.
 const AFFINITY_COST: f64 = 2.0;
@@ -393,7 +393,7 @@
                 room_in = room_in.min((occupancy + 1.0 - limit) * usual / slots);
                 continue;
             }
-            if request.object.is_some() && *rank >= HOME_RANKS && ahead > 0.0 {
+            if request.object.is_some() && *rank >= HOME_RANKS {
                 blocked = worse(blocked, RefusalReason::Full);
                 room_in = room_in.min(ahead * usual / slots);
                 continue;
