One server an object in each region; further ones only while hardly used

Change: the first server of the rank always, further ones while 30 % of their slots or less were used over the last second.

--- a/bin/lh-edge/src/beat.rs
+++ b/bin/lh-edge/src/beat.rs
@@ -96,7 +96,7 @@
     let targets = state.peers.borrow().live_targets(Instant::now());
     let message = PeerMessage::Load(LoadBeat {
         entry: stable_hash(state.config.node.as_bytes()),
-        load: state.placer.borrow().own_load(),
+        load: state.placer.borrow_mut().own_load(Instant::now()),
     });
     let Ok(bytes) = postcard::to_allocvec(&message) else {
         return 0;
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -54,8 +54,11 @@
 /// Keeps requests in another region while their share there may not fall
 /// faster, in milliseconds: more than any wait that is worth having.
 const HELD_COST: f64 = 2000.0;
-/// Servers of a region at which an object's requests may wait.
-const HOME_RANKS: usize = 2;
+/// Servers of a region to which an object's requests always go.
+const HOME_RANKS: usize = 1;
+/// Further servers take them while this share of their slots or less is in use:
+/// they have time to load the object, and seldom need what it drives out.
+const IDLE_SHARE: f64 = 0.3;
 /// What it costs to send an object where it doesn't belong, as a multiple of
 /// what a held object saves: it drives out another one there.
 const AFFINITY_COST: f64 = 2.0;
@@ -276,7 +279,10 @@
     }
 
     /// Own requests at servers, for the other entries.
-    pub fn own_load(&self) -> Vec<(u32, u16)> {
+    pub fn own_load(&mut self, now: Instant) -> Vec<(u32, u16)> {
+        for record in self.catalog.iter_mut() {
+            record.observe(now);
+        }
         let busy = self.catalog.iter().filter(|record| record.in_flight > 0);
         busy.map(|record| {
             let count = u16::try_from(record.in_flight).unwrap_or(u16::MAX);
@@ -393,7 +399,9 @@
                 room_in = room_in.min((occupancy + 1.0 - limit) * usual / slots);
                 continue;
             }
-            if request.object.is_some() && *rank >= HOME_RANKS {
+            let at_home = request.object.is_none() || *rank < HOME_RANKS;
+            let idle = ahead == 0.0 && record.usual_occupancy() < IDLE_SHARE * slots;
+            if !at_home && !idle {
                 blocked = worse(blocked, RefusalReason::Full);
                 room_in = room_in.min(ahead * usual / slots);
                 continue;
