--- a/bin/lh-edge/src/body.rs
+++ b/bin/lh-edge/src/body.rs
@@ -30,7 +30,8 @@
 
 impl Drop for CountGuard {
     fn drop(&mut self) {
-        self.counter.set(self.counter.get().saturating_sub(self.amount));
+        self.counter
+            .set(self.counter.get().saturating_sub(self.amount));
     }
 }
 
--- a/bin/lh-edge/src/cli.rs
+++ b/bin/lh-edge/src/cli.rs
@@ -7,8 +7,10 @@
 /// An entry that takes callers' requests and sends them to backend servers.
 #[derive(Debug, Parser)]
 #[command(name = "lh-edge", version)]
-#[command(after_help = "Runs until SIGTERM. Exit codes: 0 planned stop, 1 could not run, \
-                        2 wrong usage or settings.")]
+#[command(
+    after_help = "Runs until SIGTERM. Exit codes: 0 planned stop, 1 could not run, \
+                        2 wrong usage or settings."
+)]
 pub(crate) struct Arguments {
     /// The settings file (INI).
     #[arg(short, long, env = "LAURELHILL_SETTINGS", value_name = "FILE")]
--- a/bin/lh-edge/src/forward.rs
+++ b/bin/lh-edge/src/forward.rs
@@ -14,8 +14,8 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use place::catalog::ServerHandle;
 use place::desired::RouteSpec;
-use place::placer::{Placement, PlacementRequest, Refusal, ServerOutcome};
 use place::rank::stable_hash;
+use place::request::{Placement, PlacementRequest, Refusal, ServerOutcome};
 use place::server::ServerReport;
 use platform::headers::{self, CallerHead, ServerHead};
 use tokio::time::timeout_at;
@@ -75,7 +75,7 @@
 
 /// The body of a request on its way.
 enum JobBody {
-    Whole(Bytes, CountGuard),
+    Whole { bytes: Bytes, _memory: CountGuard },
     Streamed(Option<(Bytes, Incoming)>),
 }
 
@@ -127,7 +127,9 @@
         return refuse(&mut record, &caller, UNKNOWN_RETURN);
     }
     let host = parts.headers.get(header::HOST);
-    let host = host.and_then(|host| host.to_str().ok()).or(parts.uri.host());
+    let host = host
+        .and_then(|host| host.to_str().ok())
+        .or(parts.uri.host());
     let Some(host) = host else {
         return reject(&mut record, &caller, StatusCode::BAD_REQUEST);
     };
@@ -139,15 +141,19 @@
         return reject(&mut record, &caller, StatusCode::PAYLOAD_TOO_LARGE);
     }
     let now = record.begun;
-    let (part, returning) = state
-        .placer
-        .borrow_mut()
-        .on_request(now, &route, caller.deadline);
+    let object = caller
+        .object
+        .as_ref()
+        .map(|key| stable_hash(key.as_bytes()));
+    let (part, returning) =
+        state
+            .placer
+            .borrow_mut()
+            .on_request(now, &route, object, caller.deadline);
     record.returning = returning;
     record.route = Some(Rc::clone(&route));
     let bound = [caller.deadline, route.timeout];
     let bound = bound.into_iter().flatten().min().unwrap_or(DEFAULT_TIME);
-    let object = caller.object.as_ref().map(|key| stable_hash(key.as_bytes()));
     let job = RequestJob {
         record,
         object,
@@ -212,7 +218,7 @@
                 AttemptEnd::NotRun => {}
             }
             if !self.may_try_again(route, &body) {
-                let refusal = self.state.placer.borrow_mut().full();
+                let refusal = self.state.placer.borrow_mut().rejected();
                 return self.give_up(last, refusal);
             }
         }
@@ -416,13 +422,16 @@
 
     fn request(&self, placement: &Placement, body: &mut JobBody) -> Option<Request<RequestBody>> {
         let body = match body {
-            JobBody::Whole(bytes, _) => RequestBody::whole(bytes.clone()),
+            JobBody::Whole { bytes, .. } => RequestBody::whole(bytes.clone()),
             JobBody::Streamed(stream) => {
                 let (first, rest) = stream.take()?;
                 RequestBody::streamed(first, rest)
             }
         };
-        let target = self.target.path_and_query().map_or("/", |target| target.as_str());
+        let target = self
+            .target
+            .path_and_query()
+            .map_or("/", |target| target.as_str());
         let mut request = Request::builder()
             .method(self.method.clone())
             .uri(target)
@@ -457,15 +466,18 @@
                 return Err(StatusCode::PAYLOAD_TOO_LARGE);
             }
         }
-        let guard = CountGuard::new(&self.state.buffered, bytes.len());
-        Ok(JobBody::Whole(bytes.freeze(), guard))
+        let memory = CountGuard::new(&self.state.buffered, bytes.len());
+        Ok(JobBody::Whole {
+            bytes: bytes.freeze(),
+            _memory: memory,
+        })
     }
 }
 
 impl JobBody {
     fn size(&self) -> usize {
         match self {
-            Self::Whole(bytes, _) => bytes.len(),
+            Self::Whole { bytes, .. } => bytes.len(),
             Self::Streamed(_) => WHOLE_BODY,
         }
     }
@@ -487,7 +499,9 @@
             tried: &[],
         };
         if let Some(part) = self.route.parts.get(self.part) {
-            self.state.metrics.on_attempt(&part.service, outcome.as_str());
+            self.state
+                .metrics
+                .on_attempt(&part.service, outcome.as_str());
         }
         let mut placer = self.state.placer.borrow_mut();
         placer.on_outcome(Instant::now(), &self.placement, &request, outcome, report);
@@ -522,7 +536,9 @@
     }
     !matches!(
         status,
-        StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
     )
 }
 
--- a/bin/lh-edge/src/inner.rs
+++ b/bin/lh-edge/src/inner.rs
@@ -55,7 +55,14 @@
     match path {
         lookup::READY_PATH => {
             let ready = state.is_ready();
-            text(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, String::new())
+            text(
+                if ready {
+                    StatusCode::OK
+                } else {
+                    StatusCode::SERVICE_UNAVAILABLE
+                },
+                String::new(),
+            )
         }
         lookup::LOOKUP_PATH => {
             let place = lookup::read_place(request.uri().query().unwrap_or(""));
--- a/bin/lh-edge/src/metrics.rs
+++ b/bin/lh-edge/src/metrics.rs
@@ -7,9 +7,7 @@
 use crate::error::Result;
 
 /// Upper bounds of the latency buckets, in seconds: around the usual objectives.
-const LATENCY_BUCKETS: [f64; 11] = [
-    0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1.2, 2.0, 4.0,
-];
+const LATENCY_BUCKETS: [f64; 11] = [0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1.2, 2.0, 4.0];
 
 /// All metrics of the entry.
 #[derive(Debug)]
@@ -47,7 +45,10 @@
             &["service", "result"],
         )?;
         let store_calls = IntCounterVec::new(
-            Opts::new("laurelhill_store_calls_total", "Calls to the store by result"),
+            Opts::new(
+                "laurelhill_store_calls_total",
+                "Calls to the store by result",
+            ),
             &["call", "result"],
         )?;
         let version = IntGauge::new("laurelhill_desired_version", "Desired state in force")?;
--- a/bin/lh-edge/src/pool.rs
+++ b/bin/lh-edge/src/pool.rs
@@ -181,7 +181,11 @@
     let stated = headers
         .get(HeaderName::from_static("keep-alive"))
         .and_then(|value| value.to_str().ok())
-        .and_then(|value| value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")))
+        .and_then(|value| {
+            value
+                .split(',')
+                .find_map(|part| part.trim().strip_prefix("timeout="))
+        })
         .and_then(|seconds| seconds.trim().parse::<u64>().ok());
     let keep = match stated {
         Some(seconds) => Duration::from_secs(seconds).saturating_sub(CLOSE_MARGIN),
--- a/bin/lh-edge/src/record.rs
+++ b/bin/lh-edge/src/record.rs
@@ -4,9 +4,9 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use place::desired::RouteSpec;
 use hyper::StatusCode;
-use place::placer::{Placement, Refusal};
+use place::desired::RouteSpec;
+use place::request::{Placement, Refusal};
 use place::server::ServerReport;
 
 use crate::state::EdgeState;
@@ -121,11 +121,22 @@
         let read_at = self.state.placer.borrow().catalog.read_at();
         let servers_age_ms = read_at.map_or(-1, |at| at.elapsed().as_millis() as i64);
         let refused = self.refusal.map_or(String::new(), |refusal| {
-            format!("{:?}, back in {} ms", refusal.reason, refusal.retry_after.as_millis())
+            format!(
+                "{:?}, back in {} ms",
+                refusal.reason,
+                refusal.retry_after.as_millis()
+            )
         });
-        let may_repeat = self.route.as_ref().is_none_or(|route| route.kind.may_repeat());
+        let may_repeat = self
+            .route
+            .as_ref()
+            .is_none_or(|route| route.kind.may_repeat());
         let lost = outcome == RequestOutcome::Unknown && !may_repeat;
-        let level = if lost { log::Level::Warn } else { log::Level::Info };
+        let level = if lost {
+            log::Level::Warn
+        } else {
+            log::Level::Info
+        };
         log::log!(
             level,
             request = self.id.as_str(),
--- a/bin/lh-edge/src/state.rs
+++ b/bin/lh-edge/src/state.rs
@@ -112,7 +112,11 @@
         };
         let over: Vec<String> = {
             let evacuated = self.evacuated.borrow();
-            evacuated.iter().filter(|zone| !listed(zone)).cloned().collect()
+            evacuated
+                .iter()
+                .filter(|zone| !listed(zone))
+                .cloned()
+                .collect()
         };
         for change in changes {
             self.on_operator(change);
@@ -129,7 +133,9 @@
         for change in &changes {
             match change {
                 CatalogChange::Joined(id) => log::info!(server = id.as_str(); "server joined"),
-                CatalogChange::Draining(id) => log::info!(server = id.as_str(); "server is leaving"),
+                CatalogChange::Draining(id) => {
+                    log::info!(server = id.as_str(); "server is leaving")
+                }
                 CatalogChange::Gone(id) => log::info!(server = id.as_str(); "server is gone"),
                 CatalogChange::Cold(id) => log::info!(server = id.as_str(); "server is cold"),
                 CatalogChange::Missing(id) => {
@@ -142,12 +148,14 @@
     /// Divides shared rates among the entries that are live now.
     pub(crate) fn refresh_entries(&self) {
         let now = Instant::now();
-        let hashes = {
+        let (hashes, in_region) = {
             let peers = self.peers.borrow();
-            let live = peers.live(now).map(|beat| stable_hash(beat.node.as_bytes()));
-            live.collect()
+            let live = || peers.live(now);
+            let hashes = live().map(|beat| stable_hash(beat.node.as_bytes()));
+            let near = live().filter(|beat| beat.region == self.config.region);
+            (hashes.collect(), near.count())
         };
-        self.placer.borrow_mut().set_entries(hashes);
+        self.placer.borrow_mut().set_entries(hashes, in_region);
     }
 
     fn on_desired(&self, desired: &DesiredState) {
--- a/bin/lh-edge/src/watch.rs
+++ b/bin/lh-edge/src/watch.rs
@@ -43,7 +43,9 @@
                 rows.version
             }),
         };
-        state.metrics.on_store_call("operator", result.as_ref().err());
+        state
+            .metrics
+            .on_store_call("operator", result.as_ref().err());
         match result {
             Ok(newest) => {
                 dependency.regained();
@@ -68,7 +70,9 @@
     loop {
         let begun = Instant::now();
         let result = client.read_servers().await;
-        state.metrics.on_store_call("servers", result.as_ref().err());
+        state
+            .metrics
+            .on_store_call("servers", result.as_ref().err());
         match result {
             Ok(entries) => {
                 dependency.regained();
@@ -91,7 +95,9 @@
     let mut written = false;
     loop {
         let result = exchange_entries(&state, &mut client, &mut written).await;
-        state.metrics.on_store_call("entries", result.as_ref().err());
+        state
+            .metrics
+            .on_store_call("entries", result.as_ref().err());
         match result {
             Ok(()) => {
                 dependency.regained();
@@ -112,7 +118,9 @@
 ) -> platform::Result<()> {
     if !*written {
         let config = &state.config;
-        client.write_entry(&config.node, config.beat_address).await?;
+        client
+            .write_entry(&config.node, config.beat_address)
+            .await?;
         *written = true;
     }
     let now = Instant::now();
--- /dev/null
+++ b/crates/place/src/choice.rs
@@ -0,0 +1,274 @@
+//! Weighs the servers that could take a request.
+
+use std::time::Instant;
+
+use crate::catalog::ServerHandle;
+use crate::request::{PlacementReason, PlacementRequest, RefusalReason};
+use crate::server::ServerRecord;
+use crate::shift::ShiftDirection;
+use crate::timing::millis;
+use crate::work::RouteWork;
+
+/// Requests at a server, as a multiple of its slots, up to which it gets more.
+/// Beyond, waiting costs the objective of those behind.
+const QUEUE_FACTOR: f64 = 2.5;
+/// The same for a request that was refused before: a second refusal is final
+/// for its caller.
+const RETURN_FACTOR: f64 = 3.0;
+/// Lower factor for each step of priority, so that the urgent find room.
+const PRIORITY_STEP: f64 = 0.15;
+/// A new request waits only where it is answered within this multiple of its
+/// objective: beyond, it would make those behind it late as well.
+const OBJECTIVE_FACTOR: f64 = 1.0;
+/// Lower factor of the objective for each step of priority.
+const OBJECTIVE_STEP: f64 = 0.1;
+/// A returning request waits where it is answered within this share of its time.
+const REMAINING_FACTOR: f64 = 0.8;
+/// Priorities beyond this one are treated alike.
+const LAST_PRIORITY: u32 = 3;
+/// A cold server works this many times as long.
+const COLD_SLOWNESS: f64 = 2.0;
+/// Round trip to another failure domain of the region, in milliseconds.
+const ZONE_TRIP: f64 = 3.0;
+/// Round trip to another region, in milliseconds.
+pub(crate) const REGION_TRIP: f64 = 72.0;
+/// What a kilobyte over a link between failure domains is worth, in
+/// milliseconds of latency.
+const ZONE_BYTES: f64 = 0.6;
+/// What a kilobyte over a link between regions is worth, in milliseconds.
+const REGION_BYTES: f64 = 2.0;
+/// Kilobytes of an answer, before it is known.
+const USUAL_ANSWER: f64 = 4.0;
+/// Latency that a certain failure is worth, as a multiple of the objective.
+const FAILURE_COST: f64 = 3.0;
+/// Keeps requests in another region while their share there may not fall
+/// faster, in milliseconds: more than any wait that is worth having.
+const HELD_COST: f64 = 2000.0;
+/// Servers beyond those where an object belongs take it while this share of
+/// their slots or less was in use over the last second: they have time to load
+/// it, and seldom need what it drives out.
+const IDLE_SHARE: f64 = 0.3;
+/// What it costs to send an object where it doesn't belong, as a multiple of
+/// what a held object saves: it drives out another one there.
+const AFFINITY_COST: f64 = 2.0;
+/// Share of a server's slots that one object may need before it belongs to one
+/// server more.
+const OBJECT_SHARE: f64 = 0.7;
+
+/// Where the choosing entry stands.
+#[derive(Debug, Clone, Copy)]
+pub struct ChoicePlace<'a> {
+    /// Its failure domain.
+    pub zone: &'a str,
+    /// Its region.
+    pub region: &'a str,
+    /// Entries of its region, itself included.
+    pub entries: usize,
+    /// Where the next request may go.
+    pub direction: ShiftDirection,
+}
+
+/// A server that could take the request.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidate {
+    /// The server.
+    pub handle: ServerHandle,
+    /// Its rank for the object among the usable servers of its region.
+    pub rank: usize,
+}
+
+/// The best server so far, or why there is none.
+#[derive(Debug)]
+pub struct ServerChoice<'a> {
+    now: Instant,
+    request: &'a PlacementRequest<'a>,
+    place: ChoicePlace<'a>,
+    work: &'a RouteWork,
+    patience: f64,
+    width: usize,
+    best: Option<(f64, ServerHandle, PlacementReason)>,
+    blocked: RefusalReason,
+    room_in: Option<f64>,
+}
+
+impl<'a> ServerChoice<'a> {
+    /// A choice for `request` among no servers yet.
+    pub fn new(
+        now: Instant,
+        request: &'a PlacementRequest<'a>,
+        place: ChoicePlace<'a>,
+        work: &'a RouteWork,
+    ) -> Self {
+        Self {
+            now,
+            request,
+            place,
+            work,
+            patience: patience(request),
+            width: 1,
+            best: None,
+            blocked: RefusalReason::Late,
+            room_in: None,
+        }
+    }
+
+    /// Weighs `record`; `likelihood` is that of its holding the object.
+    pub fn weigh(&mut self, candidate: &Candidate, record: &ServerRecord, reason: PlacementReason) {
+        let slots = f64::from(record.entry.slots.max(1));
+        let away = record.region != self.place.region;
+        if away && self.place.direction == ShiftDirection::Stay {
+            self.block(RefusalReason::ShiftCap, None);
+            return;
+        }
+        let estimate = self.estimate(record, &reason);
+        let ahead = (reason.occupancy + 1.0 - slots).max(0.0);
+        let wait = ahead * estimate.usual / slots;
+        let beyond = reason.occupancy + 1.0 - slots * queue_factor(self.request);
+        if beyond > 0.0 {
+            self.block(RefusalReason::Full, Some(beyond * estimate.usual / slots));
+            return;
+        }
+        if !self.belongs(candidate) && (ahead > 0.0 || !is_idle(record, slots)) {
+            self.block(RefusalReason::Full, Some(wait));
+            return;
+        }
+        let expected = self.trip(record) + wait + estimate.work;
+        // Where nobody waits, only the work itself can tell how long it takes.
+        if wait > 0.0 && expected > self.patience {
+            self.block(RefusalReason::Late, Some(expected - self.patience));
+            return;
+        }
+        let cost = expected + self.surcharge(candidate, record);
+        let reason = PlacementReason {
+            expected,
+            away,
+            free: reason.occupancy < slots,
+            work: estimate.work,
+            ..reason
+        };
+        if self.best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+            self.best = Some((cost, candidate.handle, reason));
+        }
+    }
+
+    /// Notes that a server may not take the request, and in how many
+    /// milliseconds it might.
+    pub fn block(&mut self, reason: RefusalReason, room_in: Option<f64>) {
+        if self.blocked != RefusalReason::Full {
+            self.blocked = reason;
+        }
+        self.room_in = match (self.room_in, room_in) {
+            (Some(known), Some(found)) => Some(known.min(found)),
+            (known, found) => known.or(found),
+        };
+    }
+
+    /// Lets the object belong to as many servers as its requests keep busy.
+    pub fn set_width(&mut self, slots: f64) {
+        let Some(object) = self.request.object else {
+            return;
+        };
+        let rate = self.work.demand(self.now, object) * self.place.entries as f64;
+        let busy = rate * self.work.warm.value() / 1000.0;
+        self.width = 1 + (busy / (slots * OBJECT_SHARE)).floor() as usize;
+    }
+
+    /// The best server and why, or the reason for a refusal with the seconds
+    /// until room is expected.
+    ///
+    /// # Errors
+    /// The reason, where no server should get the request.
+    pub fn finish(self) -> Result<(ServerHandle, PlacementReason), (RefusalReason, Option<f64>)> {
+        match self.best {
+            Some((_, handle, reason)) => Ok((handle, reason)),
+            None => Err((self.blocked, self.room_in.map(|room_in| room_in / 1000.0))),
+        }
+    }
+
+    fn belongs(&self, candidate: &Candidate) -> bool {
+        // Without an object nothing is driven out.
+        self.request.object.is_none() || !self.request.route.sticky || candidate.rank < self.width
+    }
+
+    fn estimate(&self, record: &ServerRecord, reason: &PlacementReason) -> WorkEstimate {
+        let (warm, cold) = (self.work.warm.value(), self.work.cold.value());
+        let slowness = if reason.cold { COLD_SLOWNESS } else { 1.0 };
+        let speed = record.speed(self.now) * slowness;
+        let work = (warm * reason.warmth + cold * (1.0 - reason.warmth)) * speed;
+        WorkEstimate {
+            work,
+            usual: warm.midpoint(cold).min(work),
+        }
+    }
+
+    fn surcharge(&self, candidate: &Candidate, record: &ServerRecord) -> f64 {
+        let objective = millis(self.request.route.objective);
+        let failing = record.failure_rate(self.now) * FAILURE_COST * objective;
+        let away = record.region != self.place.region;
+        let held = if !away && self.place.direction == ShiftDirection::Leave {
+            HELD_COST
+        } else {
+            0.0
+        };
+        let saved = (self.work.cold.value() - self.work.warm.value()).max(0.0);
+        let strange = AFFINITY_COST * strangeness(candidate.rank) * saved;
+        failing + held + strange + self.byte_cost(record)
+    }
+
+    fn trip(&self, record: &ServerRecord) -> f64 {
+        if record.entry.zone == self.place.zone {
+            0.0
+        } else if record.region == self.place.region {
+            ZONE_TRIP
+        } else {
+            REGION_TRIP
+        }
+    }
+
+    fn byte_cost(&self, record: &ServerRecord) -> f64 {
+        let kilobytes = USUAL_ANSWER + self.request.body_bytes as f64 / 1000.0;
+        if record.entry.zone == self.place.zone {
+            0.0
+        } else if record.region == self.place.region {
+            kilobytes * ZONE_BYTES
+        } else {
+            kilobytes * REGION_BYTES
+        }
+    }
+}
+
+/// Work that is expected, in milliseconds.
+struct WorkEstimate {
+    /// Of the request.
+    work: f64,
+    /// Of those ahead of it.
+    usual: f64,
+}
+
+fn is_idle(record: &ServerRecord, slots: f64) -> bool {
+    record.usual_occupancy() < IDLE_SHARE * slots
+}
+
+/// How far a server at `rank` is from where an object belongs, 0 to 1.
+fn strangeness(rank: usize) -> f64 {
+    const BY_RANK: [f64; 4] = [0.0, 0.3, 0.6, 0.8];
+    BY_RANK.get(rank).copied().unwrap_or(1.0)
+}
+
+/// The longest expected time to the answer for which a request may wait, in
+/// milliseconds.
+fn patience(request: &PlacementRequest<'_>) -> f64 {
+    let remaining = REMAINING_FACTOR * millis(request.remaining);
+    if request.returning {
+        return remaining;
+    }
+    let step = OBJECTIVE_STEP * f64::from(request.route.priority.min(LAST_PRIORITY));
+    remaining.min((OBJECTIVE_FACTOR - step) * millis(request.route.objective))
+}
+
+fn queue_factor(request: &PlacementRequest<'_>) -> f64 {
+    if request.returning {
+        return RETURN_FACTOR;
+    }
+    QUEUE_FACTOR - PRIORITY_STEP * f64::from(request.route.priority.min(LAST_PRIORITY))
+}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -7,15 +7,20 @@
 
 pub mod budget;
 pub mod catalog;
+pub mod choice;
 pub mod desired;
+pub mod load;
 pub mod peers;
 pub mod placer;
 pub mod prelude;
 pub mod ramp;
 pub mod rank;
+pub mod refusal;
+pub mod request;
 pub mod routes;
 pub mod server;
 pub mod shift;
 pub mod split;
 pub mod timing;
 pub mod warmth;
+pub mod work;
--- /dev/null
+++ b/crates/place/src/load.rs
@@ -0,0 +1,57 @@
+//! What the entries tell each other of their requests at servers.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use crate::catalog::ServerCatalog;
+
+/// An entry's word counts for this long: it is given several times a second.
+const LOAD_LIFE: Duration = Duration::from_millis(1500);
+
+/// One entry's requests: short names of servers, with counts.
+pub type LoadList = Vec<(u32, u16)>;
+
+/// The newest word of each other entry.
+#[derive(Debug, Default)]
+pub struct PeerLoads {
+    lists: HashMap<u64, (Instant, LoadList)>,
+}
+
+/// Short name of a server, from the hash of its id. Two servers with one name
+/// are merely thought to be busier than they are.
+pub fn short_name(hash: u64) -> u32 {
+    (hash ^ (hash >> 32)) as u32
+}
+
+impl PeerLoads {
+    /// Takes in the word of `entry`.
+    pub fn on_list(&mut self, now: Instant, entry: u64, list: LoadList) {
+        self.lists.insert(entry, (now, list));
+    }
+
+    /// Sets in `catalog` what the other entries have at each server.
+    pub fn apply(&mut self, now: Instant, catalog: &mut ServerCatalog) {
+        self.lists
+            .retain(|_, (at, _)| now.saturating_duration_since(*at) < LOAD_LIFE);
+        let mut sums: HashMap<u32, f64> = HashMap::new();
+        for (_, list) in self.lists.values() {
+            for (name, count) in list {
+                *sums.entry(*name).or_default() += f64::from(*count);
+            }
+        }
+        for record in catalog.iter_mut() {
+            let sum = sums.get(&short_name(record.hash));
+            record.peer_load = sum.copied().unwrap_or(0.0);
+        }
+    }
+}
+
+/// Own requests at the servers of `catalog`.
+pub fn own_load(catalog: &ServerCatalog) -> LoadList {
+    let busy = catalog.iter().filter(|record| record.in_flight > 0);
+    busy.map(|record| {
+        let count = u16::try_from(record.in_flight).unwrap_or(u16::MAX);
+        (short_name(record.hash), count)
+    })
+    .collect()
+}
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -10,64 +10,30 @@
 
 use crate::budget::{BudgetBounds, RetryBudget};
 use crate::catalog::{ServerCatalog, ServerHandle};
+use crate::choice::{Candidate, ChoicePlace, REGION_TRIP, ServerChoice};
 use crate::desired::{DesiredState, RouteSpec, ServiceSpec};
+use crate::load::{LoadList, PeerLoads, own_load};
 use crate::ramp::ColdRamp;
 use crate::rank::pair_weight;
-use crate::server::{ServerRecord, ServerReport};
-use crate::shift::{ShiftDirection, ShiftLimiter};
+use crate::refusal::ReturnSpread;
+use crate::request::{
+    Placement, PlacementReason, PlacementRequest, Refusal, RefusalReason, ServerOutcome,
+};
+use crate::server::{EntryState, ServerRecord, ServerReport};
+use crate::shift::ShiftLimiter;
 use crate::split::TrafficSplitter;
-use crate::timing::{Average, millis};
-use crate::warmth::{Belief, WarmthMap, WarmthRates};
-
-/// Requests at a server, as a multiple of its slots, up to which it gets more.
-/// Beyond, waiting costs the objective of those behind.
-const QUEUE_FACTOR: f64 = 2.5;
-/// The same for a request that was refused before: a second refusal is final
-/// for its caller.
-const RETURN_FACTOR: f64 = 3.0;
-/// A new request waits only where it is answered within this multiple of its
-/// objective: beyond, it would make those behind it late as well.
-const OBJECTIVE_FACTOR: f64 = 1.0;
-/// A returning request waits where it is answered within this share of its time.
-const REMAINING_FACTOR: f64 = 0.8;
-/// Lower factor of the objective for each step of priority.
-const OBJECTIVE_STEP: f64 = 0.1;
-/// Lower factor for each step of priority, so that the urgent find room.
-const PRIORITY_STEP: f64 = 0.15;
-/// Weight of the newest answer in the work of a route.
-const WORK_WEIGHT: f64 = 0.05;
-/// Work of a cold object at the beginning, as a share of the objective.
-const FIRST_WORK: f64 = 1.2;
-/// Work for a held object at the beginning, as a share of the objective.
-const FIRST_WARM_WORK: f64 = 0.36;
-/// Round trip to another failure domain of the region, in milliseconds.
-const ZONE_TRIP: f64 = 3.0;
-/// Round trip to another region, in milliseconds.
-const REGION_TRIP: f64 = 72.0;
-/// What a kilobyte over a link between failure domains is worth, in
-/// milliseconds of latency.
-const ZONE_BYTES: f64 = 0.6;
-/// What a kilobyte over a link between regions is worth, in milliseconds.
-const REGION_BYTES: f64 = 2.0;
-/// Latency that a certain failure is worth, as a multiple of the objective.
-const FAILURE_COST: f64 = 3.0;
-/// Keeps requests in another region while their share there may not fall
-/// faster, in milliseconds: more than any wait that is worth having.
-const HELD_COST: f64 = 2000.0;
-/// Servers of a region to which an object's requests always go.
-const HOME_RANKS: usize = 1;
-/// Further servers take them while this share of their slots or less is in use:
-/// they have time to load the object, and seldom need what it drives out.
-const IDLE_SHARE: f64 = 0.3;
-/// What it costs to send an object where it doesn't belong, as a multiple of
-/// what a held object saves: it drives out another one there.
-const AFFINITY_COST: f64 = 2.0;
-/// An entry's word on its requests counts for this long.
-const LOAD_LIFE: Duration = Duration::from_millis(1500);
-/// Shortest and longest time after which a caller is asked to come back.
-const RETURN_RANGE: (f64, f64) = (0.15, 0.9);
-/// A deadline below this share of the longest seen marks a returning request.
-const RETURN_SHARE: f64 = 0.97;
+use crate::timing::millis;
+use crate::warmth::WarmthMap;
+use crate::work::WorkBook;
+
+/// A server that rejects a request as full has about this many times its slots.
+const FULL_FACTOR: f64 = 3.0;
+/// Warm-up of a service that isn't known.
+const USUAL_WARMUP: Duration = Duration::from_secs(3);
+/// Rate that a cold server of an unknown service bears, in requests a second.
+const USUAL_COLD_RATE: f64 = 1.0;
+/// Room after a rejection by servers, in seconds.
+const REJECTED_ROOM: f64 = 0.3;
 
 /// What the placer must know of its place and bounds.
 #[derive(Debug, Clone)]
@@ -86,130 +52,6 @@
     pub own: u64,
 }
 
-/// A request that wants a server.
-#[derive(Debug)]
-pub struct PlacementRequest<'a> {
-    /// Its route.
-    pub route: &'a RouteSpec,
-    /// Index of the route's part that it belongs to.
-    pub part: usize,
-    /// Hash of the object that it concerns.
-    pub object: Option<u64>,
-    /// How long an answer is still of use.
-    pub remaining: Duration,
-    /// Whether it was refused before.
-    pub returning: bool,
-    /// Size of the body, in bytes.
-    pub body_bytes: usize,
-    /// Servers that it was sent to before.
-    pub tried: &'a [ServerHandle],
-}
-
-/// Where a request goes.
-#[derive(Debug, Clone)]
-pub struct Placement {
-    /// The server.
-    pub handle: ServerHandle,
-    /// Its address.
-    pub address: std::net::SocketAddr,
-    /// The run of the server that is meant.
-    pub id: String,
-    /// Why this one, for the log.
-    pub reason: PlacementReason,
-    started: Instant,
-}
-
-/// The figures that decided a placement.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct PlacementReason {
-    /// Expected time to the answer, in milliseconds.
-    pub expected: f64,
-    /// Requests thought to be at the server.
-    pub occupancy: f64,
-    /// Likelihood that the server holds the object.
-    pub warmth: f64,
-    /// The server's rank for the object within its region; 0 is the first.
-    pub rank: usize,
-    /// Whether the server is cold.
-    pub cold: bool,
-    /// Whether it is in another region.
-    pub away: bool,
-    /// Whether no other request had to be finished first.
-    free: bool,
-    work: f64,
-    belief: Option<Belief>,
-}
-
-/// Why a request was refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum RefusalReason {
-    /// No server of the service is known or allowed.
-    NoServer,
-    /// All servers have as much as they can answer in time.
-    Full,
-    /// Only cold servers are left, and their rate is used up.
-    Cold,
-    /// No server can answer before the deadline.
-    Late,
-    /// The bound on moving to other regions is reached.
-    ShiftCap,
-}
-
-/// A refusal, with the time after which room is expected.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Refusal {
-    /// Why.
-    pub reason: RefusalReason,
-    /// When the caller should come back.
-    pub retry_after: Duration,
-}
-
-/// What became of a request at its server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ServerOutcome {
-    /// A whole answer; `good` if the server did its work.
-    Answered {
-        /// Whether the answer wasn't a failure of the server.
-        good: bool,
-    },
-    /// The server rejected the request as full; it has not run.
-    Full,
-    /// Another server has the address; the request has not run.
-    Misdirected,
-    /// No connection could be had; the request was not sent.
-    Unreachable,
-    /// The connection broke, or the answer was not one.
-    Broken,
-    /// The time ran out before the answer came.
-    OutOfTime,
-    /// The caller left.
-    Abandoned,
-}
-
-impl ServerOutcome {
-    /// The outcome in one word, for metrics.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Answered { good: true } => "good",
-            Self::Answered { good: false } => "failed",
-            Self::Full => "full",
-            Self::Misdirected => "misdirected",
-            Self::Unreachable => "unreachable",
-            Self::Broken => "broken",
-            Self::OutOfTime => "out-of-time",
-            Self::Abandoned => "abandoned",
-        }
-    }
-}
-
-#[derive(Debug)]
-struct RouteWork {
-    warm: Average,
-    cold: Average,
-    rates: WarmthRates,
-    longest_deadline: Duration,
-}
-
 /// The choice among servers.
 #[derive(Debug)]
 pub struct RequestPlacer {
@@ -222,16 +64,11 @@
     ramp: ColdRamp,
     shift: ShiftLimiter,
     warmth: WarmthMap,
-    work: HashMap<String, RouteWork>,
+    work: WorkBook,
     entries: Vec<u64>,
-    loads: HashMap<u64, (Instant, Vec<(u32, u16)>)>,
-    dice: u64,
-}
-
-struct Candidate {
-    handle: ServerHandle,
-    weight: u64,
-    region: usize,
+    region_entries: usize,
+    loads: PeerLoads,
+    spread: ReturnSpread,
 }
 
 impl RequestPlacer {
@@ -245,10 +82,11 @@
             ramp: ColdRamp::default(),
             shift: ShiftLimiter::new(config.shift_cap),
             warmth: WarmthMap::default(),
-            work: HashMap::new(),
+            work: WorkBook::default(),
             entries: vec![config.own],
-            loads: HashMap::new(),
-            dice: config.own | 1,
+            region_entries: 1,
+            loads: PeerLoads::default(),
+            spread: ReturnSpread::new(config.own),
             config,
         }
     }
@@ -262,73 +100,56 @@
             .collect();
     }
 
-    /// Sets the hashes of all live entries; the own one is added.
-    pub fn set_entries(&mut self, mut entries: Vec<u64>) {
+    /// Sets the hashes of all live entries, and how many others are in the own
+    /// region; the own entry is added to both.
+    pub fn set_entries(&mut self, mut entries: Vec<u64>, in_region: usize) {
         entries.push(self.config.own);
         entries.sort_unstable();
         entries.dedup();
         self.budget.set_entries(entries.len());
         self.entries = entries;
+        self.region_entries = in_region + 1;
     }
 
-    /// Takes in which servers the entry `entry` has requests at, and how many:
-    /// pairs of [`load_name`] and count.
-    pub fn on_peer_load(&mut self, now: Instant, entry: u64, load: Vec<(u32, u16)>) {
-        self.loads.insert(entry, (now, load));
-        self.sum_loads(now);
+    /// Takes in which servers the entry with the hash `entry` has requests at.
+    pub fn on_peer_load(&mut self, now: Instant, entry: u64, list: LoadList) {
+        self.loads.on_list(now, entry, list);
+        self.loads.apply(now, &mut self.catalog);
     }
 
-    /// Own requests at servers, for the other entries.
-    pub fn own_load(&mut self, now: Instant) -> Vec<(u32, u16)> {
+    /// Own requests at servers, for the other entries. Call it several times a
+    /// second: it also smooths what is known of the servers' occupancy.
+    pub fn own_load(&mut self, now: Instant) -> LoadList {
         for record in self.catalog.iter_mut() {
             record.observe(now);
         }
-        let busy = self.catalog.iter().filter(|record| record.in_flight > 0);
-        busy.map(|record| {
-            let count = u16::try_from(record.in_flight).unwrap_or(u16::MAX);
-            (load_name(record.hash), count)
-        })
-        .collect()
-    }
-
-    fn sum_loads(&mut self, now: Instant) {
-        self.loads
-            .retain(|_, (at, _)| now.saturating_duration_since(*at) < LOAD_LIFE);
-        let mut sums: HashMap<u32, f64> = HashMap::new();
-        for (_, load) in self.loads.values() {
-            for (name, count) in load {
-                *sums.entry(*name).or_default() += f64::from(*count);
-            }
-        }
-        for record in self.catalog.iter_mut() {
-            record.peer_load = sums.get(&load_name(record.hash)).copied().unwrap_or(0.0);
-        }
+        own_load(&self.catalog)
     }
 
     /// The longest warm-up of any service.
     pub fn longest_warmup(&self) -> Duration {
         let warmups = self.services.values().map(|service| service.warmup);
-        warmups.max().unwrap_or(Duration::from_secs(3))
+        warmups.max().unwrap_or(USUAL_WARMUP)
     }
 
-    /// A caller's request on `route` arrived; returns its part of the route and
-    /// whether it seems to have been refused before.
+    /// A caller's request on `route` for `object` arrived; returns its part of
+    /// the route and whether it seems to have been refused before.
     pub fn on_request(
         &mut self,
         now: Instant,
         route: &RouteSpec,
+        object: Option<u64>,
         deadline: Option<Duration>,
     ) -> (usize, bool) {
         let part = self.splitter.choose(route);
         if let Some(chosen) = route.parts.get(part) {
             self.budget.on_request(now, &chosen.service);
         }
-        let Some(deadline) = deadline else {
-            return (part, false);
-        };
-        let work = self.work_of(route);
-        work.longest_deadline = work.longest_deadline.max(deadline);
-        let returning = millis(deadline) < RETURN_SHARE * millis(work.longest_deadline);
+        let work = self.work.of(route);
+        if let Some(object) = object {
+            work.on_request(now, object);
+        }
+        let returning = deadline.is_some_and(|deadline| work.is_returning(deadline));
         (part, returning)
     }
 
@@ -337,6 +158,12 @@
         self.budget.take(now, service)
     }
 
+    /// The refusal of a request that servers rejected as full.
+    pub fn rejected(&mut self) -> Refusal {
+        self.spread
+            .refusal(RefusalReason::Full, Some(REJECTED_ROOM))
+    }
+
     /// Chooses the server, and counts the request as sent to it.
     ///
     /// # Errors
@@ -347,101 +174,55 @@
         request: &PlacementRequest<'_>,
     ) -> Result<Placement, Refusal> {
         let Some(part) = request.route.parts.get(request.part) else {
-            return Err(self.refusal(RefusalReason::NoServer, 0.5));
+            return Err(self.spread.refusal(RefusalReason::NoServer, None));
         };
         let service = part.service.as_str();
-        let candidates = self.candidates(service, request);
+        let candidates = self.candidates(now, service, request);
         if candidates.is_empty() {
-            return Err(self.refusal(RefusalReason::NoServer, 0.5));
+            return Err(self.spread.refusal(RefusalReason::NoServer, None));
         }
-        let ranks = ranks(&candidates);
-        let direction = self.shift.direction(now);
-        self.work_of(request.route);
-        let Some(known) = self.work.get(&request.route.name) else {
-            return Err(self.refusal(RefusalReason::NoServer, 0.5));
+        self.work.of(request.route);
+        let Some(work) = self.work.known(request.route) else {
+            return Err(self.spread.refusal(RefusalReason::NoServer, None));
+        };
+        let place = ChoicePlace {
+            zone: &self.config.zone,
+            region: &self.config.region,
+            entries: self.region_entries,
+            direction: self.shift.direction(now),
         };
-        let (warm, cold) = (known.warm.value(), known.cold.value());
-        let patience = patience(request);
-        let mut best: Option<(f64, ServerHandle, PlacementReason)> = None;
-        let mut blocked = RefusalReason::Late;
-        let mut room_in = f64::MAX;
-        for (candidate, rank) in candidates.iter().zip(&ranks) {
+        let mut choice = ServerChoice::new(now, request, place, work);
+        for candidate in &candidates {
             let Some(record) = self.catalog.get(candidate.handle) else {
                 continue;
             };
-            if record.is_paused(now) {
+            let cold = record.is_cold(now);
+            if cold && !self.may_warm(now, record, service) {
+                choice.block(RefusalReason::Cold, None);
                 continue;
             }
-            let away = record.region != self.config.region;
-            if away && direction == ShiftDirection::Stay {
-                blocked = worse(blocked, RefusalReason::ShiftCap);
-                continue;
-            }
-            let is_cold = record.is_cold(now);
-            if is_cold && !self.may_warm(now, record, service) {
-                blocked = worse(blocked, RefusalReason::Cold);
-                continue;
-            }
-            let occupancy = record.occupancy(now);
-            let slots = f64::from(record.entry.slots.max(1));
             let belief = request
                 .object
-                .map(|object| self.warmth.belief(now, record.hash, object, *rank));
-            let likelihood = belief.map_or(0.0, |belief| known.rates.likelihood(belief));
-            let speed = record.speed(now) * if is_cold { 2.0 } else { 1.0 };
-            let work = (warm * likelihood + cold * (1.0 - likelihood)) * speed;
-            let usual = warm.midpoint(cold).min(work);
-            let ahead = (occupancy + 1.0 - slots).max(0.0);
-            let wait = ahead * usual / slots;
-            let limit = slots * queue_factor(request);
-            if occupancy + 1.0 > limit {
-                blocked = worse(blocked, RefusalReason::Full);
-                room_in = room_in.min((occupancy + 1.0 - limit) * usual / slots);
-                continue;
-            }
-            let at_home = request.object.is_none() || *rank < HOME_RANKS;
-            let idle = ahead == 0.0 && record.usual_occupancy() < IDLE_SHARE * slots;
-            if !at_home && !idle {
-                blocked = worse(blocked, RefusalReason::Full);
-                room_in = room_in.min(ahead * usual / slots);
-                continue;
-            }
-            let trip = self.trip(record);
-            let expected = trip + wait + work;
-            // Where nobody waits, only the work itself can tell how long it takes.
-            if wait > 0.0 && expected > patience {
-                blocked = worse(blocked, RefusalReason::Late);
-                room_in = room_in.min(expected - patience);
-                continue;
-            }
-            let failing = record.failure_rate(now) * FAILURE_COST * millis(request.route.objective);
-            let held = if !away && direction == ShiftDirection::Leave {
-                HELD_COST
-            } else {
-                0.0
-            };
-            let strange = AFFINITY_COST * affinity(*rank) * (cold - warm).max(0.0);
-            let cost = expected + held + strange + failing + self.byte_cost(record, request.body_bytes);
+                .map(|object| self.warmth.belief(now, record.hash, object, candidate.rank));
+            let warmth = belief.map_or(0.0, |belief| work.rates.likelihood(belief));
             let reason = PlacementReason {
-                expected,
-                occupancy,
-                warmth: likelihood,
-                rank: *rank,
-                cold: is_cold,
-                away,
-                free: occupancy < slots,
-                work,
+                expected: 0.0,
+                occupancy: record.occupancy(now),
+                warmth,
+                rank: candidate.rank,
+                cold,
+                away: false,
+                free: false,
+                work: 0.0,
                 belief,
             };
-            if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
-                best = Some((cost, candidate.handle, reason));
-            }
+            choice.set_width(f64::from(record.entry.slots.max(1)));
+            choice.weigh(candidate, record, reason);
+        }
+        match choice.finish() {
+            Ok((handle, reason)) => Ok(self.send(now, handle, reason)),
+            Err((reason, room_in)) => Err(self.spread.refusal(reason, room_in)),
         }
-        let Some((_, handle, reason)) = best else {
-            let wait = if room_in == f64::MAX { 400.0 } else { room_in };
-            return Err(self.refusal(blocked, wait / 1000.0));
-        };
-        Ok(self.send(now, handle, reason))
     }
 
     /// Takes in what became of a request that was placed.
@@ -470,12 +251,12 @@
                 record.on_reached();
                 if report.is_none() {
                     let slots = f64::from(record.entry.slots);
-                    record.on_full(now, slots * 3.0);
+                    record.on_full(now, slots * FULL_FACTOR);
                 }
                 record.on_outcome(now, false);
             }
             ServerOutcome::Misdirected => {
-                record.entry.state = crate::server::EntryState::Draining;
+                record.entry.state = EntryState::Draining;
             }
             ServerOutcome::Unreachable => {
                 record.on_unreachable(now);
@@ -494,7 +275,6 @@
             ServerOutcome::Abandoned => {}
         }
         record.in_flight = record.in_flight.saturating_sub(1);
-        record.touched = Some(now);
         if outcome == ServerOutcome::Unreachable {
             self.warmth.forget(hash);
         }
@@ -511,35 +291,25 @@
         hash: u64,
     ) {
         let reason = &placement.reason;
-        let took = millis(now.saturating_duration_since(placement.started));
         if let Some(object) = request.object {
             self.warmth.on_handled(now, hash, object);
         }
+        if !reason.free {
+            return;
+        }
+        let took = millis(now.saturating_duration_since(placement.started));
         let trip = if reason.away { REGION_TRIP } else { 0.0 };
         let work = took - trip;
-        if reason.free && !reason.cold {
-            let known = self.work_of(request.route);
-            // Nearer to the one or the other, by ratio.
-            let held = work * work < known.warm.value() * known.cold.value();
-            if held {
-                known.warm.add(work);
-            } else {
-                known.cold.add(work);
-            }
-            if let Some(belief) = reason.belief {
-                known.rates.on_answer(belief, held);
-            }
+        if !reason.cold {
+            self.work.of(request.route).on_answer(work, reason.belief);
         }
-        if let Some(record) = self.catalog.get_mut(placement.handle)
-            && reason.free
-        {
+        if let Some(record) = self.catalog.get_mut(placement.handle) {
             record.on_speed(now, work / reason.work.max(1.0) * record.speed(now));
         }
     }
 
     fn send(&mut self, now: Instant, handle: ServerHandle, reason: PlacementReason) -> Placement {
         self.shift.on_sent(now, reason.away);
-        let record = self.catalog.get_mut(handle);
         let mut placement = Placement {
             handle,
             address: std::net::SocketAddr::from(([0, 0, 0, 0], 0)),
@@ -547,9 +317,8 @@
             reason,
             started: now,
         };
-        if let Some(record) = record {
+        if let Some(record) = self.catalog.get_mut(handle) {
             record.in_flight += 1;
-            record.touched = Some(now);
             placement.address = record.entry.address;
             placement.id.clone_from(&record.entry.id);
             if reason.cold {
@@ -559,155 +328,55 @@
         placement
     }
 
-    fn candidates(&self, service: &str, request: &PlacementRequest<'_>) -> Vec<Candidate> {
+    /// The servers that could take the request, ranked for its object within
+    /// each region. A cold server has the rank of the next one: it takes only a
+    /// little of what belongs to it.
+    fn candidates(
+        &self,
+        now: Instant,
+        service: &str,
+        request: &PlacementRequest<'_>,
+    ) -> Vec<Candidate> {
         let object = request.object.unwrap_or(self.config.own);
-        let mut regions: Vec<&str> = Vec::new();
-        let mut candidates = Vec::new();
         let homes = &request.route.home_regions;
+        let mut usable: Vec<(&str, u64, ServerHandle, bool)> = Vec::new();
         for (handle, record) in self.catalog.open_servers(service) {
-            if request.tried.contains(&handle) {
+            if request.tried.contains(&handle) || record.is_paused(now) {
                 continue;
             }
             if !homes.is_empty() && !homes.contains(&record.region) {
                 continue;
             }
-            let known = regions.iter().position(|known| *known == record.region);
-            let region = known.unwrap_or(regions.len());
-            if known.is_none() {
-                regions.push(&record.region);
+            let weight = pair_weight(object, record.hash);
+            usable.push((&record.region, weight, handle, record.is_cold(now)));
+        }
+        usable.sort_unstable_by(|left, right| (left.0, right.1).cmp(&(right.0, left.1)));
+        let mut candidates = Vec::with_capacity(usable.len());
+        let mut region = "";
+        let mut rank = 0;
+        for (found, _, handle, cold) in usable {
+            if found != region {
+                region = found;
+                rank = 0;
+            }
+            candidates.push(Candidate { handle, rank });
+            if !cold {
+                rank += 1;
             }
-            candidates.push(Candidate {
-                handle,
-                weight: pair_weight(object, record.hash),
-                region,
-            });
         }
         candidates
     }
 
     fn may_warm(&self, now: Instant, record: &ServerRecord, service: &str) -> bool {
-        let rate = self
-            .services
-            .get(service)
-            .map_or(1.0, |service| service.cold_rate);
+        let known = self.services.get(service);
+        let rate = known.map_or(USUAL_COLD_RATE, |service| service.cold_rate);
         self.ramp
             .allows(now, record.hash, self.config.own, &self.entries, rate)
     }
 
-    fn trip(&self, record: &ServerRecord) -> f64 {
-        if record.entry.zone == self.config.zone {
-            0.0
-        } else if record.region == self.config.region {
-            ZONE_TRIP
-        } else {
-            REGION_TRIP
-        }
-    }
-
-    fn byte_cost(&self, record: &ServerRecord, bytes: usize) -> f64 {
-        // The answer's size isn't known yet; a few kilobytes are usual.
-        let kilobytes = 4.0 + bytes as f64 / 1000.0;
-        if record.entry.zone == self.config.zone {
-            0.0
-        } else if record.region == self.config.region {
-            kilobytes * ZONE_BYTES
-        } else {
-            kilobytes * REGION_BYTES
-        }
-    }
-
     fn warmup(&self, request: &PlacementRequest<'_>) -> Duration {
         let part = request.route.parts.get(request.part);
         part.and_then(|part| self.services.get(&part.service))
-            .map_or(Duration::from_secs(3), |service| service.warmup)
-    }
-
-    /// The refusal of a request that servers rejected as full.
-    pub fn full(&mut self) -> Refusal {
-        self.refusal(RefusalReason::Full, 0.3)
-    }
-
-    fn work_of(&mut self, route: &RouteSpec) -> &mut RouteWork {
-        if !self.work.contains_key(&route.name) {
-            let objective = millis(route.objective);
-            let work = RouteWork {
-                warm: Average::new(FIRST_WARM_WORK * objective, WORK_WEIGHT),
-                cold: Average::new(FIRST_WORK * objective, WORK_WEIGHT),
-                rates: WarmthRates::default(),
-                longest_deadline: Duration::ZERO,
-            };
-            self.work.insert(route.name.clone(), work);
-        }
-        self.work.get_mut(&route.name).expect("inserted above")
-    }
-
-    fn refusal(&mut self, reason: RefusalReason, wait: f64) -> Refusal {
-        // Xorshift: spreads those who come back over as long again.
-        self.dice ^= self.dice << 13;
-        self.dice ^= self.dice >> 7;
-        self.dice ^= self.dice << 17;
-        let spread = (self.dice >> 40) as f64 / (1u64 << 24) as f64;
-        let (least, most) = RETURN_RANGE;
-        let seconds = (wait + least * spread).max(least) * (1.0 + spread);
-        Refusal {
-            reason,
-            retry_after: Duration::from_secs_f64(seconds.min(most)),
-        }
-    }
-}
-
-/// The longest expected time to the answer for which a request may wait, in
-/// milliseconds.
-fn patience(request: &PlacementRequest<'_>) -> f64 {
-    let remaining = REMAINING_FACTOR * millis(request.remaining);
-    if request.returning {
-        return remaining;
-    }
-    let step = OBJECTIVE_STEP * f64::from(request.route.priority.min(3));
-    remaining.min((OBJECTIVE_FACTOR - step) * millis(request.route.objective))
-}
-
-fn queue_factor(request: &PlacementRequest<'_>) -> f64 {
-    if request.returning {
-        return RETURN_FACTOR;
-    }
-    QUEUE_FACTOR - PRIORITY_STEP * f64::from(request.route.priority.min(3))
-}
-
-/// Short name of a server in words on load, from its hash. Two servers with one
-/// name are merely thought to be busier.
-pub fn load_name(hash: u64) -> u32 {
-    (hash ^ (hash >> 32)) as u32
-}
-
-/// How far a server at `rank` is from where an object belongs, 0 to 1.
-fn affinity(rank: usize) -> f64 {
-    const BY_RANK: [f64; 4] = [0.0, 0.3, 0.6, 0.8];
-    BY_RANK.get(rank).copied().unwrap_or(1.0)
-}
-
-fn worse(known: RefusalReason, found: RefusalReason) -> RefusalReason {
-    if known == RefusalReason::Full {
-        known
-    } else {
-        found
-    }
-}
-
-/// The rank of each candidate within its region, for the object.
-fn ranks(candidates: &[Candidate]) -> Vec<usize> {
-    let mut order: Vec<usize> = (0..candidates.len()).collect();
-    order.sort_unstable_by_key(|index| {
-        let candidate = &candidates[*index];
-        (candidate.region, std::cmp::Reverse(candidate.weight))
-    });
-    let mut ranks = vec![0; candidates.len()];
-    let mut rank = 0;
-    for (position, index) in order.iter().enumerate() {
-        let same = position > 0
-            && candidates[order[position - 1]].region == candidates[*index].region;
-        rank = if same { rank + 1 } else { 0 };
-        ranks[*index] = rank;
+            .map_or(USUAL_WARMUP, |service| service.warmup)
     }
-    ranks
 }
--- /dev/null
+++ b/crates/place/src/request.rs
@@ -0,0 +1,125 @@
+//! What the placer is asked, what it answers, and what it is told afterwards.
+
+use std::time::{Duration, Instant};
+
+use crate::catalog::ServerHandle;
+use crate::desired::RouteSpec;
+use crate::warmth::Belief;
+
+/// A request that wants a server.
+#[derive(Debug)]
+pub struct PlacementRequest<'a> {
+    /// Its route.
+    pub route: &'a RouteSpec,
+    /// Index of the route's part that it belongs to.
+    pub part: usize,
+    /// Hash of the object that it concerns.
+    pub object: Option<u64>,
+    /// How long an answer is still of use.
+    pub remaining: Duration,
+    /// Whether it was refused before.
+    pub returning: bool,
+    /// Size of the body, in bytes.
+    pub body_bytes: usize,
+    /// Servers that it was sent to before.
+    pub tried: &'a [ServerHandle],
+}
+
+/// Where a request goes.
+#[derive(Debug, Clone)]
+pub struct Placement {
+    /// The server.
+    pub handle: ServerHandle,
+    /// Its address.
+    pub address: std::net::SocketAddr,
+    /// The run of the server that is meant.
+    pub id: String,
+    /// Why this one, for the log.
+    pub reason: PlacementReason,
+    pub(crate) started: Instant,
+}
+
+/// The figures that decided a placement.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PlacementReason {
+    /// Expected time to the answer, in milliseconds.
+    pub expected: f64,
+    /// Requests thought to be at the server.
+    pub occupancy: f64,
+    /// Likelihood that the server holds the object.
+    pub warmth: f64,
+    /// The server's rank for the object within its region; 0 is the first.
+    pub rank: usize,
+    /// Whether the server is cold.
+    pub cold: bool,
+    /// Whether it is in another region.
+    pub away: bool,
+    /// Whether no other request had to be finished first.
+    pub(crate) free: bool,
+    /// Expected work of the request itself, in milliseconds.
+    pub(crate) work: f64,
+    /// What speaks for the server holding the object.
+    pub(crate) belief: Option<Belief>,
+}
+
+/// Why a request was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum RefusalReason {
+    /// No server of the service is known or allowed.
+    NoServer,
+    /// All servers have as much as they can answer in time.
+    Full,
+    /// Only cold servers are left, and their rate is used up.
+    Cold,
+    /// No server can answer before the deadline.
+    Late,
+    /// The bound on moving to other regions is reached.
+    ShiftCap,
+}
+
+/// A refusal, with the time after which room is expected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: RefusalReason,
+    /// When the caller should come back.
+    pub retry_after: Duration,
+}
+
+/// What became of a request at its server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServerOutcome {
+    /// A whole answer; `good` if the server did its work.
+    Answered {
+        /// Whether the answer wasn't a failure of the server.
+        good: bool,
+    },
+    /// The server rejected the request as full; it has not run.
+    Full,
+    /// Another server has the address; the request has not run.
+    Misdirected,
+    /// No connection could be had; the request was not sent.
+    Unreachable,
+    /// The connection broke, or the answer was not one.
+    Broken,
+    /// The time ran out before the answer came.
+    OutOfTime,
+    /// The caller left.
+    Abandoned,
+}
+
+impl ServerOutcome {
+    /// The outcome in one word, for metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered { good: true } => "good",
+            Self::Answered { good: false } => "failed",
+            Self::Full => "full",
+            Self::Misdirected => "misdirected",
+            Self::Unreachable => "unreachable",
+            Self::Broken => "broken",
+            Self::OutOfTime => "out-of-time",
+            Self::Abandoned => "abandoned",
+        }
+    }
+}
--- a/crates/place/src/server.rs
+++ b/crates/place/src/server.rs
@@ -83,8 +83,6 @@
     pub missing_since: Option<Instant>,
     /// Own requests that are at the server.
     pub in_flight: u32,
-    /// When one of them was sent or answered last.
-    pub touched: Option<Instant>,
     /// Requests of other entries at the server, by their own word.
     pub peer_load: f64,
     usual: f64,
@@ -109,7 +107,6 @@
             cold_until: None,
             missing_since: None,
             in_flight: 0,
-            touched: None,
             peer_load: 0.0,
             usual: 0.0,
             usual_at: None,
@@ -144,7 +141,9 @@
 
     /// Requests of everybody that are likely at the server.
     pub fn occupancy(&self, now: Instant) -> f64 {
-        let fresh = self.others_at.map_or(0.0, |at| decay(now, at, REPORT_DECAY));
+        let fresh = self
+            .others_at
+            .map_or(0.0, |at| decay(now, at, REPORT_DECAY));
         f64::from(self.in_flight) + (self.others * fresh).max(self.peer_load)
     }
 
