Emulator of servers in virtual time, and lh-load, which plays load patterns on it

Change: crate emulate (slots, short queues, held objects, words on load that lag, callers that come back; placer and a naive way behind one trait), program lh-load (six patterns, table, plot).

--- /dev/null
+++ b/bin/lh-load/src/lib.rs
@@ -0,0 +1,111 @@
+//! Plays load patterns against the placing decisions and a naive way, and prints
+//! what callers got.
+
+mod cli;
+mod error;
+mod plot;
+
+use clap::{Parser, ValueEnum};
+use cli::{Arguments, LoadPattern};
+use emulate::{
+    Experiment, FaultKind, NaivePolicy, PlacerPolicy, ServerFault, TrialReport, run_trial,
+};
+
+pub use error::{Error, Result};
+
+/// Reads the command line, plays, prints a table.
+///
+/// # Errors
+/// Where the plot can't be written.
+pub fn run() -> Result<()> {
+    let arguments = Arguments::parse();
+    println!(
+        "{:<10} {:>4} {:<8} {:>6} {:>7} {:>6} {:>7} {:>7} {:>6} {:>6}",
+        "pattern",
+        "seed",
+        "way",
+        "worth",
+        "in-time",
+        "late",
+        "refused",
+        "failed",
+        "misses",
+        "shift"
+    );
+    let patterns = match arguments.pattern {
+        Some(pattern) => vec![pattern],
+        None => LoadPattern::value_variants().to_vec(),
+    };
+    for pattern in patterns {
+        play(&arguments, pattern)?;
+    }
+    Ok(())
+}
+
+fn play(arguments: &Arguments, pattern: LoadPattern) -> Result<()> {
+    for seed in 1..=arguments.seeds {
+        let experiment = experiment(pattern, seed, arguments.load);
+        let naive = run_trial(&experiment, |config, desired, servers, _, _| {
+            NaivePolicy::new(&config, desired, servers)
+        });
+        let placed = run_trial(&experiment, PlacerPolicyMaker::make);
+        print_row(pattern, seed, "naive", &naive);
+        print_row(pattern, seed, "placer", &placed);
+        if let Some(path) = &arguments.plot
+            && seed == arguments.seeds
+        {
+            plot::draw(path, &naive, &placed)?;
+        }
+    }
+    Ok(())
+}
+
+struct PlacerPolicyMaker;
+
+impl PlacerPolicyMaker {
+    fn make(
+        config: place::placer::PlacerConfig,
+        desired: &place::desired::DesiredState,
+        servers: &place::catalog::CatalogSnapshot,
+        entries: &[u64],
+        in_region: usize,
+    ) -> PlacerPolicy {
+        PlacerPolicy::new(config, desired, servers, entries, in_region)
+    }
+}
+
+fn experiment(pattern: LoadPattern, seed: u64, load: f64) -> Experiment {
+    let experiment = Experiment::new(seed, load);
+    let fault = |count, kind| ServerFault {
+        at: 10.0,
+        lasts: 8.0,
+        first: 0,
+        count,
+        kind,
+    };
+    match pattern {
+        LoadPattern::Steady => experiment,
+        LoadPattern::Burst => experiment.with_load(10.0, 2.0 * load).with_load(14.0, load),
+        LoadPattern::Overload => Experiment::new(seed, 1.3),
+        LoadPattern::Crash => experiment.with_fault(fault(5, FaultKind::Down)),
+        LoadPattern::Slow => experiment.with_fault(fault(3, FaultKind::Slow(5.0))),
+        LoadPattern::Shed => experiment.with_fault(fault(3, FaultKind::Shed(0.5))),
+    }
+}
+
+fn print_row(pattern: LoadPattern, seed: u64, way: &str, report: &TrialReport) {
+    let total = report.total();
+    let asked = f64::from(total.asked.max(1));
+    let share = |count: u32| f64::from(count) / asked;
+    let name = format!("{pattern:?}").to_lowercase();
+    println!(
+        "{name:<10} {seed:>4} {way:<8} {:>6.3} {:>7.3} {:>6.3} {:>7.3} {:>7.3} {:>6.3} {:>6.3}",
+        total.worth(),
+        share(total.in_time),
+        share(total.late),
+        share(total.refused),
+        share(total.failed),
+        report.miss_share(),
+        report.largest_shift,
+    );
+}
--- /dev/null
+++ b/crates/emulate/src/lib.rs
@@ -0,0 +1,17 @@
+//! A model of backend servers and callers in virtual time, on which the placing
+//! decisions are tried as they are: the same code as in the daemon.
+//!
+//! It models what those decisions depend on: slots, short queues, objects that a
+//! server holds, cold starts, words on load that lag, time-outs, and callers that
+//! come back. It is no simulator of a cluster: no network, store or processes.
+
+mod experiment;
+mod model;
+mod policy;
+mod report;
+mod run;
+
+pub use experiment::{Experiment, FaultKind, ServerFault, TrafficStep};
+pub use policy::{EntryPolicy, NaivePolicy, PlacerPolicy};
+pub use report::{TrialReport, WindowReport};
+pub use run::run_trial;
--- /dev/null
+++ b/crates/emulate/src/policy.rs
@@ -0,0 +1,195 @@
+//! How an entry places requests: the product's way, and a naive one to compare.
+
+use std::time::{Duration, Instant};
+
+use place::catalog::{CatalogSnapshot, ServerHandle};
+use place::desired::{DesiredState, RouteSpec};
+use place::load::LoadList;
+use place::prelude::*;
+use place::rank::stable_hash;
+
+/// Servers busier than this multiple of their slots get nothing from the naive way.
+const NAIVE_QUEUE: f64 = 1.0;
+/// When the naive way asks callers to come back.
+const NAIVE_RETURN: Duration = Duration::from_millis(300);
+
+/// What became of a placement.
+#[derive(Debug)]
+pub enum PolicyChoice {
+    /// Sent to the server with this id.
+    Send(Box<Placement>),
+    /// Refused; come back after this time.
+    Refuse(Duration),
+}
+
+/// Placing as an entry does it.
+pub trait EntryPolicy {
+    /// Places a request for `object`.
+    fn place(&mut self, now: Instant, object: u64, left: Duration, fresh: bool) -> PolicyChoice;
+
+    /// Takes in what became of a placement.
+    fn on_outcome(
+        &mut self,
+        now: Instant,
+        placement: &Placement,
+        object: u64,
+        outcome: ServerOutcome,
+        report: Option<&ServerReport>,
+    );
+
+    /// Own requests at servers.
+    fn load(&mut self, now: Instant) -> LoadList;
+
+    /// Another entry's requests at servers.
+    fn on_load(&mut self, now: Instant, entry: u64, list: LoadList);
+}
+
+/// The product's way.
+#[derive(Debug)]
+pub struct PlacerPolicy {
+    placer: RequestPlacer,
+    route: RouteSpec,
+}
+
+/// The naive way: the least busy server by own count, never beyond its slots,
+/// no regard for objects or other entries.
+#[derive(Debug)]
+pub struct NaivePolicy {
+    catalog: ServerCatalog,
+    service: String,
+    region: String,
+}
+
+impl PlacerPolicy {
+    /// The policy of an entry that knows `servers` and the hashes of all `entries`.
+    pub fn new(
+        config: PlacerConfig,
+        desired: &DesiredState,
+        servers: &CatalogSnapshot,
+        entries: &[u64],
+        in_region: usize,
+    ) -> Self {
+        let mut placer = RequestPlacer::new(config);
+        placer.set_desired(desired);
+        placer.set_entries(entries.to_vec(), in_region);
+        placer.catalog.on_read(servers.begun, servers);
+        Self {
+            placer,
+            route: desired.routes[0].clone(),
+        }
+    }
+}
+
+impl EntryPolicy for PlacerPolicy {
+    fn place(&mut self, now: Instant, object: u64, left: Duration, fresh: bool) -> PolicyChoice {
+        let object = stable_hash(&object.to_le_bytes());
+        self.placer
+            .on_request(now, &self.route, Some(object), Some(left));
+        let request = PlacementRequest {
+            route: &self.route,
+            part: 0,
+            object: Some(object),
+            remaining: left.min(self.route.timeout.unwrap_or(left)),
+            returning: !fresh,
+            body_bytes: 0,
+            tried: &[],
+        };
+        match self.placer.place(now, &request) {
+            Ok(placement) => PolicyChoice::Send(Box::new(placement)),
+            Err(refusal) => PolicyChoice::Refuse(refusal.retry_after),
+        }
+    }
+
+    fn on_outcome(
+        &mut self,
+        now: Instant,
+        placement: &Placement,
+        object: u64,
+        outcome: ServerOutcome,
+        report: Option<&ServerReport>,
+    ) {
+        let request = PlacementRequest {
+            route: &self.route,
+            part: 0,
+            object: Some(stable_hash(&object.to_le_bytes())),
+            remaining: Duration::ZERO,
+            returning: false,
+            body_bytes: 0,
+            tried: &[],
+        };
+        self.placer
+            .on_outcome(now, placement, &request, outcome, report);
+    }
+
+    fn load(&mut self, now: Instant) -> LoadList {
+        self.placer.own_load(now)
+    }
+
+    fn on_load(&mut self, now: Instant, entry: u64, list: LoadList) {
+        self.placer.on_peer_load(now, entry, list);
+    }
+}
+
+impl NaivePolicy {
+    /// The policy of an entry that knows `servers`.
+    pub fn new(config: &PlacerConfig, desired: &DesiredState, servers: &CatalogSnapshot) -> Self {
+        let mut catalog = ServerCatalog::new(config.zones.clone());
+        catalog.on_read(servers.begun, servers);
+        Self {
+            catalog,
+            service: desired.services[0].name.clone(),
+            region: config.region.clone(),
+        }
+    }
+
+    fn least_busy(&self, now: Instant, near: bool) -> Option<ServerHandle> {
+        let mut best: Option<(f64, ServerHandle)> = None;
+        for (handle, record) in self.catalog.open_servers(&self.service) {
+            let busy = record.occupancy(now) / f64::from(record.entry.slots);
+            if busy >= NAIVE_QUEUE || (record.region == self.region) != near {
+                continue;
+            }
+            if best.is_none_or(|(least, _)| busy < least) {
+                best = Some((busy, handle));
+            }
+        }
+        best.map(|(_, handle)| handle)
+    }
+}
+
+impl EntryPolicy for NaivePolicy {
+    fn place(&mut self, now: Instant, _: u64, _: Duration, _: bool) -> PolicyChoice {
+        let near = self.least_busy(now, true);
+        let Some(handle) = near.or_else(|| self.least_busy(now, false)) else {
+            return PolicyChoice::Refuse(NAIVE_RETURN);
+        };
+        let Some(record) = self.catalog.get_mut(handle) else {
+            return PolicyChoice::Refuse(NAIVE_RETURN);
+        };
+        record.in_flight += 1;
+        PolicyChoice::Send(Box::new(Placement::new(now, handle, &record.entry)))
+    }
+
+    fn on_outcome(
+        &mut self,
+        now: Instant,
+        placement: &Placement,
+        _: u64,
+        _: ServerOutcome,
+        report: Option<&ServerReport>,
+    ) {
+        let Some(record) = self.catalog.get_mut(placement.handle) else {
+            return;
+        };
+        if let Some(report) = report {
+            record.on_report(now, report);
+        }
+        record.in_flight = record.in_flight.saturating_sub(1);
+    }
+
+    fn load(&mut self, _: Instant) -> LoadList {
+        Vec::new()
+    }
+
+    fn on_load(&mut self, _: Instant, _: u64, _: LoadList) {}
+}
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -219,10 +219,12 @@
             choice.set_width(f64::from(record.entry.slots.max(1)));
             choice.weigh(candidate, record, reason);
         }
-        match choice.finish() {
-            Ok((handle, reason)) => Ok(self.send(now, handle, reason)),
-            Err((reason, room_in)) => Err(self.spread.refusal(reason, room_in)),
-        }
+        let (handle, reason) = match choice.finish() {
+            Ok(chosen) => chosen,
+            Err((reason, room_in)) => return Err(self.spread.refusal(reason, room_in)),
+        };
+        let placement = self.send(now, handle, reason);
+        placement.ok_or_else(|| self.spread.refusal(RefusalReason::NoServer, None))
     }
 
     /// Takes in what became of a request that was placed.
@@ -308,24 +310,23 @@
         }
     }
 
-    fn send(&mut self, now: Instant, handle: ServerHandle, reason: PlacementReason) -> Placement {
+    fn send(
+        &mut self,
+        now: Instant,
+        handle: ServerHandle,
+        reason: PlacementReason,
+    ) -> Option<Placement> {
         self.shift.on_sent(now, reason.away);
-        let mut placement = Placement {
-            handle,
-            address: std::net::SocketAddr::from(([0, 0, 0, 0], 0)),
-            id: String::new(),
-            reason,
-            started: now,
-        };
-        if let Some(record) = self.catalog.get_mut(handle) {
-            record.in_flight += 1;
-            placement.address = record.entry.address;
-            placement.id.clone_from(&record.entry.id);
-            if reason.cold {
-                self.ramp.on_sent(now, record.hash);
-            }
+        let record = self.catalog.get_mut(handle)?;
+        record.in_flight += 1;
+        if reason.cold {
+            self.ramp.on_sent(now, record.hash);
         }
-        placement
+        let placement = Placement::new(now, handle, &record.entry);
+        Some(Placement {
+            reason,
+            ..placement
+        })
     }
 
     /// The servers that could take the request, ranked for its object within
--- a/crates/place/src/request.rs
+++ b/crates/place/src/request.rs
@@ -4,6 +4,7 @@
 
 use crate::catalog::ServerHandle;
 use crate::desired::RouteSpec;
+use crate::server::ServerEntry;
 use crate::warmth::Belief;
 
 /// A request that wants a server.
@@ -39,8 +40,21 @@
     pub(crate) started: Instant,
 }
 
+impl Placement {
+    /// A placement at `entry` for no other reason than the caller's own.
+    pub fn new(now: Instant, handle: ServerHandle, entry: &ServerEntry) -> Self {
+        Self {
+            handle,
+            address: entry.address,
+            id: entry.id.clone(),
+            reason: PlacementReason::default(),
+            started: now,
+        }
+    }
+}
+
 /// The figures that decided a placement.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct PlacementReason {
     /// Expected time to the answer, in milliseconds.
     pub expected: f64,
