--- /dev/null
+++ b/bin/lh-edge/tests/requests.rs
@@ -0,0 +1,255 @@
+//! What callers get, with servers that behave well or badly.
+
+mod world;
+
+use std::time::Duration;
+
+use platform_standin::{Behavior, RouteText, desired_state};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use world::{BOARD, DESK, EdgeProcess, World, exchange, request, request_with, until};
+
+/// Promise: a request reaches a server unchanged, with the time that is left and
+/// the run of the server that is meant; its answer comes back whole.
+#[tokio::test]
+async fn a_request_comes_through_unchanged() {
+    let world = World::new(1).await;
+    let edge = EdgeProcess::ready(&world, "n1").await;
+    let mut sender = edge.connect().await;
+    let sent = request_with("POST", "/desk/a%20b?x=1&y", "r1", b"payload");
+    let answer = exchange(&mut sender, sent).await.unwrap();
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.body, "ran by i-0");
+    assert_eq!(answer.header("request-id"), "r1");
+    assert_eq!(answer.header("server-stamp"), "s1");
+    let seen = &world.backends[0].seen()[0];
+    assert_eq!(seen.line, "POST /desk/a%20b?x=1&y HTTP/1.1");
+    assert_eq!(seen.body, b"payload");
+    assert_eq!(seen.headers["expect-instance"], "i-0");
+    assert_eq!(seen.headers["affinity-key"], "7");
+    let left: u64 = seen.headers["deadline-ms"].parse().unwrap();
+    assert!(left <= 30_000, "no more than the route allows: {left}");
+}
+
+/// Promise: what no route allows is answered 404 and reaches no server.
+#[tokio::test]
+async fn what_no_route_allows_is_not_found() {
+    let world = World::new(1).await;
+    let edge = EdgeProcess::ready(&world, "n1").await;
+    assert_eq!(edge.send("GET", "/other/", "r1").await.status, 404);
+    assert!(world.backends[0].seen().is_empty());
+}
+
+/// Promise: a request that must not repeat runs at most once, however its server
+/// fails after it has read it, and is never said not to have run.
+#[tokio::test]
+async fn at_most_once_holds_whatever_a_server_does() {
+    let bad = [
+        Behavior::Break,
+        Behavior::WrongId,
+        Behavior::Truncate,
+        Behavior::NoStamp,
+        Behavior::BareRefusal,
+        Behavior::Status(500),
+    ];
+    for behavior in bad {
+        let world = World::new(3).await;
+        let edge = EdgeProcess::ready(&world, "n1").await;
+        for backend in &world.backends {
+            backend.set_behavior(behavior.clone());
+        }
+        let answer = edge.send("POST", "/desk/x", "r1").await;
+        assert_eq!(world.runs("r1"), 1, "{behavior:?}");
+        let expected = if behavior == Behavior::Status(500) {
+            500
+        } else {
+            502
+        };
+        assert_eq!(answer.status, expected, "{behavior:?}");
+    }
+}
+
+/// Promise: a request that may repeat is sent to a second server when the first
+/// one fails, and never answered with what isn't its own whole answer.
+#[tokio::test]
+async fn what_may_repeat_is_tried_elsewhere() {
+    let bad = [
+        Behavior::Break,
+        Behavior::WrongId,
+        Behavior::Truncate,
+        Behavior::NoStamp,
+        Behavior::BareRefusal,
+        Behavior::Status(500),
+        Behavior::Full,
+    ];
+    for behavior in bad {
+        let world = World::new(2).await;
+        let edge = EdgeProcess::ready(&world, "n1").await;
+        world.backends[0].set_behavior(behavior.clone());
+        for turn in 0..4 {
+            let answer = edge.send("GET", "/board/x", &format!("r{turn}")).await;
+            assert_eq!(answer.status, 200, "{behavior:?}");
+            assert_eq!(answer.body, "ran by i-1", "{behavior:?}");
+        }
+    }
+}
+
+/// Promise: a request that every server rejects is refused with a time to come
+/// back, and has not run.
+#[tokio::test]
+async fn what_every_server_rejects_is_refused() {
+    let world = World::new(2).await;
+    let edge = EdgeProcess::ready(&world, "n1").await;
+    for backend in &world.backends {
+        backend.set_behavior(Behavior::Full);
+    }
+    let answer = edge.send("POST", "/desk/x", "r1").await;
+    assert_eq!(answer.status, 503);
+    let after: f64 = answer.header("retry-after").parse().unwrap();
+    assert!((0.05..2.0).contains(&after));
+    assert_eq!(answer.header("laurelhill-outcome"), "not-run");
+    assert_eq!(world.runs("r1"), 0);
+}
+
+/// Promise: bytes after an answer belong to no request, and reach no caller.
+#[tokio::test]
+async fn a_second_answer_reaches_nobody() {
+    let world = World::new(1).await;
+    let edge = EdgeProcess::ready(&world, "n1").await;
+    world.backends[0].set_behavior(Behavior::Extra);
+    let mut sender = edge.connect().await;
+    for turn in 0..20 {
+        let id = format!("r{turn}");
+        let answer = exchange(&mut sender, request("GET", "/board/x", &id))
+            .await
+            .unwrap();
+        assert!(matches!(answer.status, 200 | 502), "{}", answer.status);
+        assert_eq!(answer.header("request-id"), id);
+    }
+}
+
+/// Promise: the route's bound ends the wait, and the server's work with it.
+#[tokio::test]
+async fn the_routes_bound_ends_the_wait() {
+    let world = World::new(1).await;
+    let short = RouteText {
+        timeout: "300ms",
+        ..DESK
+    };
+    world.store.put("op", "config", &desired_state(6, &[short]));
+    let edge = EdgeProcess::ready(&world, "n1").await;
+    world.backends[0].set_behavior(Behavior::Run(Duration::from_secs(20)));
+    let answer = edge.send("POST", "/desk/x", "r1").await;
+    assert_eq!(answer.status, 504);
+    assert_eq!(answer.header("laurelhill-outcome"), "unknown");
+    until("the server's work is cut", async || {
+        world.backends[0].seen()[0].cancelled
+    })
+    .await;
+}
+
+/// Promise: when a caller leaves, the server's work ends at once.
+#[tokio::test]
+async fn a_caller_that_leaves_ends_the_work() {
+    let world = World::new(1).await;
+    let edge = EdgeProcess::ready(&world, "n1").await;
+    world.backends[0].set_behavior(Behavior::Run(Duration::from_secs(20)));
+    let mut sender = edge.connect().await;
+    let waiting = tokio::spawn(async move {
+        let _ = sender.send_request(request("GET", "/board/x", "r1")).await;
+    });
+    until("the server runs it", async || world.runs("r1") == 1).await;
+    waiting.abort();
+    until("the server's work is cut", async || {
+        world.backends[0].seen()[0].cancelled
+    })
+    .await;
+    until("it is logged", async || {
+        !edge.logged("caller-left").is_empty()
+    })
+    .await;
+}
+
+/// Promise: a request with two ideas of its length smuggles nothing in.
+#[tokio::test]
+async fn nothing_is_smuggled() {
+    let world = World::new(1).await;
+    let edge = EdgeProcess::ready(&world, "n1").await;
+    let hidden = "GET /board/hidden HTTP/1.1\r\nHost: board.example\r\nRequest-Id: h\r\n\r\n";
+    let attacks = [
+        format!(
+            "POST /desk/x HTTP/1.1\r\nHost: board.example\r\nRequest-Id: a\r\n\
+             Content-Length: {}\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n{hidden}",
+            hidden.len() + 5
+        ),
+        format!(
+            "POST /desk/x HTTP/1.1\r\nHost: board.example\r\nRequest-Id: a\r\n\
+             Content-Length: 3\r\nContent-Length: {}\r\n\r\nabc{hidden}",
+            hidden.len() + 3
+        ),
+        format!(
+            "POST /desk/x HTTP/1.1\r\nHost: board.example\r\nRequest-Id: a\r\n\
+             Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n{hidden}"
+        ),
+    ];
+    for attack in attacks {
+        let mut stream = TcpStream::connect(edge.callers()).await.unwrap();
+        stream.write_all(attack.as_bytes()).await.unwrap();
+        let mut answer = vec![0; 65536];
+        let _ = tokio::time::timeout(Duration::from_secs(2), stream.read(&mut answer)).await;
+    }
+    for request in world.backends[0].seen() {
+        let declared = request.headers.contains_key("content-length");
+        let chunked = request.headers.contains_key("transfer-encoding");
+        assert!(!(declared && chunked), "{request:?}");
+        let body = String::from_utf8_lossy(&request.body);
+        assert!(!body.contains("hidden"), "{request:?}");
+    }
+}
+
+/// Promise: bodies beyond the limit are refused, and a head that doesn't end
+/// closes its connection.
+#[tokio::test]
+async fn limits_bind_callers() {
+    let world = World::new(1).await;
+    let edge = EdgeProcess::ready(&world, "n1").await;
+    let mut sender = edge.connect().await;
+    let large = request_with("POST", "/desk/x", "r1", &vec![b'x'; 70_000]);
+    let answer = exchange(&mut sender, large).await;
+    assert_eq!(answer.map(|answer| answer.status), Some(413));
+    let mut slow = TcpStream::connect(edge.callers()).await.unwrap();
+    slow.write_all(b"GET /board/x HTTP/1.1\r\nHost: boa")
+        .await
+        .unwrap();
+    let mut rest = Vec::new();
+    let ended = tokio::time::timeout(world::PATIENCE, slow.read_to_end(&mut rest)).await;
+    assert!(ended.is_ok(), "a slow head must not be waited for");
+    assert!(world.backends[0].seen().is_empty());
+}
+
+/// Promise: each request leaves a line with its id, where it went and why, and
+/// counters that add up.
+#[tokio::test]
+async fn each_request_leaves_a_line() {
+    let world = World::new(1).await;
+    let edge = EdgeProcess::ready(&world, "n1").await;
+    edge.send("GET", "/board/x", "trace-me").await;
+    until("the line is written", async || {
+        !edge.logged("trace-me").is_empty()
+    })
+    .await;
+    let line = edge.logged("trace-me").remove(0);
+    for field in [
+        "\"route\":\"board\"",
+        "\"outcome\":\"answered\"",
+        "i-0(expected",
+        "\"version\":5",
+        "servers_age_ms",
+    ] {
+        assert!(line.contains(field), "{field} in {line}");
+    }
+    let metrics = edge.metrics().await;
+    let count = "laurelhill_requests_total{outcome=\"answered\",route=\"board\"} 1";
+    assert!(metrics.contains(count), "{metrics}");
+    assert_eq!(BOARD.name, "board");
+}
--- /dev/null
+++ b/bin/lh-edge/tests/states.rs
@@ -0,0 +1,236 @@
+//! Desired states, the registry, the store's troubles, stops and other entries.
+
+mod world;
+
+use std::time::Duration;
+
+use platform_standin::{Behavior, RouteText, StoreMode, desired_state, server_entry};
+use world::{BOARD, DESK, EdgeProcess, World, connect, exchange, request, until};
+
+/// Promise: a new desired state is in force soon, and an older one never again.
+#[tokio::test]
+async fn a_desired_state_never_goes_back() {
+    let world = World::new(1).await;
+    let edge = EdgeProcess::ready(&world, "n1").await;
+    let added = RouteText {
+        name: "added",
+        prefix: "/added/",
+        ..BOARD
+    };
+    world
+        .store
+        .put("op", "config", &desired_state(9, &[BOARD, added]));
+    until("the added route is in force", async || {
+        edge.send("GET", "/added/x", "a").await.status == 200
+    })
+    .await;
+    world
+        .store
+        .put("op", "config", &desired_state(7, &[BOARD, DESK]));
+    until("the older state has been seen", async || {
+        !edge.logged("older desired state").is_empty()
+    })
+    .await;
+    assert_eq!(edge.send("GET", "/added/x", "b").await.status, 200);
+    assert_eq!(edge.send("POST", "/desk/x", "c").await.status, 404);
+}
+
+/// Promise: a desired state that doesn't decode changes nothing, and says so.
+#[tokio::test]
+async fn a_broken_desired_state_changes_nothing() {
+    let world = World::new(1).await;
+    let edge = EdgeProcess::ready(&world, "n1").await;
+    world
+        .store
+        .put_bytes("op", "config", b"{\"version\": 9, \"resources\": [{}]}");
+    until("it is logged", async || {
+        !edge.logged("desired state refused").is_empty()
+    })
+    .await;
+    world.store.put_bytes("servers", "i-9", b"nonsense");
+    until("it is logged", async || {
+        !edge.logged("server entry left out").is_empty()
+    })
+    .await;
+    assert_eq!(edge.send("GET", "/board/x", "a").await.status, 200);
+}
+
+/// Promise: a lost history is no obstacle: everything is read again.
+#[tokio::test]
+async fn a_lost_history_is_read_again() {
+    let world = World::new(1).await;
+    let edge = EdgeProcess::ready(&world, "n1").await;
+    world.store.forget_history();
+    world.store.put("op", "config", &desired_state(9, &[DESK]));
+    until("the new state is in force", async || {
+        edge.send("GET", "/board/x", "a").await.status == 404
+    })
+    .await;
+}
+
+/// Promise: a server that is leaving gets no new requests.
+#[tokio::test]
+async fn a_leaving_server_gets_nothing_new() {
+    let world = World::new(2).await;
+    let edge = EdgeProcess::ready(&world, "n1").await;
+    let leaving = &world.backends[0];
+    let entry = server_entry("board", leaving.address(), "draining", 2);
+    world.store.put("servers", leaving.id(), &entry);
+    until("it is logged", async || {
+        !edge.logged("server is leaving").is_empty()
+    })
+    .await;
+    let before = leaving.seen().len();
+    for turn in 0..20 {
+        let id = format!("r{turn}");
+        assert_eq!(edge.send("GET", "/board/x", &id).await.status, 200);
+    }
+    assert_eq!(leaving.seen().len(), before);
+}
+
+/// Promise: an address that belongs to another server now runs nothing of the
+/// former one's.
+#[tokio::test]
+async fn an_address_used_again_runs_nothing() {
+    let world = World::new(2).await;
+    let former = server_entry("board", world.backends[1].address(), "ready", 1);
+    world.store.put("servers", "i-former", &former);
+    world.store.drop_row("servers", "i-1");
+    let edge = EdgeProcess::ready(&world, "n1").await;
+    for turn in 0..10 {
+        let id = format!("r{turn}");
+        assert_eq!(edge.send("POST", "/desk/x", &id).await.body, "ran by i-0");
+        assert_eq!(world.backends[1].runs(&id), 0);
+    }
+}
+
+/// Promise: nothing is sent to an evacuated failure domain, and an entry with no
+/// server left refuses at once.
+#[tokio::test]
+async fn an_evacuated_domain_gets_nothing() {
+    let world = World::new(1).await;
+    let edge = EdgeProcess::ready(&world, "n1").await;
+    world
+        .store
+        .put("op", "evacuate/zone-a", &serde_json::json!({}));
+    until("the evacuation is in force", async || {
+        edge.send("GET", "/board/x", "a").await.status == 503
+    })
+    .await;
+    let before = world.backends[0].seen().len();
+    assert_eq!(edge.send("GET", "/board/x", "b").await.status, 503);
+    assert_eq!(world.backends[0].seen().len(), before);
+    world.store.drop_row("op", "evacuate/zone-a");
+    until("it is taken back", async || {
+        edge.send("GET", "/board/x", "c").await.status == 200
+    })
+    .await;
+}
+
+/// Promise: an entry that knows no desired state is not ready, refuses at once
+/// with a time to come back, and serves once the store answers.
+#[tokio::test]
+async fn an_entry_without_a_desired_state_refuses() {
+    let world = World::new(1).await;
+    world.store.set_mode(StoreMode::Silent);
+    let edge = EdgeProcess::start(world.store.address(), "n1", &[]);
+    until("it answers at all", async || {
+        edge.status("/ready").await.is_some()
+    })
+    .await;
+    assert_eq!(edge.status("/ready").await, Some(503));
+    let answer = edge.send("GET", "/board/x", "a").await;
+    assert_eq!(answer.status, 503);
+    assert!(!answer.header("retry-after").is_empty());
+    world.store.set_mode(StoreMode::Well);
+    edge.wait_ready().await;
+    assert_eq!(edge.send("GET", "/board/x", "b").await.status, 200);
+}
+
+/// Promise: the last known state stays in force while the store is away, and the
+/// loss and the return of the store are logged.
+#[tokio::test]
+async fn the_last_known_state_outlives_the_store() {
+    let world = World::new(1).await;
+    let edge = EdgeProcess::ready(&world, "n1").await;
+    world.store.set_mode(StoreMode::Busy);
+    until("the loss is logged", async || {
+        !edge.logged("dependency lost").is_empty()
+    })
+    .await;
+    assert_eq!(edge.send("GET", "/board/x", "a").await.status, 200);
+    world.store.set_mode(StoreMode::Well);
+    until("the return is logged", async || {
+        !edge.logged("dependency regained").is_empty()
+    })
+    .await;
+}
+
+/// Promise: at a stop, what was read is answered, later requests on kept
+/// connections too, connections are closed in order, and the process ends by
+/// itself.
+#[tokio::test]
+async fn a_stop_cuts_nothing_off() {
+    let world = World::new(1).await;
+    let mut edge = EdgeProcess::ready(&world, "n1").await;
+    world.backends[0].set_behavior(Behavior::Run(Duration::from_millis(1500)));
+    let mut kept = edge.connect().await;
+    let mut other = edge.connect().await;
+    let waiting =
+        tokio::spawn(async move { exchange(&mut kept, request("POST", "/desk/x", "long")).await });
+    until("the server runs it", async || world.runs("long") == 1).await;
+    edge.signal("TERM");
+    until("it is not ready", async || {
+        edge.status("/ready").await != Some(200)
+    })
+    .await;
+    world.backends[0].set_behavior(Behavior::Run(Duration::ZERO));
+    let late = exchange(&mut other, request("POST", "/desk/x", "late"))
+        .await
+        .unwrap();
+    assert_eq!(late.status, 200);
+    assert_eq!(late.header("connection"), "close");
+    let answer = waiting
+        .await
+        .unwrap()
+        .expect("the request in flight is answered");
+    assert_eq!(answer.status, 200);
+    let ended = tokio::task::spawn_blocking(move || edge.child.wait().unwrap());
+    assert!(ended.await.unwrap().success());
+}
+
+/// Promise: entries find each other by a seed, callers are told of both, and of a
+/// dead one no longer.
+#[tokio::test]
+async fn callers_are_told_of_live_entries() {
+    let world = World::new(1).await;
+    let first = EdgeProcess::ready(&world, "n1").await;
+    let mut second = EdgeProcess::start(world.store.address(), "n2", &[first.ip]);
+    second.wait_ready().await;
+    let both = [first.callers().to_string(), second.callers().to_string()];
+    until("both are named", async || {
+        let answer = first.lookup().await;
+        both.iter().all(|address| answer.contains(address))
+    })
+    .await;
+    second.child.kill().unwrap();
+    until("the dead one is not named", async || {
+        let answer = first.lookup().await;
+        answer.contains(&both[0]) && !answer.contains(&both[1])
+    })
+    .await;
+}
+
+/// Promise: an entry that gets SIGHUP with wrong settings goes on with the old.
+#[tokio::test]
+async fn a_hangup_ends_nothing() {
+    let world = World::new(1).await;
+    let edge = EdgeProcess::ready(&world, "n1").await;
+    edge.signal("HUP");
+    until("it is logged", async || {
+        !edge.logged("settings read again").is_empty()
+    })
+    .await;
+    assert_eq!(edge.send("GET", "/board/x", "a").await.status, 200);
+    assert!(connect(edge.callers()).await.is_some());
+}
--- /dev/null
+++ b/bin/lh-edge/tests/world/mod.rs
@@ -0,0 +1,271 @@
+//! A real lh-edge with everything around it played by the test: the platform's
+//! store, backend servers and callers.
+#![allow(dead_code, unreachable_pub, missing_docs)]
+
+use std::net::{IpAddr, SocketAddr};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{HeaderMap, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use platform_standin::{FakeBackend, FakeStore, RouteText, desired_state, server_entry};
+use tokio::net::TcpStream;
+
+/// Longest wait for anything; generous, since nothing here measures time.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+pub const BOARD: RouteText<'static> = RouteText {
+    name: "board",
+    prefix: "/board/",
+    kind: "idempotent",
+    service: "board",
+    timeout: "30s",
+};
+pub const DESK: RouteText<'static> = RouteText {
+    name: "desk",
+    prefix: "/desk/",
+    kind: "non_idempotent",
+    service: "board",
+    timeout: "30s",
+};
+
+/// The store and the servers.
+pub struct World {
+    pub store: FakeStore,
+    pub backends: Vec<FakeBackend>,
+}
+
+impl World {
+    /// Two routes to `count` servers.
+    pub async fn new(count: usize) -> Self {
+        let store = FakeStore::start().await;
+        store.put("op", "config", &desired_state(5, &[BOARD, DESK]));
+        let mut backends = Vec::new();
+        for index in 0..count {
+            let backend = FakeBackend::start(&format!("i-{index}")).await;
+            let entry = server_entry("board", backend.address(), "ready", 1);
+            store.put("servers", backend.id(), &entry);
+            backends.push(backend);
+        }
+        Self { store, backends }
+    }
+
+    /// How often all servers ran the request `id`.
+    pub fn runs(&self, id: &str) -> usize {
+        self.backends.iter().map(|backend| backend.runs(id)).sum()
+    }
+}
+
+/// One lh-edge process.
+pub struct EdgeProcess {
+    pub child: Child,
+    pub ip: IpAddr,
+    pub lines: Arc<Mutex<Vec<String>>>,
+    _folder: tempfile::TempDir,
+}
+
+impl Drop for EdgeProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+const CALLER_PORT: u16 = 20_001;
+const READY_PORT: u16 = 20_002;
+const LOOKUP_PORT: u16 = 20_003;
+const METRICS_PORT: u16 = 20_004;
+const PEER_PORT: u16 = 20_005;
+
+impl EdgeProcess {
+    /// Starts an entry that uses `store` and hears of `seeds`.
+    pub fn start(store: SocketAddr, name: &str, seeds: &[IpAddr]) -> Self {
+        let ip = standin::free_address().ip();
+        let folder = tempfile::tempdir().unwrap();
+        let path = folder.path().join("edge.ini");
+        let seeds: Vec<String> = seeds.iter().map(|seed| format!("{seed}:1")).collect();
+        let settings = format!(
+            "[entry]\nnode = {name}\nzone = zone-a\nregion = north\n\
+             caller-address = {ip}:{CALLER_PORT}\nready-address = {ip}:{READY_PORT}\n\
+             lookup-address = {ip}:{LOOKUP_PORT}\nmetrics-port = {METRICS_PORT}\n\
+             peer-ports = {PEER_PORT}-{}\npeer-seeds = {}\naddress = {ip}\n\
+             [store]\naddress = {store}\n\
+             [bounds]\ngrace = 6s\ndrain = 2500ms\nretry-ratio = 0.2\nretry-slack = 56\n\
+             retry-window = 10s\nshift-cap = 0.15\nlookup-ttl-most = 5s\n\
+             memory-mb = 260\ndescriptors = 4100\n[regions]\nzone-a = north\n",
+            PEER_PORT + 1,
+            seeds.join(",")
+        );
+        std::fs::write(&path, settings).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_lh-edge"))
+            .arg("--settings")
+            .arg(&path)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::inherit())
+            .spawn()
+            .unwrap();
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let sink = Arc::clone(&lines);
+        let output = child.stdout.take().unwrap();
+        std::thread::spawn(move || {
+            use std::io::BufRead as _;
+            for line in std::io::BufReader::new(output)
+                .lines()
+                .map_while(Result::ok)
+            {
+                sink.lock().unwrap().push(line);
+            }
+        });
+        Self {
+            child,
+            ip,
+            lines,
+            _folder: folder,
+        }
+    }
+
+    /// Starts an entry and waits until it is ready.
+    pub async fn ready(world: &World, name: &str) -> Self {
+        let edge = Self::start(world.store.address(), name, &[]);
+        edge.wait_ready().await;
+        edge
+    }
+
+    pub async fn wait_ready(&self) {
+        until("the entry is ready", async || {
+            self.status("/ready").await == Some(200)
+        })
+        .await;
+    }
+
+    pub fn at(&self, port: u16) -> SocketAddr {
+        SocketAddr::new(self.ip, port)
+    }
+
+    pub fn callers(&self) -> SocketAddr {
+        self.at(CALLER_PORT)
+    }
+
+    pub async fn status(&self, path: &str) -> Option<u16> {
+        let answer = get(self.at(READY_PORT), path).await?;
+        Some(answer.status)
+    }
+
+    pub async fn lookup(&self) -> String {
+        let path = "/resolve?name=x&region=north&zone=zone-a";
+        let answer = get(self.at(LOOKUP_PORT), path).await;
+        answer.map_or(String::new(), |answer| answer.body)
+    }
+
+    pub async fn metrics(&self) -> String {
+        let answer = get(self.at(METRICS_PORT), "/metrics").await;
+        answer.map_or(String::new(), |answer| answer.body)
+    }
+
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill")
+            .args([format!("-{name}"), pid])
+            .status();
+        assert!(status.unwrap().success());
+    }
+
+    /// Log lines that contain `text`, so far.
+    pub fn logged(&self, text: &str) -> Vec<String> {
+        let lines = self.lines.lock().unwrap();
+        lines
+            .iter()
+            .filter(|line| line.contains(text))
+            .cloned()
+            .collect()
+    }
+
+    pub async fn connect(&self) -> SendRequest<Full<Bytes>> {
+        connect(self.callers())
+            .await
+            .expect("the entry accepts callers")
+    }
+
+    /// Sends one request on a connection of its own.
+    pub async fn send(&self, method: &str, path: &str, id: &str) -> Answer {
+        let mut sender = self.connect().await;
+        exchange(&mut sender, request(method, path, id))
+            .await
+            .expect("an answer")
+    }
+}
+
+/// An answer as a caller sees it.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: HeaderMap,
+    pub body: String,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> &str {
+        self.headers
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or("")
+    }
+}
+
+/// Waits until `holds` is true.
+pub async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let begun = Instant::now();
+    while !holds().await {
+        assert!(begun.elapsed() < PATIENCE, "gave up waiting until {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+pub async fn connect(address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    Some(sender)
+}
+
+pub fn request(method: &str, path: &str, id: &str) -> Request<Full<Bytes>> {
+    request_with(method, path, id, b"")
+}
+
+pub fn request_with(method: &str, path: &str, id: &str, body: &[u8]) -> Request<Full<Bytes>> {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", "board.example")
+        .header("request-id", id)
+        .header("affinity-key", "7")
+        .header("deadline-ms", "40000")
+        .body(Full::new(Bytes::copy_from_slice(body)))
+        .unwrap()
+}
+
+/// Sends a request; `None` if the connection ended without a whole answer.
+pub async fn exchange(
+    sender: &mut SendRequest<Full<Bytes>>,
+    request: Request<Full<Bytes>>,
+) -> Option<Answer> {
+    let sent = tokio::time::timeout(PATIENCE, sender.send_request(request)).await;
+    let answer = sent.expect("an answer in time").ok()?;
+    let status: StatusCode = answer.status();
+    let headers = answer.headers().clone();
+    let body = answer.into_body().collect().await.ok()?.to_bytes();
+    Some(Answer {
+        status: status.as_u16(),
+        headers,
+        body: String::from_utf8_lossy(&body).into_owned(),
+    })
+}
+
+async fn get(address: SocketAddr, path: &str) -> Option<Answer> {
+    let mut sender = connect(address).await?;
+    exchange(&mut sender, request("GET", path, "check")).await
+}
