Frozen entry's test waits until every thread has stopped

Cause: a_frozen_entry_admits_nothing_when_it_wakes failed beside busy processes: the entry answered done. 2 of 14 runs beside ten busy loops failed, and in both the threads were still running or sleeping (state S, R) after kill had returned; so the request was sent before the stop took effect and was served as usual. Ruled out: an old lease used on waking: leases count from the time of asking. Change: the test waits until each thread is in state T, then takes the lease away. Conclusion: the promise holds; the test is as strict.

--- a/bin/lh-entry/tests/bench/mod.rs
+++ b/bin/lh-entry/tests/bench/mod.rs
@@ -174,6 +174,26 @@
         assert!(status.unwrap().success());
     }
 
+    /// Sends SIGSTOP and waits until every thread has stopped: the signal returns
+    /// before, and what is sent in between would be served as usual.
+    pub fn freeze(&self) {
+        self.signal("STOP");
+        let begun = Instant::now();
+        while !self.threads_stopped() {
+            assert!(begun.elapsed() < PATIENCE, "the process did not stop");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    fn threads_stopped(&self) -> bool {
+        let folder = format!("/proc/{}/task", self.child.id());
+        std::fs::read_dir(folder).unwrap().all(|task| {
+            let stat = std::fs::read_to_string(task.unwrap().path().join("stat")).unwrap();
+            let (_, fields) = stat.rsplit_once(") ").unwrap();
+            fields.starts_with('T')
+        })
+    }
+
     /// The ticket for this entry from a look-up at it.
     pub async fn ticket(&self, service: &str) -> String {
         let (_, body) = get(self.lookup, &format!("/v1/entries?service={service}"))
--- a/bin/lh-entry/tests/path.rs
+++ b/bin/lh-entry/tests/path.rs
@@ -291,7 +291,7 @@
     world.lease_ms.store(LEASE_MS, Ordering::Relaxed);
     let entry = EntryProcess::start(&world, "a", 0).await;
     let mut sender = connect(entry.relay).await.unwrap();
-    entry.signal("STOP");
+    entry.freeze();
     world.lease_ms.store(0, Ordering::Relaxed);
     let request = Request::post("/board/x")
         .header("host", "test")
