First window of the shift cap begins with the traffic; joined servers are logged with their domain

Cause: checks before the traffic began the free window, so that it ended in the midst of the first seconds' disorder.

--- a/bin/lh-edge/src/state.rs
+++ b/bin/lh-edge/src/state.rs
@@ -132,7 +132,9 @@
         let changes = self.placer.borrow_mut().catalog.on_read(now, snapshot);
         for change in &changes {
             match change {
-                CatalogChange::Joined(id) => log::info!(server = id.as_str(); "server joined"),
+                CatalogChange::Joined(id, zone) => {
+                    log::info!(server = id.as_str(), zone = zone.as_str(); "server joined");
+                }
                 CatalogChange::Draining(id) => {
                     log::info!(server = id.as_str(); "server is leaving")
                 }
--- a/crates/emulate/src/run.rs
+++ b/crates/emulate/src/run.rs
@@ -144,6 +144,11 @@
             self.now = at;
             self.on_event(event);
         }
+        // After the load's end only a few requests come back.
+        let windows = (self.experiment.seconds / WINDOW) as usize;
+        for counts in &mut self.ran_in {
+            counts.truncate(windows);
+        }
         self.report.largest_shift = largest_shift(&self.ran_in);
     }
 
--- a/crates/place/src/catalog.rs
+++ b/crates/place/src/catalog.rs
@@ -31,8 +31,8 @@
 /// What a reading changed, for the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CatalogChange {
-    /// A server appeared.
-    Joined(String),
+    /// A server appeared; its id and failure domain.
+    Joined(String, String),
     /// A server is about to leave.
     Draining(String),
     /// A server is gone.
@@ -199,7 +199,7 @@
         self.by_id.insert(entry.id.clone(), index);
         let members = self.by_service.entry(entry.service.clone()).or_default();
         members.push(index);
-        changes.push(CatalogChange::Joined(entry.id.clone()));
+        changes.push(CatalogChange::Joined(entry.id.clone(), entry.zone.clone()));
     }
 
     fn sweep(
--- a/crates/place/src/shift.rs
+++ b/crates/place/src/shift.rs
@@ -10,7 +10,7 @@
 
 /// Part of the platform's cap that is used: the rest covers what single entries
 /// deviate by.
-const USED_SHARE: f64 = 0.75;
+const USED_SHARE: f64 = 0.7;
 /// The window that the cap is meant for.
 const WINDOW: Duration = Duration::from_secs(2);
 /// Time between two notes of the shares.
@@ -20,6 +20,15 @@
 const SLACK_SHARE: f64 = 0.025;
 /// Least deviation, in requests.
 const LEAST_SLACK: f64 = 1.0;
+/// How far the own region may be beyond its share where others have no room, as a
+/// multiple of the usual deviation.
+const OWN_SLACK: f64 = 1.5;
+/// A pause after which the next request may be the first of the traffic.
+const FIRST_PAUSE: Duration = Duration::from_millis(300);
+/// Requests after which a pause doesn't begin the first window again.
+const FEW: f64 = 8.0;
+/// After this time the first window is not begun again.
+const LONGEST_FIRST: Duration = Duration::from_secs(30);
 /// Weight of the newest request in what is wanted.
 const WISH_WEIGHT: f64 = 0.03;
 /// Time after which what was wanted counts 37 %, where requests are rare.
@@ -48,6 +57,8 @@
     /// nothing before it that they could have moved from.
     first: Vec<f64>,
     begun: Option<Instant>,
+    first_at: Option<Instant>,
+    met: Option<Instant>,
     /// Mean pause between requests, in seconds.
     pause: f64,
     asked_at: Option<Instant>,
@@ -74,6 +85,8 @@
             owed: vec![0.0; all.len()],
             first: vec![0.0; all.len()],
             begun: None,
+            first_at: None,
+            met: None,
             pause: 0.1,
             asked_at: None,
             notes: VecDeque::new(),
@@ -107,6 +120,12 @@
         self.is_free() || self.owed[index] + self.level[index] - 1.0 >= -self.slack()
     }
 
+    /// Whether a request may run in its own region though others should get it,
+    /// since they have no room.
+    pub fn permits_own(&self) -> bool {
+        self.is_free() || self.owed[0] + self.level[0] - 1.0 >= -OWN_SLACK * self.slack()
+    }
+
     /// A request was sent to `region`.
     pub fn on_sent(&mut self, region: &str) {
         let Some(sent) = self.index(region) else {
@@ -116,7 +135,7 @@
             self.first[sent] += 1.0;
             return;
         }
-        let most = self.slack() + 1.0;
+        let most = OWN_SLACK * self.slack() + 1.0;
         for (index, owed) in self.owed.iter_mut().enumerate() {
             let taken = if index == sent { 1.0 } else { 0.0 };
             *owed = (*owed + self.level[index] - taken).clamp(-most, most);
@@ -137,8 +156,7 @@
     }
 
     fn follow(&mut self, now: Instant) {
-        let begun = *self.begun.get_or_insert(now);
-        if now.saturating_duration_since(begun) < WINDOW {
+        if self.notes.is_empty() && !self.is_first_over(now) {
             return;
         }
         if self.notes.is_empty() {
@@ -161,6 +179,23 @@
         self.note(now);
     }
 
+    /// Whether the first window of traffic is over. Single requests, as of checks
+    /// before the traffic, are not its beginning.
+    fn is_first_over(&mut self, now: Instant) -> bool {
+        let met = *self.met.get_or_insert(now);
+        let begun = *self.begun.get_or_insert(now);
+        let sent: f64 = self.first.iter().sum();
+        let waited = now.saturating_duration_since(met) >= LONGEST_FIRST;
+        let paused = self.first_at.is_none_or(|at| now - at > FIRST_PAUSE);
+        self.first_at = Some(now);
+        if paused && sent < FEW && !waited {
+            self.begun = Some(now);
+            self.first.fill(0.0);
+            return false;
+        }
+        now.saturating_duration_since(begun) >= WINDOW
+    }
+
     /// From now on the shares are bounded by those of the first window.
     fn end_first_window(&mut self, now: Instant) {
         let sent: f64 = self.first.iter().sum();
