One entry of a region reads the store; the others follow it

Change: the live entry of a region with the lowest hash reads; the others ask it twice a second for what changed, for the operator's rows too, and read themselves when it is silent, in trouble or stale. No vote, nothing kept.

--- a/bin/lh-edge/src/app.rs
+++ b/bin/lh-edge/src/app.rs
@@ -49,13 +49,14 @@
     let ready = accept::listen("readiness", config.ready_address)?;
     let lookups = accept::listen("look-ups", config.lookup_address)?;
     let metrics = accept::listen("metrics", config.metrics_address)?;
+    let view = accept::listen("other entries", config.view_address)?;
     let socket = Rc::new(beat::open(&state).await?);
     spawn_local(watch::watch_operator(Rc::clone(&state)));
     spawn_local(watch::watch_servers(Rc::clone(&state)));
     spawn_local(watch::watch_entries(Rc::clone(&state)));
     spawn_local(beat::run(Rc::clone(&state), socket));
     spawn_local(accept::run(Rc::clone(&state), callers));
-    for listener in [ready, lookups, metrics] {
+    for listener in [ready, lookups, metrics, view] {
         spawn_local(inner::run(Rc::clone(&state), listener));
     }
     spawn_local(prune(Rc::clone(&state)));
--- a/bin/lh-edge/src/beat.rs
+++ b/bin/lh-edge/src/beat.rs
@@ -122,6 +122,8 @@
         region: state.config.region.clone(),
         front: state.config.caller_address,
         gossip: state.config.beat_address,
+        view: state.config.view_address,
+        reads: state.reads.get(),
         ready: state.is_ready(),
         leaving: state.stop.get() != StopPhase::Serving,
         version: state.version(),
--- a/bin/lh-edge/src/inner.rs
+++ b/bin/lh-edge/src/inner.rs
@@ -1,4 +1,4 @@
-//! Small answers: readiness, look-ups and metrics.
+//! Small answers: readiness, look-ups, metrics, and what other entries follow.
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -17,6 +17,7 @@
 use tokio::net::TcpListener;
 
 use crate::state::EdgeState;
+use crate::view;
 
 /// How long callers keep an answer: some keep it three times as long, and all
 /// must have left a stopping entry before it refuses requests.
@@ -68,6 +69,11 @@
             let place = lookup::read_place(request.uri().query().unwrap_or(""));
             look_up(state, &place)
         }
+        view::VIEW_PATH => {
+            let query = request.uri().query().unwrap_or("");
+            bytes(view::answer_view(state, query))
+        }
+        view::DESIRED_PATH => bytes(view::answer_desired(state)),
         METRICS_PATH => text(StatusCode::OK, state.metrics.text()),
         _ => text(StatusCode::NOT_FOUND, String::new()),
     }
@@ -112,6 +118,10 @@
     chosen
 }
 
+fn bytes(body: Vec<u8>) -> Response<Full<Bytes>> {
+    Response::new(Full::new(Bytes::from(body)))
+}
+
 fn text(status: StatusCode, body: String) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(body)));
     *response.status_mut() = status;
--- a/bin/lh-edge/src/lib.rs
+++ b/bin/lh-edge/src/lib.rs
@@ -20,6 +20,7 @@
 mod record;
 mod state;
 mod stop;
+mod view;
 mod watch;
 
 pub use app::run;
--- a/bin/lh-edge/src/state.rs
+++ b/bin/lh-edge/src/state.rs
@@ -2,12 +2,14 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use place::catalog::CatalogChange;
 use place::prelude::*;
 use place::rank::stable_hash;
+use place::view::ServerLog;
 use platform::desired::OperatorChange;
 
 use crate::config::EdgeConfig;
@@ -25,6 +27,13 @@
     pub(crate) desired: RefCell<Option<Rc<DesiredState>>>,
     pub(crate) limits: Cell<RequestLimits>,
     pub(crate) evacuated: RefCell<HashSet<String>>,
+    /// Version of the operator's rows behind desired state and evacuations.
+    pub(crate) operator: Cell<u64>,
+    pub(crate) servers: RefCell<ServerLog>,
+    /// Whether the store answered this entry lately.
+    pub(crate) reads: Cell<bool>,
+    /// Until when what another entry tells is fresh.
+    pub(crate) follows_until: Cell<Option<Instant>>,
     pub(crate) peers: RefCell<PeerTable>,
     pub(crate) pool: ServerPool,
     pub(crate) metrics: EdgeMetrics,
@@ -59,6 +68,10 @@
             desired: RefCell::default(),
             limits: Cell::new(RequestLimits::default()),
             evacuated: RefCell::default(),
+            operator: Cell::new(0),
+            servers: RefCell::new(ServerLog::new(incarnation)),
+            reads: Cell::new(true),
+            follows_until: Cell::new(None),
             peers: RefCell::new(peers),
             pool: ServerPool::default(),
             metrics,
@@ -102,6 +115,44 @@
         }
     }
 
+    /// Where to hear what the store holds from another entry of the region: the
+    /// same one for all that hear of the same entries, so that few read. `None`
+    /// if it is this entry's turn to read.
+    pub(crate) fn reader(&self) -> Option<SocketAddr> {
+        let now = Instant::now();
+        let own = stable_hash(self.config.node.as_bytes());
+        let mut best = self.reads.get().then_some((own, None));
+        for beat in self.peers.borrow().live(now) {
+            if !beat.reads || beat.region != self.config.region {
+                continue;
+            }
+            let hash = stable_hash(beat.node.as_bytes());
+            if best.is_none_or(|(least, _)| hash < least) {
+                best = Some((hash, Some(beat.view)));
+            }
+        }
+        best.and_then(|(_, address)| address)
+    }
+
+    /// Whether what another entry tells is fresh, so that nothing need be read.
+    pub(crate) fn follows(&self) -> bool {
+        let until = self.follows_until.get();
+        until.is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Takes in what another entry knows of the operator's rows, if it is newer.
+    pub(crate) fn on_told_operator(&self, version: u64, evacuated: &[String]) {
+        if version <= self.operator.get() {
+            return;
+        }
+        self.operator.set(version);
+        let told: Vec<OperatorChange> = evacuated
+            .iter()
+            .map(|zone| OperatorChange::Evacuate(zone.clone()))
+            .collect();
+        self.on_operator_rows(&told);
+    }
+
     /// Takes in all of the operator's rows: evacuations that aren't among them
     /// have been taken back.
     pub(crate) fn on_operator_rows(&self, changes: &[OperatorChange]) {
@@ -129,6 +180,7 @@
     /// Takes in a reading of the registry.
     pub(crate) fn on_servers(&self, snapshot: &CatalogSnapshot) {
         let now = Instant::now();
+        self.servers.borrow_mut().on_read(snapshot);
         let changes = self.placer.borrow_mut().catalog.on_read(now, snapshot);
         for change in &changes {
             match change {
@@ -160,7 +212,8 @@
         self.placer.borrow_mut().set_entries(hashes, in_region);
     }
 
-    fn on_desired(&self, desired: &DesiredState) {
+    /// Takes in a desired state; one that isn't newer changes nothing.
+    pub(crate) fn on_desired(&self, desired: &DesiredState) {
         let known = self.version();
         if desired.version <= known {
             if desired.version < known {
--- a/bin/lh-edge/src/watch.rs
+++ b/bin/lh-edge/src/watch.rs
@@ -1,5 +1,8 @@
 //! Keeps up with the platform's store: the operator's rows through a feed, the
 //! servers' registry by readings, the other entries' rows now and then.
+//!
+//! One entry of a region reads, without a vote: the others follow it while it is
+//! heard and has fresh readings, and read themselves otherwise.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -9,6 +12,7 @@
 use platform::client::StoreClient;
 
 use crate::state::EdgeState;
+use crate::view::ViewFollower;
 
 /// Longest wait for an answer of the store. Slow answers of up to a second
 /// have been seen; after that a new connection is better.
@@ -22,6 +26,13 @@
 const READ_EVERY: Duration = Duration::from_millis(900);
 /// Pause after a failed call, so that a store in trouble isn't pressed.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Time between two looks at what the reader knows: what it reads is known
+/// everywhere well within the time for a leaving server.
+const FOLLOW_EVERY: Duration = Duration::from_millis(500);
+/// Time between two looks whether this entry must read for itself.
+const TURN_EVERY: Duration = Duration::from_millis(200);
+/// An entry that the store didn't answer lets others read for this long.
+const AVOID_FOR: Duration = Duration::from_secs(3);
 /// Time between two looks for other entries' rows.
 const ENTRIES_EVERY: Duration = Duration::from_secs(15);
 
@@ -31,6 +42,11 @@
     let mut version = None;
     let mut dependency = Dependency::new("operator feed");
     loop {
+        if state.follows() {
+            version = None;
+            tokio::time::sleep(TURN_EVERY).await;
+            continue;
+        }
         let result = match version {
             None => client.read_operator().await.map(|rows| {
                 state.on_operator_rows(&rows.changes);
@@ -50,6 +66,7 @@
             Ok(newest) => {
                 dependency.regained();
                 version = Some(newest);
+                state.operator.set(newest.max(state.operator.get()));
             }
             Err(Error::HistoryGone) => {
                 log::info!("history of the operator's rows is gone; reading all");
@@ -67,7 +84,22 @@
 pub(crate) async fn watch_servers(state: Rc<EdgeState>) {
     let mut client = StoreClient::new(state.config.store, PATIENCE);
     let mut dependency = Dependency::new("server registry");
+    let mut follower = ViewFollower::default();
+    let mut failed_at: Option<Instant> = None;
     loop {
+        if failed_at.is_some_and(|at| at.elapsed() > AVOID_FOR) {
+            state.reads.set(true);
+        }
+        if let Some(reader) = state.reader() {
+            match follower.follow(&state, reader).await {
+                Ok(()) => {
+                    dependency.regained();
+                    tokio::time::sleep(FOLLOW_EVERY).await;
+                    continue;
+                }
+                Err(error) => log::info!(reader:%, error:%; "reader not followed"),
+            }
+        }
         let begun = Instant::now();
         let result = client.read_servers().await;
         state
@@ -76,11 +108,15 @@
         match result {
             Ok(entries) => {
                 dependency.regained();
+                state.reads.set(true);
+                failed_at = None;
                 state.on_servers(&CatalogSnapshot { entries, begun });
                 tokio::time::sleep(READ_EVERY.saturating_sub(begun.elapsed())).await;
             }
             Err(error) => {
                 dependency.lost(&error);
+                state.reads.set(false);
+                failed_at = Some(Instant::now());
                 state.placer.borrow_mut().catalog.on_read_failed();
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod shift;
 pub mod split;
 pub mod timing;
+pub mod view;
 pub mod warmth;
 pub mod work;
--- a/crates/place/src/peers.rs
+++ b/crates/place/src/peers.rs
@@ -47,6 +47,10 @@
         pub front: SocketAddr,
         /// Where it takes beats.
         pub gossip: SocketAddr,
+        /// Where it tells what it read from the store.
+        pub view: SocketAddr,
+        /// Whether the store answered it lately.
+        pub reads: bool,
         /// Whether it takes callers now.
         pub ready: bool,
         /// Whether its process is about to end.
--- a/crates/place/tests/peers.rs
+++ b/crates/place/tests/peers.rs
@@ -16,6 +16,8 @@
         region: "a".to_owned(),
         front: SocketAddr::from(([127, 0, 0, 1], 80)),
         gossip: SocketAddr::from(([127, 0, 0, 1], 81)),
+        view: SocketAddr::from(([127, 0, 0, 1], 82)),
+        reads: true,
         ready: true,
         leaving: false,
         version: 1,
