Logs that say what they left out; metrics of servers and refusals; lhctl explain-request

Cause: on-call engineers had a count of lines left out but not of what kind, no figures of servers and refusals, and no tool to read a request's line. Change: left-out lines are summed by kind and outcome with an example id; lines name the instance; refusals by reason, servers by state, requests by server, age of the registry's reading; lhctl explain-request tells a request's story with what its entry saw around it.

--- a/bin/lh-edge/src/app.rs
+++ b/bin/lh-edge/src/app.rs
@@ -29,7 +29,7 @@
         println!("{}: settings are valid", arguments.settings.display());
         return Ok(());
     }
-    let logs = LogQueue::start();
+    let logs = LogQueue::start(&config.node);
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let local = LocalSet::new();
     let result = local.block_on(&runtime, serve(config, arguments));
@@ -42,7 +42,7 @@
 
 async fn serve(config: EdgeConfig, arguments: Arguments) -> Result<()> {
     let incarnation = incarnation();
-    log::info!(node = config.node.as_str(), incarnation, zone = config.zone.as_str(); "started");
+    log::info!(incarnation, zone = config.zone.as_str(); "started");
     let state = EdgeState::new(config, EdgeMetrics::new()?, incarnation);
     let config = &state.config;
     let callers = accept::listen("callers", config.caller_address)?;
--- a/bin/lh-edge/src/inner.rs
+++ b/bin/lh-edge/src/inner.rs
@@ -74,7 +74,11 @@
             bytes(view::answer_view(state, query))
         }
         view::DESIRED_PATH => bytes(view::answer_desired(state)),
-        METRICS_PATH => text(StatusCode::OK, state.metrics.text()),
+        METRICS_PATH => {
+            let placer = state.placer.borrow();
+            state.metrics.show_servers(Instant::now(), &placer.catalog);
+            text(StatusCode::OK, state.metrics.text())
+        }
         _ => text(StatusCode::NOT_FOUND, String::new()),
     }
 }
--- a/bin/lh-edge/src/logs.rs
+++ b/bin/lh-edge/src/logs.rs
@@ -1,8 +1,11 @@
 //! Log lines to standard output: one JSON object a line, bounded, never blocking.
 //!
 //! Lines go into a buffer that a thread of its own writes out. What doesn't fit
-//! is counted, and a line says how many were left out.
+//! is counted by kind, and a line says how many of each were left out, with the id
+//! of one of them. Lines of level warning, as of a request that must not repeat and
+//! whose outcome is unknown, have room of their own.
 
+use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::io::Write;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -24,19 +27,31 @@
 struct LineBuffer {
     bytes: Vec<u8>,
     lines: usize,
-    left_out: usize,
+    left_out: BTreeMap<String, LeftOut>,
+}
+
+/// Lines of one kind that were left out.
+#[derive(Debug, Default)]
+struct LeftOut {
+    count: usize,
+    example: String,
 }
 
 /// The lines that wait to be written.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub(crate) struct LogQueue {
+    node: Arc<str>,
     buffer: Arc<Mutex<LineBuffer>>,
 }
 
 impl LogQueue {
-    /// Starts logging into a new queue, and the thread that writes it out.
-    pub(crate) fn start() -> Self {
-        let queue = Self::default();
+    /// Starts logging into a new queue, and the thread that writes it out. Each
+    /// line names `node`.
+    pub(crate) fn start(node: &str) -> Self {
+        let queue = Self {
+            node: Arc::from(node),
+            buffer: Arc::default(),
+        };
         let sink = queue.clone();
         let dispatch = fern::Dispatch::new()
             .level(LevelFilter::Info)
@@ -65,16 +80,33 @@
         let mut out = std::io::stdout().lock();
         // Nobody reads the log if this fails, and there is no other place to say so.
         let _ = out.write_all(&bytes);
-        if left_out > 0 {
-            let time = milliseconds();
-            let _ = writeln!(
-                out,
-                "{{\"time_ms\":{time},\"level\":\"WARN\",\"event\":\"log lines left out\",\"count\":{left_out}}}"
-            );
+        for (kind, left_out) in left_out {
+            let line = self.left_out_line(&kind, &left_out);
+            let _ = out.write_all(line.as_bytes());
         }
         let _ = out.flush();
     }
 
+    fn left_out_line(&self, kind: &str, left_out: &LeftOut) -> String {
+        let mut line = self.line_start(Level::Warn, "lines left out");
+        let _ = write!(line, ",\"count\":{},\"kind\":", left_out.count);
+        push_text(&mut line, kind);
+        line.push_str(",\"example\":");
+        push_text(&mut line, &left_out.example);
+        line.push_str("}\n");
+        line
+    }
+
+    fn line_start(&self, level: Level, event: &str) -> String {
+        let mut line = String::with_capacity(400);
+        let time = milliseconds();
+        let _ = write!(line, "{{\"time_ms\":{time},\"node\":");
+        push_text(&mut line, &self.node);
+        let _ = write!(line, ",\"level\":\"{level}\",\"event\":");
+        push_text(&mut line, event);
+        line
+    }
+
     fn push(&self, record: &Record<'_>) {
         let mut buffer = self.lock();
         let most = if record.level() >= Level::Info {
@@ -83,11 +115,16 @@
             ALL_LINES
         };
         if buffer.lines >= most {
-            buffer.left_out += 1;
+            let kind = RecordKind::of(record);
+            let left_out = buffer.left_out.entry(kind.name).or_default();
+            left_out.count += 1;
+            left_out.example = kind.request;
             return;
         }
         buffer.lines += 1;
-        let line = json_line(record);
+        let mut line = self.line_start(record.level(), &record.args().to_string());
+        let _ = record.key_values().visit(&mut JsonFields(&mut line));
+        line.push_str("}\n");
         buffer.bytes.extend_from_slice(line.as_bytes());
     }
 
@@ -118,18 +155,35 @@
     }
 }
 
-fn json_line(record: &Record<'_>) -> String {
-    let mut line = String::with_capacity(320);
-    let _ = write!(
-        line,
-        "{{\"time_ms\":{},\"level\":\"{}\",\"event\":",
-        milliseconds(),
-        record.level()
-    );
-    push_text(&mut line, &record.args().to_string());
-    let _ = record.key_values().visit(&mut JsonFields(&mut line));
-    line.push_str("}\n");
-    line
+/// What a line is about, told only where it is left out.
+#[derive(Debug, Default)]
+struct RecordKind {
+    name: String,
+    request: String,
+}
+
+impl RecordKind {
+    fn of(record: &Record<'_>) -> Self {
+        let mut kind = Self {
+            name: record.args().to_string(),
+            request: String::new(),
+        };
+        let _ = record.key_values().visit(&mut kind);
+        kind
+    }
+}
+
+impl<'kvs> VisitSource<'kvs> for RecordKind {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), kv::Error> {
+        match key.as_str() {
+            "outcome" | "reason" => {
+                let _ = write!(self.name, " {value}");
+            }
+            "request" => self.request = value.to_string(),
+            _ => {}
+        }
+        Ok(())
+    }
 }
 
 fn push_text(line: &mut String, text: &str) {
--- a/bin/lh-edge/src/metrics.rs
+++ b/bin/lh-edge/src/metrics.rs
@@ -1,9 +1,15 @@
 //! Counters and histograms, and their text.
 
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Gauge, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
+use std::time::Instant;
+
+use place::catalog::ServerCatalog;
+use place::server::{EntryState, ServerRecord};
+
 use crate::error::Result;
 
 /// Upper bounds of the latency buckets, in seconds: around the usual objectives.
@@ -17,6 +23,10 @@
     latency: HistogramVec,
     attempts: IntCounterVec,
     store_calls: IntCounterVec,
+    refusals: IntCounterVec,
+    servers: GaugeVec,
+    server_requests: GaugeVec,
+    registry_age: Gauge,
     pub(crate) version: IntGauge,
     pub(crate) connections: IntGauge,
 }
@@ -51,12 +61,35 @@
             ),
             &["call", "result"],
         )?;
+        let refusals = IntCounterVec::new(
+            Opts::new("laurelhill_refusals_total", "Refused requests by reason"),
+            &["reason"],
+        )?;
+        let servers = GaugeVec::new(
+            Opts::new("laurelhill_servers", "Known servers by service and state"),
+            &["service", "state"],
+        )?;
+        let server_requests = GaugeVec::new(
+            Opts::new(
+                "laurelhill_server_requests",
+                "Requests at each known server, of this entry and thought of all",
+            ),
+            &["server", "of"],
+        )?;
+        let registry_age = Gauge::new(
+            "laurelhill_registry_age_seconds",
+            "Age of the newest reading of the servers' registry",
+        )?;
         let version = IntGauge::new("laurelhill_desired_version", "Desired state in force")?;
         let connections = IntGauge::new("laurelhill_caller_connections", "Open connections")?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(latency.clone()))?;
         registry.register(Box::new(attempts.clone()))?;
         registry.register(Box::new(store_calls.clone()))?;
+        registry.register(Box::new(refusals.clone()))?;
+        registry.register(Box::new(servers.clone()))?;
+        registry.register(Box::new(server_requests.clone()))?;
+        registry.register(Box::new(registry_age.clone()))?;
         registry.register(Box::new(version.clone()))?;
         registry.register(Box::new(connections.clone()))?;
         Ok(Self {
@@ -65,6 +98,10 @@
             latency,
             attempts,
             store_calls,
+            refusals,
+            servers,
+            server_requests,
+            registry_age,
             version,
             connections,
         })
@@ -87,6 +124,32 @@
         self.store_calls.with_label_values(&[call, result]).inc();
     }
 
+    /// A request was refused.
+    pub(crate) fn on_refusal(&self, reason: &str) {
+        self.refusals.with_label_values(&[reason]).inc();
+    }
+
+    /// Shows the servers as they are known now; those that are gone leave.
+    pub(crate) fn show_servers(&self, now: Instant, catalog: &ServerCatalog) {
+        self.servers.reset();
+        self.server_requests.reset();
+        let age = catalog
+            .read_at()
+            .map_or(f64::NAN, |at| (now - at).as_secs_f64());
+        self.registry_age.set(age);
+        for record in catalog.iter() {
+            let state = server_state(now, record);
+            let service = record.entry.service.as_str();
+            self.servers.with_label_values(&[service, state]).inc();
+            let requests = |of: &str| {
+                self.server_requests
+                    .with_label_values(&[record.entry.id.as_str(), of])
+            };
+            requests("entry").set(f64::from(record.in_flight));
+            requests("all").set(record.occupancy(now));
+        }
+    }
+
     /// All metrics as text.
     pub(crate) fn text(&self) -> String {
         let encoder = TextEncoder::new();
@@ -95,3 +158,15 @@
             .unwrap_or_else(|error| format!("# metrics can't be encoded: {error}\n"))
     }
 }
+
+fn server_state(now: Instant, record: &ServerRecord) -> &'static str {
+    if record.entry.state == EntryState::Draining {
+        "leaving"
+    } else if record.is_paused(now) {
+        "unreachable"
+    } else if record.is_cold(now) {
+        "cold"
+    } else {
+        "ready"
+    }
+}
--- a/bin/lh-edge/src/record.rs
+++ b/bin/lh-edge/src/record.rs
@@ -120,13 +120,13 @@
         metrics.on_request(route, outcome.as_str(), took.as_secs_f64());
         let read_at = self.state.placer.borrow().catalog.read_at();
         let servers_age_ms = read_at.map_or(-1, |at| at.elapsed().as_millis() as i64);
-        let refused = self.refusal.map_or(String::new(), |refusal| {
-            format!(
-                "{:?}, back in {} ms",
-                refusal.reason,
-                refusal.retry_after.as_millis()
-            )
-        });
+        let refused = self.refusal.map_or("", |refusal| refusal.reason.as_str());
+        let back_in_ms = self
+            .refusal
+            .map_or(0, |refusal| refusal.retry_after.as_millis() as u64);
+        if self.refusal.is_some() {
+            self.state.metrics.on_refusal(refused);
+        }
         let may_repeat = self
             .route
             .as_ref()
@@ -145,7 +145,8 @@
             status,
             took_ms = took.as_millis() as u64,
             attempts = self.attempts.as_str(),
-            refused = refused.as_str(),
+            reason = refused,
+            back_in_ms,
             returning = self.returning,
             version = self.state.version(),
             servers_age_ms;
--- a/bin/lh-edge/src/state.rs
+++ b/bin/lh-edge/src/state.rs
@@ -183,19 +183,7 @@
         self.servers.borrow_mut().on_read(snapshot);
         let changes = self.placer.borrow_mut().catalog.on_read(now, snapshot);
         for change in &changes {
-            match change {
-                CatalogChange::Joined(id, zone) => {
-                    log::info!(server = id.as_str(), zone = zone.as_str(); "server joined");
-                }
-                CatalogChange::Draining(id) => {
-                    log::info!(server = id.as_str(); "server is leaving")
-                }
-                CatalogChange::Gone(id) => log::info!(server = id.as_str(); "server is gone"),
-                CatalogChange::Cold(id) => log::info!(server = id.as_str(); "server is cold"),
-                CatalogChange::Missing(id) => {
-                    log::info!(server = id.as_str(); "server's entry missing, kept for now");
-                }
-            }
+            log_change(change);
         }
     }
 
@@ -236,3 +224,17 @@
         placer.catalog.set_evacuated(Instant::now(), zones, warmup);
     }
 }
+
+fn log_change(change: &CatalogChange) {
+    let (id, event) = match change {
+        CatalogChange::Joined(id, zone) => {
+            log::info!(server = id.as_str(), zone = zone.as_str(); "server joined");
+            return;
+        }
+        CatalogChange::Draining(id) => (id, "server is leaving"),
+        CatalogChange::Gone(id) => (id, "server is gone"),
+        CatalogChange::Cold(id) => (id, "server is cold"),
+        CatalogChange::Missing(id) => (id, "server's entry missing, kept for now"),
+    };
+    log::info!(server = id.as_str(); "{event}");
+}
--- a/bin/lh-edge/tests/states.rs
+++ b/bin/lh-edge/tests/states.rs
@@ -221,6 +221,46 @@
     .await;
 }
 
+/// Promise: an entry that the store doesn't answer learns servers, desired states and
+/// evacuations from another, also while they change.
+#[tokio::test]
+async fn an_entry_cut_off_from_the_store_follows_another() {
+    let world = World::new(1).await;
+    let first = EdgeProcess::ready(&world, "n1").await;
+    let nowhere = "127.0.0.1:1".parse().unwrap();
+    let second = EdgeProcess::start(nowhere, "n2", &[first.ip]);
+    second.wait_ready().await;
+    assert_eq!(second.send("GET", "/board/x", "a").await.status, 200);
+    world.store.put("op", "config", &desired_state(9, &[DESK]));
+    until("the new state is in force there", async || {
+        second.send("GET", "/board/x", "b").await.status == 404
+    })
+    .await;
+    world
+        .store
+        .put("op", "evacuate/zone-a", &serde_json::json!({}));
+    until("the evacuation is in force there", async || {
+        second.send("POST", "/desk/x", "c").await.status == 503
+    })
+    .await;
+}
+
+/// Promise: few entries read the store: a second one adds no readings.
+#[tokio::test]
+async fn one_entry_of_a_region_reads() {
+    let world = World::new(1).await;
+    let first = EdgeProcess::ready(&world, "n1").await;
+    let second = EdgeProcess::start(world.store.address(), "n2", &[first.ip]);
+    second.wait_ready().await;
+    until("one of the two follows the other", async || {
+        let before = world.store.calls("/rows-get");
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        // One reader makes three or four calls in this time, two make seven.
+        world.store.calls("/rows-get") - before <= 5
+    })
+    .await;
+}
+
 /// Promise: an entry that gets SIGHUP with wrong settings goes on with the old.
 #[tokio::test]
 async fn a_hangup_ends_nothing() {
--- a/bin/lhctl/src/cli.rs
+++ b/bin/lhctl/src/cli.rs
@@ -57,6 +57,13 @@
         #[command(flatten)]
         instances: InstanceArguments,
     },
+    /// Tell what became of a request, from the entries' log lines.
+    ExplainRequest {
+        /// The request's id.
+        id: String,
+        /// Files with log lines of any entries; standard input if there are none.
+        logs: Vec<PathBuf>,
+    },
     /// Print the tables of the settings page.
     Settings,
     /// Print a shell's completions.
--- a/bin/lhctl/src/lib.rs
+++ b/bin/lhctl/src/lib.rs
@@ -8,6 +8,7 @@
 mod explain;
 mod platform;
 mod status;
+mod trace;
 
 use clap::Parser;
 
@@ -41,6 +42,7 @@
             lookup,
             instances,
         } => explain::show(&service, lookup, &instances, json).await,
+        cli::Command::ExplainRequest { id, logs } => trace::explain(&id, &logs, json),
         cli::Command::Settings => {
             print!("{}", conf::schema::markdown());
             Ok(())
--- /dev/null
+++ b/bin/lhctl/src/trace.rs
@@ -0,0 +1,206 @@
+//! Tells the story of one request from the entries' log lines: what decided it, what
+//! came of it, and what its entry saw around that time.
+
+use std::collections::BTreeSet;
+use std::fmt::Write as _;
+use std::io::{BufRead, BufReader};
+use std::path::PathBuf;
+
+use serde_json::Value;
+
+use crate::error::{Error, Result};
+
+/// Events of the same entry up to this long before the request are told, in ms.
+const BEFORE: i64 = 5000;
+/// And up to this long after its answer.
+const AFTER: i64 = 1000;
+/// Events that are told only if they concern a server that the request met.
+const SERVER_EVENTS: [&str; 5] = [
+    "server joined",
+    "server is leaving",
+    "server is gone",
+    "server is cold",
+    "server's entry missing, kept for now",
+];
+
+/// One log line.
+#[derive(Debug, Clone)]
+struct LogLine(Value);
+
+impl LogLine {
+    fn text(&self, field: &str) -> &str {
+        self.0[field].as_str().unwrap_or("")
+    }
+
+    fn number(&self, field: &str) -> i64 {
+        let value = &self.0[field];
+        value
+            .as_i64()
+            .unwrap_or_else(|| value.as_f64().unwrap_or(0.0) as i64)
+    }
+
+    fn time(&self) -> i64 {
+        self.number("time_ms")
+    }
+
+    fn is_request(&self, id: &str) -> bool {
+        self.text("event") == "request" && self.text("request") == id
+    }
+}
+
+/// Prints the story of the request `id` from the lines in `logs`.
+///
+/// # Errors
+/// Where a file can't be read, or no line is about the request.
+pub(crate) fn explain(id: &str, logs: &[PathBuf], json: bool) -> Result<()> {
+    let lines = read_lines(logs)?;
+    let mut requests: Vec<&LogLine> = lines.iter().filter(|line| line.is_request(id)).collect();
+    requests.sort_by_key(|line| line.time());
+    if requests.is_empty() {
+        return Err(Error::Refused(format!(
+            "no line is about request {id}; give the logs of all entries, and look for \
+             \"lines left out\" around its time"
+        )));
+    }
+    for request in requests {
+        let around = events_around(request, &lines);
+        if json {
+            print_json(request, &around);
+        } else {
+            print!("{}", story(request, &around));
+        }
+    }
+    Ok(())
+}
+
+fn read_lines(logs: &[PathBuf]) -> Result<Vec<LogLine>> {
+    let mut lines = Vec::new();
+    if logs.is_empty() {
+        collect_lines(std::io::stdin().lock(), &mut lines)?;
+    }
+    for path in logs {
+        let file = std::fs::File::open(path).map_err(|cause| {
+            Error::Usage(format!("can't read the log {}: {cause}", path.display()))
+        })?;
+        collect_lines(BufReader::new(file), &mut lines)?;
+    }
+    Ok(lines)
+}
+
+fn collect_lines(source: impl BufRead, lines: &mut Vec<LogLine>) -> Result<()> {
+    for line in source.lines() {
+        let line = line?;
+        // A collector may put its own words before the line.
+        let Some(start) = line.find('{') else {
+            continue;
+        };
+        if let Ok(value) = serde_json::from_str(&line[start..]) {
+            lines.push(LogLine(value));
+        }
+    }
+    Ok(())
+}
+
+fn events_around(request: &LogLine, lines: &[LogLine]) -> Vec<LogLine> {
+    let begun = request.time() - request.number("took_ms");
+    let servers = servers_met(request);
+    let mut around: Vec<LogLine> = lines
+        .iter()
+        .filter(|line| line.text("event") != "request" && line.text("node") == request.text("node"))
+        .filter(|line| (begun - BEFORE..=request.time() + AFTER).contains(&line.time()))
+        .filter(|line| {
+            let about_server = SERVER_EVENTS.contains(&line.text("event"));
+            !about_server || servers.contains(line.text("server"))
+        })
+        .cloned()
+        .collect();
+    around.sort_by_key(LogLine::time);
+    around
+}
+
+fn servers_met(request: &LogLine) -> BTreeSet<&str> {
+    let attempts = request.text("attempts").split("; ");
+    attempts
+        .filter_map(|attempt| attempt.split('(').next())
+        .collect()
+}
+
+fn story(request: &LogLine, around: &[LogLine]) -> String {
+    let mut story = String::new();
+    let begun = request.time() - request.number("took_ms");
+    let _ = writeln!(
+        story,
+        "request {} at entry {}, route {}",
+        request.text("request"),
+        request.text("node"),
+        request.text("route")
+    );
+    let _ = writeln!(
+        story,
+        "  {begun} read{}; desired state {}, servers as read {} ms before the answer",
+        if request.0["returning"] == true {
+            ", after an earlier refusal"
+        } else {
+            ""
+        },
+        request.number("version"),
+        request.number("servers_age_ms")
+    );
+    for attempt in request
+        .text("attempts")
+        .split("; ")
+        .filter(|text| !text.is_empty())
+    {
+        let _ = writeln!(story, "  sent to {attempt}");
+    }
+    if !request.text("reason").is_empty() {
+        let _ = writeln!(
+            story,
+            "  refused ({}), asked to come back in {} ms",
+            request.text("reason"),
+            request.number("back_in_ms")
+        );
+    }
+    let _ = writeln!(
+        story,
+        "  {} answered {} ({}) after {} ms",
+        request.time(),
+        request.number("status"),
+        request.text("outcome"),
+        request.number("took_ms")
+    );
+    if !around.is_empty() {
+        let _ = writeln!(story, "  around it at the same entry:");
+    }
+    for event in around {
+        let _ = writeln!(
+            story,
+            "    {} {}{}",
+            event.time(),
+            event.text("event"),
+            fields(event)
+        );
+    }
+    story
+}
+
+fn fields(event: &LogLine) -> String {
+    let mut fields = String::new();
+    let Some(map) = event.0.as_object() else {
+        return fields;
+    };
+    for (name, value) in map {
+        if !matches!(name.as_str(), "time_ms" | "node" | "level" | "event") {
+            let _ = write!(fields, " {name}={value}");
+        }
+    }
+    fields
+}
+
+fn print_json(request: &LogLine, around: &[LogLine]) {
+    let around: Vec<&Value> = around.iter().map(|line| &line.0).collect();
+    println!(
+        "{}",
+        serde_json::json!({"request": request.0, "around": around})
+    );
+}
--- /dev/null
+++ b/bin/lhctl/tests/trace.rs
@@ -0,0 +1,66 @@
+//! The story of a request, from log lines.
+
+use std::io::Write as _;
+use std::process::{Command, Output, Stdio};
+
+const LOG: &str = concat!(
+    r#"  12.5 edge-1 {"time_ms":1000,"node":"n1","level":"INFO","event":"server is cold","server":"i-1"}"#,
+    "\n",
+    r#"{"time_ms":1100,"node":"n1","level":"INFO","event":"server is cold","server":"i-9"}"#,
+    "\n",
+    r#"{"time_ms":1200,"node":"n2","level":"WARN","event":"dependency lost","dependency":"server registry"}"#,
+    "\n",
+    r#"{"time_ms":1300,"node":"n1","level":"WARN","event":"dependency lost","dependency":"server registry"}"#,
+    "\n",
+    r#"{"time_ms":2000,"node":"n1","level":"WARN","event":"request","request":"r7","route":"desk","outcome":"unknown","status":502,"took_ms":400,"attempts":"i-1(expected 300ms occupancy 1.0 warmth 0.90 rank 0) -> broke: connection reset at 399ms","reason":"","back_in_ms":0,"returning":true,"version":5,"servers_age_ms":700}"#,
+    "\nnot a line of ours\n",
+);
+
+fn explain(words: &[&str]) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_lhctl"))
+        .args(words)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    child
+        .stdin
+        .take()
+        .unwrap()
+        .write_all(LOG.as_bytes())
+        .unwrap();
+    child.wait_with_output().unwrap()
+}
+
+/// Promise: the story names where the request went, what came of it, and what the
+/// same entry saw of the servers that it met and of what it depends on.
+#[test]
+fn a_request_is_explained() {
+    let output = explain(&["explain-request", "r7"]);
+    let text = String::from_utf8_lossy(&output.stdout);
+    for part in [
+        "request r7 at entry n1, route desk",
+        "after an earlier refusal",
+        "sent to i-1(expected 300ms",
+        "broke: connection reset",
+        "answered 502 (unknown) after 400 ms",
+        "1000 server is cold server=\"i-1\"",
+        "1300 dependency lost",
+    ] {
+        assert!(text.contains(part), "{part} in {text}");
+    }
+    assert!(!text.contains("i-9") && !text.contains("1200"), "{text}");
+}
+
+/// Promise: an id without a line is said so, with what to do.
+#[test]
+fn an_unknown_id_is_said_so() {
+    let output = explain(&["explain-request", "r8"]);
+    assert_eq!(output.status.code(), Some(1));
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert!(
+        text.contains("r8") && text.contains("logs of all entries"),
+        "{text}"
+    );
+}
--- a/crates/place/src/request.rs
+++ b/crates/place/src/request.rs
@@ -91,6 +91,19 @@
     ShiftCap,
 }
 
+impl RefusalReason {
+    /// The reason in one word, for logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NoServer => "no-server",
+            Self::Full => "full",
+            Self::Cold => "cold",
+            Self::Late => "late",
+            Self::ShiftCap => "shift-cap",
+        }
+    }
+}
+
 /// A refusal, with the time after which room is expected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Refusal {
--- a/crates/place/tests/common/mod.rs
+++ b/crates/place/tests/common/mod.rs
@@ -1,5 +1,5 @@
 //! What the tests of this crate share.
-#![allow(dead_code)]
+#![allow(dead_code, unreachable_pub)]
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
