--- /dev/null
+++ b/bin/lh-edge/src/attempt.rs
@@ -0,0 +1,70 @@
+//! A request at a server, counted until its outcome is known.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use place::desired::RouteSpec;
+use place::request::{Placement, PlacementRequest, ServerOutcome};
+use place::server::ServerReport;
+
+use crate::state::EdgeState;
+
+/// Counts a request at its server until its outcome is known.
+pub(crate) struct AttemptGuard {
+    state: Rc<EdgeState>,
+    route: Rc<RouteSpec>,
+    part: usize,
+    object: Option<u64>,
+    pub(crate) placement: Placement,
+    done: bool,
+}
+
+impl AttemptGuard {
+    /// Counts a request of `route` that goes to the server of `placement`.
+    pub(crate) fn new(
+        state: &Rc<EdgeState>,
+        route: &Rc<RouteSpec>,
+        part: usize,
+        object: Option<u64>,
+        placement: Placement,
+    ) -> Self {
+        Self {
+            state: Rc::clone(state),
+            route: Rc::clone(route),
+            part,
+            object,
+            placement,
+            done: false,
+        }
+    }
+
+    /// Takes in what became of it; the first call counts.
+    pub(crate) fn finish(&mut self, outcome: ServerOutcome, report: Option<&ServerReport>) {
+        if self.done {
+            return;
+        }
+        self.done = true;
+        let request = PlacementRequest {
+            route: &self.route,
+            part: self.part,
+            object: self.object,
+            remaining: Duration::ZERO,
+            returning: false,
+            body_bytes: 0,
+            tried: &[],
+        };
+        if let Some(part) = self.route.parts.get(self.part) {
+            self.state
+                .metrics
+                .on_attempt(&part.service, outcome.as_str());
+        }
+        let mut placer = self.state.placer.borrow_mut();
+        placer.on_outcome(Instant::now(), &self.placement, &request, outcome, report);
+    }
+}
+
+impl Drop for AttemptGuard {
+    fn drop(&mut self) {
+        self.finish(ServerOutcome::Abandoned, None);
+    }
+}
--- a/bin/lh-edge/src/forward.rs
+++ b/bin/lh-edge/src/forward.rs
@@ -6,32 +6,29 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use base::outcome::{OUTCOME_HEADER, Outcome};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::header::{self, HeaderValue};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use place::catalog::ServerHandle;
 use place::desired::RouteSpec;
 use place::rank::stable_hash;
 use place::request::{Placement, PlacementRequest, Refusal, ServerOutcome};
-use place::server::ServerReport;
 use platform::headers::{self, CallerHead, ServerHead};
 use tokio::time::timeout_at;
 
+use crate::attempt::AttemptGuard;
 use crate::body::{AnswerBody, CountGuard, RequestBody};
 use crate::pool::Lease;
 use crate::record::{RequestOutcome, RequestRecord};
+use crate::reply::{fail, is_sound, read_answer, refuse, reject, strip_hop_headers};
 use crate::state::EdgeState;
 use crate::stop::StopPhase;
 
 /// Bodies up to this size are read before they are sent on, so that a server
 /// that rejects one doesn't cost the request, in bytes.
 const WHOLE_BODY: usize = 1 << 20;
-/// Answers up to this size are read before they are passed on, so that one
-/// that breaks off can be asked for again, in bytes.
-const WHOLE_ANSWER: usize = 256 << 10;
 /// Part of the memory that bodies may fill.
 const BODY_MEMORY: usize = 4;
 /// How long a request without a deadline or a bound of its route may take.
@@ -43,19 +40,6 @@
 /// Servers that can't be reached are passed over this many times a request.
 const UNREACHABLE_MOST: u32 = 4;
 
-/// Headers that concern one connection only.
-const HOP_HEADERS: [HeaderName; 9] = [
-    header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    HeaderName::from_static("proxy-connection"),
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    header::CONTENT_LENGTH,
-    header::EXPECT,
-];
-
 /// A request on its way.
 struct RequestJob {
     state: Rc<EdgeState>,
@@ -79,16 +63,6 @@
     Streamed(Option<(Bytes, Incoming)>),
 }
 
-/// Counts a request at its server until its outcome is known.
-struct AttemptGuard {
-    state: Rc<EdgeState>,
-    route: Rc<RouteSpec>,
-    part: usize,
-    object: Option<u64>,
-    placement: Placement,
-    done: bool,
-}
-
 /// What came of an attempt.
 enum AttemptEnd {
     Answer(Response<AnswerBody>),
@@ -274,14 +248,14 @@
         };
         let placement = self.state.placer.borrow_mut().place(now, &request)?;
         self.tried.push(placement.handle);
-        Ok(AttemptGuard {
-            state: Rc::clone(&self.state),
-            route: Rc::clone(route),
-            part: self.part,
-            object: self.object,
+        let (part, object) = (self.part, self.object);
+        Ok(AttemptGuard::new(
+            &self.state,
+            route,
+            part,
+            object,
             placement,
-            done: false,
-        })
+        ))
     }
 
     async fn attempt(
@@ -321,7 +295,7 @@
                 } else {
                     ServerOutcome::Broken
                 };
-                self.record.on_result(&format!("broke: {}", error.error()));
+                self.record.on_result(&broken(error.error()));
                 guard.finish(outcome, None);
                 return if unsent {
                     AttemptEnd::Unreachable
@@ -371,7 +345,7 @@
             }
             Ok(Err(error)) => {
                 guard.finish(ServerOutcome::Broken, None);
-                self.record.on_result(&format!("answer broke off: {error}"));
+                self.record.on_result(&broken(&error));
                 return AttemptEnd::Broken;
             }
             Ok(Ok(read)) => read,
@@ -483,121 +457,10 @@
     }
 }
 
-impl AttemptGuard {
-    fn finish(&mut self, outcome: ServerOutcome, report: Option<&ServerReport>) {
-        if self.done {
-            return;
-        }
-        self.done = true;
-        let request = PlacementRequest {
-            route: &self.route,
-            part: self.part,
-            object: self.object,
-            remaining: Duration::ZERO,
-            returning: false,
-            body_bytes: 0,
-            tried: &[],
-        };
-        if let Some(part) = self.route.parts.get(self.part) {
-            self.state
-                .metrics
-                .on_attempt(&part.service, outcome.as_str());
-        }
-        let mut placer = self.state.placer.borrow_mut();
-        placer.on_outcome(Instant::now(), &self.placement, &request, outcome, report);
-    }
-}
-
-impl Drop for AttemptGuard {
-    fn drop(&mut self) {
-        self.finish(ServerOutcome::Abandoned, None);
-    }
-}
-
-/// Reads an answer whole, or its beginning if it is long.
-async fn read_answer(mut body: Incoming) -> Result<(Bytes, Option<Incoming>), hyper::Error> {
-    let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        if let Some(data) = frame?.data_ref() {
-            bytes.extend_from_slice(data);
-        }
-        if bytes.len() >= WHOLE_ANSWER {
-            return Ok((bytes.freeze(), Some(body)));
-        }
-    }
-    Ok((bytes.freeze(), None))
-}
-
-/// Whether the answer may be passed on as the server's own. A refusal without
-/// the server's word that nothing ran would be a false promise.
-fn is_sound(status: StatusCode, headers: &HeaderMap, head: &ServerHead) -> bool {
-    if status.is_success() {
-        return head.stamped && !headers.contains_key(header::CONTENT_ENCODING);
-    }
-    !matches!(
-        status,
-        StatusCode::REQUEST_TIMEOUT
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-    )
-}
-
-fn strip_hop_headers(headers: &mut HeaderMap) {
-    let listed: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in listed {
-        headers.remove(name);
-    }
-    for name in &HOP_HEADERS {
-        headers.remove(name);
-    }
-}
-
-fn refuse(
-    record: &mut RequestRecord,
-    caller: &CallerHead,
-    retry_after: Duration,
-) -> Response<AnswerBody> {
-    let status = StatusCode::SERVICE_UNAVAILABLE;
-    let mut response = own_answer(status, Outcome::NotRun, caller);
-    headers::write_return(response.headers_mut(), retry_after);
-    record.finish(RequestOutcome::NotRun, status.as_u16());
-    response
-}
-
-fn reject(
-    record: &mut RequestRecord,
-    caller: &CallerHead,
-    status: StatusCode,
-) -> Response<AnswerBody> {
-    record.finish(RequestOutcome::Rejected, status.as_u16());
-    own_answer(status, Outcome::NotRun, caller)
-}
-
-fn fail(
-    record: &mut RequestRecord,
-    caller: &CallerHead,
-    status: StatusCode,
-) -> Response<AnswerBody> {
-    record.finish(RequestOutcome::Unknown, status.as_u16());
-    own_answer(status, Outcome::Unknown, caller)
-}
-
-fn own_answer(status: StatusCode, outcome: Outcome, caller: &CallerHead) -> Response<AnswerBody> {
-    let mut response = Response::new(AnswerBody::whole(Bytes::new()));
-    *response.status_mut() = status;
-    let headers = response.headers_mut();
-    headers.insert(
-        HeaderName::from_static(OUTCOME_HEADER),
-        HeaderValue::from_static(outcome.as_str()),
-    );
-    if let Some(id) = &caller.request_id {
-        headers::write_request_id(headers, id);
+/// What broke, with the cause below it.
+fn broken(error: &hyper::Error) -> String {
+    match std::error::Error::source(error) {
+        Some(cause) => format!("broke: {error}: {cause}"),
+        None => format!("broke: {error}"),
     }
-    response
 }
--- a/bin/lh-edge/src/lib.rs
+++ b/bin/lh-edge/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod accept;
 mod app;
+mod attempt;
 mod beat;
 mod body;
 mod cli;
@@ -18,6 +19,7 @@
 mod metrics;
 mod pool;
 mod record;
+mod reply;
 mod state;
 mod stop;
 mod view;
--- /dev/null
+++ b/bin/lh-edge/src/reply.rs
@@ -0,0 +1,124 @@
+//! Answers to callers: whether a server's may be passed on, and the entry's own.
+
+use std::time::Duration;
+
+use base::outcome::{OUTCOME_HEADER, Outcome};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::{HeaderMap, Response, StatusCode};
+use platform::headers::{self, CallerHead, ServerHead};
+
+use crate::body::AnswerBody;
+use crate::record::{RequestOutcome, RequestRecord};
+
+/// Answers up to this size are read before they are passed on, so that one
+/// that breaks off can be asked for again, in bytes.
+const WHOLE_ANSWER: usize = 256 << 10;
+/// Headers that concern one connection only.
+const HOP_HEADERS: [HeaderName; 9] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+];
+
+/// Reads an answer whole, or its beginning if it is long.
+pub(crate) async fn read_answer(
+    mut body: Incoming,
+) -> Result<(Bytes, Option<Incoming>), hyper::Error> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Some(data) = frame?.data_ref() {
+            bytes.extend_from_slice(data);
+        }
+        if bytes.len() >= WHOLE_ANSWER {
+            return Ok((bytes.freeze(), Some(body)));
+        }
+    }
+    Ok((bytes.freeze(), None))
+}
+
+/// Whether the answer may be passed on as the server's own. A refusal without
+/// the server's word that nothing ran would be a false promise.
+pub(crate) fn is_sound(status: StatusCode, headers: &HeaderMap, head: &ServerHead) -> bool {
+    if status.is_success() {
+        return head.stamped && !headers.contains_key(header::CONTENT_ENCODING);
+    }
+    !matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+/// Drops the headers that concern one connection only.
+pub(crate) fn strip_hop_headers(headers: &mut HeaderMap) {
+    let listed: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in listed {
+        headers.remove(name);
+    }
+    for name in &HOP_HEADERS {
+        headers.remove(name);
+    }
+}
+
+/// The answer to a request that has not run and never will; come back later.
+pub(crate) fn refuse(
+    record: &mut RequestRecord,
+    caller: &CallerHead,
+    retry_after: Duration,
+) -> Response<AnswerBody> {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let mut response = own_answer(status, Outcome::NotRun, caller);
+    headers::write_return(response.headers_mut(), retry_after);
+    record.finish(RequestOutcome::NotRun, status.as_u16());
+    response
+}
+
+/// The answer to a request that is not proper or not allowed.
+pub(crate) fn reject(
+    record: &mut RequestRecord,
+    caller: &CallerHead,
+    status: StatusCode,
+) -> Response<AnswerBody> {
+    record.finish(RequestOutcome::Rejected, status.as_u16());
+    own_answer(status, Outcome::NotRun, caller)
+}
+
+/// The answer to a request that may have run.
+pub(crate) fn fail(
+    record: &mut RequestRecord,
+    caller: &CallerHead,
+    status: StatusCode,
+) -> Response<AnswerBody> {
+    record.finish(RequestOutcome::Unknown, status.as_u16());
+    own_answer(status, Outcome::Unknown, caller)
+}
+
+fn own_answer(status: StatusCode, outcome: Outcome, caller: &CallerHead) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(Bytes::new()));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(
+        HeaderName::from_static(OUTCOME_HEADER),
+        HeaderValue::from_static(outcome.as_str()),
+    );
+    if let Some(id) = &caller.request_id {
+        headers::write_request_id(headers, id);
+    }
+    response
+}
--- a/bin/lh-edge/src/stop.rs
+++ b/bin/lh-edge/src/stop.rs
@@ -5,9 +5,9 @@
 
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::beat;
 use crate::error::Result;
 use crate::state::EdgeState;
+use crate::{beat, watch};
 
 /// Callers that keep an answer of the look-up three times its life have left by
 /// then; requests that come later are refused, so that all that was read is
@@ -46,6 +46,7 @@
     log::info!(in_flight = state.in_flight.get(); "stop requested");
     enter(state, StopPhase::Draining);
     beat::tell_all(state).await;
+    tokio::task::spawn_local(watch::leave_entries(Rc::clone(state)));
     let refuse_after = REFUSE_AFTER.min(state.config.grace / 2);
     tokio::time::sleep(refuse_after).await;
     enter(state, StopPhase::Refusing);
--- a/bin/lh-edge/src/watch.rs
+++ b/bin/lh-edge/src/watch.rs
@@ -147,6 +147,18 @@
     }
 }
 
+/// Takes this entry's row out of the store, so that others stop looking for it.
+pub(crate) async fn leave_entries(state: Rc<EdgeState>) {
+    let mut client = StoreClient::new(state.config.store, PATIENCE);
+    let result = client.drop_entries(&[&state.config.node]).await;
+    state
+        .metrics
+        .on_store_call("entries", result.as_ref().err());
+    if let Err(error) = result {
+        log::info!(error:%; "the entry's row stays in the store");
+    }
+}
+
 async fn exchange_entries(
     state: &EdgeState,
     client: &mut StoreClient,
--- a/bin/lh-edge/tests/states.rs
+++ b/bin/lh-edge/tests/states.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use platform_standin::{Behavior, RouteText, StoreMode, desired_state, server_entry};
-use world::{BOARD, DESK, EdgeProcess, World, connect, exchange, request, until};
+use world::{BOARD, DESK, EdgeProcess, World, connect, exchange, request, request_for, until};
 
 /// Promise: a new desired state is in force soon, and an older one never again.
 #[tokio::test]
@@ -97,11 +97,16 @@
     world.store.put("servers", "i-former", &former);
     world.store.drop_row("servers", "i-1");
     let edge = EdgeProcess::ready(&world, "n1").await;
-    for turn in 0..10 {
+    let mut sender = edge.connect().await;
+    for turn in 0..20 {
         let id = format!("r{turn}");
-        assert_eq!(edge.send("POST", "/desk/x", &id).await.body, "ran by i-0");
+        let sent = request_for(&id, "POST", "/desk/x", &id, b"");
+        let answer = exchange(&mut sender, sent).await.unwrap();
+        assert_eq!(answer.body, "ran by i-0");
         assert_eq!(world.backends[1].runs(&id), 0);
     }
+    let asked = world.backends[1].seen();
+    assert!(!asked.is_empty(), "the address was never tried");
 }
 
 /// Promise: nothing is sent to an evacuated failure domain, and an entry with no
--- a/bin/lh-edge/tests/world/mod.rs
+++ b/bin/lh-edge/tests/world/mod.rs
@@ -94,7 +94,6 @@
              lookup-address = {ip}:{LOOKUP_PORT}\nmetrics-port = {METRICS_PORT}\n\
              peer-ports = {PEER_PORT}-{}\npeer-seeds = {}\naddress = {ip}\n\
              [store]\naddress = {store}\n\
-             [bounds]\ngrace = 6s\ndrain = 2500ms\nretry-ratio = 0.2\nretry-slack = 56\n\
              retry-window = 10s\nshift-cap = 0.15\nlookup-ttl-most = 5s\n\
              memory-mb = 260\ndescriptors = 4100\n[regions]\nzone-a = north\n",
             PEER_PORT + 1,
@@ -237,12 +236,23 @@
 }
 
 pub fn request_with(method: &str, path: &str, id: &str, body: &[u8]) -> Request<Full<Bytes>> {
+    request_for("7", method, path, id, body)
+}
+
+/// A request that concerns `object`.
+pub fn request_for(
+    object: &str,
+    method: &str,
+    path: &str,
+    id: &str,
+    body: &[u8],
+) -> Request<Full<Bytes>> {
     Request::builder()
         .method(method)
         .uri(path)
         .header("host", "board.example")
         .header("request-id", id)
-        .header("affinity-key", "7")
+        .header("affinity-key", object)
         .header("deadline-ms", "40000")
         .body(Full::new(Bytes::copy_from_slice(body)))
         .unwrap()
--- a/crates/emulate/src/lib.rs
+++ b/crates/emulate/src/lib.rs
@@ -10,6 +10,7 @@
 mod policy;
 mod report;
 mod run;
+mod setup;
 
 pub use experiment::{Experiment, FaultKind, ServerFault, TrafficStep};
 pub use policy::{EntryPolicy, NaivePolicy, PlacerPolicy};
--- a/crates/emulate/src/run.rs
+++ b/crates/emulate/src/run.rs
@@ -4,12 +4,10 @@
 use std::collections::{BinaryHeap, HashMap};
 use std::time::{Duration, Instant};
 
-use place::budget::BudgetBounds;
 use place::catalog::CatalogSnapshot;
-use place::desired::{DesiredState, RequestKind, RequestLimits, RouteSpec, ServiceSpec, SplitPart};
+use place::desired::DesiredState;
 use place::load::LoadList;
 use place::prelude::*;
-use place::rank::stable_hash;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -17,6 +15,7 @@
 use crate::model::{Job, ModelServer};
 use crate::policy::{EntryPolicy, PolicyChoice};
 use crate::report::{TrialReport, WINDOW};
+use crate::setup::{desired_state, entry_hash, placer_config, server_entries};
 
 /// Time between words on load.
 const LOAD_EVERY: u64 = 100_000;
@@ -437,85 +436,3 @@
 fn micros(seconds: f64) -> Micros {
     (seconds * 1e6) as Micros
 }
-
-fn entry_hash(entry: usize) -> u64 {
-    stable_hash(format!("entry-{entry}").as_bytes())
-}
-
-fn zone_name(region: usize, index: usize) -> String {
-    format!(
-        "region-{region}-{}",
-        if index.is_multiple_of(2) { "a" } else { "b" }
-    )
-}
-
-fn server_entries(experiment: &Experiment) -> Vec<ServerEntry> {
-    let mut entries = Vec::new();
-    for region in 0..experiment.regions {
-        for index in 0..experiment.servers {
-            entries.push(ServerEntry {
-                id: format!("server-{region}-{index}"),
-                service: "board".to_owned(),
-                address: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
-                zone: zone_name(region, index),
-                slots: experiment.slots as u32,
-                state: EntryState::Ready,
-                cold_remaining: Duration::ZERO,
-                seq: 1,
-            });
-        }
-    }
-    entries
-}
-
-fn placer_config(experiment: &Experiment, entry: usize) -> PlacerConfig {
-    let region = entry / experiment.entries;
-    let mut zones = HashMap::new();
-    for region in 0..experiment.regions {
-        for index in 0..2 {
-            zones.insert(zone_name(region, index), format!("region-{region}"));
-        }
-    }
-    PlacerConfig {
-        zone: zone_name(region, entry),
-        region: format!("region-{region}"),
-        zones,
-        budget: BudgetBounds {
-            ratio: 0.2,
-            slack: 56.0,
-            window: Duration::from_secs(10),
-        },
-        shift_cap: 0.15,
-        own: entry_hash(entry),
-    }
-}
-
-fn desired_state(experiment: &Experiment) -> DesiredState {
-    DesiredState {
-        version: 1,
-        routes: vec![RouteSpec {
-            name: "browse".to_owned(),
-            host: "board.example".to_owned(),
-            prefix: "/".to_owned(),
-            kind: RequestKind::Idempotent,
-            timeout: Some(experiment.timeout),
-            objective: experiment.objective,
-            priority: 1,
-            parts: vec![SplitPart {
-                service: "board".to_owned(),
-                weight: 1,
-            }],
-            max_attempts: 2,
-            sticky: true,
-            home_regions: Vec::new(),
-        }],
-        services: vec![ServiceSpec {
-            name: "board".to_owned(),
-            health_path: "/health".to_owned(),
-            max_connections: 330,
-            warmup: Duration::from_secs(3),
-            cold_rate: 7.6,
-        }],
-        limits: RequestLimits::default(),
-    }
-}
--- /dev/null
+++ b/crates/emulate/src/setup.rs
@@ -0,0 +1,97 @@
+//! What an experiment's entries know when they begin.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use place::budget::BudgetBounds;
+use place::desired::{DesiredState, RequestKind, RequestLimits, RouteSpec, ServiceSpec, SplitPart};
+use place::prelude::*;
+use place::rank::stable_hash;
+
+use crate::experiment::Experiment;
+
+/// Hash of an entry's name.
+pub(crate) fn entry_hash(entry: usize) -> u64 {
+    stable_hash(format!("entry-{entry}").as_bytes())
+}
+
+fn zone_name(region: usize, index: usize) -> String {
+    format!(
+        "region-{region}-{}",
+        if index.is_multiple_of(2) { "a" } else { "b" }
+    )
+}
+
+/// The servers' entries, region by region.
+pub(crate) fn server_entries(experiment: &Experiment) -> Vec<ServerEntry> {
+    let mut entries = Vec::new();
+    for region in 0..experiment.regions {
+        for index in 0..experiment.servers {
+            entries.push(ServerEntry {
+                id: format!("server-{region}-{index}"),
+                service: "board".to_owned(),
+                address: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
+                zone: zone_name(region, index),
+                slots: experiment.slots as u32,
+                state: EntryState::Ready,
+                cold_remaining: Duration::ZERO,
+                seq: 1,
+            });
+        }
+    }
+    entries
+}
+
+/// The settings of an entry's placer.
+pub(crate) fn placer_config(experiment: &Experiment, entry: usize) -> PlacerConfig {
+    let region = entry / experiment.entries;
+    let mut zones = HashMap::new();
+    for region in 0..experiment.regions {
+        for index in 0..2 {
+            zones.insert(zone_name(region, index), format!("region-{region}"));
+        }
+    }
+    PlacerConfig {
+        zone: zone_name(region, entry),
+        region: format!("region-{region}"),
+        zones,
+        budget: BudgetBounds {
+            ratio: 0.2,
+            slack: 56.0,
+            window: Duration::from_secs(10),
+        },
+        shift_cap: 0.15,
+        own: entry_hash(entry),
+    }
+}
+
+/// One route to one service.
+pub(crate) fn desired_state(experiment: &Experiment) -> DesiredState {
+    DesiredState {
+        version: 1,
+        routes: vec![RouteSpec {
+            name: "browse".to_owned(),
+            host: "board.example".to_owned(),
+            prefix: "/".to_owned(),
+            kind: RequestKind::Idempotent,
+            timeout: Some(experiment.timeout),
+            objective: experiment.objective,
+            priority: 1,
+            parts: vec![SplitPart {
+                service: "board".to_owned(),
+                weight: 1,
+            }],
+            max_attempts: 2,
+            sticky: true,
+            home_regions: Vec::new(),
+        }],
+        services: vec![ServiceSpec {
+            name: "board".to_owned(),
+            health_path: "/health".to_owned(),
+            max_connections: 330,
+            warmup: Duration::from_secs(3),
+            cold_rate: 7.6,
+        }],
+        limits: RequestLimits::default(),
+    }
+}
--- /dev/null
+++ b/crates/place/src/candidates.rs
@@ -0,0 +1,72 @@
+//! The servers that could take a request, in the common order for its object.
+
+use std::time::Instant;
+
+use crate::catalog::{ServerCatalog, ServerHandle};
+use crate::rank::{pair_weight, stable_hash};
+use crate::request::PlacementRequest;
+
+/// A server that could take the request.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidate {
+    /// The server.
+    pub handle: ServerHandle,
+    /// Its rank for the object among the usable servers of its region.
+    pub rank: usize,
+}
+
+struct Usable<'a> {
+    region: &'a str,
+    weight: u64,
+    handle: ServerHandle,
+    cold: bool,
+}
+
+/// The usable servers of `service`, ranked for the request's object within each
+/// region. A server that can't be reached has no rank; a cold one shares that of
+/// the next, since it takes only a little of what belongs to it.
+pub fn ranked_candidates(
+    now: Instant,
+    catalog: &ServerCatalog,
+    service: &str,
+    request: &PlacementRequest<'_>,
+) -> Vec<Candidate> {
+    let object = request
+        .object
+        .unwrap_or_else(|| stable_hash(request.route.name.as_bytes()));
+    let homes = &request.route.home_regions;
+    let mut usable = Vec::new();
+    for (handle, record) in catalog.open_servers(service) {
+        if request.tried.contains(&handle) || record.is_paused(now) {
+            continue;
+        }
+        if !homes.is_empty() && !homes.contains(&record.region) {
+            continue;
+        }
+        usable.push(Usable {
+            region: &record.region,
+            weight: pair_weight(object, record.hash),
+            handle,
+            cold: record.is_cold(now),
+        });
+    }
+    usable.sort_unstable_by(|left, right| {
+        let regions = left.region.cmp(right.region);
+        regions.then(right.weight.cmp(&left.weight))
+    });
+    let mut candidates = Vec::with_capacity(usable.len());
+    let mut region = "";
+    let mut rank = 0;
+    for server in usable {
+        if server.region != region {
+            region = server.region;
+            rank = 0;
+        }
+        candidates.push(Candidate {
+            handle: server.handle,
+            rank,
+        });
+        rank += usize::from(!server.cold);
+    }
+    candidates
+}
--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use crate::candidates::Candidate;
 use crate::catalog::ServerHandle;
 use crate::request::{PlacementReason, PlacementRequest, RefusalReason};
 use crate::server::ServerRecord;
@@ -70,15 +71,6 @@
     pub limiter: Option<&'a ShiftLimiter>,
 }
 
-/// A server that could take the request.
-#[derive(Debug, Clone, Copy)]
-pub struct Candidate {
-    /// The server.
-    pub handle: ServerHandle,
-    /// Its rank for the object among the usable servers of its region.
-    pub rank: usize,
-}
-
 /// The best server so far, or why there is none.
 #[derive(Debug)]
 pub struct ServerChoice<'a> {
@@ -191,8 +183,12 @@
     }
 
     fn belongs(&self, candidate: &Candidate) -> bool {
-        // Without an object nothing is driven out.
-        self.request.object.is_none() || !self.request.route.sticky || candidate.rank < self.width
+        !self.holds_objects() || candidate.rank < self.width
+    }
+
+    /// Whether servers are faster for what they handled: else nothing is driven out.
+    fn holds_objects(&self) -> bool {
+        self.request.object.is_some() && self.request.route.sticky
     }
 
     fn queue_factor(&self) -> f64 {
@@ -218,7 +214,11 @@
         let objective = millis(self.request.route.objective);
         let failing = record.failure_rate(self.now) * FAILURE_COST * objective;
         let saved = (self.work.cold.value() - self.work.warm.value()).max(0.0);
-        let strange = AFFINITY_COST * strangeness(candidate.rank) * saved;
+        let strange = if self.holds_objects() {
+            AFFINITY_COST * strangeness(candidate.rank) * saved
+        } else {
+            0.0
+        };
         failing + strange + self.byte_cost(record)
     }
 
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -6,6 +6,7 @@
 //! under virtual time.
 
 pub mod budget;
+pub mod candidates;
 pub mod catalog;
 pub mod choice;
 pub mod desired;
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -9,12 +9,12 @@
 use std::time::{Duration, Instant};
 
 use crate::budget::{BudgetBounds, RetryBudget};
+use crate::candidates::{Candidate, ranked_candidates};
 use crate::catalog::{ServerCatalog, ServerHandle};
-use crate::choice::{Candidate, ChoicePlace, REGION_TRIP, ServerChoice};
+use crate::choice::{ChoicePlace, REGION_TRIP, ServerChoice};
 use crate::desired::{DesiredState, RouteSpec, ServiceSpec};
 use crate::load::{LoadList, PeerLoads, own_load};
 use crate::ramp::ColdRamp;
-use crate::rank::pair_weight;
 use crate::refusal::ReturnSpread;
 use crate::request::{
     Placement, PlacementReason, PlacementRequest, Refusal, RefusalReason, ServerOutcome,
@@ -182,7 +182,7 @@
             return Err(self.spread.refusal(RefusalReason::NoServer, None));
         };
         let service = part.service.as_str();
-        let candidates = self.candidates(now, service, request);
+        let candidates = ranked_candidates(now, &self.catalog, service, request);
         if candidates.is_empty() {
             return Err(self.spread.refusal(RefusalReason::NoServer, None));
         }
@@ -369,45 +369,6 @@
         })
     }
 
-    /// The servers that could take the request, ranked for its object within
-    /// each region. A cold server has the rank of the next one: it takes only a
-    /// little of what belongs to it.
-    fn candidates(
-        &self,
-        now: Instant,
-        service: &str,
-        request: &PlacementRequest<'_>,
-    ) -> Vec<Candidate> {
-        let object = request.object.unwrap_or(self.config.own);
-        let homes = &request.route.home_regions;
-        let mut usable: Vec<(&str, u64, ServerHandle, bool)> = Vec::new();
-        for (handle, record) in self.catalog.open_servers(service) {
-            if request.tried.contains(&handle) || record.is_paused(now) {
-                continue;
-            }
-            if !homes.is_empty() && !homes.contains(&record.region) {
-                continue;
-            }
-            let weight = pair_weight(object, record.hash);
-            usable.push((&record.region, weight, handle, record.is_cold(now)));
-        }
-        usable.sort_unstable_by(|left, right| (left.0, right.1).cmp(&(right.0, left.1)));
-        let mut candidates = Vec::with_capacity(usable.len());
-        let mut region = "";
-        let mut rank = 0;
-        for (found, _, handle, cold) in usable {
-            if found != region {
-                region = found;
-                rank = 0;
-            }
-            candidates.push(Candidate { handle, rank });
-            if !cold {
-                rank += 1;
-            }
-        }
-        candidates
-    }
-
     fn may_warm(&self, now: Instant, record: &ServerRecord, service: &str) -> bool {
         let known = self.services.get(service);
         let rate = known.map_or(USUAL_COLD_RATE, |service| service.cold_rate);
--- a/crates/place/tests/placer.rs
+++ b/crates/place/tests/placer.rs
@@ -5,7 +5,9 @@
 use std::time::{Duration, Instant};
 
 use common::{ms, placer, reading, request, route, server};
+use place::load::short_name;
 use place::prelude::*;
+use place::rank::stable_hash;
 use place::server::ServerReport;
 
 const GOOD: ServerOutcome = ServerOutcome::Answered { good: true };
@@ -167,11 +169,15 @@
     assert!(placer.place(now + ms(2001), &wanted).is_ok());
 }
 
-/// Promise: an object that alone keeps more than a server busy gets a second one.
+/// Promise: an object that alone keeps more than a server busy gets a second one,
+/// though the others are in use for other objects.
 #[test]
 fn a_hot_object_gets_more_servers() {
     let now = Instant::now();
     let servers: Vec<ServerEntry> = ["p", "q", "r"].map(|id| server(id, "a1")).to_vec();
+    let busy: Vec<(u32, u16)> = ["p", "q", "r"]
+        .map(|id| (short_name(stable_hash(id.as_bytes())), 2))
+        .to_vec();
     let mut placer = placer(now, &servers);
     let browse = route("browse", "/");
     let mut served = std::collections::HashSet::new();
@@ -185,6 +191,7 @@
             placer.on_outcome(at, &placement, &wanted, GOOD, None);
         }
         placer.own_load(at);
+        placer.on_peer_load(at, 5, busy.clone());
         placer.on_request(at, &browse, Some(7), Some(ms(3000)));
         if let Ok(placement) = placer.place(at, &wanted) {
             served.insert(placement.id.clone());
@@ -225,3 +232,24 @@
         .count();
     assert_eq!(moved, 0, "objects of servers that stayed must stay");
 }
+
+/// Promise: requests that concern no object, or whose route holds none, spread over
+/// all servers as these fill.
+#[test]
+fn requests_without_an_object_spread() {
+    let now = Instant::now();
+    let servers: Vec<ServerEntry> = ["p", "q", "r"].map(|id| server(id, "a1")).to_vec();
+    let held = route("browse", "/");
+    let mut plain = route("browse", "/");
+    plain.sticky = false;
+    for (asked, object) in [(&held, None), (&plain, Some(7))] {
+        let mut placer = placer(now, &servers);
+        let mut counts = std::collections::HashMap::new();
+        for _ in 0..12 {
+            let placement = placer.place(now, &request(asked, object)).unwrap();
+            *counts.entry(placement.id).or_insert(0) += 1;
+        }
+        assert_eq!(counts.len(), 3, "{counts:?}");
+        assert!(counts.values().all(|count| *count == 4), "{counts:?}");
+    }
+}
