A reader that went silent makes no follower late

Ruled out: the followers' own way to the store: their direct readings at 4.8 s came back at once. Change: each entry has its own feed of the operator's rows, longer where a reader tells of them too; a reading over 1.25 s old is dropped; a follower that can't follow stops trusting at once.

--- a/bin/lh-edge/src/view.rs
+++ b/bin/lh-edge/src/view.rs
@@ -25,9 +25,11 @@
 /// Longest wait for another entry of the region: several round trips. After it
 /// the store is asked, so that an entry that died costs no freshness.
 const PATIENCE: Duration = Duration::from_millis(300);
-/// A reading older than this is no help: the store is asked instead. Two of
-/// the reader's intervals, well within the time for a server to get no more.
-const OLDEST: Duration = Duration::from_millis(1900);
+/// A reading older than this is no help: the store is asked instead. A reader's
+/// interval and a slow answer; with the time until a follower looks next, a
+/// server that leaves just after a reader went silent gets nothing for too long
+/// by a third of a second at least.
+const OLDEST: Duration = Duration::from_millis(1250);
 /// What was told counts as fresh for this long: several times the interval.
 const FRESH: Duration = Duration::from_millis(1500);
 /// Largest answer that is read, in bytes.
--- a/bin/lh-edge/src/watch.rs
+++ b/bin/lh-edge/src/watch.rs
@@ -1,8 +1,9 @@
 //! Keeps up with the platform's store: the operator's rows through a feed, the
 //! servers' registry by readings, the other entries' rows now and then.
 //!
-//! One entry of a region reads, without a vote: the others follow it while it is
-//! heard and has fresh readings, and read themselves otherwise.
+//! One entry of a region reads the registry, without a vote: the others follow it
+//! while it is heard and has fresh readings, and read themselves otherwise. Every
+//! entry has its own feed of the operator's rows.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -28,9 +29,10 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Time between two looks at what the reader knows: what it reads is known
 /// everywhere well within the time for a leaving server.
-const FOLLOW_EVERY: Duration = Duration::from_millis(500);
-/// Time between two looks whether this entry must read for itself.
-const TURN_EVERY: Duration = Duration::from_millis(200);
+const FOLLOW_EVERY: Duration = Duration::from_millis(400);
+/// The same where a reader tells of changes as well: fewer calls, and a silent
+/// feed costs nothing.
+const FOLLOWER_FEED_WAIT: Duration = Duration::from_millis(6000);
 /// An entry that the store didn't answer lets others read for this long.
 const AVOID_FOR: Duration = Duration::from_secs(3);
 /// Time between two looks for other entries' rows.
@@ -42,17 +44,19 @@
     let mut version = None;
     let mut dependency = Dependency::new("operator feed");
     loop {
-        if state.follows() {
-            version = None;
-            tokio::time::sleep(TURN_EVERY).await;
-            continue;
-        }
+        // A follower has two ways to hear of a change, so that neither a feed nor a
+        // reader that went silent makes it late.
+        let wait = if state.follows() {
+            FOLLOWER_FEED_WAIT
+        } else {
+            FEED_WAIT
+        };
         let result = match version {
             None => client.read_operator().await.map(|rows| {
                 state.on_operator_rows(&rows.changes);
                 rows.version
             }),
-            Some(after) => client.watch_operator(after, FEED_WAIT).await.map(|rows| {
+            Some(after) => client.watch_operator(after, wait).await.map(|rows| {
                 for change in &rows.changes {
                     state.on_operator(change);
                 }
@@ -97,7 +101,10 @@
                     tokio::time::sleep(FOLLOW_EVERY).await;
                     continue;
                 }
-                Err(error) => log::info!(reader:%, error:%; "reader not followed"),
+                Err(error) => {
+                    state.follows_until.set(None);
+                    log::info!(reader:%, error:%; "reader not followed");
+                }
             }
         }
         let begun = Instant::now();
--- a/bin/lh-edge/tests/states.rs
+++ b/bin/lh-edge/tests/states.rs
@@ -4,8 +4,11 @@
 
 use std::time::Duration;
 
+use place::rank::stable_hash;
 use platform_standin::{Behavior, RouteText, StoreMode, desired_state, server_entry};
-use world::{BOARD, DESK, EdgeProcess, World, connect, exchange, request, request_for, until};
+use world::{
+    BOARD, DESK, EdgeProcess, SilentProxy, World, connect, exchange, request, request_for, until,
+};
 
 /// Promise: a new desired state is in force soon, and an older one never again.
 #[tokio::test]
@@ -250,6 +253,33 @@
     .await;
 }
 
+/// Promise: a reader whose connections to the store went silent makes nobody late: its
+/// follower has a new desired state before the reader itself has noticed.
+#[tokio::test]
+async fn a_silent_reader_makes_no_follower_late() {
+    let world = World::new(1).await;
+    let mut names = ["n1", "n2"];
+    names.sort_by_key(|name| stable_hash(name.as_bytes()));
+    let proxy = SilentProxy::start(world.store.address()).await;
+    let reader = EdgeProcess::start(proxy.address, names[0], &[]);
+    reader.wait_ready().await;
+    let follower = EdgeProcess::start(world.store.address(), names[1], &[reader.ip]);
+    follower.wait_ready().await;
+    until("it follows: its readings have stopped", async || {
+        let before = world.store.calls("/rows-get");
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        world.store.calls("/rows-get") - before <= 5
+    })
+    .await;
+    proxy.silence();
+    world.store.put("op", "config", &desired_state(9, &[DESK]));
+    until("the follower has the new state", async || {
+        follower.send("GET", "/board/x", "a").await.status == 404
+    })
+    .await;
+    assert!(reader.logged("dependency lost").is_empty());
+}
+
 /// Promise: few entries read the store: a second one adds no readings.
 #[tokio::test]
 async fn one_entry_of_a_region_reads() {
--- a/bin/lh-edge/tests/world/mod.rs
+++ b/bin/lh-edge/tests/world/mod.rs
@@ -280,3 +280,55 @@
     let mut sender = connect(address).await?;
     exchange(&mut sender, request("GET", path, "check")).await
 }
+
+/// Passes a store's connections on until it is silenced: then nothing passes, and
+/// nothing is closed.
+pub struct SilentProxy {
+    pub address: SocketAddr,
+    silent: tokio::sync::watch::Sender<bool>,
+}
+
+impl SilentProxy {
+    pub async fn start(target: SocketAddr) -> Self {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (silent, listening) = tokio::sync::watch::channel(false);
+        tokio::spawn(async move {
+            while let Ok((inner, _)) = listener.accept().await {
+                let Ok(outer) = TcpStream::connect(target).await else {
+                    continue;
+                };
+                let (inner_read, inner_write) = inner.into_split();
+                let (outer_read, outer_write) = outer.into_split();
+                tokio::spawn(pass(inner_read, outer_write, listening.clone()));
+                tokio::spawn(pass(outer_read, inner_write, listening.clone()));
+            }
+        });
+        Self { address, silent }
+    }
+
+    pub fn silence(&self) {
+        self.silent.send_replace(true);
+    }
+}
+
+async fn pass(
+    mut from: tokio::net::tcp::OwnedReadHalf,
+    mut to: tokio::net::tcp::OwnedWriteHalf,
+    silent: tokio::sync::watch::Receiver<bool>,
+) {
+    use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+    let mut chunk = vec![0; 16 << 10];
+    loop {
+        let length = match from.read(&mut chunk).await {
+            Ok(0) | Err(_) => return,
+            Ok(length) => length,
+        };
+        if *silent.borrow() {
+            std::future::pending::<()>().await;
+        }
+        if to.write_all(&chunk[..length]).await.is_err() {
+            return;
+        }
+    }
+}
