Metrics of the shared limits and of the desired state's age; two circles of modules opened

Cause: how often the retry budget, the cold rate and the shift cap were met, and how old the desired state is, could only be read from log lines; lh-entry's settings called its wiring, and relay's heads, problems, answers and forwarding each other. Change: two metrics; lh-entry's program apart from its settings; relay's header names apart from its heads.

--- a/bin/lh-edge/src/forward.rs
+++ b/bin/lh-edge/src/forward.rs
@@ -212,10 +212,10 @@
             return false;
         };
         let now = Instant::now();
-        self.state
-            .placer
-            .borrow_mut()
-            .take_repeat(now, &part.service)
+        let mut placer = self.state.placer.borrow_mut();
+        let allowed = placer.take_repeat(now, &part.service);
+        self.state.metrics.on_limit("retry-budget", allowed);
+        allowed
     }
 
     fn give_up(
--- a/bin/lh-edge/src/inner.rs
+++ b/bin/lh-edge/src/inner.rs
@@ -76,6 +76,8 @@
         view::DESIRED_PATH => bytes(view::answer_desired(state)),
         METRICS_PATH => {
             let placer = state.placer.borrow();
+            let heard = state.operator_at.get().map(|at| at.elapsed());
+            state.metrics.show_operator(heard);
             state.metrics.show_servers(Instant::now(), &placer.catalog);
             text(StatusCode::OK, state.metrics.text())
         }
--- a/bin/lh-edge/src/metrics.rs
+++ b/bin/lh-edge/src/metrics.rs
@@ -5,7 +5,7 @@
     TextEncoder,
 };
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use place::catalog::ServerCatalog;
 use place::server::{EntryState, ServerRecord};
@@ -24,6 +24,8 @@
     attempts: IntCounterVec,
     store_calls: IntCounterVec,
     refusals: IntCounterVec,
+    limits: IntCounterVec,
+    operator_age: Gauge,
     servers: GaugeVec,
     server_requests: GaugeVec,
     registry_age: Gauge,
@@ -65,6 +67,17 @@
             Opts::new("laurelhill_refusals_total", "Refused requests by reason"),
             &["reason"],
         )?;
+        let limits = IntCounterVec::new(
+            Opts::new(
+                "laurelhill_limits_total",
+                "Requests that met a bound shared by all entries, by what it said",
+            ),
+            &["limit", "result"],
+        )?;
+        let operator_age = Gauge::new(
+            "laurelhill_desired_age_seconds",
+            "Time since the store or a reader last told the operator's rows",
+        )?;
         let servers = GaugeVec::new(
             Opts::new("laurelhill_servers", "Known servers by service and state"),
             &["service", "state"],
@@ -87,6 +100,8 @@
         registry.register(Box::new(attempts.clone()))?;
         registry.register(Box::new(store_calls.clone()))?;
         registry.register(Box::new(refusals.clone()))?;
+        registry.register(Box::new(limits.clone()))?;
+        registry.register(Box::new(operator_age.clone()))?;
         registry.register(Box::new(servers.clone()))?;
         registry.register(Box::new(server_requests.clone()))?;
         registry.register(Box::new(registry_age.clone()))?;
@@ -99,6 +114,8 @@
             attempts,
             store_calls,
             refusals,
+            limits,
+            operator_age,
             servers,
             server_requests,
             registry_age,
@@ -129,6 +146,18 @@
         self.refusals.with_label_values(&[reason]).inc();
     }
 
+    /// A request met the bound `limit`: it was `used` or refused.
+    pub(crate) fn on_limit(&self, limit: &str, used: bool) {
+        let result = if used { "used" } else { "refused" };
+        self.limits.with_label_values(&[limit, result]).inc();
+    }
+
+    /// Shows how long ago the operator's rows were told.
+    pub(crate) fn show_operator(&self, age: Option<Duration>) {
+        let seconds = age.map_or(f64::NAN, |age| age.as_secs_f64());
+        self.operator_age.set(seconds);
+    }
+
     /// Shows the servers as they are known now; those that are gone leave.
     pub(crate) fn show_servers(&self, now: Instant, catalog: &ServerCatalog) {
         self.servers.reset();
--- a/bin/lh-edge/src/record.rs
+++ b/bin/lh-edge/src/record.rs
@@ -72,6 +72,12 @@
     pub(crate) fn on_placed(&mut self, placement: &Placement) {
         self.count += 1;
         let reason = &placement.reason;
+        if reason.cold {
+            self.state.metrics.on_limit("cold", true);
+        }
+        if reason.away {
+            self.state.metrics.on_limit("shift-cap", true);
+        }
         let _ = write!(
             self.attempts,
             "{}{}(expected {:.0}ms occupancy {:.1} warmth {:.2} rank {}{}{})",
@@ -127,6 +133,9 @@
         if self.refusal.is_some() {
             self.state.metrics.on_refusal(refused);
         }
+        if matches!(refused, "cold" | "shift-cap") {
+            self.state.metrics.on_limit(refused, false);
+        }
         let may_repeat = self
             .route
             .as_ref()
--- a/bin/lh-edge/src/state.rs
+++ b/bin/lh-edge/src/state.rs
@@ -29,6 +29,8 @@
     pub(crate) evacuated: RefCell<HashSet<String>>,
     /// Version of the operator's rows behind desired state and evacuations.
     pub(crate) operator: Cell<u64>,
+    /// When the store or a reader last told the operator's rows.
+    pub(crate) operator_at: Cell<Option<Instant>>,
     pub(crate) servers: RefCell<ServerLog>,
     /// Whether the store answered this entry lately.
     pub(crate) reads: Cell<bool>,
@@ -69,6 +71,7 @@
             limits: Cell::new(RequestLimits::default()),
             evacuated: RefCell::default(),
             operator: Cell::new(0),
+            operator_at: Cell::new(None),
             servers: RefCell::new(ServerLog::new(incarnation)),
             reads: Cell::new(true),
             follows_until: Cell::new(None),
@@ -142,6 +145,7 @@
 
     /// Takes in what another entry knows of the operator's rows, if it is newer.
     pub(crate) fn on_told_operator(&self, version: u64, evacuated: &[String]) {
+        self.operator_at.set(Some(Instant::now()));
         if version <= self.operator.get() {
             return;
         }
--- a/bin/lh-edge/src/watch.rs
+++ b/bin/lh-edge/src/watch.rs
@@ -70,6 +70,7 @@
             Ok(newest) => {
                 dependency.regained();
                 version = Some(newest);
+                state.operator_at.set(Some(Instant::now()));
                 state.operator.set(newest.max(state.operator.get()));
             }
             Err(Error::HistoryGone) => {
--- a/bin/lh-entry/src/config.rs
+++ b/bin/lh-entry/src/config.rs
@@ -4,11 +4,9 @@
 
 use base::prelude::*;
 use conf::{LogSettings, ProcessFile, schema};
-use daemon::{Arguments, DaemonConfig, Result};
+use daemon::{Arguments, Result};
 use relay::ServerBounds;
 
-use crate::app;
-
 /// Checked settings of `lh-entry`.
 #[derive(Debug, Clone)]
 pub(crate) struct Config {
@@ -25,11 +23,12 @@
     pub(crate) log: LogSettings,
 }
 
-impl DaemonConfig for Config {
-    const NAME: &str = "lh-entry";
-    const ABOUT: &str = "laurelhill: the request path of one instance";
-
-    fn load(arguments: &Arguments) -> Result<Self> {
+impl Config {
+    /// Reads and checks the settings file.
+    ///
+    /// # Errors
+    /// Where the settings are wrong.
+    pub(crate) fn load(arguments: &Arguments) -> Result<Self> {
         let file = ProcessFile::load(&arguments.settings, &schema::ENTRY)?;
         let (instance, region, _) = file.instance()?;
         let entry = file.section("entry")?;
@@ -51,12 +50,4 @@
             log: file.log()?,
         })
     }
-
-    fn log(&self) -> &LogSettings {
-        &self.log
-    }
-
-    fn serve(&self) -> Result<()> {
-        app::run(self)
-    }
 }
--- a/bin/lh-entry/src/lib.rs
+++ b/bin/lh-entry/src/lib.rs
@@ -6,6 +6,7 @@
 mod config;
 mod lookup;
 mod poll;
+mod program;
 mod stop;
 
 pub use daemon::{Error, Result};
@@ -15,5 +16,5 @@
 /// # Errors
 /// Where the settings are wrong or an address can't be used.
 pub fn run() -> Result<()> {
-    daemon::run::<config::Config>()
+    daemon::run::<program::EntryProgram>()
 }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -12,7 +12,7 @@
 use crate::connect::{ConnectionPool, RequestBody, UsedConnection};
 use crate::error::{Error, Result};
 use crate::handle::SlotLease;
-use crate::head::{DEADLINE_HEADER, HOP_HEADER};
+use crate::names::{DEADLINE_HEADER, HOP_HEADER};
 
 /// Headers that are about one connection only.
 const HOP_BY_HOP: [HeaderName; 4] = [
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 mod handle;
 mod head;
 mod metrics;
+mod names;
 mod once;
 mod problem;
 mod server;
@@ -23,11 +24,11 @@
 pub use controller::{RelayController, RelayParts};
 pub use error::{Error, Result};
 pub use handle::{Admission, GateHandle, MessageSink, RunTally};
-pub use head::{
-    ATTEMPT_HEADER, DEADLINE_HEADER, HOP_HEADER, IDEMPOTENCY_HEADER, NUMBER_HEADER, RequestHead,
-    TICKET_HEADER,
-};
+pub use head::RequestHead;
 pub use metrics::{METRICS, RelayMetrics};
+pub use names::{
+    ATTEMPT_HEADER, DEADLINE_HEADER, HOP_HEADER, IDEMPOTENCY_HEADER, NUMBER_HEADER, TICKET_HEADER,
+};
 pub use once::{KeptAnswer, OnceKey, OnceState, OnceTable, OnceVerdict};
 pub use problem::Problem;
 pub use server::{ServerBounds, serve};
