--- a/bin/lh-edge/tests/pages.rs
+++ b/bin/lh-edge/tests/pages.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeSet;
 use std::path::PathBuf;
 
+use platform_standin::Behavior;
 use serde_json::Value;
 use world::{EdgeProcess, World, until};
 
@@ -48,6 +49,8 @@
     let world = World::new(1).await;
     let edge = EdgeProcess::ready(&world, "n1").await;
     edge.send("GET", "/board/x", "a").await;
+    world.backends[0].set_behavior(Behavior::Full);
+    edge.send("GET", "/board/x", "full").await;
     world
         .store
         .put("op", "evacuate/zone-a", &serde_json::json!({}));
