Bodies that are passed on piece by piece are bounded; taking bodies in stands apart

Cause: a body without a stated length, longer than what is kept, passed on without end: only its kept beginning was held against the limit.

--- a/bin/lh-edge/src/body.rs
+++ b/bin/lh-edge/src/body.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use quick_error::quick_error;
 
 use crate::pool::Lease;
 
@@ -122,11 +123,31 @@
     }
 }
 
+quick_error! {
+    /// Why a body did not come to its end.
+    #[derive(Debug)]
+    #[allow(unreachable_pub, reason = "the macro takes no narrower visibility")]
+    pub enum BodyError {
+        /// The caller broke off.
+        Caller(cause: hyper::Error) {
+            display("the caller's body broke off")
+            source(cause)
+            from()
+        }
+        /// It is longer than callers may send.
+        TooLong {
+            display("the caller's body is longer than the limit")
+        }
+    }
+}
+
 /// The body of a request to a server.
 #[derive(Debug)]
 pub(crate) struct RequestBody {
     first: Option<Bytes>,
     rest: Option<Incoming>,
+    /// Bytes that may still come from the caller.
+    left: usize,
 }
 
 impl RequestBody {
@@ -135,33 +156,44 @@
         Self {
             first: Some(bytes).filter(|bytes| !bytes.is_empty()),
             rest: None,
+            left: 0,
         }
     }
 
-    /// A body whose rest still comes from the caller.
-    pub(crate) fn streamed(first: Bytes, rest: Incoming) -> Self {
+    /// A body whose rest, `left` bytes at most, still comes from the caller.
+    pub(crate) fn streamed(first: Bytes, rest: Incoming, left: usize) -> Self {
         Self {
             first: Some(first).filter(|bytes| !bytes.is_empty()),
             rest: Some(rest),
+            left,
         }
     }
 }
 
 impl Body for RequestBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BodyError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         if let Some(bytes) = self.first.take() {
             return Poll::Ready(Some(Ok(Frame::data(bytes))));
         }
-        match &mut self.rest {
-            Some(rest) => Pin::new(rest).poll_frame(context),
-            None => Poll::Ready(None),
+        let Some(rest) = &mut self.rest else {
+            return Poll::Ready(None);
+        };
+        let Some(frame) = std::task::ready!(Pin::new(rest).poll_frame(context)) else {
+            return Poll::Ready(None);
+        };
+        let frame = frame?;
+        let length = frame.data_ref().map_or(0, Bytes::len);
+        match self.left.checked_sub(length) {
+            Some(left) => self.left = left,
+            None => return Poll::Ready(Some(Err(BodyError::TooLong))),
         }
+        Poll::Ready(Some(Ok(frame)))
     }
 
     fn is_end_stream(&self) -> bool {
--- a/bin/lh-edge/src/forward.rs
+++ b/bin/lh-edge/src/forward.rs
@@ -6,8 +6,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderValue};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
@@ -20,17 +18,13 @@
 
 use crate::attempt::AttemptGuard;
 use crate::body::{AnswerBody, CountGuard, RequestBody};
+use crate::intake::{JobBody, read_body};
 use crate::pool::Lease;
 use crate::record::{RequestOutcome, RequestRecord};
-use crate::reply::{fail, is_sound, read_answer, refuse, reject, strip_hop_headers};
+use crate::reply::{broken, fail, is_sound, read_answer, refuse, reject, strip_hop_headers};
 use crate::state::EdgeState;
 use crate::stop::StopPhase;
 
-/// Bodies up to this size are read before they are sent on, so that a server
-/// that rejects one doesn't cost the request, in bytes.
-const WHOLE_BODY: usize = 1 << 20;
-/// Part of the memory that bodies may fill.
-const BODY_MEMORY: usize = 4;
 /// How long a request without a deadline or a bound of its route may take.
 const DEFAULT_TIME: Duration = Duration::from_secs(30);
 /// When a caller comes back to an entry that knows no desired state yet.
@@ -57,12 +51,6 @@
     may_have_run: bool,
 }
 
-/// The body of a request on its way.
-enum JobBody {
-    Whole { bytes: Bytes, _memory: CountGuard },
-    Streamed(Option<(Bytes, Incoming)>),
-}
-
 /// What came of an attempt.
 enum AttemptEnd {
     Answer(Response<AnswerBody>),
@@ -153,7 +141,7 @@
         body: Incoming,
         limit: usize,
     ) -> Response<AnswerBody> {
-        let mut body = match self.read_body(body, limit).await {
+        let mut body = match read_body(&self.state, self.ends, body, limit).await {
             Ok(body) => body,
             Err(status) => return reject(&mut self.record, &self.caller, status),
         };
@@ -398,8 +386,8 @@
         let body = match body {
             JobBody::Whole { bytes, .. } => RequestBody::whole(bytes.clone()),
             JobBody::Streamed(stream) => {
-                let (first, rest) = stream.take()?;
-                RequestBody::streamed(first, rest)
+                let (first, rest, left) = stream.take()?;
+                RequestBody::streamed(first, rest, left)
             }
         };
         let target = self
@@ -418,49 +406,4 @@
         headers::write_attempt(headers, left, &placement.id);
         Some(request)
     }
-
-    async fn read_body(&self, mut body: Incoming, limit: usize) -> Result<JobBody, StatusCode> {
-        let mut bytes = BytesMut::new();
-        let memory = self.state.config.memory_bytes / BODY_MEMORY;
-        while !body.is_end_stream() {
-            let room = self.state.buffered.get() + bytes.len() < memory;
-            if bytes.len() >= WHOLE_BODY || !room {
-                return Ok(JobBody::Streamed(Some((bytes.freeze(), body))));
-            }
-            let frame = match timeout_at(self.ends.into(), body.frame()).await {
-                Err(_) => return Err(StatusCode::REQUEST_TIMEOUT),
-                Ok(None) => break,
-                Ok(Some(Err(_))) => return Err(StatusCode::BAD_REQUEST),
-                Ok(Some(Ok(frame))) => frame,
-            };
-            if let Some(data) = frame.data_ref() {
-                bytes.extend_from_slice(data);
-            }
-            if bytes.len() > limit {
-                return Err(StatusCode::PAYLOAD_TOO_LARGE);
-            }
-        }
-        let memory = CountGuard::new(&self.state.buffered, bytes.len());
-        Ok(JobBody::Whole {
-            bytes: bytes.freeze(),
-            _memory: memory,
-        })
-    }
-}
-
-impl JobBody {
-    fn size(&self) -> usize {
-        match self {
-            Self::Whole { bytes, .. } => bytes.len(),
-            Self::Streamed(_) => WHOLE_BODY,
-        }
-    }
-}
-
-/// What broke, with the cause below it.
-fn broken(error: &hyper::Error) -> String {
-    match std::error::Error::source(error) {
-        Some(cause) => format!("broke: {error}: {cause}"),
-        None => format!("broke: {error}"),
-    }
 }
--- a/bin/lh-edge/src/lib.rs
+++ b/bin/lh-edge/src/lib.rs
@@ -15,6 +15,7 @@
 mod error;
 mod forward;
 mod inner;
+mod intake;
 mod logs;
 mod metrics;
 mod pool;
--- a/bin/lh-edge/src/reply.rs
+++ b/bin/lh-edge/src/reply.rs
@@ -122,3 +122,11 @@
     }
     response
 }
+
+/// What broke, with the cause below it.
+pub(crate) fn broken(error: &hyper::Error) -> String {
+    match std::error::Error::source(error) {
+        Some(cause) => format!("broke: {error}: {cause}"),
+        None => format!("broke: {error}"),
+    }
+}
--- a/bin/lh-edge/tests/requests.rs
+++ b/bin/lh-edge/tests/requests.rs
@@ -243,6 +243,32 @@
     assert!(seen[0].body == body, "the body changed on the way");
 }
 
+/// Promise: a body without a stated length is bounded as well.
+#[tokio::test]
+async fn a_body_without_a_length_is_bounded() {
+    let world = World::new(1).await;
+    let state = with_body_limit(desired_state(6, &[BOARD, DESK]), 1_500_000);
+    world.store.put("op", "config", &state);
+    let edge = EdgeProcess::ready(&world, "n1").await;
+    let mut stream = TcpStream::connect(edge.callers()).await.unwrap();
+    let head = "POST /desk/x HTTP/1.1\r\nHost: board.example\r\nRequest-Id: a\r\n\
+                Transfer-Encoding: chunked\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let chunk = [b"10000\r\n".as_slice(), &[b'x'; 0x10000], b"\r\n"].concat();
+    for _ in 0..40 {
+        if stream.write_all(&chunk).await.is_err() {
+            break;
+        }
+    }
+    let _ = stream.write_all(b"0\r\n\r\n").await;
+    let mut answer = Vec::new();
+    let read = stream.read_to_end(&mut answer);
+    let _ = tokio::time::timeout(Duration::from_secs(5), read).await;
+    let answer = String::from_utf8_lossy(&answer).into_owned();
+    assert!(!answer.contains("200 OK"), "{answer}");
+    assert_eq!(world.runs("a"), 0);
+}
+
 /// Promise: a long answer comes through whole, and one that breaks off never looks
 /// complete.
 #[tokio::test]
--- a/crates/emulate/src/lib.rs
+++ b/crates/emulate/src/lib.rs
@@ -8,6 +8,7 @@
 mod experiment;
 mod model;
 mod policy;
+mod regions;
 mod report;
 mod run;
 mod setup;
--- a/crates/emulate/src/run.rs
+++ b/crates/emulate/src/run.rs
@@ -14,7 +14,8 @@
 use crate::experiment::{Experiment, FaultKind};
 use crate::model::{Job, ModelServer};
 use crate::policy::{EntryPolicy, PolicyChoice};
-use crate::report::{TrialReport, WINDOW};
+use crate::regions::RegionCounts;
+use crate::report::TrialReport;
 use crate::setup::{desired_state, entry_hash, placer_config, server_entries};
 
 /// Time between words on load.
@@ -75,8 +76,7 @@
     requests: Vec<CallerRequest>,
     attempts: Vec<Attempt>,
     report: TrialReport,
-    /// Requests of each region by window and by the region in which they ran.
-    ran_in: Vec<Vec<Vec<u32>>>,
+    regions: RegionCounts,
 }
 
 /// Plays `experiment` with the policy that `make` builds for each entry.
@@ -118,7 +118,7 @@
         requests: Vec::new(),
         attempts: Vec::new(),
         report: TrialReport::default(),
-        ran_in: vec![Vec::new(); experiment.regions],
+        regions: RegionCounts::new(experiment.regions),
     };
     trial.run();
     trial.report
@@ -143,12 +143,7 @@
             self.now = at;
             self.on_event(event);
         }
-        // After the load's end only a few requests come back.
-        let windows = (self.experiment.seconds / WINDOW) as usize;
-        for counts in &mut self.ran_in {
-            counts.truncate(windows);
-        }
-        self.report.largest_shift = largest_shift(&self.ran_in);
+        self.report.largest_shift = self.regions.largest_shift(self.experiment.seconds);
     }
 
     fn on_event(&mut self, event: Event) {
@@ -215,7 +210,9 @@
         let server = self.by_id[&placement.id];
         let entry = self.requests[index].entry;
         let region = entry / self.experiment.entries;
-        self.count_region(region, server / self.experiment.servers);
+        let at = self.now as f64 / 1e6;
+        self.regions
+            .on_sent(at, region, server / self.experiment.servers);
         let attempt = self.attempts.len();
         self.attempts.push(Attempt {
             request: index,
@@ -388,15 +385,6 @@
         }
     }
 
-    fn count_region(&mut self, region: usize, ran_in: usize) {
-        let window = (self.now as f64 / 1e6 / WINDOW) as usize;
-        let counts = &mut self.ran_in[region];
-        if counts.len() <= window {
-            counts.resize(window + 1, vec![0; self.experiment.regions]);
-        }
-        counts[window][ran_in] += 1;
-    }
-
     fn trip(&self, entry: usize, server: usize) -> Micros {
         let near = entry / self.experiment.entries == server / self.experiment.servers;
         if near { NEAR } else { FAR }
@@ -412,27 +400,6 @@
     }
 }
 
-fn largest_shift(ran_in: &[Vec<Vec<u32>>]) -> f64 {
-    let mut largest: f64 = 0.0;
-    for windows in ran_in {
-        for pair in windows.windows(2) {
-            let (before, after) = (shares(&pair[0]), shares(&pair[1]));
-            let moved = before.iter().zip(&after);
-            let moved: f64 = moved.map(|(old, new)| (new - old).abs() / 2.0).sum();
-            largest = largest.max(moved);
-        }
-    }
-    largest
-}
-
-fn shares(counts: &[u32]) -> Vec<f64> {
-    let total = counts.iter().sum::<u32>().max(1);
-    counts
-        .iter()
-        .map(|count| f64::from(*count) / f64::from(total))
-        .collect()
-}
-
 fn micros(seconds: f64) -> Micros {
     (seconds * 1e6) as Micros
 }
