--- a/bin/lh-burn/src/cli.rs
+++ b/bin/lh-burn/src/cli.rs
@@ -23,7 +23,7 @@
 
 #[derive(Debug, Args)]
 pub(crate) struct CollectArguments {
-    /// Look-up addresses of lh-entry processes.
+    /// Addresses of the entries' metrics or look-ups.
     #[arg(long, value_name = "ADDRESS", value_delimiter = ',', required = true)]
     pub(crate) instances: Vec<SocketAddr>,
     /// The platform's address.
--- a/bin/lh-burn/src/collect.rs
+++ b/bin/lh-burn/src/collect.rs
@@ -9,7 +9,7 @@
 use hyper::Request;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
-use store::PlatformClient;
+use platform::tables::PlatformClient;
 
 use crate::cli::CollectArguments;
 use crate::error::Result;
--- a/bin/lh-burn/src/report.rs
+++ b/bin/lh-burn/src/report.rs
@@ -2,7 +2,7 @@
 
 use burn::{SLICE, burn_rows, page, text};
 use conf::ConfigBundle;
-use store::PlatformClient;
+use platform::tables::PlatformClient;
 
 use crate::cli::ReportArguments;
 use crate::error::Result;
--- a/bin/lh-burn/src/slices.rs
+++ b/bin/lh-burn/src/slices.rs
@@ -3,7 +3,8 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use burn::{BurnSlice, SLICE};
-use store::{ObjectStore, PlatformClient};
+use platform::tables::PlatformClient;
+use store::ObjectStore;
 
 use crate::error::Result;
 
--- a/bin/lh-entry/src/beat.rs
+++ b/bin/lh-entry/src/beat.rs
@@ -78,7 +78,7 @@
 async fn send(state: &InstanceState, socket: &UdpSocket, twice: bool) {
     let now = Instant::now();
     let beat = own_beat(state, now);
-    let bytes = match postcard::to_allocvec(&PeerMessage::Beat(beat)) {
+    let bytes = match postcard::to_allocvec(&PeerMessage::Beat(Box::new(beat))) {
         Ok(bytes) => bytes,
         Err(error) => {
             log::error!(error:%; "no beat sent");
@@ -151,7 +151,7 @@
     let now = Instant::now();
     match postcard::from_bytes::<PeerMessage>(bytes) {
         Ok(PeerMessage::Beat(beat)) if beat.node != state.config.instance => {
-            state.peers.borrow_mut().on_beat(now, beat);
+            state.peers.borrow_mut().on_beat(now, *beat);
         }
         Ok(PeerMessage::Beat(_)) => {}
         Ok(PeerMessage::Load(beat)) => {
--- a/bin/lh-entry/src/inner.rs
+++ b/bin/lh-entry/src/inner.rs
@@ -86,7 +86,10 @@
             let placer = state.placer.borrow();
             let heard = state.operator_at.get().map(|at| at.elapsed());
             state.metrics.show_operator(heard);
-            state.metrics.show_servers(Instant::now(), &placer.catalog);
+            let region = &state.config.region;
+            state
+                .metrics
+                .show_servers(Instant::now(), region, &placer.catalog);
             text(StatusCode::OK, state.metrics.text())
         }
         _ => text(StatusCode::NOT_FOUND, String::new()),
--- a/bin/lh-entry/src/metrics.rs
+++ b/bin/lh-entry/src/metrics.rs
@@ -66,7 +66,7 @@
         let slots = GaugeVec::new(
             Opts::new(
                 "laurelhill_slots",
-                "Slots of known servers by service, and those thought free",
+                "Slots of the own region's servers by service, and those thought free",
             ),
             &["service", "state"],
         )?;
@@ -208,7 +208,7 @@
     }
 
     /// Shows the servers as they are known now; those that are gone leave.
-    pub(crate) fn show_servers(&self, now: Instant, catalog: &ServerCatalog) {
+    pub(crate) fn show_servers(&self, now: Instant, region: &str, catalog: &ServerCatalog) {
         self.servers.reset();
         self.server_requests.reset();
         self.slots.reset();
@@ -226,6 +226,9 @@
             };
             requests("entry").set(f64::from(record.in_flight));
             requests("all").set(record.occupancy(now));
+            if record.region != region {
+                continue;
+            }
             let slots = f64::from(record.entry.slots);
             let slots_of = |state: &str| self.slots.with_label_values(&[service, state]);
             slots_of("all").add(slots);
--- a/bin/lh-standin/src/cli.rs
+++ b/bin/lh-standin/src/cli.rs
@@ -18,7 +18,7 @@
 
 #[derive(Debug, Subcommand)]
 pub(crate) enum Command {
-    /// The platform: table service, object store and instance list.
+    /// The platform's store: rows and objects.
     Platform {
         /// Where it listens.
         #[arg(long, value_name = "ADDRESS")]
@@ -32,6 +32,9 @@
         /// Where the servers are controlled and judged.
         #[arg(long, value_name = "ADDRESS")]
         control: SocketAddr,
+        /// The platform's store, where the servers register.
+        #[arg(long, value_name = "ADDRESS")]
+        platform: SocketAddr,
     },
     /// Callers that make a load, keep a ledger and judge it.
     Callers(LoadArguments),
--- a/bin/lh-standin/src/lib.rs
+++ b/bin/lh-standin/src/lib.rs
@@ -9,6 +9,7 @@
 mod servers;
 
 use clap::Parser;
+use log::LevelFilter;
 
 pub use error::{Error, Result};
 
@@ -18,9 +19,10 @@
 /// Where an address can't be used, an answer makes no sense or a promise was broken.
 pub fn run() -> Result<()> {
     let arguments = cli::Arguments::parse();
-    kernel::start_logs(&conf::LogSettings {
-        level: if arguments.verbose { "debug" } else { "warn" },
-        ..conf::LogSettings::default()
+    kernel::start_logs(if arguments.verbose {
+        LevelFilter::Debug
+    } else {
+        LevelFilter::Warn
     });
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
@@ -28,7 +30,11 @@
     runtime.block_on(async {
         match arguments.command {
             cli::Command::Platform { listen } => servers::platform(listen).await,
-            cli::Command::Servers { deploy, control } => servers::backends(&deploy, control).await,
+            cli::Command::Servers {
+                deploy,
+                control,
+                platform,
+            } => servers::backends(&deploy, control, platform).await,
             cli::Command::Callers(load) => callers::run(&load).await,
             cli::Command::Send { method, url, body } => client::send(&method, &url, &body).await,
             cli::Command::Drained { server, control } => client::drained(server, control).await,
--- a/bin/lhctl/src/apply.rs
+++ b/bin/lhctl/src/apply.rs
@@ -1,10 +1,12 @@
 //! `check`, `diff` and `apply`.
 
 use std::path::Path;
+use std::time::Duration;
 
-use conf::{ConfigBundle, DRAIN_FILE};
+use conf::ConfigBundle;
+use store::ConfigHead;
 
-use crate::cli::{ApplyArguments, PlatformArguments, WaitArguments};
+use crate::cli::{ApplyArguments, PlatformArguments};
 use crate::error::{Error, Result};
 use crate::platform::ConfigDesk;
 use crate::status;
@@ -36,17 +38,6 @@
     Ok(())
 }
 
-/// Drains that are in force live on when a folder without a drain file is applied.
-fn with_present_drains(bundle: ConfigBundle, present: Option<&ConfigBundle>) -> ConfigBundle {
-    let kept = present.and_then(|present| present.files.get(DRAIN_FILE));
-    match kept {
-        Some(drains) if !bundle.files.contains_key(DRAIN_FILE) => {
-            bundle.with_file(DRAIN_FILE, drains)
-        }
-        _ => bundle,
-    }
-}
-
 /// Shows what applying a folder would change.
 pub(crate) async fn diff(folder: &Path, platform: &PlatformArguments, json: bool) -> Result<()> {
     let bundle = ConfigBundle::from_folder(folder)?;
@@ -56,7 +47,6 @@
         println!("nothing is in force yet; everything would be new");
         return Ok(());
     };
-    let bundle = with_present_drains(bundle, Some(&before));
     let changes = conf::diff(&before, &bundle)?;
     if json {
         println!(
@@ -84,52 +74,34 @@
         Some((head, before)) => (head.version, Some(before)),
         None => (0, None),
     };
-    let bundle = with_present_drains(bundle, before);
     let edited = arguments.edited.unwrap_or(version);
-    publish(
-        &desk,
-        edited,
-        before,
-        &bundle,
-        &arguments.author,
-        &arguments.wait,
-        json,
-    )
-    .await
-}
-
-/// Checks `bundle` against what is in force, publishes it, and waits where asked to.
-pub(crate) async fn publish(
-    desk: &ConfigDesk,
-    edited: u64,
-    before: Option<&ConfigBundle>,
-    bundle: &ConfigBundle,
-    author: &str,
-    wait: &WaitArguments,
-    json: bool,
-) -> Result<()> {
-    let deployment = bundle.deployment()?;
-    if let Some(before) = before {
-        deployment.check_successor(&before.deployment()?)?;
-        if before == bundle {
-            return Err(Error::Refused(
-                "nothing differs from what is in force".to_owned(),
-            ));
-        }
+    bundle.deployment()?;
+    if before == Some(&bundle) {
+        return Err(Error::Refused(
+            "nothing differs from what is in force".to_owned(),
+        ));
     }
-    let head = desk.publish(edited, before, bundle, author).await?;
+    let head = desk
+        .publish(edited, before, &bundle, &arguments.author)
+        .await?;
+    let wait = &arguments.wait;
     let took = if wait.wait {
         Some(status::wait_for(&wait.instances.instances, head.version, wait.seconds).await?)
     } else {
         None
     };
+    show(&head, took, json);
+    Ok(())
+}
+
+fn show(head: &ConfigHead, took: Option<Duration>, json: bool) {
     if json {
         let took_ms = took.map(|took| took.as_millis() as u64);
         println!(
             "{}",
             serde_json::json!({"version": head.version, "in_force_after_ms": took_ms})
         );
-        return Ok(());
+        return;
     }
     match took {
         Some(took) => println!(
@@ -139,5 +111,4 @@
         ),
         None => println!("version {} is accepted", head.version),
     }
-    Ok(())
 }
--- a/bin/lhctl/src/cli.rs
+++ b/bin/lhctl/src/cli.rs
@@ -38,7 +38,7 @@
     },
     /// Make a folder's base and overlays the next version.
     Apply(ApplyArguments),
-    /// Give a server, domain, region or instance no new work.
+    /// Give the servers of a failure domain or region no new work.
     Drain(DrainArguments),
     /// Take a drain back.
     Undrain(DrainArguments),
@@ -54,8 +54,6 @@
         /// Where an entry answers look-ups.
         #[arg(long, value_name = "ADDRESS")]
         lookup: SocketAddr,
-        #[command(flatten)]
-        instances: InstanceArguments,
     },
     /// Tell what became of a request, from the entries' log lines.
     ExplainRequest {
@@ -84,7 +82,7 @@
 
 #[derive(Debug, Clone, Args)]
 pub(crate) struct InstanceArguments {
-    /// Admin addresses of lh-steer processes.
+    /// Look-up addresses of entries.
     #[arg(long, value_name = "ADDRESS", value_delimiter = ',')]
     pub(crate) instances: Vec<SocketAddr>,
 }
@@ -119,20 +117,12 @@
 
 #[derive(Debug, Clone, Args)]
 pub(crate) struct DrainArguments {
-    /// server, domain, region or instance.
+    /// domain or region.
     pub(crate) kind: String,
-    /// Its name; a server's name is its address.
+    /// Its name.
     pub(crate) name: String,
     #[command(flatten)]
     pub(crate) platform: PlatformArguments,
-    /// Why.
-    #[arg(long, default_value = "maintenance")]
-    pub(crate) reason: String,
-    /// Who makes the change.
-    #[arg(long, env = "USER", default_value = "operator")]
-    pub(crate) author: String,
-    #[command(flatten)]
-    pub(crate) wait: WaitArguments,
 }
 
 /// Prints completions.
--- a/bin/lhctl/src/drain.rs
+++ b/bin/lhctl/src/drain.rs
@@ -1,8 +1,7 @@
-//! `drain` and `undrain`: edits of the drain file, published like any other change.
+//! `drain` and `undrain`: failure domains, and whole regions, that get no new work.
 
-use conf::{ConfigBundle, DRAIN_FILE, DrainTarget};
+use conf::Deployment;
 
-use crate::apply;
 use crate::cli::DrainArguments;
 use crate::error::{Error, Result};
 use crate::platform::ConfigDesk;
@@ -22,63 +21,68 @@
     direction: Direction,
     json: bool,
 ) -> Result<()> {
-    if DrainTarget::parse(&arguments.kind, &arguments.name).is_none() {
-        let kinds = "server, domain, region or instance";
-        return Err(Error::Usage(format!(
-            "'{}' can't be drained; write {kinds}",
-            arguments.kind
+    let desk = ConfigDesk::new(arguments.platform.platform);
+    let domains = domains(&desk, arguments).await?;
+    let evacuated = desk.operator().await?.evacuated;
+    let drain = direction == Direction::Drain;
+    let changed: Vec<&str> = domains
+        .iter()
+        .map(String::as_str)
+        .filter(|domain| evacuated.iter().any(|known| known == domain) != drain)
+        .collect();
+    if changed.is_empty() {
+        let state = if drain {
+            "drained already"
+        } else {
+            "not drained"
+        };
+        return Err(Error::Refused(format!(
+            "{} {} is {state}",
+            arguments.kind, arguments.name
         )));
     }
-    let desk = ConfigDesk::new(arguments.platform.platform);
-    let Some((head, before)) = desk.present().await? else {
-        return Err(Error::Refused(
-            "nothing is in force yet; apply a folder first".to_owned(),
-        ));
-    };
-    let text = before.files.get(DRAIN_FILE).map_or("", String::as_str);
-    let section = format!("[drain {} {}]", arguments.kind, arguments.name);
-    let text = match direction {
-        Direction::Drain => add(text, &section, &arguments.reason)?,
-        Direction::Undrain => remove(text, &section)?,
-    };
-    let bundle: ConfigBundle = before.clone().with_file(DRAIN_FILE, &text);
-    apply::publish(
-        &desk,
-        head.version,
-        Some(&before),
-        &bundle,
-        &arguments.author,
-        &arguments.wait,
-        json,
-    )
-    .await
-}
-
-fn add(text: &str, section: &str, reason: &str) -> Result<String> {
-    if text.lines().any(|line| line == section) {
-        return Err(Error::Refused(format!("{section} is in force already")));
+    desk.evacuate(&changed, drain).await?;
+    if json {
+        println!(
+            "{}",
+            serde_json::json!({"domains": changed, "drained": drain})
+        );
+    } else {
+        let what = if drain {
+            "gets no new work"
+        } else {
+            "may get work again"
+        };
+        println!("{} {what}", changed.join(", "));
     }
-    let reason = reason.replace(['\n', '\r'], " ");
-    Ok(format!("{text}{section}\nreason = {reason}\n"))
+    Ok(())
 }
 
-fn remove(text: &str, section: &str) -> Result<String> {
-    let mut kept = String::new();
-    let mut inside = false;
-    let mut found = false;
-    for line in text.lines() {
-        if line.starts_with('[') {
-            inside = line == section;
-            found |= inside;
+/// The failure domains that are meant.
+async fn domains(desk: &ConfigDesk, arguments: &DrainArguments) -> Result<Vec<String>> {
+    let name = arguments.name.as_str();
+    match arguments.kind.as_str() {
+        "domain" => Ok(vec![name.to_owned()]),
+        "region" => {
+            let deployment = deployment(desk).await?;
+            let region = deployment
+                .regions
+                .get(name)
+                .ok_or_else(|| Error::Refused(format!("no region '{name}' is configured")))?;
+            Ok(region.domains.iter().map(ToString::to_string).collect())
         }
-        if inside {
-            continue;
-        }
-        kept.push_str(line);
-        kept.push('\n');
-    }
-    if !found {
-        return Err(Error::Refused(format!("{section} is not in force")));
+        other => Err(Error::Usage(format!(
+            "'{other}' can't be drained; write domain or region. A backend server says itself \
+             that it leaves, and an instance is stopped with SIGTERM"
+        ))),
     }
-    Ok(kept)
+}
+
+async fn deployment(desk: &ConfigDesk) -> Result<Deployment> {
+    let Some((_, bundle)) = desk.present().await? else {
+        return Err(Error::Refused(
+            "no configuration is known; apply a folder first".to_owned(),
+        ));
+    };
+    Ok(bundle.deployment()?)
 }
--- a/bin/lhctl/src/explain.rs
+++ b/bin/lhctl/src/explain.rs
@@ -4,33 +4,24 @@
 
 use serde_json::Value;
 
-use crate::cli::InstanceArguments;
 use crate::error::{Error, Result};
 use crate::status::fetch;
 
-/// Shows the look-up's answer, the entry's rights, and what is made of the servers.
-pub(crate) async fn show(
-    service: &str,
-    lookup: SocketAddr,
-    arguments: &InstanceArguments,
-    json: bool,
-) -> Result<()> {
+/// Shows the look-up's answer, and what the entry makes of the service's servers.
+pub(crate) async fn show(service: &str, lookup: SocketAddr, json: bool) -> Result<()> {
     let found = fetch(lookup, &format!("/v1/entries?service={service}")).await;
     let Some(found) = found.filter(|found| found["entries"].is_array()) else {
         return Err(Error::Refused(format!(
             "{lookup} has no answer for '{service}'"
         )));
     };
-    let load = fetch(lookup, "/v1/status").await.unwrap_or_default();
-    let mut closed = Vec::new();
-    for address in &arguments.instances {
-        let status = fetch(*address, "/v1/status").await.unwrap_or_default();
-        closed.extend(closed_servers(&status));
-    }
+    let status = fetch(lookup, &format!("/v1/status?service={service}"))
+        .await
+        .unwrap_or_default();
     if json {
         println!(
             "{}",
-            serde_json::json!({"entries": found["entries"], "entry": load, "closed_servers": closed})
+            serde_json::json!({"entries": found["entries"], "servers": status["servers"]})
         );
         return Ok(());
     }
@@ -38,34 +29,40 @@
         "callers that look up at {lookup} (version {}) use, in order:",
         found["version"]
     );
-    for entry in found["entries"].as_array().into_iter().flatten() {
+    for entry in list(&found["entries"]) {
         println!(
             "  {} in {} at {}",
-            entry["instance"].as_str().unwrap_or("?"),
-            entry["region"].as_str().unwrap_or("?"),
-            entry["address"].as_str().unwrap_or("?")
-        );
-    }
-    let rights = load["services"].as_array().into_iter().flatten();
-    for rights in rights.filter(|rights| rights["service"] == service) {
-        println!(
-            "that entry owns {} slots of it, {} of them free; {} requests run and {} wait there",
-            rights["owned"], rights["spare"], rights["in_flight"], rights["waiting"]
+            text(entry, "instance"),
+            text(entry, "region"),
+            text(entry, "address")
         );
     }
-    for (server, why) in closed {
-        println!("no new work goes to {server}: {why}");
+    println!("{} knows these servers:", text(&status, "instance"));
+    for server in list(&status["servers"]) {
+        println!("  {}", line(server));
     }
     Ok(())
 }
 
-fn closed_servers(status: &Value) -> Vec<(String, String)> {
-    let servers = status["servers"].as_array().into_iter().flatten();
-    servers
-        .filter(|server| server["open"] == false)
-        .map(|server| {
-            let text = |key: &str| server[key].as_str().unwrap_or("?").to_owned();
-            (text("server"), text("verdict"))
-        })
-        .collect()
+fn line(server: &Value) -> String {
+    let figure = |key: &str| server[key].as_f64().unwrap_or(0.0);
+    format!(
+        "{} in {}: {}, {:.1} requests at {} slots ({} from here), {:.0}% failures, {:.1} times the usual time",
+        text(server, "server"),
+        text(server, "domain"),
+        text(server, "state"),
+        figure("occupancy"),
+        server["slots"],
+        server["in_flight"],
+        figure("failure_rate") * 100.0,
+        figure("speed"),
+    )
+}
+
+fn list(value: &Value) -> impl Iterator<Item = &Value> {
+    value.as_array().into_iter().flatten()
+}
+
+fn text<'a>(value: &'a Value, key: &str) -> &'a str {
+    value[key].as_str().unwrap_or("?")
 }
--- a/bin/lhctl/src/lib.rs
+++ b/bin/lhctl/src/lib.rs
@@ -37,11 +37,7 @@
             drain::change(&target, drain::Direction::Undrain, json).await
         }
         cli::Command::Status { instances } => status::show(&instances, json).await,
-        cli::Command::Explain {
-            service,
-            lookup,
-            instances,
-        } => explain::show(&service, lookup, &instances, json).await,
+        cli::Command::Explain { service, lookup } => explain::show(&service, lookup, json).await,
         cli::Command::ExplainRequest { id, logs } => trace::explain(&id, &logs, json),
         cli::Command::Settings => {
             print!("{}", conf::schema::markdown());
--- a/bin/lhctl/src/platform.rs
+++ b/bin/lhctl/src/platform.rs
@@ -1,33 +1,75 @@
-//! The configuration as the platform has it.
+//! The configuration as the platform's store has it: the files that operators edit,
+//! the desired state that they stand for, and the evacuations.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use conf::ConfigBundle;
-use store::{HeadRow, HeadStore, PlatformClient, Publication};
+use platform::client::StoreClient;
+use platform::desired::{OperatorChange, evacuation_write, state_writes};
+use platform::tables::PlatformClient;
+use store::{
+    Commit, ConfigChange, ConfigHead, ConfigStore, Publication, RowWrite, StoredConfig,
+    TableService,
+};
 
 use crate::error::{Error, Result};
 
+/// Longest wait for an answer of the store.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// The product's own table of entries; regions' client blocks stand beside them.
+const ENTRY_TABLE: &str = "laurelhill-entries";
+/// Key prefix of a region's client blocks there.
+const BLOCK_PREFIX: &str = "blocks/";
+
 /// Reads and publishes whole sets of files.
 pub(crate) struct ConfigDesk {
-    heads: HeadStore<PlatformClient>,
+    configs: ConfigStore<PlatformClient>,
+    address: SocketAddr,
+}
+
+/// What the operator's rows say now.
+pub(crate) struct OperatorView {
+    /// Version of the desired state in force; 0 before the first.
+    pub(crate) version: u64,
+    /// Failure domains that are evacuated.
+    pub(crate) evacuated: Vec<String>,
 }
 
 impl ConfigDesk {
-    pub(crate) fn new(platform: SocketAddr) -> Self {
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        let client = PlatformClient::new(address).with_patience(PATIENCE);
         Self {
-            heads: HeadStore::new(PlatformClient::new(platform)),
+            configs: ConfigStore::new(client),
+            address,
         }
     }
 
     /// The head and its files; `None` before the first version.
-    pub(crate) async fn present(&self) -> Result<Option<(HeadRow, ConfigBundle)>> {
-        let Some(head) = self.heads.head().await? else {
-            return Ok(None);
+    pub(crate) async fn present(&self) -> Result<Option<(ConfigHead, ConfigBundle)>> {
+        let present = self.configs.present().await?;
+        Ok(present.map(|StoredConfig { head, files }| (head, ConfigBundle { files })))
+    }
+
+    /// What the operator's rows say now.
+    pub(crate) async fn operator(&self) -> Result<OperatorView> {
+        let rows = StoreClient::new(self.address, PATIENCE)
+            .read_operator()
+            .await
+            .map_err(store::Error::from)?;
+        let mut view = OperatorView {
+            version: 0,
+            evacuated: Vec::new(),
         };
-        let content = self.heads.content(&head.hash).await?;
-        let bundle = serde_json::from_slice(&content)
-            .map_err(|cause| store::Error::Malformed(cause.to_string()))?;
-        Ok(Some((head, bundle)))
+        for change in rows.changes {
+            match change {
+                OperatorChange::Desired(state) => view.version = state.version,
+                OperatorChange::Evacuate(domain) => view.evacuated.push(domain),
+                OperatorChange::Restore(_) => {}
+            }
+        }
+        Ok(view)
     }
 
     /// Publishes `bundle` as the version after `edited`.
@@ -37,15 +79,21 @@
         before: Option<&ConfigBundle>,
         bundle: &ConfigBundle,
         author: &str,
-    ) -> Result<HeadRow> {
-        let content = serde_json::to_vec(bundle)
-            .map_err(|cause| store::Error::Malformed(cause.to_string()))?;
+    ) -> Result<ConfigHead> {
+        // Somebody may have set a desired state without these files.
+        let in_force = self.operator().await?.version;
+        let version = edited.max(in_force) + 1;
         let token = format!("{:032x}", rand::random::<u128>());
-        let published = self
-            .heads
-            .publish(edited, &bundle.hash(), &content, author, &token)
-            .await;
-        match published {
+        let writes = in_force_writes(bundle, version, in_force)?;
+        let change = ConfigChange {
+            edited,
+            version,
+            files: &bundle.files,
+            author,
+            token: &token,
+            in_force: &writes,
+        };
+        match self.configs.publish(&change).await {
             Ok(Publication::Accepted(head)) => Ok(head),
             Ok(Publication::Raced(head)) => Err(self.raced(edited, before, head).await),
             Err(cause @ store::Error::Unknown(_)) => Err(Error::Unknown(cause, token)),
@@ -53,12 +101,26 @@
         }
     }
 
+    /// Evacuates failure domains, or takes that back.
+    pub(crate) async fn evacuate(&self, domains: &[&str], evacuated: bool) -> Result<()> {
+        let writes: Vec<RowWrite> = domains
+            .iter()
+            .map(|domain| evacuation_write(domain, evacuated))
+            .collect();
+        match self.configs.platform().commit(&writes).await? {
+            Commit::Done => Ok(()),
+            Commit::Conflict => Err(Error::Refused(
+                "the store refused the change; run it again".to_owned(),
+            )),
+        }
+    }
+
     /// Tells the loser of a race what changed under them.
     async fn raced(
         &self,
         edited: u64,
         before: Option<&ConfigBundle>,
-        head: Option<HeadRow>,
+        head: Option<ConfigHead>,
     ) -> Error {
         let Some(head) = head else {
             return Error::Raced(edited, 0, "somebody".to_owned(), String::new());
@@ -72,3 +134,22 @@
         Error::Raced(edited, head.version, head.author, changes)
     }
 }
+
+/// The writes that make entries follow `bundle`: its desired state, and the client
+/// blocks of each region.
+fn in_force_writes(bundle: &ConfigBundle, version: u64, base: u64) -> Result<Vec<RowWrite>> {
+    let deployment = bundle.deployment()?;
+    let state = deployment.desired_state(version);
+    let mut writes = state_writes(&state, base).map_err(store::Error::from)?;
+    let blocks: BTreeMap<String, String> = deployment
+        .regions
+        .values()
+        .filter(|region| !region.client_blocks.is_empty())
+        .map(|region| (region.id.to_string(), region.client_blocks.join(",")))
+        .collect();
+    for (region, blocks) in blocks {
+        let key = format!("{BLOCK_PREFIX}{region}");
+        writes.push(RowWrite::new(ENTRY_TABLE, &key, &blocks));
+    }
+    Ok(writes)
+}
--- a/bin/lhctl/src/status.rs
+++ b/bin/lhctl/src/status.rs
@@ -66,7 +66,7 @@
 pub(crate) async fn show(arguments: &InstanceArguments, json: bool) -> Result<()> {
     if arguments.instances.is_empty() {
         return Err(Error::Usage(
-            "name the admin addresses with --instances".to_owned(),
+            "name the look-up addresses with --instances".to_owned(),
         ));
     }
     let mut silent = Vec::new();
@@ -98,19 +98,25 @@
 
 fn line(status: &Value) -> String {
     let text = |key: &str| status[key].as_str().unwrap_or("?").to_owned();
-    let seats = status["seats"].as_array().map_or(0, Vec::len);
-    let servers = status["servers"].as_array().cloned().unwrap_or_default();
-    let open = servers
-        .iter()
-        .filter(|server| server["open"] == true)
-        .count();
+    let mut servers = 0;
+    let mut open = 0;
+    for service in status["services"].as_array().into_iter().flatten() {
+        servers += service["servers"].as_u64().unwrap_or(0);
+        open += service["open"].as_u64().unwrap_or(0);
+    }
+    let state = match (&status["stopping"], &status["ready"]) {
+        (Value::Bool(true), _) => "stopping",
+        (_, Value::Bool(true)) => "ready",
+        _ => "not ready",
+    };
     format!(
-        "{} in {} ({}): version {}, {seats} seats, {open} of {} backend servers open, {} instances known",
+        "{} in {} ({}): {state}, version {}, {open} of {servers} backend servers open, \
+         {} instances live, registry read {} ms ago",
         text("instance"),
         text("domain"),
         text("region"),
         status["version"],
-        servers.len(),
-        status["members"],
+        status["instances"],
+        status["registry_age_ms"],
     )
 }
--- a/crates/burn/src/objective.rs
+++ b/crates/burn/src/objective.rs
@@ -52,7 +52,7 @@
         Latency,
         /// Requests that were answered.
         Availability,
-        /// Rights that stay free.
+        /// Slots that stay free.
         Headroom,
     }
 
@@ -100,7 +100,7 @@
             Self::Latency => rate(sums.done - sums.good, sums.done, goal),
             Self::Availability => rate(sums.failed, sums.done + sums.failed, goal),
             Self::Headroom => {
-                let free = (sums.owned > 0.0).then(|| sums.spare / sums.owned)?;
+                let free = (sums.slots > 0.0).then(|| sums.free / sums.slots)?;
                 let missing = (goal - free).max(0.0);
                 Some(if goal > 0.0 { missing / goal } else { 0.0 })
             }
@@ -112,7 +112,7 @@
         match self {
             Self::Latency => share(sums.good, sums.done),
             Self::Availability => share(sums.done, sums.done + sums.failed),
-            Self::Headroom => share(sums.spare, sums.owned),
+            Self::Headroom => share(sums.free, sums.slots),
         }
     }
 }
@@ -130,6 +130,10 @@
         .iter()
         .map(|window| window_sums(slices, now, window.length))
         .collect();
+    let sums: Vec<_> = sums
+        .into_iter()
+        .map(|sums| by_service(deployment, sums))
+        .collect();
     let longest = &sums[WINDOWS.len() - 1];
     let mut rows = Vec::new();
     for (key, total) in longest {
@@ -160,6 +164,21 @@
     rows
 }
 
+/// Counts what belongs to a part of a split for its service.
+fn by_service(
+    deployment: &Deployment,
+    sums: BTreeMap<SliceKey, SliceSums>,
+) -> BTreeMap<SliceKey, SliceSums> {
+    let mut services: BTreeMap<SliceKey, SliceSums> = BTreeMap::new();
+    for (mut key, part) in sums {
+        if let Some(service) = deployment.service_of(&key.service) {
+            key.service = service.id.to_string();
+        }
+        services.entry(key).or_default().add(&part);
+    }
+    services
+}
+
 /// Too fast means: in a short window and in a longer one that confirms it.
 fn is_alarm(rates: &[Option<f64>]) -> bool {
     let over = |index: usize| rates[index].is_some_and(|rate| rate >= WINDOWS[index].alarm);
--- a/crates/burn/src/scrape.rs
+++ b/crates/burn/src/scrape.rs
@@ -16,10 +16,10 @@
         pub good: f64,
         /// Requests that this system failed: refused, or of unknown outcome.
         pub failed: f64,
-        /// Slot rights owned, a gauge.
-        pub owned: f64,
-        /// Slot rights free, a gauge.
-        pub spare: f64,
+        /// Slots of the service's servers in the region, a gauge.
+        pub slots: f64,
+        /// Slots thought free, a gauge.
+        pub free: f64,
     }
 
     /// One reading.
@@ -39,14 +39,6 @@
 /// Counters by service.
 pub type CounterSet = BTreeMap<String, ServiceCounters>;
 
-/// Reasons of refusals that are the caller's doing and burn no budget.
-const CALLERS_REASONS: [&str; 4] = [
-    "unknown-service",
-    "deadline-too-short",
-    "refused-before",
-    "done-before",
-];
-
 /// Reads metrics in the text format.
 ///
 /// # Errors
@@ -68,19 +60,20 @@
             }
             "laurelhill_draining_seconds" => scrape.draining = value,
             "laurelhill_requests_total" => {
-                let counters = service(&mut scrape, label("service"));
-                if label("outcome") == "done" {
-                    counters.done += value;
-                } else if !CALLERS_REASONS.contains(&label("reason")) {
-                    counters.failed += value;
+                let counters = service(&mut scrape, label("route"));
+                match label("outcome") {
+                    "answered" => counters.done += value,
+                    "not-run" | "unknown" => counters.failed += value,
+                    // Requests that were wrong or whose caller left burn no budget.
+                    _ => {}
                 }
             }
-            "laurelhill_good_total" => service(&mut scrape, label("service")).good += value,
-            "laurelhill_rights" => {
+            "laurelhill_good_total" => service(&mut scrape, label("route")).good += value,
+            "laurelhill_slots" => {
                 let counters = service(&mut scrape, label("service"));
                 match label("state") {
-                    "owned" => counters.owned = value,
-                    "spare" => counters.spare = value,
+                    "all" => counters.slots = value,
+                    "free" => counters.free = value,
                     _ => {}
                 }
             }
--- a/crates/burn/src/slice.rs
+++ b/crates/burn/src/slice.rs
@@ -27,10 +27,10 @@
         pub good: f64,
         /// Requests that this system failed.
         pub failed: f64,
-        /// Sum of readings of owned rights.
-        pub owned: f64,
-        /// Sum of readings of free rights.
-        pub spare: f64,
+        /// Sum of readings of slots.
+        pub slots: f64,
+        /// Sum of readings of free slots.
+        pub free: f64,
     }
 
     /// One slice.
@@ -51,8 +51,8 @@
         self.done += other.done;
         self.good += other.good;
         self.failed += other.failed;
-        self.owned += other.owned;
-        self.spare += other.spare;
+        self.slots += other.slots;
+        self.free += other.free;
     }
 }
 
@@ -123,8 +123,8 @@
 /// nobody knows when its counters rose.
 fn rise(before: Option<ServiceCounters>, now: &ServiceCounters) -> SliceSums {
     let mut sums = SliceSums {
-        owned: now.owned,
-        spare: now.spare,
+        slots: now.slots,
+        free: now.free,
         ..SliceSums::default()
     };
     let Some(mut before) = before else {
--- a/crates/place/src/peers.rs
+++ b/crates/place/src/peers.rs
@@ -20,7 +20,7 @@
     #[derive(Eq)]
     pub enum PeerMessage {
         /// Who is there, a few times a second at most.
-        Beat(PeerBeat),
+        Beat(Box<PeerBeat>),
         /// Where the sender's requests are, more often.
         Load(LoadBeat),
     }
