--- /dev/null
+++ b/crates/emulate/benches/slopes.rs
@@ -0,0 +1,246 @@
+//! Slopes for the capacity page: what each decision costs as the fleet grows.
+
+use std::collections::HashMap;
+use std::hint::black_box;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use conf::ConfigBundle;
+use place::blocks::BlockTableBuilder;
+use place::budget::BudgetBounds;
+use place::desired::{DesiredState, RequestKind, RouteSpec, ServiceSpec, SplitPart};
+use place::directory::in_order;
+use place::prelude::*;
+use place::request::ServerOutcome;
+use place::view::{ServerLog, ViewMark};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Regions at the size to design for.
+const REGIONS: usize = 16;
+
+/// Median of `runs` timings of `work`, each over `times` calls, per call.
+fn median(runs: usize, times: u32, mut work: impl FnMut()) -> Duration {
+    let mut samples: Vec<Duration> = (0..runs)
+        .map(|_| {
+            let began = Instant::now();
+            for _ in 0..times {
+                work();
+            }
+            began.elapsed() / times
+        })
+        .collect();
+    samples.sort();
+    samples[runs / 2]
+}
+
+/// A deployment of `sites` sites over 16 regions, each one pool of four servers.
+fn sites(sites: usize) -> ConfigBundle {
+    let mut base = "[deployment]\nname = large\n[service board]\nrepeat = idempotent\n".to_owned();
+    for region in 0..REGIONS {
+        let here = (0..sites).filter(|site| site % REGIONS == region);
+        let mut domains: Vec<String> = here.map(|site| format!("d{site}")).collect();
+        if domains.is_empty() {
+            domains.push(format!("none{region}"));
+        }
+        let domains = domains.join(", ");
+        base.push_str(&format!("[region r{region}]\ndomains = {domains}\n"));
+    }
+    let mut bundle = ConfigBundle::new().with_file("base.ini", &base);
+    for site in 0..sites {
+        let addresses = (0..4).map(|n| format!("10.{}.{}.{n}:80", site / 250, site % 250));
+        let servers = addresses.collect::<Vec<_>>().join(", ");
+        let text = format!("[pool board d{site}]\nservers = {servers}\nslots = 4\n");
+        bundle = bundle.with_file(&format!("site{site}.ini"), &text);
+    }
+    bundle
+}
+
+fn bundles() {
+    println!("sites   check bundle   desired state   bundle bytes   largest file");
+    for count in [14, 140, 1400] {
+        let bundle = sites(count);
+        let bytes: usize = bundle.files.values().map(String::len).sum();
+        let largest = bundle.files.values().map(String::len).max().unwrap_or(0);
+        let deployment = bundle.deployment().unwrap();
+        let check = median(5, 1, || drop(black_box(bundle.deployment())));
+        let state = median(5, 1, || drop(black_box(deployment.desired_state(1))));
+        println!("{count:>5} {check:>14.1?} {state:>15.1?} {bytes:>14} {largest:>14}");
+    }
+}
+
+fn server(number: usize, region: usize) -> ServerEntry {
+    ServerEntry {
+        id: format!("i-{number:06}"),
+        service: "board".to_owned(),
+        address: SocketAddr::from(([10, 0, (number / 250) as u8, (number % 250) as u8], 80)),
+        zone: format!("z{region}"),
+        slots: 4,
+        state: EntryState::Ready,
+        cold_remaining: Duration::ZERO,
+        seq: 1,
+    }
+}
+
+fn route() -> RouteSpec {
+    RouteSpec {
+        name: "board".to_owned(),
+        host: "*".to_owned(),
+        prefix: "/board/".to_owned(),
+        kind: RequestKind::Idempotent,
+        timeout: None,
+        objective: Duration::from_millis(500),
+        priority: 1,
+        parts: vec![SplitPart {
+            service: "board".to_owned(),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        sticky: true,
+        home_regions: Vec::new(),
+    }
+}
+
+fn placer(servers: &[ServerEntry], now: Instant) -> RequestPlacer {
+    let zones: HashMap<String, String> = (0..REGIONS)
+        .map(|region| (format!("z{region}"), format!("r{region}")))
+        .collect();
+    let mut placer = RequestPlacer::new(PlacerConfig {
+        zone: "z0".to_owned(),
+        region: "r0".to_owned(),
+        zones,
+        budget: BudgetBounds {
+            ratio: 0.2,
+            slack: 56.0,
+            window: Duration::from_secs(10),
+        },
+        shift_cap: 0.15,
+        own: 1,
+    });
+    placer.set_desired(&DesiredState {
+        version: 1,
+        routes: vec![route()],
+        services: vec![ServiceSpec {
+            name: "board".to_owned(),
+            health_path: String::new(),
+            max_connections: 330,
+            warmup: Duration::from_secs(3),
+            cold_rate: 5.0,
+        }],
+        limits: RequestLimits::default(),
+    });
+    let reading = CatalogSnapshot {
+        entries: servers.to_vec(),
+        begun: now,
+    };
+    placer.catalog.on_read(now, &reading);
+    placer
+}
+
+fn choosing() {
+    println!("\nservers of a service   choose and send   take in the answer   take in a reading");
+    for count in [50, 250, 1400, 5600] {
+        let servers: Vec<ServerEntry> = (0..count)
+            .map(|number| server(number, number % REGIONS))
+            .collect();
+        let mut now = Instant::now();
+        let mut placer = placer(&servers, now);
+        let route = route();
+        let mut object = 0_u64;
+        let (mut choose, mut answer) = (Vec::new(), Vec::new());
+        for _ in 0..2000 {
+            object = object
+                .wrapping_mul(6_364_136_223_846_793_005)
+                .wrapping_add(1);
+            now += Duration::from_millis(5);
+            let request = PlacementRequest {
+                route: &route,
+                part: 0,
+                object: Some(object >> 52),
+                remaining: Duration::from_secs(2),
+                returning: false,
+                body_bytes: 0,
+                tried: &[],
+            };
+            let began = Instant::now();
+            placer.on_request(now, &route, request.object, Some(request.remaining));
+            let placement = placer.place(now, &request).unwrap();
+            choose.push(began.elapsed());
+            let began = Instant::now();
+            let good = ServerOutcome::Answered { good: true };
+            placer.on_outcome(now, &placement, &request, good, None);
+            answer.push(began.elapsed());
+        }
+        choose.sort();
+        answer.sort();
+        let reading = median(5, 1, || {
+            now += Duration::from_millis(5);
+            let reading = CatalogSnapshot {
+                entries: servers.clone(),
+                begun: now,
+            };
+            drop(black_box(placer.catalog.on_read(now, &reading)));
+        });
+        println!(
+            "{count:>20} {:>17.1?} {:>20.1?} {reading:>19.1?}",
+            choose[choose.len() / 2],
+            answer[answer.len() / 2]
+        );
+    }
+}
+
+fn lookups() {
+    println!("\nentries known   look-up in order   answer to a follower");
+    for count in [12, 90, 5900] {
+        let entries: Vec<(String, usize)> = (0..count)
+            .map(|number| (format!("r{}", number % REGIONS), number))
+            .collect();
+        let mut spread = 0;
+        let answer = median(7, 200, || {
+            spread += 1;
+            drop(black_box(in_order(&entries, Some("r3"), spread, |e| &e.0)));
+        });
+        let mut log = ServerLog::new(1);
+        let servers: Vec<ServerEntry> = (0..count * 4).map(|number| server(number, 0)).collect();
+        log.on_read(&CatalogSnapshot {
+            entries: servers,
+            begun: Instant::now(),
+        });
+        let (mark, ..) = log.since(ViewMark::default());
+        let follow = median(7, 20, || drop(black_box(log.since(mark))));
+        println!("{count:>13} {answer:>18.1?} {follow:>22.1?}");
+    }
+}
+
+fn blocks() {
+    println!("\nclient blocks   build table   find an address   bytes a block");
+    for count in [9_500, 95_000, 950_000] {
+        let mut random = ChaCha8Rng::seed_from_u64(1);
+        let build = |random: &mut ChaCha8Rng| {
+            let mut builder = BlockTableBuilder::new();
+            for number in 0..count {
+                let ip = std::net::Ipv4Addr::from(random.random::<u32>());
+                let site = (number % 1400) as u16;
+                builder = builder.with_block(ip.into(), random.random_range(16..=24), site);
+            }
+            builder
+        };
+        let builder = build(&mut random);
+        let began = Instant::now();
+        let table = builder.build();
+        let took = began.elapsed();
+        let find = median(7, 10_000, || {
+            let ip = std::net::Ipv4Addr::from(random.random::<u32>());
+            black_box(table.find(ip.into()));
+        });
+        let bytes = table.bytes() as f64 / f64::from(count);
+        println!("{count:>13} {took:>13.1?} {find:>17.1?} {bytes:>15.1}");
+    }
+}
+
+fn main() {
+    bundles();
+    choosing();
+    lookups();
+    blocks();
+}
