--- a/bin/lh-entry/src/app.rs
+++ b/bin/lh-entry/src/app.rs
@@ -46,7 +46,7 @@
 
 async fn serve(config: EntryConfig, arguments: Arguments) -> Result<()> {
     let incarnation = incarnation();
-    log::info!(incarnation, zone = config.zone.as_str(); "started");
+    log::info!(incarnation, domain = config.domain.as_str(); "started");
     let services = register(config, incarnation)?;
     let state = services.find::<InstanceState>("state")?;
     let beats = services.find::<UdpSocket>("beats")?;
--- a/bin/lh-entry/src/beat.rs
+++ b/bin/lh-entry/src/beat.rs
@@ -129,7 +129,7 @@
     PeerBeat {
         node: state.config.instance.clone(),
         incarnation: state.node.incarnation.0,
-        zone: state.config.zone.clone(),
+        domain: state.config.domain.clone(),
         region: state.config.region.clone(),
         front: state.config.caller_address,
         gossip: state.config.beat_address,
--- a/bin/lh-entry/src/config.rs
+++ b/bin/lh-entry/src/config.rs
@@ -16,7 +16,7 @@
     /// The instance's name.
     pub instance: String,
     /// Its failure domain.
-    pub zone: String,
+    pub domain: String,
     /// Its region.
     pub region: String,
     /// Where callers send requests.
@@ -50,7 +50,7 @@
     /// Descriptors that the process may use.
     pub descriptors: usize,
     /// Each failure domain's region.
-    pub zones: HashMap<String, String>,
+    pub domains: HashMap<String, String>,
 }
 
 impl EntryConfig {
@@ -65,13 +65,13 @@
         let bounds = file.section("bounds")?;
         let ip = instance.ip("address")?;
         let (beats, _) = entry.ports("peer_ports")?;
-        let mut zones = HashMap::new();
+        let mut domains = HashMap::new();
         for place in file.sections_of("place")? {
-            zones.insert(place.names()[0].clone(), place.text("region")?.to_owned());
+            domains.insert(place.names()[0].clone(), place.text("region")?.to_owned());
         }
         Ok(Self {
             instance: instance.text("name")?.to_owned(),
-            zone: instance.text("domain")?.to_owned(),
+            domain: instance.text("domain")?.to_owned(),
             region: instance.text("region")?.to_owned(),
             caller_address: entry.address("callers")?,
             ready_address: entry.address("ready")?,
@@ -92,7 +92,7 @@
             lookup_ttl_most: bounds.duration("lookup_ttl_most")?,
             memory_bytes: bounds.count::<usize>("memory_mb")? << 20,
             descriptors: bounds.count("descriptors")?,
-            zones,
+            domains,
         })
     }
 }
--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -60,9 +60,9 @@
     pub(crate) fn new(config: EntryConfig, metrics: EntryMetrics, incarnation: u64) -> Self {
         let own = stable_hash(config.instance.as_bytes());
         let placer = RequestPlacer::new(place::placer::PlacerConfig {
-            zone: config.zone.clone(),
+            domain: config.domain.clone(),
             region: config.region.clone(),
-            zones: config.zones.clone(),
+            domains: config.domains.clone(),
             budget: config.budget,
             shift_cap: config.shift_cap,
             own,
@@ -121,17 +121,17 @@
     pub(crate) fn on_operator(&self, change: &OperatorChange) {
         match change {
             OperatorChange::Desired(desired) => self.on_desired(desired),
-            OperatorChange::Evacuate(zone) => {
-                let fresh = self.evacuated.borrow_mut().insert(zone.clone());
+            OperatorChange::Evacuate(domain) => {
+                let fresh = self.evacuated.borrow_mut().insert(domain.clone());
                 if fresh {
-                    log::info!(zone = zone.as_str(); "evacuation in force");
+                    log::info!(domain = domain.as_str(); "evacuation in force");
                     self.apply_evacuations();
                 }
             }
-            OperatorChange::Restore(zone) => {
-                let known = self.evacuated.borrow_mut().remove(zone);
+            OperatorChange::Restore(domain) => {
+                let known = self.evacuated.borrow_mut().remove(domain);
                 if known {
-                    log::info!(zone = zone.as_str(); "evacuation taken back");
+                    log::info!(domain = domain.as_str(); "evacuation taken back");
                     self.apply_evacuations();
                 }
             }
@@ -164,7 +164,7 @@
         self.operator.set(version);
         let told: Vec<OperatorChange> = evacuated
             .iter()
-            .map(|zone| OperatorChange::Evacuate(zone.clone()))
+            .map(|domain| OperatorChange::Evacuate(domain.clone()))
             .collect();
         self.on_operator_rows(&told);
     }
@@ -172,24 +172,24 @@
     /// Takes in all of the operator's rows: evacuations that aren't among them
     /// have been taken back.
     pub(crate) fn on_operator_rows(&self, changes: &[OperatorChange]) {
-        let listed = |zone: &String| {
-            changes
-                .iter()
-                .any(|change| matches!(change, OperatorChange::Evacuate(listed) if listed == zone))
+        let listed = |domain: &String| {
+            changes.iter().any(
+                |change| matches!(change, OperatorChange::Evacuate(listed) if listed == domain),
+            )
         };
         let over: Vec<String> = {
             let evacuated = self.evacuated.borrow();
             evacuated
                 .iter()
-                .filter(|zone| !listed(zone))
+                .filter(|domain| !listed(domain))
                 .cloned()
                 .collect()
         };
         for change in changes {
             self.on_operator(change);
         }
-        for zone in over {
-            self.on_operator(&OperatorChange::Restore(zone));
+        for domain in over {
+            self.on_operator(&OperatorChange::Restore(domain));
         }
     }
 
@@ -234,17 +234,19 @@
     }
 
     fn apply_evacuations(&self) {
-        let zones = self.evacuated.borrow().clone();
+        let domains = self.evacuated.borrow().clone();
         let mut placer = self.placer.borrow_mut();
         let warmup: Duration = placer.longest_warmup();
-        placer.catalog.set_evacuated(Instant::now(), zones, warmup);
+        placer
+            .catalog
+            .set_evacuated(Instant::now(), domains, warmup);
     }
 }
 
 fn log_change(change: &CatalogChange) {
     let (id, event) = match change {
-        CatalogChange::Joined(id, zone) => {
-            log::info!(server = id.as_str(), zone = zone.as_str(); "server joined");
+        CatalogChange::Joined(id, domain) => {
+            log::info!(server = id.as_str(), domain = domain.as_str(); "server joined");
             return;
         }
         CatalogChange::Draining(id) => (id, "server is leaving"),
--- a/bin/lh-entry/src/status.rs
+++ b/bin/lh-entry/src/status.rs
@@ -84,7 +84,7 @@
     let answer = StatusAnswer {
         instance: &state.config.instance,
         region: &state.config.region,
-        domain: &state.config.zone,
+        domain: &state.config.domain,
         version: state.version(),
         ready: state.is_ready(),
         stopping: state.stop.get() != StopPhase::Serving,
@@ -107,7 +107,7 @@
     ServerStatus {
         server: record.entry.id.clone(),
         address: record.entry.address.to_string(),
-        domain: record.entry.zone.clone(),
+        domain: record.entry.domain.clone(),
         state: server_state(state, now, record),
         slots: record.entry.slots,
         in_flight: record.in_flight,
@@ -121,7 +121,7 @@
 fn server_state(state: &InstanceState, now: Instant, record: &ServerRecord) -> &'static str {
     if record.entry.state == EntryState::Draining {
         "leaving"
-    } else if state.evacuated.borrow().contains(&record.entry.zone) {
+    } else if state.evacuated.borrow().contains(&record.entry.domain) {
         "evacuated"
     } else if record.is_paused(now) {
         "unreachable"
--- a/bin/lh-entry/tests/settings.rs
+++ b/bin/lh-entry/tests/settings.rs
@@ -29,7 +29,7 @@
     assert_eq!(config.grace.as_secs(), 6);
     assert_eq!(config.budget.window.as_millis(), 2500);
     assert_eq!(config.lookup_ttl_most.as_millis(), 500);
-    assert_eq!(config.zones["z"], "far");
+    assert_eq!(config.domains["z"], "far");
 }
 
 /// Promise: each missing or wrong setting is named.
--- a/crates/emulate/benches/slopes.rs
+++ b/crates/emulate/benches/slopes.rs
@@ -74,7 +74,7 @@
         id: format!("i-{number:06}"),
         service: "board".to_owned(),
         address: SocketAddr::from(([10, 0, (number / 250) as u8, (number % 250) as u8], 80)),
-        zone: format!("z{region}"),
+        domain: format!("z{region}"),
         slots: 4,
         state: EntryState::Ready,
         cold_remaining: Duration::ZERO,
@@ -102,13 +102,13 @@
 }
 
 fn placer(servers: &[ServerEntry], now: Instant) -> RequestPlacer {
-    let zones: HashMap<String, String> = (0..REGIONS)
+    let domains: HashMap<String, String> = (0..REGIONS)
         .map(|region| (format!("z{region}"), format!("r{region}")))
         .collect();
     let mut placer = RequestPlacer::new(PlacerConfig {
-        zone: "z0".to_owned(),
+        domain: "z0".to_owned(),
         region: "r0".to_owned(),
-        zones,
+        domains,
         budget: BudgetBounds {
             ratio: 0.2,
             slack: 56.0,
--- a/crates/emulate/src/policy.rs
+++ b/crates/emulate/src/policy.rs
@@ -133,7 +133,7 @@
 impl NaivePolicy {
     /// The policy of an entry that knows `servers`.
     pub fn new(config: &PlacerConfig, desired: &DesiredState, servers: &CatalogSnapshot) -> Self {
-        let mut catalog = ServerCatalog::new(config.zones.clone());
+        let mut catalog = ServerCatalog::new(config.domains.clone());
         catalog.on_read(servers.begun, servers);
         Self {
             catalog,
--- a/crates/emulate/src/setup.rs
+++ b/crates/emulate/src/setup.rs
@@ -31,7 +31,7 @@
                 id: format!("server-{region}-{index}"),
                 service: "board".to_owned(),
                 address: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
-                zone: zone_name(region, index),
+                domain: zone_name(region, index),
                 slots: experiment.slots as u32,
                 state: EntryState::Ready,
                 cold_remaining: Duration::ZERO,
@@ -45,16 +45,16 @@
 /// The settings of an entry's placer.
 pub(crate) fn placer_config(experiment: &Experiment, entry: usize) -> PlacerConfig {
     let region = entry / experiment.entries;
-    let mut zones = HashMap::new();
+    let mut domains = HashMap::new();
     for region in 0..experiment.regions {
         for index in 0..2 {
-            zones.insert(zone_name(region, index), format!("region-{region}"));
+            domains.insert(zone_name(region, index), format!("region-{region}"));
         }
     }
     PlacerConfig {
-        zone: zone_name(region, entry),
+        domain: zone_name(region, entry),
         region: format!("region-{region}"),
-        zones,
+        domains,
         budget: BudgetBounds {
             ratio: 0.2,
             slack: 56.0,
--- a/crates/place/src/catalog.rs
+++ b/crates/place/src/catalog.rs
@@ -46,7 +46,7 @@
 /// The servers.
 #[derive(Debug, Default)]
 pub struct ServerCatalog {
-    zones: HashMap<String, String>,
+    domains: HashMap<String, String>,
     records: Vec<Option<ServerRecord>>,
     by_id: HashMap<String, usize>,
     by_service: HashMap<String, Vec<usize>>,
@@ -57,10 +57,10 @@
 }
 
 impl ServerCatalog {
-    /// An empty catalog; `zones` maps each failure domain to its region.
-    pub fn new(zones: HashMap<String, String>) -> Self {
+    /// An empty catalog; `domains` maps each failure domain to its region.
+    pub fn new(domains: HashMap<String, String>) -> Self {
         Self {
-            zones,
+            domains,
             ..Self::default()
         }
     }
@@ -98,19 +98,19 @@
 
     /// Sets the evacuated failure domains. Servers of one that is taken back
     /// are treated as cold for `warmup`: their caches may have been dropped.
-    pub fn set_evacuated(&mut self, now: Instant, zones: HashSet<String>, warmup: Duration) {
+    pub fn set_evacuated(&mut self, now: Instant, domains: HashSet<String>, warmup: Duration) {
         for record in self.records.iter_mut().flatten() {
-            let zone = &record.entry.zone;
-            if self.evacuated.contains(zone) && !zones.contains(zone) {
+            let domain = &record.entry.domain;
+            if self.evacuated.contains(domain) && !domains.contains(domain) {
                 record.chill(now, warmup);
             }
         }
-        self.evacuated = zones;
+        self.evacuated = domains;
     }
 
-    /// Whether nothing may be sent to the servers of `zone`.
-    pub fn is_evacuated(&self, zone: &str) -> bool {
-        self.evacuated.contains(zone)
+    /// Whether nothing may be sent to the servers of `domain`.
+    pub fn is_evacuated(&self, domain: &str) -> bool {
+        self.evacuated.contains(domain)
     }
 
     /// The record behind `handle`, unless the server is gone.
@@ -134,7 +134,7 @@
         members.iter().filter_map(|index| {
             let record = self.records[*index].as_ref()?;
             let open = record.entry.state == EntryState::Ready
-                && !self.evacuated.contains(&record.entry.zone);
+                && !self.evacuated.contains(&record.entry.domain);
             let handle = ServerHandle {
                 index: *index,
                 hash: record.hash,
@@ -185,7 +185,7 @@
     }
 
     fn insert(&mut self, begun: Instant, entry: &ServerEntry, changes: &mut Vec<CatalogChange>) {
-        let region = self.zones.get(&entry.zone).map_or("", String::as_str);
+        let region = self.domains.get(&entry.domain).map_or("", String::as_str);
         let mut record = ServerRecord::new(entry.clone(), region);
         if !entry.cold_remaining.is_zero() {
             record.chill(begun, entry.cold_remaining);
@@ -199,7 +199,10 @@
         self.by_id.insert(entry.id.clone(), index);
         let members = self.by_service.entry(entry.service.clone()).or_default();
         members.push(index);
-        changes.push(CatalogChange::Joined(entry.id.clone(), entry.zone.clone()));
+        changes.push(CatalogChange::Joined(
+            entry.id.clone(),
+            entry.domain.clone(),
+        ));
     }
 
     fn sweep(
--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -37,12 +37,12 @@
 const COLD_SLOWNESS: f64 = 2.0;
 /// Round trip to another failure domain of the region, in milliseconds: the
 /// brief's 1 to 1.5 ms each way.
-const ZONE_TRIP: f64 = 3.0;
+const DOMAIN_TRIP: f64 = 3.0;
 /// Round trip to another region, in milliseconds: the brief's 35 ms each way.
 pub(crate) const REGION_TRIP: f64 = 72.0;
 /// What a kilobyte over a link between failure domains is worth, in
 /// milliseconds of latency.
-const ZONE_BYTES: f64 = 0.6;
+const DOMAIN_BYTES: f64 = 0.6;
 /// What a kilobyte over a link between regions is worth, in milliseconds.
 const REGION_BYTES: f64 = 2.0;
 /// Kilobytes of an answer, before it is known.
@@ -64,7 +64,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct ChoicePlace<'a> {
     /// Its failure domain.
-    pub zone: &'a str,
+    pub domain: &'a str,
     /// Its region.
     pub region: &'a str,
     /// Entries of its region, itself included.
@@ -225,10 +225,10 @@
     }
 
     fn trip(&self, record: &ServerRecord) -> f64 {
-        if record.entry.zone == self.place.zone {
+        if record.entry.domain == self.place.domain {
             0.0
         } else if record.region == self.place.region {
-            ZONE_TRIP
+            DOMAIN_TRIP
         } else {
             REGION_TRIP
         }
@@ -236,10 +236,10 @@
 
     fn byte_cost(&self, record: &ServerRecord) -> f64 {
         let kilobytes = USUAL_ANSWER + self.request.body_bytes as f64 / 1000.0;
-        if record.entry.zone == self.place.zone {
+        if record.entry.domain == self.place.domain {
             0.0
         } else if record.region == self.place.region {
-            kilobytes * ZONE_BYTES
+            kilobytes * DOMAIN_BYTES
         } else {
             kilobytes * REGION_BYTES
         }
--- a/crates/place/src/peers.rs
+++ b/crates/place/src/peers.rs
@@ -42,7 +42,7 @@
         /// One run of its process; a later run has a higher number.
         pub incarnation: u64,
         /// Its failure domain.
-        pub zone: String,
+        pub domain: String,
         /// Its region.
         pub region: String,
         /// Where it takes callers.
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -39,11 +39,11 @@
 #[derive(Debug, Clone)]
 pub struct PlacerConfig {
     /// Own failure domain.
-    pub zone: String,
+    pub domain: String,
     /// Own region.
     pub region: String,
     /// Each failure domain's region.
-    pub zones: HashMap<String, String>,
+    pub domains: HashMap<String, String>,
     /// Bounds on repeats.
     pub budget: BudgetBounds,
     /// Largest change of a region's share from one window to the next.
@@ -78,9 +78,9 @@
 impl RequestPlacer {
     /// A placer that knows no servers yet.
     pub fn new(config: PlacerConfig) -> Self {
-        let regions: Vec<String> = config.zones.values().cloned().collect();
+        let regions: Vec<String> = config.domains.values().cloned().collect();
         Self {
-            catalog: ServerCatalog::new(config.zones.clone()),
+            catalog: ServerCatalog::new(config.domains.clone()),
             services: HashMap::new(),
             splitter: TrafficSplitter::default(),
             budget: RetryBudget::new(config.budget),
@@ -235,7 +235,7 @@
             return Err((RefusalReason::NoServer, None));
         };
         let place = ChoicePlace {
-            zone: &self.config.zone,
+            domain: &self.config.domain,
             region: &self.config.region,
             entries: self.region_entries,
             limiter,
--- a/crates/place/src/server.rs
+++ b/crates/place/src/server.rs
@@ -45,7 +45,7 @@
         /// Where it listens.
         pub address: SocketAddr,
         /// Its failure domain.
-        pub zone: String,
+        pub domain: String,
         /// Requests that it runs at the same time.
         pub slots: u32,
         /// Whether it takes requests.
--- a/crates/place/tests/catalog.rs
+++ b/crates/place/tests/catalog.rs
@@ -5,7 +5,7 @@
 use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
-use common::{ms, reading, server, zones};
+use common::{domains, ms, reading, server};
 use place::prelude::*;
 
 fn open(catalog: &ServerCatalog) -> Vec<String> {
@@ -22,7 +22,7 @@
 #[test]
 fn leaving_and_gone_servers_get_nothing() {
     let now = Instant::now();
-    let mut catalog = ServerCatalog::new(zones());
+    let mut catalog = ServerCatalog::new(domains());
     catalog.on_read(
         now,
         &reading(
@@ -43,7 +43,7 @@
 #[test]
 fn an_old_heartbeat_brings_no_server_back() {
     let now = Instant::now();
-    let mut catalog = ServerCatalog::new(zones());
+    let mut catalog = ServerCatalog::new(domains());
     let mut leaving = server("x", "a1");
     leaving.state = EntryState::Draining;
     leaving.seq = 5;
@@ -62,7 +62,7 @@
 #[test]
 fn lapsed_entries_are_kept_until_the_registry_has_heard_from_all() {
     let now = Instant::now();
-    let mut catalog = ServerCatalog::new(zones());
+    let mut catalog = ServerCatalog::new(domains());
     catalog.on_read(now, &reading(now, &[server("x", "a1"), server("y", "a1")]));
     catalog.on_read_failed();
     let back = now + Duration::from_secs(5);
@@ -80,7 +80,7 @@
 #[test]
 fn an_older_reading_changes_nothing() {
     let now = Instant::now();
-    let mut catalog = ServerCatalog::new(zones());
+    let mut catalog = ServerCatalog::new(domains());
     catalog.on_read(now + ms(10), &reading(now + ms(10), &[server("x", "a1")]));
     catalog.on_read(now + ms(20), &reading(now, &[]));
     assert_eq!(open(&catalog), ["x"]);
@@ -91,7 +91,7 @@
 #[test]
 fn an_evacuated_domain_gets_nothing_and_returns_cold() {
     let now = Instant::now();
-    let mut catalog = ServerCatalog::new(zones());
+    let mut catalog = ServerCatalog::new(domains());
     catalog.on_read(now, &reading(now, &[server("x", "a1"), server("y", "a2")]));
     catalog.set_evacuated(now, HashSet::from(["a1".to_owned()]), ms(3000));
     assert_eq!(open(&catalog), ["y"]);
@@ -115,7 +115,7 @@
 #[test]
 fn a_handle_outlives_no_server() {
     let now = Instant::now();
-    let mut catalog = ServerCatalog::new(zones());
+    let mut catalog = ServerCatalog::new(domains());
     catalog.on_read(now, &reading(now, &[server("x", "a1")]));
     let (handle, _) = catalog.open_servers("board").next().unwrap();
     let later = now + ms(1000);
--- a/crates/place/tests/common/mod.rs
+++ b/crates/place/tests/common/mod.rs
@@ -15,12 +15,12 @@
 }
 
 /// A ready server of `board`.
-pub fn server(id: &str, zone: &str) -> ServerEntry {
+pub fn server(id: &str, domain: &str) -> ServerEntry {
     ServerEntry {
         id: id.to_owned(),
         service: "board".to_owned(),
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
-        zone: zone.to_owned(),
+        domain: domain.to_owned(),
         slots: 4,
         state: EntryState::Ready,
         cold_remaining: Duration::ZERO,
@@ -73,18 +73,18 @@
 }
 
 /// Failure domains `a1` and `a2` in `a`, `b1` in `b`.
-pub fn zones() -> HashMap<String, String> {
+pub fn domains() -> HashMap<String, String> {
     [("a1", "a"), ("a2", "a"), ("b1", "b")]
-        .map(|(zone, region)| (zone.to_owned(), region.to_owned()))
+        .map(|(domain, region)| (domain.to_owned(), region.to_owned()))
         .into()
 }
 
 /// The settings of an entry in `a1`.
 pub fn placer_config() -> PlacerConfig {
     PlacerConfig {
-        zone: "a1".to_owned(),
+        domain: "a1".to_owned(),
         region: "a".to_owned(),
-        zones: zones(),
+        domains: domains(),
         budget: BudgetBounds {
             ratio: 0.2,
             slack: 56.0,
--- a/crates/place/tests/peers.rs
+++ b/crates/place/tests/peers.rs
@@ -12,7 +12,7 @@
     PeerBeat {
         node: node.to_owned(),
         incarnation,
-        zone: "a1".to_owned(),
+        domain: "a1".to_owned(),
         region: "a".to_owned(),
         front: SocketAddr::from(([127, 0, 0, 1], 80)),
         gossip: SocketAddr::from(([127, 0, 0, 1], 81)),
