One entry for both interfaces; what the platform makes needless is gone

Cause: the platform was served by a program of its own (lh-edge) beside the product (lh-entry, lh-steer): two request paths, two clients and two stand-ins of the store, and 12,000 lines that the platform doesn't run, among them seats and loans that nobody had compared there. Ruled out: keeping owned slots. Keeping the old path for its interface: look-ups, tickets, base and overlays, lhctl and the burn report go with the new one. Change: lh-entry serves the platform's interface and the product's own over one path (caller, forward, job); tickets and their records are the crate once; lhctl writes base, overlays and the desired state in one transaction; settings of the entry are checked against the common table; one client and one stand-in of the store, which speak its published protocol. Taken out: lh-steer, steer, relay, mesh, daemon, seats, loans, gossip, claims, head row of objects, instance list. Tests of what is gone went with it (rights, seats, shift and decisions of steer, fleet of lh-steer, claims, three of a lease); those of tickets, streams, stops, configuration and look-ups run against the joined entry.

--- /dev/null
+++ b/bin/lh-entry/src/inner.rs
@@ -0,0 +1,114 @@
+//! Small answers: readiness, look-ups, status, metrics, and what other entries follow.
+
+use std::convert::Infallible;
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+use crate::lookup::{self, OwnLookup};
+use crate::state::InstanceState;
+use crate::{status, view};
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Answers on `listener` until the process ends.
+pub(crate) async fn run(state: Rc<InstanceState>, listener: Rc<TcpListener>) {
+    loop {
+        let Ok((stream, caller)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let state = Rc::clone(&state);
+        tokio::task::spawn_local(async move {
+            let _ = stream.set_nodelay(true);
+            let service = service_fn(move |request| {
+                let answer = answer(&state, &request, caller.ip());
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            let served = Builder::new()
+                .header_read_timeout(None)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = served.await {
+                log::debug!(error:%; "inner connection ended");
+            }
+        });
+    }
+}
+
+fn answer(
+    state: &InstanceState,
+    request: &Request<Incoming>,
+    from: IpAddr,
+) -> Response<Full<Bytes>> {
+    let query = request.uri().query().unwrap_or("");
+    match request.uri().path() {
+        platform::lookup::READY_PATH => {
+            let ready = state.is_ready();
+            text(
+                if ready {
+                    StatusCode::OK
+                } else {
+                    StatusCode::SERVICE_UNAVAILABLE
+                },
+                String::new(),
+            )
+        }
+        platform::lookup::LOOKUP_PATH => {
+            let place = platform::lookup::read_place(query);
+            match lookup::answer_platform(state, &place) {
+                Some(answer) => json(StatusCode::OK, answer),
+                None => text(StatusCode::SERVICE_UNAVAILABLE, String::new()),
+            }
+        }
+        lookup::ENTRIES_PATH => match lookup::answer_own(state, query, from) {
+            OwnLookup::Found(answer) => json(StatusCode::OK, answer),
+            OwnLookup::UnknownService => text(StatusCode::NOT_FOUND, String::new()),
+            OwnLookup::NoEntry => text(StatusCode::SERVICE_UNAVAILABLE, String::new()),
+        },
+        status::STATUS_PATH => {
+            let service = query.strip_prefix("service=");
+            json(StatusCode::OK, status::answer_status(state, service))
+        }
+        view::VIEW_PATH => bytes(view::answer_view(state, query)),
+        view::DESIRED_PATH => bytes(view::answer_desired(state)),
+        METRICS_PATH => {
+            let placer = state.placer.borrow();
+            let heard = state.operator_at.get().map(|at| at.elapsed());
+            state.metrics.show_operator(heard);
+            let region = &state.config.region;
+            state
+                .metrics
+                .show_servers(Instant::now(), region, &placer.catalog);
+            text(StatusCode::OK, state.metrics.text())
+        }
+        _ => text(StatusCode::NOT_FOUND, String::new()),
+    }
+}
+
+fn json(status: StatusCode, body: String) -> Response<Full<Bytes>> {
+    let mut response = text(status, body);
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+}
+
+fn bytes(body: Vec<u8>) -> Response<Full<Bytes>> {
+    Response::new(Full::new(Bytes::from(body)))
+}
+
+fn text(status: StatusCode, body: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response
+}
--- a/bin/lh-edge/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -6,22 +6,28 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use base::prelude::{Incarnation, InstanceId, NodeId};
 use place::catalog::CatalogChange;
 use place::prelude::*;
 use place::rank::stable_hash;
+use place::routes::ANY_HOST;
 use place::view::ServerLog;
 use platform::desired::OperatorChange;
 
-use crate::config::EdgeConfig;
-use crate::metrics::EdgeMetrics;
+use crate::config::EntryConfig;
+use crate::homes::HomeBook;
+use crate::metrics::EntryMetrics;
 use crate::pool::ServerPool;
 use crate::stop::StopPhase;
+use crate::ticket::TicketDesk;
 
 /// The entry's state.
 #[derive(Debug)]
-pub(crate) struct EdgeState {
-    pub(crate) config: EdgeConfig,
-    pub(crate) incarnation: u64,
+pub(crate) struct InstanceState {
+    pub(crate) config: EntryConfig,
+    /// This run of the instance.
+    pub(crate) node: NodeId,
+    pub(crate) tickets: TicketDesk,
     pub(crate) placer: RefCell<RequestPlacer>,
     pub(crate) routes: RefCell<Rc<RouteTable>>,
     pub(crate) desired: RefCell<Option<Rc<DesiredState>>>,
@@ -39,22 +45,24 @@
     /// Until when what another entry tells is fresh.
     pub(crate) follows_until: Cell<Option<Instant>>,
     pub(crate) peers: RefCell<PeerTable>,
+    /// Home regions of client addresses.
+    pub(crate) homes: RefCell<HomeBook>,
     pub(crate) pool: ServerPool,
-    pub(crate) metrics: EdgeMetrics,
+    pub(crate) metrics: EntryMetrics,
     pub(crate) stop: Cell<StopPhase>,
     pub(crate) stopping: tokio::sync::watch::Sender<StopPhase>,
     pub(crate) in_flight: Rc<Cell<usize>>,
     pub(crate) buffered: Rc<Cell<usize>>,
 }
 
-impl EdgeState {
+impl InstanceState {
     /// The state of an entry that knows nothing yet.
-    pub(crate) fn new(config: EdgeConfig, metrics: EdgeMetrics, incarnation: u64) -> Rc<Self> {
-        let own = stable_hash(config.node.as_bytes());
+    pub(crate) fn new(config: EntryConfig, metrics: EntryMetrics, incarnation: u64) -> Self {
+        let own = stable_hash(config.instance.as_bytes());
         let placer = RequestPlacer::new(place::placer::PlacerConfig {
-            zone: config.zone.clone(),
+            domain: config.domain.clone(),
             region: config.region.clone(),
-            zones: config.zones.clone(),
+            domains: config.domains.clone(),
             budget: config.budget,
             shift_cap: config.shift_cap,
             own,
@@ -65,8 +73,10 @@
             peers.add_candidate(now, *seed);
         }
         let (stopping, _) = tokio::sync::watch::channel(StopPhase::Serving);
-        Rc::new(Self {
-            incarnation,
+        let node = NodeId::new(&InstanceId::new(&config.instance), Incarnation(incarnation));
+        Self {
+            tickets: TicketDesk::new(&node, config.once_records),
+            node,
             placer: RefCell::new(placer),
             routes: RefCell::default(),
             desired: RefCell::default(),
@@ -79,6 +89,7 @@
             answered_at: Cell::new(None),
             follows_until: Cell::new(None),
             peers: RefCell::new(peers),
+            homes: RefCell::default(),
             pool: ServerPool::default(),
             metrics,
             stop: Cell::new(StopPhase::Serving),
@@ -86,7 +97,7 @@
             in_flight: Rc::default(),
             buffered: Rc::default(),
             config,
-        })
+        }
     }
 
     /// Whether callers should be sent here.
@@ -95,6 +106,12 @@
         known && self.stop.get() == StopPhase::Serving
     }
 
+    /// Whether callers on the own interface are expected.
+    pub(crate) fn has_own_routes(&self) -> bool {
+        let routes = self.routes.borrow();
+        routes.iter().any(|route| route.host == ANY_HOST)
+    }
+
     /// Version of the desired state in force; 0 before the first.
     pub(crate) fn version(&self) -> u64 {
         self.routes.borrow().version()
@@ -104,17 +121,17 @@
     pub(crate) fn on_operator(&self, change: &OperatorChange) {
         match change {
             OperatorChange::Desired(desired) => self.on_desired(desired),
-            OperatorChange::Evacuate(zone) => {
-                let fresh = self.evacuated.borrow_mut().insert(zone.clone());
+            OperatorChange::Evacuate(domain) => {
+                let fresh = self.evacuated.borrow_mut().insert(domain.clone());
                 if fresh {
-                    log::info!(zone = zone.as_str(); "evacuation in force");
+                    log::info!(domain = domain.as_str(); "evacuation in force");
                     self.apply_evacuations();
                 }
             }
-            OperatorChange::Restore(zone) => {
-                let known = self.evacuated.borrow_mut().remove(zone);
+            OperatorChange::Restore(domain) => {
+                let known = self.evacuated.borrow_mut().remove(domain);
                 if known {
-                    log::info!(zone = zone.as_str(); "evacuation taken back");
+                    log::info!(domain = domain.as_str(); "evacuation taken back");
                     self.apply_evacuations();
                 }
             }
@@ -125,7 +142,7 @@
     /// entry's turn to read.
     pub(crate) fn reader(&self) -> Option<SocketAddr> {
         let own = FollowerSeat {
-            node: &self.config.node,
+            node: &self.config.instance,
             region: &self.config.region,
             reads: self.reads.get(),
         };
@@ -147,7 +164,7 @@
         self.operator.set(version);
         let told: Vec<OperatorChange> = evacuated
             .iter()
-            .map(|zone| OperatorChange::Evacuate(zone.clone()))
+            .map(|domain| OperatorChange::Evacuate(domain.clone()))
             .collect();
         self.on_operator_rows(&told);
     }
@@ -155,24 +172,24 @@
     /// Takes in all of the operator's rows: evacuations that aren't among them
     /// have been taken back.
     pub(crate) fn on_operator_rows(&self, changes: &[OperatorChange]) {
-        let listed = |zone: &String| {
-            changes
-                .iter()
-                .any(|change| matches!(change, OperatorChange::Evacuate(listed) if listed == zone))
+        let listed = |domain: &String| {
+            changes.iter().any(
+                |change| matches!(change, OperatorChange::Evacuate(listed) if listed == domain),
+            )
         };
         let over: Vec<String> = {
             let evacuated = self.evacuated.borrow();
             evacuated
                 .iter()
-                .filter(|zone| !listed(zone))
+                .filter(|domain| !listed(domain))
                 .cloned()
                 .collect()
         };
         for change in changes {
             self.on_operator(change);
         }
-        for zone in over {
-            self.on_operator(&OperatorChange::Restore(zone));
+        for domain in over {
+            self.on_operator(&OperatorChange::Restore(domain));
         }
     }
 
@@ -217,17 +234,19 @@
     }
 
     fn apply_evacuations(&self) {
-        let zones = self.evacuated.borrow().clone();
+        let domains = self.evacuated.borrow().clone();
         let mut placer = self.placer.borrow_mut();
         let warmup: Duration = placer.longest_warmup();
-        placer.catalog.set_evacuated(Instant::now(), zones, warmup);
+        placer
+            .catalog
+            .set_evacuated(Instant::now(), domains, warmup);
     }
 }
 
 fn log_change(change: &CatalogChange) {
     let (id, event) = match change {
-        CatalogChange::Joined(id, zone) => {
-            log::info!(server = id.as_str(), zone = zone.as_str(); "server joined");
+        CatalogChange::Joined(id, domain) => {
+            log::info!(server = id.as_str(), domain = domain.as_str(); "server joined");
             return;
         }
         CatalogChange::Draining(id) => (id, "server is leaving"),
