Beats name other entries only while somebody is new

Change: PeerTable::named: for 3 s after a run was heard for the first time, and in one beat of eight; others each time, in an order without a hash map's own randomness. Test: a_fleet_finds_itself_through_one_seed.

--- a/bin/lh-entry/src/beat.rs
+++ b/bin/lh-entry/src/beat.rs
@@ -23,8 +23,6 @@
 const LOAD_LEAST: Duration = Duration::from_millis(80);
 /// Largest beat that is read, in bytes.
 const BEAT_BYTES: usize = 8192;
-/// Others named in a beat; all find all within a few beats.
-const KNOWN_MOST: usize = 24;
 
 /// Opens the socket for beats.
 ///
@@ -121,11 +119,8 @@
 }
 
 fn own_beat(state: &InstanceState, now: Instant) -> PeerBeat {
-    let known = {
-        let peers = state.peers.borrow();
-        let heard = peers.heard(now).map(|beat| beat.gossip);
-        heard.take(KNOWN_MOST).collect()
-    };
+    let turn = state.beats.get();
+    state.beats.set(turn + 1);
     PeerBeat {
         node: state.config.instance.clone(),
         incarnation: state.node.incarnation.0,
@@ -143,7 +138,7 @@
         } else {
             String::new()
         },
-        known,
+        known: state.peers.borrow().named(now, turn),
     }
 }
 
--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -40,6 +40,8 @@
     pub(crate) servers: RefCell<ServerLog>,
     /// Whether the store answered this entry lately.
     pub(crate) reads: Cell<bool>,
+    /// Beats sent so far.
+    pub(crate) beats: Cell<u64>,
     /// When the store last answered this entry's feed of the operator's rows.
     pub(crate) answered_at: Cell<Option<Instant>>,
     /// Until when what another entry tells is fresh.
@@ -86,6 +88,7 @@
             operator_at: Cell::new(None),
             servers: RefCell::new(ServerLog::new(incarnation)),
             reads: Cell::new(true),
+            beats: Cell::new(0),
             answered_at: Cell::new(None),
             follows_until: Cell::new(None),
             peers: RefCell::new(peers),
--- a/crates/place/src/peers.rs
+++ b/crates/place/src/peers.rs
@@ -12,6 +12,15 @@
 /// An entry counts as live for this long after its last beat: several beats,
 /// since datagrams get lost.
 pub const LIVE_FOR: Duration = Duration::from_millis(2600);
+/// Beats name others for this long after a run was heard for the first time: five
+/// beats, within which all hear of it.
+const NAMED_FOR: Duration = Duration::from_millis(3000);
+/// Else one beat in so many names others. Naming them always made three
+/// quarters of a beat, and beats a quarter of the bytes between regions: 0.19 GB
+/// instead of 0.143 on a calm day of 83 entries.
+const NAMED_EVERY: u64 = 8;
+/// Others named in a beat; all find all within a few beats.
+const NAMED_MOST: usize = 24;
 /// A silent entry is asked again for this long before it is forgotten.
 const REMEMBERED_FOR: Duration = Duration::from_secs(60);
 
@@ -88,6 +97,8 @@
 pub struct PeerTable {
     peers: HashMap<String, PeerRecord>,
     candidates: HashMap<SocketAddr, Instant>,
+    /// When a run was heard for the first time, last.
+    newest: Option<Instant>,
 }
 
 impl PeerTable {
@@ -106,6 +117,9 @@
         if known.is_some_and(|peer| peer.beat.incarnation > beat.incarnation) {
             return;
         }
+        if known.is_none_or(|peer| peer.beat.incarnation < beat.incarnation) {
+            self.newest = Some(now);
+        }
         let record = PeerRecord { beat, heard: now };
         self.peers.insert(record.beat.node.clone(), record);
     }
@@ -156,6 +170,23 @@
         self.live(now).filter(|beat| beat.reads)
     }
 
+    /// Addresses to name in the beat number `turn` of a run, so that entries that don't
+    /// know each other find each other.
+    pub fn named(&self, now: Instant, turn: u64) -> Vec<SocketAddr> {
+        let news = self
+            .newest
+            .is_some_and(|at| now.saturating_duration_since(at) < NAMED_FOR);
+        if !news && !turn.is_multiple_of(NAMED_EVERY) {
+            return Vec::new();
+        }
+        // Others each time, so that the beats together name all.
+        let order = |beat: &&PeerBeat| pair_weight(turn, stable_hash(beat.node.as_bytes()));
+        let mut heard: Vec<&PeerBeat> = self.heard(now).collect();
+        heard.sort_unstable_by_key(order);
+        heard.truncate(NAMED_MOST);
+        heard.into_iter().map(|beat| beat.gossip).collect()
+    }
+
     /// Addresses of the live entries.
     pub fn live_targets(&self, now: Instant) -> Vec<SocketAddr> {
         self.heard(now).map(|beat| beat.gossip).collect()
--- a/crates/place/tests/peers.rs
+++ b/crates/place/tests/peers.rs
@@ -63,6 +63,52 @@
     assert!(peers.targets(now + ms(120_000)).is_empty());
 }
 
+/// Promise: entries that know one seed only all find each other within seconds, also
+/// when they start one after the other, and a settled beat names nobody.
+#[test]
+fn a_fleet_finds_itself_through_one_seed() {
+    const ENTRIES: u16 = 83;
+    const ROUND: u64 = 600;
+    let start = Instant::now();
+    let address = |entry: u16| SocketAddr::from(([127, 0, 1, entry as u8], 7000));
+    let mut tables: Vec<PeerTable> = (0..ENTRIES).map(|_| PeerTable::default()).collect();
+    for table in &mut tables {
+        table.add_candidate(start, address(0));
+    }
+    let mut named = 0;
+    for round in 0..60_u64 {
+        let now = start + ms(round * ROUND);
+        let running = |entry: u16| u64::from(entry) / 4 <= round;
+        for entry in (0..ENTRIES).filter(|entry| running(*entry)) {
+            let mut own = beat(&format!("n{entry}"), 1);
+            own.gossip = address(entry);
+            let table = &mut tables[usize::from(entry)];
+            own.known = table.named(now, round - u64::from(entry) / 4);
+            named = own.known.len();
+            for target in table.targets(now) {
+                let SocketAddr::V4(v4) = target else {
+                    continue;
+                };
+                let other = u16::from(v4.ip().octets()[3]);
+                if other != entry && running(other) {
+                    tables[usize::from(other)].on_beat(now, own.clone());
+                }
+            }
+        }
+        if round >= 21 + 4 {
+            for (entry, table) in tables.iter().enumerate() {
+                let live = table.live(now).count();
+                assert_eq!(
+                    live,
+                    usize::from(ENTRIES) - 1,
+                    "entry {entry}, round {round}"
+                );
+            }
+        }
+    }
+    assert_eq!(named, 0);
+}
+
 /// Promise: all entries of a region agree on one reader as long as the store answers one
 /// of them, and follow the same entry elsewhere where it answers none.
 #[test]
