--- a/crates/emulate/src/lib.rs
+++ b/crates/emulate/src/lib.rs
@@ -12,6 +12,7 @@
 mod report;
 mod run;
 mod setup;
+mod timeline;
 
 pub use experiment::{Experiment, FaultKind, ServerFault, TrafficStep};
 pub use policy::{EntryPolicy, NaivePolicy, PlacerPolicy};
--- a/crates/emulate/src/model.rs
+++ b/crates/emulate/src/model.rs
@@ -4,6 +4,8 @@
 
 use place::server::ServerReport;
 
+use crate::experiment::FaultKind;
+
 /// A request at a server.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Job {
@@ -28,6 +30,16 @@
 }
 
 impl ModelServer {
+    /// Lets a fault begin or end.
+    pub(crate) fn set_fault(&mut self, kind: FaultKind, begins: bool) {
+        match kind {
+            FaultKind::Down if begins => self.crash(),
+            FaultKind::Down => self.down = false,
+            FaultKind::Slow(times) => self.slowness = if begins { times } else { 1.0 },
+            FaultKind::Shed(share) => self.shed_share = if begins { share } else { 0.0 },
+        }
+    }
+
     pub(crate) fn new(slots: usize, queue: usize, holds: usize) -> Self {
         Self {
             slots,
@@ -85,11 +97,11 @@
     }
 
     /// Loses everything.
-    pub(crate) fn crash(&mut self) -> Vec<Job> {
+    fn crash(&mut self) {
         self.down = true;
         self.running = 0;
         self.held.clear();
-        self.waiting.drain(..).collect()
+        self.waiting.clear();
     }
 
     pub(crate) fn report(&self) -> ServerReport {
--- a/crates/emulate/src/run.rs
+++ b/crates/emulate/src/run.rs
@@ -1,12 +1,10 @@
 //! Plays an experiment, event by event.
 
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use place::catalog::CatalogSnapshot;
 use place::desired::DesiredState;
-use place::load::LoadList;
 use place::prelude::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -17,6 +15,7 @@
 use crate::regions::RegionCounts;
 use crate::report::TrialReport;
 use crate::setup::{desired_state, entry_hash, placer_config, server_entries};
+use crate::timeline::{Event, EventQueue, Micros};
 
 /// Time between words on load.
 const LOAD_EVERY: u64 = 100_000;
@@ -31,23 +30,6 @@
 /// Part of its remaining time that a caller waits before it comes back.
 const WAIT_SHARE: u32 = 3;
 
-/// Microseconds from the start.
-type Micros = u64;
-
-#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
-    Arrive,
-    Ask(usize),
-    Reach(usize),
-    Finish(usize, u64),
-    Answer(usize, bool),
-    OutOfTime(usize),
-    Load(usize),
-    Hear(usize, u64, LoadList),
-    FaultBegins(usize),
-    FaultEnds(usize),
-}
-
 struct CallerRequest {
     entry: usize,
     object: u64,
@@ -66,8 +48,7 @@
     experiment: &'a Experiment,
     origin: Instant,
     now: Micros,
-    order: u64,
-    events: BinaryHeap<Reverse<(Micros, u64, Event)>>,
+    events: EventQueue,
     rng: ChaCha8Rng,
     policies: Vec<P>,
     servers: Vec<ModelServer>,
@@ -106,8 +87,7 @@
         experiment,
         origin,
         now: 0,
-        order: 0,
-        events: BinaryHeap::new(),
+        events: EventQueue::default(),
         rng: ChaCha8Rng::seed_from_u64(experiment.seed),
         policies,
         servers,
@@ -136,7 +116,7 @@
             self.schedule(ends, Event::FaultEnds(index));
         }
         let last = micros(self.experiment.seconds) + micros(5.0);
-        while let Some(Reverse((at, _, event))) = self.events.pop() {
+        while let Some((at, event)) = self.events.pop() {
             if at > last {
                 break;
             }
@@ -159,8 +139,8 @@
                 let now = self.instant();
                 self.policies[entry].on_load(now, from, list);
             }
-            Event::FaultBegins(index) => self.begin_fault(index),
-            Event::FaultEnds(index) => self.end_fault(index),
+            Event::FaultBegins(index) => self.set_fault(index, true),
+            Event::FaultEnds(index) => self.set_fault(index, false),
         }
     }
 
@@ -360,28 +340,12 @@
         self.schedule(self.now + LOAD_EVERY, Event::Load(entry));
     }
 
-    fn begin_fault(&mut self, index: usize) {
-        let fault = self.experiment.faults[index];
-        for server in fault.first..fault.first + fault.count {
-            match fault.kind {
-                FaultKind::Down => {
-                    self.epochs[server] += 1;
-                    self.servers[server].crash();
-                }
-                FaultKind::Slow(times) => self.servers[server].slowness = times,
-                FaultKind::Shed(share) => self.servers[server].shed_share = share,
-            }
-        }
-    }
-
-    fn end_fault(&mut self, index: usize) {
+    fn set_fault(&mut self, index: usize, begins: bool) {
         let fault = self.experiment.faults[index];
         for server in fault.first..fault.first + fault.count {
-            match fault.kind {
-                FaultKind::Down => self.servers[server].down = false,
-                FaultKind::Slow(_) => self.servers[server].slowness = 1.0,
-                FaultKind::Shed(_) => self.servers[server].shed_share = 0.0,
-            }
+            let crashes = begins && matches!(fault.kind, FaultKind::Down);
+            self.epochs[server] += u64::from(crashes);
+            self.servers[server].set_fault(fault.kind, begins);
         }
     }
 
@@ -391,8 +355,7 @@
     }
 
     fn schedule(&mut self, at: Micros, event: Event) {
-        self.order += 1;
-        self.events.push(Reverse((at, self.order, event)));
+        self.events.schedule(at, event);
     }
 
     fn instant(&self) -> Instant {
