Two entries of a region ask for the operator's changes, the others hear of them from both

Ruled out: the reader alone (a silent one made calm followers late before); a tight bound on the age of the reader's feed (a feed that just went silent looks fresh for longer than a change may take). Change: PeerTable::deputy names the second entry of a region that reads; an entry that is neither asks both and has no feed while both answer. A reading that is older than the known one is left out of an entry's own log too.

--- a/bin/lh-entry/src/app.rs
+++ b/bin/lh-entry/src/app.rs
@@ -52,6 +52,7 @@
     let beats = services.find::<UdpSocket>("beats")?;
     spawn_local(watch::watch_operator(Rc::clone(&state)));
     spawn_local(watch::watch_servers(Rc::clone(&state)));
+    spawn_local(watch::watch_deputy(Rc::clone(&state)));
     spawn_local(watch::watch_entries(Rc::clone(&state)));
     spawn_local(beat::run(Rc::clone(&state), beats));
     for name in INNER_LISTENERS {
--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -46,6 +46,8 @@
     pub(crate) answered_at: Cell<Option<Instant>>,
     /// Until when what another entry tells is fresh.
     pub(crate) follows_until: Cell<Option<Instant>>,
+    /// Until when what the deputy tells is fresh.
+    pub(crate) deputy_until: Cell<Option<Instant>>,
     pub(crate) peers: RefCell<PeerTable>,
     /// Home regions of client addresses.
     pub(crate) homes: RefCell<HomeBook>,
@@ -91,6 +93,7 @@
             beats: Cell::new(0),
             answered_at: Cell::new(None),
             follows_until: Cell::new(None),
+            deputy_until: Cell::new(None),
             peers: RefCell::new(peers),
             homes: RefCell::default(),
             pool: ServerPool::default(),
@@ -144,12 +147,28 @@
     /// Where to hear what the store holds from another entry; `None` if it is this
     /// entry's turn to read.
     pub(crate) fn reader(&self) -> Option<SocketAddr> {
-        let own = FollowerSeat {
+        self.peers.borrow().reader(Instant::now(), self.seat())
+    }
+
+    /// Where to hear of the operator's changes besides the reader; `None` if this
+    /// entry is to ask the store.
+    pub(crate) fn deputy(&self) -> Option<SocketAddr> {
+        self.peers.borrow().deputy(Instant::now(), self.seat())
+    }
+
+    fn seat(&self) -> FollowerSeat<'_> {
+        FollowerSeat {
             node: &self.config.instance,
             region: &self.config.region,
             reads: self.reads.get(),
-        };
-        self.peers.borrow().reader(Instant::now(), own)
+        }
+    }
+
+    /// Whether two other entries tell the operator's rows, so that one of them may
+    /// fall silent without this entry's being late.
+    pub(crate) fn is_told_twice(&self) -> bool {
+        let until = self.deputy_until.get();
+        self.follows() && until.is_some_and(|until| Instant::now() < until)
     }
 
     /// Whether what another entry tells is fresh, so that nothing need be read.
@@ -196,9 +215,13 @@
         }
     }
 
-    /// Takes in a reading of the registry.
+    /// Takes in a reading of the registry, unless a newer one is known.
     pub(crate) fn on_servers(&self, snapshot: &CatalogSnapshot) {
         let now = Instant::now();
+        let read_at = self.placer.borrow().catalog.read_at();
+        if read_at.is_some_and(|at| at > snapshot.begun) {
+            return;
+        }
         self.servers.borrow_mut().on_read(snapshot);
         let changes = self.placer.borrow_mut().catalog.on_read(now, snapshot);
         for change in &changes {
--- a/bin/lh-entry/src/view.rs
+++ b/bin/lh-entry/src/view.rs
@@ -33,6 +33,8 @@
 const OLDEST: Duration = Duration::from_millis(1250);
 /// What was told counts as fresh for this long: several times the interval.
 const FRESH: Duration = Duration::from_millis(1500);
+/// The same of what the deputy told, which is asked less often.
+const DEPUTY_FRESH: Duration = Duration::from_millis(2500);
 /// Largest answer that is read, in bytes.
 const ANSWER_BYTES: usize = 8 << 20;
 
@@ -113,6 +115,31 @@
         state: &Rc<InstanceState>,
         reader: SocketAddr,
     ) -> Result<(), ViewError> {
+        let now = self.hear(state, reader).await?;
+        state.follows_until.set(Some(now + FRESH));
+        Ok(())
+    }
+
+    /// The same at the deputy, whose word counts besides the reader's.
+    ///
+    /// # Errors
+    /// Where nothing fresh is to be had there.
+    pub(crate) async fn follow_deputy(
+        &mut self,
+        state: &Rc<InstanceState>,
+        deputy: SocketAddr,
+    ) -> Result<(), ViewError> {
+        let now = self.hear(state, deputy).await?;
+        state.deputy_until.set(Some(now + DEPUTY_FRESH));
+        Ok(())
+    }
+
+    /// Takes the word of `reader` in; gives the time at which it came.
+    async fn hear(
+        &mut self,
+        state: &Rc<InstanceState>,
+        reader: SocketAddr,
+    ) -> Result<Instant, ViewError> {
         if self.reader != Some(reader) {
             self.reader = Some(reader);
             self.sender = None;
@@ -128,7 +155,7 @@
         &mut self,
         state: &Rc<InstanceState>,
         reader: SocketAddr,
-    ) -> Result<(), ViewError> {
+    ) -> Result<Instant, ViewError> {
         let mark = self.copy.mark();
         let path = format!("{VIEW_PATH}?{},{}", mark.reader, mark.change);
         let answer: ViewAnswer = self.get(reader, &path).await?;
@@ -143,8 +170,7 @@
         let now = Instant::now();
         let snapshot = self.copy.on_answer(now, &answer);
         state.on_servers(&snapshot);
-        state.follows_until.set(Some(now + FRESH));
-        Ok(())
+        Ok(now)
     }
 
     async fn get<T: DeserializeOwned>(
--- a/bin/lh-entry/src/watch.rs
+++ b/bin/lh-entry/src/watch.rs
@@ -2,8 +2,9 @@
 //! servers' registry by readings, the other entries' rows now and then.
 //!
 //! One entry of a region reads the registry, without a vote: the others follow it
-//! while it is heard and has fresh readings, and read themselves otherwise. Every
-//! entry has its own feed of the operator's rows.
+//! while it is heard and has fresh readings, and read themselves otherwise. It and a
+//! second one, the deputy, have feeds of the operator's rows; the others hear of
+//! them from both, and have a feed of their own where one of them fails.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -36,6 +37,11 @@
 /// Time between two looks at what the reader knows: what it reads is known
 /// everywhere well within the time for a leaving server.
 const FOLLOW_EVERY: Duration = Duration::from_millis(400);
+/// Time between two looks at what the deputy knows: a reader that went silent makes
+/// its followers late by no more than this.
+const DEPUTY_EVERY: Duration = Duration::from_millis(1000);
+/// Time between two looks at whether two others still tell the operator's rows.
+const TOLD_PAUSE: Duration = Duration::from_millis(200);
 /// An entry that the store didn't answer lets others read for this long.
 const AVOID_FOR: Duration = Duration::from_secs(3);
 /// The product's own table of entries, in which they find each other.
@@ -49,6 +55,12 @@
     let mut version = None;
     let mut dependency = Dependency::new("operator feed");
     loop {
+        if state.is_told_twice() {
+            // What was told meanwhile needn't be asked for again.
+            version = Some(state.operator.get()).filter(|version| *version > 0);
+            tokio::time::sleep(TOLD_PAUSE).await;
+            continue;
+        }
         // A follower has two ways to hear of a change, so that neither a feed nor a
         // reader that went silent makes it late.
         let wait = if state.follows() && state.reads.get() {
@@ -147,6 +159,26 @@
     failed_at.elapsed() > AVOID_FOR && answered.is_some_and(|at| at > failed_at)
 }
 
+/// Hears of the operator's changes from a second entry, until the process ends.
+pub(crate) async fn watch_deputy(state: Rc<InstanceState>) {
+    let mut follower = ViewFollower::default();
+    let mut dependency = Dependency::new("deputy");
+    loop {
+        tokio::time::sleep(DEPUTY_EVERY).await;
+        let Some(deputy) = state.deputy() else {
+            state.deputy_until.set(None);
+            continue;
+        };
+        match follower.follow_deputy(&state, deputy).await {
+            Ok(()) => dependency.regained(),
+            Err(error) => {
+                state.deputy_until.set(None);
+                dependency.lost(&error);
+            }
+        }
+    }
+}
+
 /// Records this entry in the store and looks for others, until the process ends.
 pub(crate) async fn watch_entries(state: Rc<InstanceState>) {
     let client = PlatformClient::new(state.config.store).with_patience(PATIENCE);
--- a/bin/lh-entry/tests/states.rs
+++ b/bin/lh-entry/tests/states.rs
@@ -333,6 +333,52 @@
     assert!(reader.logged("dependency lost").is_empty());
 }
 
+/// Promise: an entry that two others tell the operator's changes asks the store for none,
+/// and is up to date though one of the two fell silent; it asks again when both are gone.
+#[tokio::test]
+async fn a_third_entry_is_told_by_two() {
+    let world = World::new(1).await;
+    let mut names = ["n1", "n2", "n3"];
+    names.sort_by_key(|name| stable_hash(name.as_bytes()));
+    let proxy = SilentProxy::start(world.store.address()).await;
+    let reader = EntryProcess::start(proxy.address, names[0], &[]);
+    reader.wait_ready().await;
+    let deputy = EntryProcess::start(world.store.address(), names[1], &[reader.ip]);
+    let third = EntryProcess::start(world.store.address(), names[2], &[reader.ip]);
+    deputy.wait_ready().await;
+    third.wait_ready().await;
+    let asked = async || {
+        let metrics = third.metrics().await;
+        let calls = "laurelhill_store_calls_total{call=\"operator\"";
+        metrics
+            .lines()
+            .filter(|line| line.starts_with(calls))
+            .map(str::to_owned)
+            .collect::<Vec<_>>()
+    };
+    until("it asks the store no more", async || {
+        let before = asked().await;
+        // Longer than its feed would stay open.
+        tokio::time::sleep(Duration::from_secs(8)).await;
+        asked().await == before
+    })
+    .await;
+    proxy.silence();
+    world.store.put("op", "config", &desired_state(9, &[DESK]));
+    until("it has the new state", async || {
+        third.send("GET", "/board/x", "a").await.status == 404
+    })
+    .await;
+    drop((reader, deputy));
+    world
+        .store
+        .put("op", "config", &desired_state(10, &[BOARD]));
+    until("it has the state after that", async || {
+        third.send("GET", "/board/x", "b").await.status == 200
+    })
+    .await;
+}
+
 /// Promise: few entries read the store: a second one adds no readings.
 #[tokio::test]
 async fn one_entry_of_a_region_reads() {
--- a/crates/place/src/peers.rs
+++ b/crates/place/src/peers.rs
@@ -165,6 +165,24 @@
         chosen.map(|beat| beat.view)
     }
 
+    /// Where an entry hears of the operator's changes besides its reader: at the second
+    /// entry of its region that reads. `None` where it is one of the first two, which
+    /// ask the store themselves.
+    pub fn deputy(&self, now: Instant, own: FollowerSeat<'_>) -> Option<SocketAddr> {
+        let hash = |node: &str| stable_hash(node.as_bytes());
+        let near = self.readers(now).filter(|beat| beat.region == own.region);
+        let mut order: Vec<(u64, Option<SocketAddr>)> = near
+            .map(|beat| (hash(&beat.node), Some(beat.view)))
+            .collect();
+        if own.reads {
+            order.push((hash(own.node), None));
+        }
+        order.sort_unstable();
+        let first_two = order.get(..2)?;
+        let is_one = first_two.iter().any(|(_, address)| address.is_none());
+        if is_one { None } else { first_two[1].1 }
+    }
+
     /// The live entries that the store answers.
     fn readers(&self, now: Instant) -> impl Iterator<Item = &PeerBeat> {
         self.live(now).filter(|beat| beat.reads)
--- a/crates/place/tests/peers.rs
+++ b/crates/place/tests/peers.rs
@@ -152,3 +152,38 @@
         }
     }
 }
+
+/// Promise: in a region of three or more entries that read, two ask the store for the
+/// operator's changes and all others hear of them from both; in smaller ones all ask.
+#[test]
+fn two_entries_of_a_region_ask_for_the_operators_changes() {
+    let now = Instant::now();
+    for count in 1..=9_u16 {
+        let seat = |name: &str, peers: &PeerTable| {
+            let seat = FollowerSeat {
+                node: name,
+                region: "a",
+                reads: true,
+            };
+            (peers.reader(now, seat), peers.deputy(now, seat))
+        };
+        let mut told = Vec::new();
+        let mut asking = 0;
+        for own in 0..count {
+            let mut peers = PeerTable::default();
+            for other in (0..count).filter(|other| *other != own) {
+                let mut beat = beat(&format!("n{other}"), 1);
+                beat.view = SocketAddr::from(([127, 0, 0, 1], 100 + other));
+                peers.on_beat(now, beat);
+            }
+            match seat(&format!("n{own}"), &peers) {
+                (Some(reader), Some(deputy)) => told.push((reader, deputy)),
+                _ => asking += 1,
+            }
+        }
+        assert_eq!(asking, count.min(2));
+        told.dedup();
+        assert!(told.len() <= 1, "{told:?}");
+        assert!(told.iter().all(|(reader, deputy)| reader != deputy));
+    }
+}
