--- a/bin/lh-entry/src/metrics.rs
+++ b/bin/lh-entry/src/metrics.rs
@@ -8,7 +8,6 @@
 use std::time::{Duration, Instant};
 
 use place::catalog::ServerCatalog;
-use place::server::{EntryState, ServerRecord};
 
 use crate::error::Result;
 
@@ -217,7 +216,7 @@
             .map_or(f64::NAN, |at| (now - at).as_secs_f64());
         self.registry_age.set(age);
         for record in catalog.iter() {
-            let state = server_state(now, record);
+            let state = catalog.condition(now, record).as_str();
             let service = record.entry.service.as_str();
             self.servers.with_label_values(&[service, state]).inc();
             let requests = |of: &str| {
@@ -244,15 +243,3 @@
             .unwrap_or_else(|error| format!("# metrics can't be encoded: {error}\n"))
     }
 }
-
-fn server_state(now: Instant, record: &ServerRecord) -> &'static str {
-    if record.entry.state == EntryState::Draining {
-        "leaving"
-    } else if record.is_paused(now) {
-        "unreachable"
-    } else if record.is_cold(now) {
-        "cold"
-    } else {
-        "ready"
-    }
-}
--- a/bin/lh-entry/src/status.rs
+++ b/bin/lh-entry/src/status.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use place::server::{EntryState, ServerRecord};
+use place::catalog::{ServerCatalog, ServerCondition};
+use place::server::ServerRecord;
 use serde::Serialize;
 
 use crate::state::InstanceState;
@@ -65,7 +66,7 @@
     for record in catalog.iter() {
         let status = services.entry(&record.entry.service).or_default();
         status.servers += 1;
-        status.open += usize::from(server_state(state, now, record) == "open");
+        status.open += usize::from(catalog.condition(now, record) == ServerCondition::Open);
         status.slots += record.entry.slots;
         status.free += (f64::from(record.entry.slots) - record.occupancy(now)).max(0.0);
     }
@@ -78,7 +79,7 @@
             .iter()
             .filter(|record| record.entry.service == service);
         known
-            .map(|record| server_status(state, now, record))
+            .map(|record| server_status(now, catalog, record))
             .collect()
     });
     let answer = StatusAnswer {
@@ -103,12 +104,12 @@
     })
 }
 
-fn server_status(state: &InstanceState, now: Instant, record: &ServerRecord) -> ServerStatus {
+fn server_status(now: Instant, catalog: &ServerCatalog, record: &ServerRecord) -> ServerStatus {
     ServerStatus {
         server: record.entry.id.clone(),
         address: record.entry.address.to_string(),
         domain: record.entry.domain.clone(),
-        state: server_state(state, now, record),
+        state: catalog.condition(now, record).as_str(),
         slots: record.entry.slots,
         in_flight: record.in_flight,
         occupancy: record.occupancy(now),
@@ -116,18 +117,3 @@
         speed: record.speed(now),
     }
 }
-
-/// Why a server gets requests or not, in one word.
-fn server_state(state: &InstanceState, now: Instant, record: &ServerRecord) -> &'static str {
-    if record.entry.state == EntryState::Draining {
-        "leaving"
-    } else if state.evacuated.borrow().contains(&record.entry.domain) {
-        "evacuated"
-    } else if record.is_paused(now) {
-        "unreachable"
-    } else if record.is_cold(now) {
-        "cold"
-    } else {
-        "open"
-    }
-}
--- /dev/null
+++ b/bin/lh-entry/tests/readers.rs
@@ -0,0 +1,175 @@
+//! Which entries read the store, and how the others hear what it holds.
+
+mod world;
+
+use std::time::Duration;
+
+use place::rank::stable_hash;
+use platform_standin::desired_state;
+use world::{BOARD, DESK, EntryProcess, SilentProxy, World, until};
+
+/// Promise: an entry that the store doesn't answer learns servers, desired states and
+/// evacuations from another, also while they change.
+#[tokio::test]
+async fn an_entry_cut_off_from_the_store_follows_another() {
+    let world = World::new(1).await;
+    let first = EntryProcess::ready(&world, "n1").await;
+    let nowhere = "127.0.0.1:1".parse().unwrap();
+    let second = EntryProcess::start(nowhere, "n2", &[first.ip]);
+    second.wait_ready().await;
+    assert_eq!(second.send("GET", "/board/x", "a").await.status, 200);
+    world.store.put("op", "config", &desired_state(9, &[DESK]));
+    until("the new state is in force there", async || {
+        second.send("GET", "/board/x", "b").await.status == 404
+    })
+    .await;
+    world
+        .store
+        .put("op", "evacuate/zone-a", &serde_json::json!({}));
+    until("the evacuation is in force there", async || {
+        second.send("POST", "/desk/x", "c").await.status == 503
+    })
+    .await;
+}
+
+/// Promise: where the store answers no entry of a region, they follow one of another
+/// region, also while what it holds changes.
+#[tokio::test]
+async fn a_region_cut_off_from_the_store_follows_another() {
+    let world = World::new(1).await;
+    let reader = EntryProcess::ready(&world, "n1").await;
+    let nowhere = "127.0.0.1:1".parse().unwrap();
+    let start = |name| EntryProcess::start_in("zone-b", "south", nowhere, name, &[reader.ip]);
+    let entries = [start("n2"), start("n3")];
+    for entry in &entries {
+        entry.wait_ready().await;
+    }
+    world.store.put("op", "config", &desired_state(9, &[DESK]));
+    world
+        .store
+        .put("op", "evacuate/zone-a", &serde_json::json!({}));
+    for entry in &entries {
+        until("the new state is in force there", async || {
+            entry.send("GET", "/board/x", "a").await.status == 404
+        })
+        .await;
+        until("the evacuation is in force there", async || {
+            entry.send("POST", "/desk/x", "b").await.status == 503
+        })
+        .await;
+    }
+}
+
+/// Promise: an entry that followed others reads for itself once the store answers it.
+#[tokio::test]
+async fn a_region_that_is_served_again_reads_for_itself() {
+    let world = World::new(1).await;
+    let reader = EntryProcess::ready(&world, "n1").await;
+    let address = standin::free_address();
+    let south = EntryProcess::start_in("zone-b", "south", address, "n2", &[reader.ip]);
+    south.wait_ready().await;
+    let _proxy = SilentProxy::start_at(address, world.store.address()).await;
+    until(
+        "it reads the registry, though it could follow",
+        async || {
+            let read = "laurelhill_store_calls_total{call=\"servers\",result=\"ok\"}";
+            south.metrics().await.contains(read)
+        },
+    )
+    .await;
+    drop(reader);
+    world.store.put("op", "config", &desired_state(9, &[DESK]));
+    until("the new state is in force there", async || {
+        south.send("GET", "/board/x", "a").await.status == 404
+    })
+    .await;
+}
+
+/// Promise: a reader whose connections to the store went silent makes nobody late: its
+/// follower has a new desired state before the reader itself has noticed.
+#[tokio::test]
+async fn a_silent_reader_makes_no_follower_late() {
+    let world = World::new(1).await;
+    let mut names = ["n1", "n2"];
+    names.sort_by_key(|name| stable_hash(name.as_bytes()));
+    let proxy = SilentProxy::start(world.store.address()).await;
+    let reader = EntryProcess::start(proxy.address, names[0], &[]);
+    reader.wait_ready().await;
+    let follower = EntryProcess::start(world.store.address(), names[1], &[reader.ip]);
+    follower.wait_ready().await;
+    until("it follows: its readings have stopped", async || {
+        let before = world.store.calls("/rows-get");
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        world.store.calls("/rows-get") - before <= 5
+    })
+    .await;
+    proxy.silence();
+    world.store.put("op", "config", &desired_state(9, &[DESK]));
+    until("the follower has the new state", async || {
+        follower.send("GET", "/board/x", "a").await.status == 404
+    })
+    .await;
+    assert!(reader.logged("dependency lost").is_empty());
+}
+
+/// Promise: an entry that two others tell the operator's changes asks the store for none,
+/// and is up to date though one of the two fell silent; it asks again when both are gone.
+#[tokio::test]
+async fn a_third_entry_is_told_by_two() {
+    let world = World::new(1).await;
+    let mut names = ["n1", "n2", "n3"];
+    names.sort_by_key(|name| stable_hash(name.as_bytes()));
+    let proxy = SilentProxy::start(world.store.address()).await;
+    let reader = EntryProcess::start(proxy.address, names[0], &[]);
+    reader.wait_ready().await;
+    let deputy = EntryProcess::start(world.store.address(), names[1], &[reader.ip]);
+    let third = EntryProcess::start(world.store.address(), names[2], &[reader.ip]);
+    deputy.wait_ready().await;
+    third.wait_ready().await;
+    let asked = async || {
+        let metrics = third.metrics().await;
+        let calls = "laurelhill_store_calls_total{call=\"operator\"";
+        metrics
+            .lines()
+            .filter(|line| line.starts_with(calls))
+            .map(str::to_owned)
+            .collect::<Vec<_>>()
+    };
+    until("it asks the store no more", async || {
+        let before = asked().await;
+        // Longer than its feed would stay open.
+        tokio::time::sleep(Duration::from_secs(8)).await;
+        asked().await == before
+    })
+    .await;
+    proxy.silence();
+    world.store.put("op", "config", &desired_state(9, &[DESK]));
+    until("it has the new state", async || {
+        third.send("GET", "/board/x", "a").await.status == 404
+    })
+    .await;
+    drop((reader, deputy));
+    world
+        .store
+        .put("op", "config", &desired_state(10, &[BOARD]));
+    until("it has the state after that", async || {
+        third.send("GET", "/board/x", "b").await.status == 200
+    })
+    .await;
+}
+
+/// Promise: few entries read the store: a second one adds no readings.
+#[tokio::test]
+async fn one_entry_of_a_region_reads() {
+    let world = World::new(1).await;
+    let first = EntryProcess::ready(&world, "n1").await;
+    let second = EntryProcess::start(world.store.address(), "n2", &[first.ip]);
+    second.wait_ready().await;
+    until("one of the two follows the other", async || {
+        let before = world.store.calls("/rows-get");
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        // One reader makes three or four calls in this time, two make seven.
+        world.store.calls("/rows-get") - before <= 5
+    })
+    .await;
+}
--- a/crates/emulate/src/setup.rs
+++ b/crates/emulate/src/setup.rs
@@ -15,7 +15,7 @@
     stable_hash(format!("entry-{entry}").as_bytes())
 }
 
-fn zone_name(region: usize, index: usize) -> String {
+fn domain_name(region: usize, index: usize) -> String {
     format!(
         "region-{region}-{}",
         if index.is_multiple_of(2) { "a" } else { "b" }
@@ -31,7 +31,7 @@
                 id: format!("server-{region}-{index}"),
                 service: "board".to_owned(),
                 address: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
-                domain: zone_name(region, index),
+                domain: domain_name(region, index),
                 slots: experiment.slots as u32,
                 state: EntryState::Ready,
                 cold_remaining: Duration::ZERO,
@@ -48,11 +48,11 @@
     let mut domains = HashMap::new();
     for region in 0..experiment.regions {
         for index in 0..2 {
-            domains.insert(zone_name(region, index), format!("region-{region}"));
+            domains.insert(domain_name(region, index), format!("region-{region}"));
         }
     }
     PlacerConfig {
-        domain: zone_name(region, entry),
+        domain: domain_name(region, entry),
         region: format!("region-{region}"),
         domains,
         budget: BudgetBounds {
--- a/crates/place/src/catalog.rs
+++ b/crates/place/src/catalog.rs
@@ -43,6 +43,34 @@
     Missing(String),
 }
 
+/// Whether a server may get requests, and if not, why.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServerCondition {
+    /// It may.
+    Open,
+    /// Only a few, since it has just started.
+    Cold,
+    /// It could not be reached lately.
+    Unreachable,
+    /// Its failure domain is evacuated.
+    Evacuated,
+    /// It is about to leave.
+    Leaving,
+}
+
+impl ServerCondition {
+    /// The condition in one word, for metrics and operators.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Open => "open",
+            Self::Cold => "cold",
+            Self::Unreachable => "unreachable",
+            Self::Evacuated => "evacuated",
+            Self::Leaving => "leaving",
+        }
+    }
+}
+
 /// The servers.
 #[derive(Debug, Default)]
 pub struct ServerCatalog {
@@ -143,6 +171,21 @@
         })
     }
 
+    /// Whether the server of `record` may get requests.
+    pub fn condition(&self, now: Instant, record: &ServerRecord) -> ServerCondition {
+        if record.entry.state == EntryState::Draining {
+            ServerCondition::Leaving
+        } else if self.evacuated.contains(&record.entry.domain) {
+            ServerCondition::Evacuated
+        } else if record.is_paused(now) {
+            ServerCondition::Unreachable
+        } else if record.is_cold(now) {
+            ServerCondition::Cold
+        } else {
+            ServerCondition::Open
+        }
+    }
+
     /// All known servers.
     pub fn iter(&self) -> impl Iterator<Item = &ServerRecord> {
         self.records.iter().flatten()
