--- a/bin/lh-entry/src/forward.rs
+++ b/bin/lh-entry/src/forward.rs
@@ -12,6 +12,7 @@
 use hyper::{Request, Response, StatusCode};
 use place::desired::RouteSpec;
 use place::rank::stable_hash;
+use place::routes::RouteTable;
 
 use crate::body::{AnswerBody, CountGuard};
 use crate::caller::{Caller, Interface, TicketHead};
@@ -58,15 +59,9 @@
     if routes.version() == 0 {
         return refuse(&mut record, &caller, "starting", UNKNOWN_RETURN);
     }
-    let host = parts.headers.get(header::HOST);
-    let host = host
-        .and_then(|host| host.to_str().ok())
-        .or(parts.uri.host());
-    let Some(host) = host else {
-        return reject(&mut record, &caller, StatusCode::BAD_REQUEST);
-    };
-    let Some(route) = routes.find(host, parts.uri.path()).cloned() else {
-        return reject(&mut record, &caller, StatusCode::NOT_FOUND);
+    let route = match find_route(&routes, &parts) {
+        Ok(route) => route,
+        Err(status) => return reject(&mut record, &caller, status),
     };
     let mut ticket = None;
     if Interface::of(&route, &parts.headers) == Interface::Own {
@@ -84,14 +79,13 @@
     if body.size_hint().lower() > limit as u64 {
         return reject(&mut record, &caller, StatusCode::PAYLOAD_TOO_LARGE);
     }
-    let bound = [caller.deadline, route.timeout];
-    let bound = bound.into_iter().flatten().min().unwrap_or(DEFAULT_TIME);
-    let ends = record.begun + bound;
+    let bound = [caller.deadline, route.timeout].into_iter().flatten().min();
+    let ends = record.begun + bound.unwrap_or(DEFAULT_TIME);
     record.route = Some(Rc::clone(&route));
-    if let Some(head) = ticket
+    let elsewhere = ticket
         .as_ref()
-        .filter(|head| head.ticket.node != state.node)
-    {
+        .filter(|head| head.ticket.node != state.node);
+    if let Some(head) = elsewhere {
         return handover::pass_on(&state, record, &caller, head, (parts, body), ends).await;
     }
     let mut job = new_job(state, record, caller, parts, &route, ends);
@@ -105,6 +99,20 @@
     }
 }
 
+/// The route of a request.
+///
+/// # Errors
+/// The status to answer with, where there is none.
+fn find_route(routes: &RouteTable, parts: &Parts) -> Result<Rc<RouteSpec>, StatusCode> {
+    let host = parts.headers.get(header::HOST);
+    let host = host
+        .and_then(|host| host.to_str().ok())
+        .or(parts.uri.host())
+        .ok_or(StatusCode::BAD_REQUEST)?;
+    let route = routes.find(host, parts.uri.path());
+    route.cloned().ok_or(StatusCode::NOT_FOUND)
+}
+
 /// The caller of a request on the own interface, and its ticket where the route asks
 /// for one.
 fn read_own(route: &RouteSpec, parts: &Parts) -> Result<(Caller, Option<TicketHead>), Problem> {
