Bounds that a platform leaves empty have defaults; one place for the entries' table

Cause: a deployment whose contracts leave a bound out would render an empty value, and the entry would end at its start. Names of the entries' table stood in lhctl and lh-entry. Ruled out: ignoring empty values everywhere; a required setting that is empty is named as before. Change: bounds have defaults (docs/SETTINGS.md), an empty value stands for one; the table's name and the prefix of client blocks are the crate store's.

--- a/bin/lh-entry/src/homes.rs
+++ b/bin/lh-entry/src/homes.rs
@@ -3,10 +3,7 @@
 use std::net::IpAddr;
 
 use place::blocks::{BlockTable, BlockTableBuilder, parse_block};
-use store::Row;
-
-/// Key prefix of rows with a region's client blocks, in the table of entries.
-pub(crate) const BLOCK_PREFIX: &str = "blocks/";
+use store::{BLOCK_PREFIX, Row};
 
 /// Finds the home region of an address.
 #[derive(Debug, Default)]
--- a/bin/lh-entry/src/watch.rs
+++ b/bin/lh-entry/src/watch.rs
@@ -13,9 +13,8 @@
 use platform::Error;
 use platform::client::StoreClient;
 use platform::tables::PlatformClient;
-use store::{Row, RowWrite, TableService};
+use store::{BLOCK_PREFIX, ENTRY_TABLE, Row, RowWrite, TableService};
 
-use crate::homes::BLOCK_PREFIX;
 use crate::state::InstanceState;
 use crate::view::ViewFollower;
 
@@ -44,8 +43,6 @@
 const TOLD_PAUSE: Duration = Duration::from_millis(200);
 /// An entry that the store didn't answer lets others read for this long.
 const AVOID_FOR: Duration = Duration::from_secs(3);
-/// The product's own table of entries, in which they find each other.
-const ENTRY_TABLE: &str = "laurelhill-entries";
 /// Time between two looks for other entries' rows.
 const ENTRIES_EVERY: Duration = Duration::from_secs(15);
 
--- a/bin/lh-entry/tests/settings.rs
+++ b/bin/lh-entry/tests/settings.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::process::Command;
 
+use conf::schema;
 use lh_entry::EntryConfig;
 
 const GOOD: &str = "[instance]\nname = n\nregion = r\ndomain = z\naddress = 127.0.0.1\n\
@@ -32,16 +33,43 @@
     assert_eq!(config.domains["z"], "far");
 }
 
+fn has_default(key: &str) -> bool {
+    let keys = schema::ENTRY
+        .sections
+        .iter()
+        .flat_map(|section| section.keys);
+    keys.filter(|spec| spec.key == key)
+        .all(|spec| spec.default.is_some())
+}
+
+/// Promise: bounds that a platform doesn't set, and leaves empty, have their defaults.
+#[test]
+fn bounds_left_empty_have_defaults() {
+    let mut text = GOOD.to_owned();
+    for line in GOOD.lines().filter(|line| line.contains(" = ")) {
+        let (key, _) = line.split_once(" = ").unwrap();
+        if has_default(key) {
+            text = text.replace(line, &format!("{key} = "));
+        }
+    }
+    let config = load(&text).unwrap();
+    assert_eq!(config.grace.as_secs(), 6);
+    assert_eq!(config.shift_cap, 1.0);
+    assert!(config.seeds.is_empty());
+}
+
 /// Promise: each missing or wrong setting is named.
 #[test]
 fn a_wrong_setting_is_named() {
     for line in GOOD.lines().filter(|line| line.contains(" = ")) {
         let (key, _) = line.split_once(" = ").unwrap();
-        if key == "peer_seeds" {
+        if has_default(key) {
             continue;
         }
         let error = load(&GOOD.replacen(&format!("{line}\n"), "", 1)).unwrap_err();
         assert!(error.contains(key), "{key}: {error}");
+        let error = load(&GOOD.replace(line, &format!("{key} = "))).unwrap_err();
+        assert!(error.contains(key), "{key} left empty: {error}");
     }
     let error = load(&GOOD.replace("2.5s", "soon")).unwrap_err();
     assert!(
--- a/bin/lhctl/src/platform.rs
+++ b/bin/lhctl/src/platform.rs
@@ -10,18 +10,14 @@
 use platform::desired::{OperatorChange, evacuation_write, state_writes};
 use platform::tables::PlatformClient;
 use store::{
-    Commit, ConfigChange, ConfigHead, ConfigStore, Publication, RowWrite, StoredConfig,
-    TableService,
+    BLOCK_PREFIX, Commit, ConfigChange, ConfigHead, ConfigStore, ENTRY_TABLE, Publication,
+    RowWrite, StoredConfig, TableService,
 };
 
 use crate::error::{Error, Result};
 
 /// Longest wait for an answer of the store.
 const PATIENCE: Duration = Duration::from_secs(2);
-/// The product's own table of entries; regions' client blocks stand beside them.
-const ENTRY_TABLE: &str = "laurelhill-entries";
-/// Key prefix of a region's client blocks there.
-const BLOCK_PREFIX: &str = "blocks/";
 
 /// Reads and publishes whole sets of files.
 pub(crate) struct ConfigDesk {
--- a/crates/conf/src/section.rs
+++ b/crates/conf/src/section.rs
@@ -208,7 +208,9 @@
             }
             for (key, value) in properties {
                 let key = checked_key(name, &section, key, value)?;
-                section.set(key.key, name, value);
+                if !value.is_empty() || key.kind.accepts(value) {
+                    section.set(key.key, name, value);
+                }
             }
             sections.push(section);
         }
@@ -308,7 +310,13 @@
             allowed.join(", "),
         ));
     };
-    if !spec.kind.accepts(value) {
+    // A template leaves empty what isn't set; the default stands for it.
+    let allowed = match (value.is_empty(), spec.default) {
+        (true, Some(_)) => true,
+        (true, None) => false,
+        (false, _) => spec.kind.accepts(value),
+    };
+    if !allowed {
         return Err(Error::BadValue(
             file.to_owned(),
             section.header.clone(),
