A download may run again

Ruled out: routes that ask for it in another form; the rows say kind "download". Change: RequestKind::Download, in the platform's formats and the product's settings.

--- a/bin/lh-standin/src/callers.rs
+++ b/bin/lh-standin/src/callers.rs
@@ -97,7 +97,7 @@
         let body = match service.kind {
             RequestKind::Upload => UPLOAD_BODY,
             RequestKind::AtMostOnce => WRITE_BODY,
-            RequestKind::Idempotent => 0,
+            RequestKind::Idempotent | RequestKind::Download => 0,
         };
         mix.push(LoadMix {
             service: service.id.to_string(),
--- a/crates/conf/src/deployment.rs
+++ b/crates/conf/src/deployment.rs
@@ -249,6 +249,7 @@
     let kind = match section.text("repeat")? {
         "idempotent" => RequestKind::Idempotent,
         "upload" => RequestKind::Upload,
+        "download" => RequestKind::Download,
         _ => RequestKind::AtMostOnce,
     };
     let mut split: Vec<(String, u32)> = split_list(section.text("split")?)
--- a/crates/conf/src/schema/deployment.rs
+++ b/crates/conf/src/schema/deployment.rs
@@ -63,9 +63,9 @@
             keys: &[
                 key(
                     "repeat",
-                    ValueKind::Word(&["idempotent", "at-most-once", "upload"]),
+                    ValueKind::Word(&["idempotent", "at-most-once", "upload", "download"]),
                     None,
-                    "Whether a request may be run twice; an upload is a large body that runs at most once.",
+                    "Whether a request may be run twice; an upload is a large body that runs at most once, a download a large answer that may run again.",
                 ),
                 key(
                     "host",
--- a/crates/place/src/desired.rs
+++ b/crates/place/src/desired.rs
@@ -18,6 +18,8 @@
         AtMostOnce,
         /// A large body; runs at most once.
         Upload,
+        /// A large answer; may run any number of times.
+        Download,
     }
 
     /// One part of a route's traffic.
@@ -99,7 +101,7 @@
 impl RequestKind {
     /// Whether a request that may have run may be sent again.
     pub const fn may_repeat(self) -> bool {
-        matches!(self, Self::Idempotent)
+        matches!(self, Self::Idempotent | Self::Download)
     }
 }
 
