Runs of a server are told apart by their start; foreign rows name no server

Cause: a server may start again under its id, with counts that begin anew. The catalog ordered words by count alone: a run that was leaving stayed so for good, and a new run kept the former one's address, slots, load, speed, failures and objects. A row of another writer was filled in or read as leaving, which is final. Ruled out: a new hash for the id only in the ranks; answers in flight, words on load and the cold rate would still be the former run's. Change: a run is named by id and start (ServerEntry::run_hash), so handles, sightings, the cold rate and words on load of the former run miss the new one. Leaving is believed whatever the count. Followers get the same list. Left: between a crash and the first reading of the new run, Expect-Instance can't tell it from the former one.

--- a/bin/lh-entry/src/metrics.rs
+++ b/bin/lh-entry/src/metrics.rs
@@ -33,6 +33,7 @@
     server_requests: GaugeVec,
     registry_age: Gauge,
     pub(crate) version: IntGauge,
+    pub(crate) foreign_rows: IntGauge,
     pub(crate) connections: IntGauge,
 }
 
@@ -119,6 +120,10 @@
             "Age of the newest reading of the servers' registry",
         )?;
         let version = IntGauge::new("laurelhill_desired_version", "Desired state in force")?;
+        let foreign_rows = IntGauge::new(
+            "laurelhill_foreign_rows",
+            "Rows of the servers' registry that are no server's own word",
+        )?;
         let connections = IntGauge::new("laurelhill_caller_connections", "Open connections")?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(good.clone()))?;
@@ -135,6 +140,7 @@
         registry.register(Box::new(server_requests.clone()))?;
         registry.register(Box::new(registry_age.clone()))?;
         registry.register(Box::new(version.clone()))?;
+        registry.register(Box::new(foreign_rows.clone()))?;
         registry.register(Box::new(connections.clone()))?;
         Ok(Self {
             registry,
@@ -153,6 +159,7 @@
             server_requests,
             registry_age,
             version,
+            foreign_rows,
             connections,
         })
     }
--- a/bin/lh-entry/src/pool.rs
+++ b/bin/lh-entry/src/pool.rs
@@ -134,6 +134,11 @@
         });
     }
 
+    /// Closes the idle connections to `server`.
+    pub(crate) fn forget(&self, server: &str) {
+        self.idle.borrow_mut().remove(server);
+    }
+
     /// Closes connections that can't be used any more.
     pub(crate) fn prune(&self) {
         let mut idle = self.idle.borrow_mut();
--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -224,7 +224,12 @@
         }
         self.servers.borrow_mut().on_read(snapshot);
         let changes = self.placer.borrow_mut().catalog.on_read(now, snapshot);
+        self.metrics.foreign_rows.set(snapshot.foreign.len() as i64);
         for change in &changes {
+            if let CatalogChange::Restarted(id) = change {
+                // Its connections ended with the former run.
+                self.pool.forget(id);
+            }
             log_change(change);
         }
     }
@@ -279,6 +284,9 @@
         CatalogChange::Gone(id) => (id, "server is gone"),
         CatalogChange::Cold(id) => (id, "server is cold"),
         CatalogChange::Missing(id) => (id, "server's entry missing, kept for now"),
+        CatalogChange::Restarted(id) => (id, "server started again under its id"),
+        CatalogChange::Overwritten(id) => (id, "server's entry overwritten by another writer"),
+        CatalogChange::Reclaimed(id) => (id, "server's own entry is back"),
     };
     log::info!(server = id.as_str(); "{event}");
 }
--- a/bin/lh-entry/src/view.rs
+++ b/bin/lh-entry/src/view.rs
@@ -66,7 +66,8 @@
 /// What changed since the mark in `query`, for a follower.
 pub(crate) fn answer_view(state: &InstanceState, query: &str) -> Vec<u8> {
     let mark = read_mark(query);
-    let (mark, whole, entries, gone) = state.servers.borrow().since(mark);
+    let servers = state.servers.borrow();
+    let (mark, whole, entries, gone) = servers.since(mark);
     let read_at = state.placer.borrow().catalog.read_at();
     let answer = ViewAnswer {
         mark,
@@ -75,6 +76,7 @@
         whole,
         entries,
         gone,
+        foreign: servers.foreign().to_vec(),
         desired: state.version(),
         operator: state.operator.get(),
         evacuated: state.evacuated.borrow().iter().cloned().collect(),
--- a/bin/lh-entry/src/watch.rs
+++ b/bin/lh-entry/src/watch.rs
@@ -130,11 +130,15 @@
             .metrics
             .on_store_call("servers", result.as_ref().err().map(Error::kind));
         match result {
-            Ok(entries) => {
+            Ok(rows) => {
                 dependency.regained();
                 state.reads.set(true);
                 failed_at = None;
-                state.on_servers(&CatalogSnapshot { entries, begun });
+                state.on_servers(&CatalogSnapshot {
+                    entries: rows.entries,
+                    foreign: rows.foreign,
+                    begun,
+                });
                 tokio::time::sleep(READ_EVERY.saturating_sub(begun.elapsed())).await;
             }
             Err(error) => {
--- a/bin/lh-entry/tests/states.rs
+++ b/bin/lh-entry/tests/states.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use platform_standin::{Behavior, FaultPlan, RouteText, desired_state, server_entry};
+use platform_standin::{Behavior, FakeBackend, FaultPlan, RouteText, desired_state, server_entry};
 use world::{BOARD, DESK, EntryProcess, World, connect, exchange, request, request_for, until};
 
 /// Promise: a new desired state is in force soon, and an older one never again.
@@ -239,3 +239,74 @@
     assert_eq!(entry.send("GET", "/board/x", "a").await.status, 200);
     assert!(connect(entry.callers()).await.is_some());
 }
+
+/// Promise: a server that left and starts again under its id is used again, at once
+/// at its new address, though its counts start anew.
+#[tokio::test]
+async fn a_server_that_starts_again_under_its_id_is_used() {
+    let world = World::new(1).await;
+    let entry = EntryProcess::ready(&world, "n1").await;
+    let former = &world.backends[0];
+    let row = |address, state, seq, born: u64| {
+        let mut row = server_entry("board", address, state, seq);
+        row["born"] = born.into();
+        row
+    };
+    let leaving = row(former.address(), "draining", 60, 1_700_000_000_000);
+    world.store.put("servers", former.id(), &leaving);
+    until("the former run is left", async || {
+        entry.send("GET", "/board/x", "a").await.status == 503
+    })
+    .await;
+    let runs = former.seen().len();
+    let fresh = FakeBackend::start(former.id()).await;
+    let ready = row(fresh.address(), "ready", 1, 1_700_000_100_000);
+    world.store.put("servers", fresh.id(), &ready);
+    until("the new run is used", async || {
+        entry.send("GET", "/board/x", "b").await.status == 200
+    })
+    .await;
+    assert!(fresh.runs("b") > 0);
+    assert_eq!(former.seen().len(), runs);
+    assert!(!entry.logged("started again under its id").is_empty());
+}
+
+/// Promise: a row of another writer takes the server out while it stands, is logged
+/// once however often it is read, and is counted.
+#[tokio::test]
+async fn a_foreign_row_is_told_once() {
+    let world = World::new(2).await;
+    let entry = EntryProcess::ready(&world, "n1").await;
+    let odd = serde_json::json!({"service": "board", "state": "ready"});
+    world.store.put("servers", "i-0", &odd);
+    until("it is counted", async || {
+        let metrics = entry.metrics().await;
+        metrics.contains("laurelhill_foreign_rows 1")
+    })
+    .await;
+    for turn in 0..20 {
+        let object = turn.to_string();
+        let mut sender = entry.connect().await;
+        let request = request_for(&object, "GET", "/board/x", &format!("r{turn}"), b"");
+        assert_eq!(exchange(&mut sender, request).await.unwrap().status, 200);
+    }
+    assert!(world.backends[0].seen().is_empty());
+    let readings = async || -> usize {
+        let metrics = entry.metrics().await;
+        let line = metrics.lines().find(|line| {
+            line.starts_with("laurelhill_store_calls_total{call=\"servers\",result=\"ok\"}")
+        });
+        line.and_then(|line| line.split(' ').next_back()?.parse().ok())
+            .unwrap_or(0)
+    };
+    let before = readings().await;
+    until("it was read again", async || readings().await > before + 2).await;
+    assert_eq!(entry.logged("server entry left out").len(), 1);
+    let own = server_entry("board", world.backends[0].address(), "ready", 2);
+    world.store.put("servers", "i-0", &own);
+    until("the server is used again", async || {
+        entry.send("GET", "/board/x", "late").await;
+        entry.metrics().await.contains("laurelhill_foreign_rows 0")
+    })
+    .await;
+}
--- a/crates/emulate/benches/slopes.rs
+++ b/crates/emulate/benches/slopes.rs
@@ -74,6 +74,7 @@
 fn server(number: usize, region: usize) -> ServerEntry {
     ServerEntry {
         id: format!("i-{number:06}"),
+        started: None,
         service: "board".to_owned(),
         address: SocketAddr::from(([10, 0, (number / 250) as u8, (number % 250) as u8], 80)),
         domain: format!("z{region}"),
@@ -133,6 +134,7 @@
     });
     let reading = CatalogSnapshot {
         entries: servers.to_vec(),
+        foreign: Vec::new(),
         begun: now,
     };
     placer.catalog.on_read(now, &reading);
@@ -179,6 +181,7 @@
             now += Duration::from_millis(5);
             let reading = CatalogSnapshot {
                 entries: servers.clone(),
+                foreign: Vec::new(),
                 begun: now,
             };
             drop(black_box(placer.catalog.on_read(now, &reading)));
@@ -245,6 +248,7 @@
         let servers: Vec<ServerEntry> = (0..count * 4).map(|number| server(number, 0)).collect();
         log.on_read(&CatalogSnapshot {
             entries: servers,
+            foreign: Vec::new(),
             begun: Instant::now(),
         });
         let (mark, ..) = log.since(ViewMark::default());
--- a/crates/emulate/src/run.rs
+++ b/crates/emulate/src/run.rs
@@ -67,6 +67,7 @@
     let desired = desired_state(experiment);
     let snapshot = CatalogSnapshot {
         entries: server_entries(experiment),
+        foreign: Vec::new(),
         begun: origin,
     };
     let count = experiment.regions * experiment.entries;
--- a/crates/emulate/src/setup.rs
+++ b/crates/emulate/src/setup.rs
@@ -29,6 +29,7 @@
         for index in 0..experiment.servers {
             entries.push(ServerEntry {
                 id: format!("server-{region}-{index}"),
+                started: None,
                 service: "board".to_owned(),
                 address: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
                 domain: domain_name(region, index),
--- a/crates/place/src/catalog.rs
+++ b/crates/place/src/catalog.rs
@@ -24,6 +24,8 @@
 pub struct CatalogSnapshot {
     /// All entries.
     pub entries: Vec<ServerEntry>,
+    /// Keys of rows that are no server's own word. They name no server to use.
+    pub foreign: Vec<String>,
     /// When the reading began: nothing in it is older than this.
     pub begun: Instant,
 }
@@ -41,6 +43,12 @@
     Cold(String),
     /// A server's entry vanished, but may have lapsed in a disturbance.
     Missing(String),
+    /// A server started again under its id.
+    Restarted(String),
+    /// Somebody else's row stands in place of a server's entry.
+    Overwritten(String),
+    /// A server's own entry is back after somebody else's row.
+    Reclaimed(String),
 }
 
 /// Whether a server may get requests, and if not, why.
@@ -54,6 +62,8 @@
     Unreachable,
     /// Its failure domain is evacuated.
     Evacuated,
+    /// Somebody else's row stands in place of its entry.
+    Overwritten,
     /// It is about to leave.
     Leaving,
 }
@@ -66,6 +76,7 @@
             Self::Cold => "cold",
             Self::Unreachable => "unreachable",
             Self::Evacuated => "evacuated",
+            Self::Overwritten => "overwritten",
             Self::Leaving => "leaving",
         }
     }
@@ -118,7 +129,12 @@
         for entry in &snapshot.entries {
             self.update(snapshot.begun, entry, &mut changes);
         }
-        let listed: HashSet<&str> = snapshot.entries.iter().map(|e| e.id.as_str()).collect();
+        for id in &snapshot.foreign {
+            self.overwrite(id, &mut changes);
+        }
+        let own = snapshot.entries.iter().map(|entry| entry.id.as_str());
+        let foreign = snapshot.foreign.iter().map(String::as_str);
+        let listed: HashSet<&str> = own.chain(foreign).collect();
         self.sweep(now, &listed, settled, &mut changes);
         self.read_at = Some(snapshot.begun);
         changes
@@ -162,6 +178,7 @@
         members.iter().filter_map(|index| {
             let record = self.records[*index].as_ref()?;
             let open = record.entry.state == EntryState::Ready
+                && !record.overwritten
                 && !self.evacuated.contains(&record.entry.domain);
             let handle = ServerHandle {
                 index: *index,
@@ -175,6 +192,8 @@
     pub fn condition(&self, now: Instant, record: &ServerRecord) -> ServerCondition {
         if record.entry.state == EntryState::Draining {
             ServerCondition::Leaving
+        } else if record.overwritten {
+            ServerCondition::Overwritten
         } else if self.evacuated.contains(&record.entry.domain) {
             ServerCondition::Evacuated
         } else if record.is_paused(now) {
@@ -196,38 +215,56 @@
         self.records.iter_mut().flatten()
     }
 
+    /// Takes in one entry. Runs of a server are told apart by their start, words of
+    /// one run by `seq`: a late word of a former run changes nothing.
     fn update(&mut self, begun: Instant, entry: &ServerEntry, changes: &mut Vec<CatalogChange>) {
-        let Some(index) = self.by_id.get(&entry.id) else {
-            self.insert(begun, entry, changes);
+        if !self.domains.contains_key(&entry.domain) {
+            self.overwrite(&entry.id, changes);
+            return;
+        }
+        let Some(index) = self.by_id.get(&entry.id).copied() else {
+            self.insert(begun, entry);
+            changes.push(CatalogChange::Joined(
+                entry.id.clone(),
+                entry.domain.clone(),
+            ));
             return;
         };
-        let Some(record) = self.records[*index].as_mut() else {
+        let Some(record) = self.records[index].as_mut() else {
             return;
         };
-        record.missing_since = None;
-        if entry.seq < record.entry.seq {
+        if entry.is_of_earlier_run(&record.entry) {
             return;
         }
-        let fresh = entry.seq > record.entry.seq;
-        if fresh && !entry.cold_remaining.is_zero() {
-            if !record.is_cold(begun) {
-                changes.push(CatalogChange::Cold(entry.id.clone()));
-            }
-            record.chill(begun, entry.cold_remaining);
+        if record.entry.is_of_earlier_run(entry) {
+            self.remove(&entry.id);
+            self.insert(begun, entry);
+            changes.push(CatalogChange::Restarted(entry.id.clone()));
+            return;
         }
-        let was = record.entry.state;
-        let slots = record.entry.slots;
-        record.entry = entry.clone();
-        record.entry.slots = slots.max(1);
-        // A late heartbeat must not bring a leaving server back.
-        if was == EntryState::Draining {
-            record.entry.state = EntryState::Draining;
-        } else if entry.state == EntryState::Draining {
-            changes.push(CatalogChange::Draining(entry.id.clone()));
+        if !entry.is_same_run(&record.entry) {
+            self.overwrite(&entry.id, changes);
+            return;
         }
+        on_own_word(begun, record, entry, changes);
     }
 
-    fn insert(&mut self, begun: Instant, entry: &ServerEntry, changes: &mut Vec<CatalogChange>) {
+    /// Somebody else's row stands where the server `id` had its entry, if it had one.
+    fn overwrite(&mut self, id: &str, changes: &mut Vec<CatalogChange>) {
+        let record = self.by_id.get(id).and_then(|index| {
+            let slot = self.records.get_mut(*index)?;
+            slot.as_mut()
+        });
+        let Some(record) = record else {
+            return;
+        };
+        if !record.overwritten {
+            record.overwritten = true;
+            changes.push(CatalogChange::Overwritten(id.to_owned()));
+        }
+    }
+
+    fn insert(&mut self, begun: Instant, entry: &ServerEntry) {
         let region = self.domains.get(&entry.domain).map_or("", String::as_str);
         let mut record = ServerRecord::new(entry.clone(), region);
         if !entry.cold_remaining.is_zero() {
@@ -242,10 +279,6 @@
         self.by_id.insert(entry.id.clone(), index);
         let members = self.by_service.entry(entry.service.clone()).or_default();
         members.push(index);
-        changes.push(CatalogChange::Joined(
-            entry.id.clone(),
-            entry.domain.clone(),
-        ));
     }
 
     fn sweep(
@@ -287,3 +320,34 @@
         }
     }
 }
+
+/// Takes in a word of the run that is known.
+fn on_own_word(
+    begun: Instant,
+    record: &mut ServerRecord,
+    entry: &ServerEntry,
+    changes: &mut Vec<CatalogChange>,
+) {
+    record.missing_since = None;
+    if record.overwritten {
+        record.overwritten = false;
+        changes.push(CatalogChange::Reclaimed(entry.id.clone()));
+    }
+    // Leaving is final, whatever is read or written late.
+    let was_leaving = record.entry.state == EntryState::Draining;
+    if entry.state == EntryState::Draining && !was_leaving {
+        record.entry.state = EntryState::Draining;
+        changes.push(CatalogChange::Draining(entry.id.clone()));
+    }
+    if entry.seq <= record.entry.seq {
+        return;
+    }
+    record.entry.seq = entry.seq;
+    record.entry.cold_remaining = entry.cold_remaining;
+    if !entry.cold_remaining.is_zero() {
+        if !record.is_cold(begun) {
+            changes.push(CatalogChange::Cold(entry.id.clone()));
+        }
+        record.chill(begun, entry.cold_remaining);
+    }
+}
--- a/crates/place/src/server.rs
+++ b/crates/place/src/server.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use crate::rank::{pair_weight, stable_hash};
 use crate::timing::Average;
 
 /// A report of load counts less the older it is; after this time it counts 37 %.
@@ -38,8 +39,11 @@
     /// A server's entry in the registry.
     #[derive(Eq)]
     pub struct ServerEntry {
-        /// Names one run of the server.
+        /// The server's name, which its later runs may keep.
         pub id: String,
+        /// When this run began, in Unix milliseconds by the server's clock; `None`
+        /// where its registry doesn't say.
+        pub started: Option<u64>,
         /// The service that it belongs to.
         pub service: String,
         /// Where it listens.
@@ -52,7 +56,7 @@
         pub state: EntryState,
         /// How much longer it stays cold, at the time of the entry.
         pub cold_remaining: Duration,
-        /// Rises with each heartbeat of the server.
+        /// Rises with each heartbeat of a run.
         pub seq: u64,
     }
 
@@ -68,6 +72,29 @@
     }
 }
 
+impl ServerEntry {
+    /// Names this run among all runs of all servers: a later run under the same id
+    /// holds nothing of what the former one held.
+    pub fn run_hash(&self) -> u64 {
+        let id = stable_hash(self.id.as_bytes());
+        self.started.map_or(id, |started| pair_weight(id, started))
+    }
+
+    /// Whether `self` was written by an earlier run than `other`.
+    pub fn is_of_earlier_run(&self, other: &Self) -> bool {
+        self.started < other.started
+    }
+
+    /// Whether both describe the same run. A run keeps its place and service, so
+    /// that an entry which differs there is somebody else's.
+    pub fn is_same_run(&self, other: &Self) -> bool {
+        self.started == other.started
+            && self.service == other.service
+            && self.address == other.address
+            && self.domain == other.domain
+    }
+}
+
 /// What is known of a server. Times are of the steady clock.
 #[derive(Debug, Clone)]
 pub struct ServerRecord {
@@ -75,12 +102,15 @@
     pub entry: ServerEntry,
     /// The region of the entry's failure domain.
     pub region: String,
-    /// Hash of the server's id, for ranking.
+    /// Hash of the server's run, for ranking.
     pub hash: u64,
     /// The server is cold until then.
     pub cold_until: Option<Instant>,
     /// Since when the entry has been missing from the registry.
     pub missing_since: Option<Instant>,
+    /// Whether somebody else's row stands in the registry in the entry's place. The
+    /// server gets nothing until its own word is back.
+    pub overwritten: bool,
     /// Own requests that are at the server.
     pub in_flight: u32,
     /// Requests of other entries at the server, by their own word.
@@ -101,11 +131,12 @@
     /// A record of `entry` in `region`, with nothing known of its behaviour.
     pub fn new(entry: ServerEntry, region: &str) -> Self {
         Self {
-            hash: crate::rank::stable_hash(entry.id.as_bytes()),
+            hash: entry.run_hash(),
             entry,
             region: region.to_owned(),
             cold_until: None,
             missing_since: None,
+            overwritten: false,
             in_flight: 0,
             peer_load: 0.0,
             usual: 0.0,
--- a/crates/place/src/view.rs
+++ b/crates/place/src/view.rs
@@ -37,6 +37,8 @@
         pub entries: Vec<ServerEntry>,
         /// Servers that are gone.
         pub gone: Vec<String>,
+        /// Keys of rows that are no server's own word; always all of them.
+        pub foreign: Vec<String>,
         /// Version of the desired state in force there.
         pub desired: u64,
         /// Version of the operator's rows that the reader knows.
@@ -54,6 +56,7 @@
     oldest: u64,
     entries: BTreeMap<String, (u64, ServerEntry)>,
     gone: Vec<(u64, String)>,
+    foreign: Vec<String>,
 }
 
 /// A follower's copy of a reader's log.
@@ -72,11 +75,13 @@
             oldest: 0,
             entries: BTreeMap::new(),
             gone: Vec::new(),
+            foreign: Vec::new(),
         }
     }
 
     /// Takes in a reading.
     pub fn on_read(&mut self, snapshot: &CatalogSnapshot) {
+        self.foreign.clone_from(&snapshot.foreign);
         let mut left: BTreeMap<String, (u64, ServerEntry)> = std::mem::take(&mut self.entries);
         for entry in &snapshot.entries {
             let known = left.remove(&entry.id);
@@ -115,6 +120,11 @@
         (mark, whole, entries, gone)
     }
 
+    /// Keys of rows that are no server's own word, by the newest reading.
+    pub fn foreign(&self) -> &[String] {
+        &self.foreign
+    }
+
     fn next_change(&mut self) -> u64 {
         self.change += 1;
         self.change
@@ -141,6 +151,7 @@
         self.mark = answer.mark;
         CatalogSnapshot {
             entries: self.entries.values().cloned().collect(),
+            foreign: answer.foreign.clone(),
             begun: now.checked_sub(answer.age).unwrap_or(now),
         }
     }
--- a/crates/place/tests/common/mod.rs
+++ b/crates/place/tests/common/mod.rs
@@ -18,6 +18,7 @@
 pub fn server(id: &str, domain: &str) -> ServerEntry {
     ServerEntry {
         id: id.to_owned(),
+        started: None,
         service: "board".to_owned(),
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
         domain: domain.to_owned(),
@@ -32,6 +33,7 @@
 pub fn reading(begun: Instant, entries: &[ServerEntry]) -> CatalogSnapshot {
     CatalogSnapshot {
         entries: entries.to_vec(),
+        foreign: Vec::new(),
         begun,
     }
 }
--- /dev/null
+++ b/crates/place/tests/runs.rs
@@ -0,0 +1,302 @@
+//! Servers that start again under their id, and rows of other writers.
+
+mod common;
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use common::{domains, ms, placer, reading, request, route, server};
+use place::catalog::CatalogChange;
+use place::load::short_name;
+use place::prelude::*;
+use place::view::{ServerCopy, ServerLog, ViewAnswer, ViewMark};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// Fixed, so that each run gives the same verdict.
+const SEED: u64 = 11;
+
+fn run(id: &str, started: u64, seq: u64) -> ServerEntry {
+    let mut entry = server(id, "a1");
+    entry.started = Some(started);
+    entry.seq = seq;
+    entry
+}
+
+fn open(catalog: &ServerCatalog) -> Vec<String> {
+    let servers = catalog.open_servers("board");
+    let mut ids: Vec<String> = servers.map(|(_, record)| record.entry.id.clone()).collect();
+    ids.sort();
+    ids
+}
+
+/// Promise: a server that was leaving and starts again under its id is used again,
+/// though its counts start anew, at its new address and for its new service.
+#[test]
+fn a_new_run_is_used_though_the_former_one_was_leaving() {
+    let now = Instant::now();
+    let mut catalog = ServerCatalog::new(domains());
+    let mut leaving = run("x", 1000, 40);
+    leaving.state = EntryState::Draining;
+    catalog.on_read(now, &reading(now, &[leaving]));
+    assert!(open(&catalog).is_empty());
+    let later = now + ms(1000);
+    let mut fresh = run("x", 2000, 1);
+    fresh.address = "127.0.0.1:10".parse().unwrap();
+    fresh.slots = 6;
+    let changes = catalog.on_read(later, &reading(later, std::slice::from_ref(&fresh)));
+    assert_eq!(changes, [CatalogChange::Restarted("x".to_owned())]);
+    let (_, record) = catalog.open_servers("board").next().unwrap();
+    assert_eq!(record.entry, fresh);
+    let last = later + ms(1000);
+    let mut moved = run("x", 3000, 1);
+    moved.service = "desk".to_owned();
+    catalog.on_read(last, &reading(last, &[moved]));
+    assert!(open(&catalog).is_empty());
+    assert_eq!(catalog.open_servers("desk").count(), 1);
+}
+
+/// Promise: a late word of a former run changes nothing, whatever its count.
+#[test]
+fn a_late_word_of_a_former_run_changes_nothing() {
+    let now = Instant::now();
+    let mut catalog = ServerCatalog::new(domains());
+    catalog.on_read(now, &reading(now, &[run("x", 2000, 1)]));
+    let mut late = run("x", 1000, 99);
+    late.state = EntryState::Draining;
+    let changes = catalog.on_read(now + ms(10), &reading(now + ms(10), &[late]));
+    assert!(changes.is_empty());
+    assert_eq!(open(&catalog), ["x"]);
+}
+
+/// Promise: a new run holds no objects, has no requests and no history: what is
+/// heard of the former run doesn't count for it.
+#[test]
+fn a_new_run_knows_nothing_of_the_former_one() {
+    let now = Instant::now();
+    let board = route("browse", "/");
+    let mut placer = placer(now, &[run("x", 1000, 9)]);
+    let former = placer.place(now, &request(&board, Some(7))).unwrap();
+    placer.on_request(now, &board, Some(7), None);
+    let told = placer.own_load(now);
+    let mut fresh = run("x", 2000, 1);
+    fresh.cold_remaining = ms(3000);
+    placer
+        .catalog
+        .on_read(now + ms(5), &reading(now + ms(5), &[fresh]));
+    let later = now + ms(10);
+    // Another entry's word, and an answer, both of the former run.
+    placer.on_peer_load(later, 5, told);
+    let report = ServerReport {
+        running: 4,
+        waiting: 9,
+        slots: 4,
+    };
+    let outcome = ServerOutcome::Unreachable;
+    placer.on_outcome(
+        later,
+        &former,
+        &request(&board, Some(7)),
+        outcome,
+        Some(&report),
+    );
+    placer.own_load(later);
+    let (_, record) = placer.catalog.open_servers("board").next().unwrap();
+    assert_eq!(record.occupancy(later), 0.0);
+    assert_eq!(record.in_flight, 0);
+    assert!(!record.is_paused(later));
+    assert!(record.is_cold(later));
+    assert_ne!(
+        short_name(record.hash),
+        short_name(run("x", 1000, 9).run_hash())
+    );
+}
+
+/// Promise: the cold rate of a new run holds from its first request, also at an
+/// entry that hears of it from another one.
+#[test]
+fn a_new_run_gets_its_cold_rate_at_followers_too() {
+    let now = Instant::now();
+    let mut log = ServerLog::new(1);
+    let mut copy = ServerCopy::default();
+    let mut placer = placer(now, &[]);
+    let mut fresh = run("x", 2000, 1);
+    fresh.cold_remaining = ms(3000);
+    for (step, entry) in [run("x", 1000, 9), fresh].into_iter().enumerate() {
+        let at = now + ms(1000 * (step as u64 + 1));
+        log.on_read(&reading(at, &[entry]));
+        let answer = view(&log, copy.mark());
+        let snapshot = copy.on_answer(at + ms(300), &answer);
+        placer.catalog.on_read(at + ms(300), &snapshot);
+    }
+    let board = route("browse", "/");
+    let at = now + ms(2400);
+    assert!(placer.place(at, &request(&board, Some(1))).is_ok());
+    let refused = placer.place(at + ms(20), &request(&board, Some(1)));
+    assert_eq!(refused.unwrap_err().reason, RefusalReason::Cold);
+}
+
+fn view(log: &ServerLog, mark: ViewMark) -> ViewAnswer {
+    let (mark, whole, entries, gone) = log.since(mark);
+    ViewAnswer {
+        mark,
+        age: Duration::ZERO,
+        trouble: false,
+        whole,
+        entries,
+        gone,
+        foreign: log.foreign().to_vec(),
+        desired: 0,
+        operator: 0,
+        evacuated: Vec::new(),
+    }
+}
+
+/// Promise: a row of another writer takes a server out only while it stands; the
+/// server's own next word brings it back as it was, not cold, and the others hold.
+/// Followers see the same.
+#[test]
+fn a_foreign_row_takes_its_server_out_while_it_stands() {
+    let now = Instant::now();
+    let mut own = ServerCatalog::new(domains());
+    let mut follower = ServerCatalog::new(domains());
+    let mut log = ServerLog::new(1);
+    let mut copy = ServerCopy::default();
+    let (x, y) = (run("x", 1000, 5), run("y", 1000, 5));
+    let steps = [
+        (vec![x.clone(), y.clone()], vec![], vec!["x", "y"]),
+        (vec![y.clone()], vec!["x".to_owned()], vec!["y"]),
+        (vec![run("x", 1000, 6), y.clone()], vec![], vec!["x", "y"]),
+    ];
+    for (step, (entries, foreign, expected)) in steps.into_iter().enumerate() {
+        let at = now + ms(1000 * step as u64);
+        let snapshot = CatalogSnapshot {
+            entries,
+            foreign,
+            begun: at,
+        };
+        own.on_read(at, &snapshot);
+        log.on_read(&snapshot);
+        let answer = view(&log, copy.mark());
+        follower.on_read(at, &copy.on_answer(at, &answer));
+        assert_eq!(open(&own), expected, "step {step}");
+        assert_eq!(open(&follower), expected, "step {step}, follower");
+    }
+    let at = now + ms(2500);
+    assert!(
+        own.open_servers("board")
+            .all(|(_, record)| !record.is_cold(at))
+    );
+}
+
+/// Promise: a whole row that moves a run to another service, address or failure
+/// domain, or into one that isn't known, is somebody else's.
+#[test]
+fn a_run_does_not_move() {
+    let now = Instant::now();
+    let mut moved = [run("x", 1000, 9), run("x", 1000, 9), run("x", 1000, 9)];
+    moved[0].service = "desk".to_owned();
+    moved[1].address = "127.0.0.1:10".parse().unwrap();
+    moved[2].domain = "nowhere".to_owned();
+    for entry in moved {
+        let mut catalog = ServerCatalog::new(domains());
+        catalog.on_read(now, &reading(now, &[run("x", 1000, 5)]));
+        catalog.on_read(now + ms(1), &reading(now + ms(1), &[entry]));
+        assert!(open(&catalog).is_empty());
+        assert_eq!(catalog.open_servers("desk").count(), 0);
+        catalog.on_read(now + ms(2), &reading(now + ms(2), &[run("x", 1000, 6)]));
+        assert_eq!(open(&catalog), ["x"]);
+    }
+}
+
+/// Promise: a leaving run is believed even where somebody raised its count before.
+#[test]
+fn leaving_is_believed_whatever_the_count() {
+    let now = Instant::now();
+    let mut catalog = ServerCatalog::new(domains());
+    catalog.on_read(now, &reading(now, &[run("x", 1000, 900)]));
+    let mut leaving = run("x", 1000, 6);
+    leaving.state = EntryState::Draining;
+    catalog.on_read(now + ms(1), &reading(now + ms(1), &[leaving]));
+    assert!(open(&catalog).is_empty());
+}
+
+#[derive(Debug, Clone)]
+struct AnyRow {
+    id: usize,
+    started: Option<u64>,
+    seq: u64,
+    leaving: bool,
+    foreign: bool,
+}
+
+fn any_row() -> impl Strategy<Value = AnyRow> {
+    let started = proptest::option::weighted(0.9, 0_u64..4);
+    let flags = (prop::bool::weighted(0.2), prop::bool::weighted(0.15));
+    (0_usize..3, started, 0_u64..6, flags).prop_map(|(id, started, seq, (leaving, foreign))| {
+        AnyRow {
+            id,
+            started,
+            seq,
+            leaving,
+            foreign,
+        }
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400, rng_seed: RngSeed::Fixed(SEED), failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Promise, for any rows in any order: a leaving run never returns, a known run
+    /// never gives way to an earlier one, a server under a foreign row isn't used,
+    /// and a server whose rows don't change never changes.
+    #[test]
+    fn any_rows_in_any_order_keep_runs_apart(rows in prop::collection::vec(any_row(), 1..40)) {
+        let now = Instant::now();
+        let mut catalog = ServerCatalog::new(domains());
+        let calm = run("calm", 1, 1);
+        let mut newest: HashMap<String, Option<u64>> = HashMap::new();
+        let mut left: Vec<(String, Option<u64>)> = Vec::new();
+        for (step, row) in rows.iter().enumerate() {
+            let id = format!("s{}", row.id);
+            let mut entry = run(&id, 0, row.seq);
+            entry.started = row.started;
+            if row.leaving {
+                entry.state = EntryState::Draining;
+            }
+            let mut snapshot = reading(now + ms(step as u64), std::slice::from_ref(&calm));
+            if row.foreign {
+                snapshot.foreign.push(id.clone());
+            } else {
+                snapshot.entries.push(entry);
+            }
+            // The other ids' rows stand as they were: read again as they are known.
+            for record in catalog.iter() {
+                if record.entry.id != id && record.entry.id != "calm" {
+                    snapshot.entries.push(record.entry.clone());
+                }
+            }
+            catalog.on_read(snapshot.begun, &snapshot);
+            if !row.foreign {
+                let best = newest.entry(id.clone()).or_insert(row.started);
+                *best = (*best).max(row.started);
+                if row.leaving && row.started == *best {
+                    left.push((id.clone(), row.started));
+                }
+            }
+            for (_, record) in catalog.open_servers("board") {
+                let key = (record.entry.id.clone(), record.entry.started);
+                prop_assert!(!left.contains(&key), "a leaving run is used: {key:?}");
+                prop_assert!(!(row.foreign && record.entry.id == id), "under a foreign row: {id}");
+                if let Some(best) = newest.get(&record.entry.id) {
+                    prop_assert_eq!(record.entry.started, *best, "an earlier run is used");
+                }
+            }
+            let kept = catalog.iter().find(|record| record.entry.id == "calm");
+            prop_assert_eq!(&kept.unwrap().entry, &calm);
+        }
+    }
+}
--- a/crates/place/tests/view.rs
+++ b/crates/place/tests/view.rs
@@ -23,6 +23,7 @@
         whole,
         entries,
         gone,
+        foreign: log.foreign().to_vec(),
         desired: 1,
         operator: 1,
         evacuated: Vec::new(),
