The shift cap is held on what all entries of a region sent

Cause: each entry kept the shares of its own requests within 2.5 % of a followed level. With a third of a region's requests an entry sees 60 in a window, of which chance alone moves more; where servers are spread unevenly, a steady part of the requests runs elsewhere and the limiter sent requests away from the servers that held their objects. Change: entries of a region tell each other how many requests they sent to each region, and hold the cap on what ran in one window against the window before. The level that followed a wish is gone.

--- a/bin/lh-entry/src/beat.rs
+++ b/bin/lh-entry/src/beat.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use place::load::{is_told_far, load_pause};
+use place::load::{LoadWord, is_told_far, load_pause};
 use place::peers::{LoadBeat, PeerBeat, PeerMessage};
 use place::rank::stable_hash;
 use tokio::net::UdpSocket;
@@ -98,32 +98,42 @@
 /// then; returns the number of those of the own region.
 async fn send_load(state: &InstanceState, socket: &UdpSocket, round: u32) -> u32 {
     let now = Instant::now();
-    let mut targets = Vec::new();
-    let mut near = 0;
+    let (mut near, mut far) = (Vec::new(), Vec::new());
     for beat in state.peers.borrow().heard(now) {
-        let is_near = beat.region == state.config.region;
-        near += u32::from(is_near);
-        if is_near || is_told_far(round) {
-            targets.push(beat.gossip);
+        if beat.region == state.config.region {
+            near.push(beat.gossip);
+        } else if is_told_far(round) {
+            far.push(beat.gossip);
         }
     }
+    let word = state.placer.borrow_mut().own_load(now);
+    tell_load(state, socket, &near, word.clone()).await;
+    tell_load(state, socket, &far, word.for_others()).await;
+    near.len() as u32
+}
+
+async fn tell_load(
+    state: &InstanceState,
+    socket: &UdpSocket,
+    targets: &[SocketAddr],
+    word: LoadWord,
+) {
     let message = PeerMessage::Load(LoadBeat {
         entry: stable_hash(state.config.instance.as_bytes()),
-        load: state.placer.borrow_mut().own_load(Instant::now()),
+        word,
     });
     let bytes = match postcard::to_allocvec(&message) {
         Ok(bytes) => bytes,
         Err(error) => {
             log::error!(error:%; "load not told");
-            return 0;
+            return;
         }
     };
-    for target in &targets {
+    for target in targets {
         if let Err(error) = socket.send_to(&bytes, *target).await {
             log::debug!(error:%, target:%; "load not told");
         }
     }
-    near
 }
 
 fn own_beat(state: &InstanceState, now: Instant) -> PeerBeat {
@@ -159,7 +169,7 @@
         Ok(PeerMessage::Beat(_)) => {}
         Ok(PeerMessage::Load(beat)) => {
             let mut placer = state.placer.borrow_mut();
-            placer.on_peer_load(now, beat.entry, beat.load);
+            placer.on_peer_load(now, beat.entry, beat.word);
         }
         Err(error) => log::debug!(error:%; "beat not understood"),
     }
--- a/crates/emulate/benches/slopes.rs
+++ b/crates/emulate/benches/slopes.rs
@@ -10,7 +10,7 @@
 use place::budget::BudgetBounds;
 use place::desired::{DesiredState, RequestKind, RouteSpec, ServiceSpec, SplitPart};
 use place::directory::in_order;
-use place::load::short_name;
+use place::load::{LoadWord, short_name};
 use place::prelude::*;
 use place::rank::stable_hash;
 use place::request::ServerOutcome;
@@ -207,9 +207,12 @@
             .iter()
             .map(|server| short_name(stable_hash(server.id.as_bytes())))
             .collect();
-        let list = |entry: usize| -> Vec<(u32, u16)> {
+        let list = |entry: usize| -> LoadWord {
             let busy = (0..4).map(|turn| (names[(entry * 4 + turn) % count], 1));
-            busy.collect()
+            LoadWord {
+                load: busy.collect(),
+                sent: vec![0; REGIONS],
+            }
         };
         for entry in 0..count {
             placer.on_peer_load(now, entry as u64, list(entry));
--- a/crates/emulate/src/policy.rs
+++ b/crates/emulate/src/policy.rs
@@ -4,7 +4,7 @@
 
 use place::catalog::{CatalogSnapshot, ServerHandle};
 use place::desired::{DesiredState, RouteSpec};
-use place::load::LoadList;
+use place::load::LoadWord;
 use place::prelude::*;
 use place::rank::stable_hash;
 
@@ -38,10 +38,10 @@
     );
 
     /// Own requests at servers.
-    fn load(&mut self, now: Instant) -> LoadList;
+    fn load(&mut self, now: Instant) -> LoadWord;
 
     /// Another entry's requests at servers.
-    fn on_load(&mut self, now: Instant, entry: u64, list: LoadList);
+    fn on_load(&mut self, now: Instant, entry: u64, word: LoadWord);
 }
 
 /// The product's way.
@@ -121,12 +121,12 @@
             .on_outcome(now, placement, &request, outcome, report);
     }
 
-    fn load(&mut self, now: Instant) -> LoadList {
+    fn load(&mut self, now: Instant) -> LoadWord {
         self.placer.own_load(now)
     }
 
-    fn on_load(&mut self, now: Instant, entry: u64, list: LoadList) {
-        self.placer.on_peer_load(now, entry, list);
+    fn on_load(&mut self, now: Instant, entry: u64, word: LoadWord) {
+        self.placer.on_peer_load(now, entry, word);
     }
 }
 
@@ -187,9 +187,9 @@
         record.in_flight = record.in_flight.saturating_sub(1);
     }
 
-    fn load(&mut self, _: Instant) -> LoadList {
-        Vec::new()
+    fn load(&mut self, _: Instant) -> LoadWord {
+        LoadWord::default()
     }
 
-    fn on_load(&mut self, _: Instant, _: u64, _: LoadList) {}
+    fn on_load(&mut self, _: Instant, _: u64, _: LoadWord) {}
 }
--- a/crates/emulate/src/run.rs
+++ b/crates/emulate/src/run.rs
@@ -134,9 +134,9 @@
             Event::Answer(attempt, ran) => self.answer(attempt, ran),
             Event::OutOfTime(attempt) => self.out_of_time(attempt),
             Event::Load(entry) => self.tell_load(entry),
-            Event::Hear(entry, from, list) => {
+            Event::Hear(entry, from, word) => {
                 let now = self.instant();
-                self.policies[entry].on_load(now, from, list);
+                self.policies[entry].on_load(now, from, word);
             }
             Event::FaultBegins(index) => self.set_fault(index, true),
             Event::FaultEnds(index) => self.set_fault(index, false),
@@ -326,14 +326,16 @@
 
     fn tell_load(&mut self, entry: usize) {
         let now = self.instant();
-        let list = self.policies[entry].load(now);
+        let word = self.policies[entry].load(now);
         for other in 0..self.policies.len() {
             if other == entry {
                 continue;
             }
             let near = other / self.experiment.entries == entry / self.experiment.entries;
             let trip = if near { NEAR } else { FAR };
-            let heard = Event::Hear(other, entry_hash(entry), list.clone());
+            let word = word.clone();
+            let word = if near { word } else { word.for_others() };
+            let heard = Event::Hear(other, entry_hash(entry), word);
             self.schedule(self.now + trip, heard);
         }
         self.schedule(self.now + self.load_every(), Event::Load(entry));
--- a/crates/place/src/load.rs
+++ b/crates/place/src/load.rs
@@ -24,6 +24,27 @@
 /// One entry's requests: short names of servers, with counts.
 pub type LoadList = Vec<(u32, u16)>;
 
+base::common! {
+    /// What an entry tells the others of its requests.
+    #[derive(Eq, Default, PartialOrd, Ord)]
+    pub struct LoadWord {
+        /// Short names of servers, with the number of requests there.
+        pub load: LoadList,
+        /// Requests sent to each region since the entry's start, in the order of the
+        /// regions' names. Only entries of the same region are told.
+        pub sent: Vec<u32>,
+    }
+}
+
+impl LoadWord {
+    /// The word for entries of other regions.
+    #[must_use]
+    pub fn for_others(mut self) -> Self {
+        self.sent.clear();
+        self
+    }
+}
+
 /// The newest word of each other entry.
 #[derive(Debug, Default)]
 pub struct PeerLoads {
--- a/crates/place/src/peers.rs
+++ b/crates/place/src/peers.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use crate::load::LoadWord;
 use crate::rank::{pair_weight, stable_hash};
 
 /// An entry counts as live for this long after its last beat: several beats,
@@ -39,8 +40,8 @@
     pub struct LoadBeat {
         /// Hash of the entry's name.
         pub entry: u64,
-        /// Short names of servers, with the number of requests there.
-        pub load: Vec<(u32, u16)>,
+        /// What it has sent.
+        pub word: LoadWord,
     }
 
     /// What an entry tells the others, several times in a lease.
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -13,7 +13,7 @@
 use crate::catalog::{ServerCatalog, ServerHandle};
 use crate::choice::{ChoicePlace, REGION_TRIP, ServerChoice};
 use crate::desired::{DesiredState, RouteSpec, ServiceSpec};
-use crate::load::{LoadList, PeerLoads, own_load};
+use crate::load::{LoadWord, PeerLoads, own_load};
 use crate::ramp::ColdRamp;
 use crate::refusal::ReturnSpread;
 use crate::request::{
@@ -85,7 +85,7 @@
             splitter: TrafficSplitter::default(),
             budget: RetryBudget::new(config.budget),
             ramp: ColdRamp::default(),
-            shift: ShiftLimiter::new(config.shift_cap, &config.region, &regions),
+            shift: ShiftLimiter::new(config.shift_cap, &regions),
             warmth: WarmthMap::default(),
             work: WorkBook::default(),
             entries: vec![config.own],
@@ -112,23 +112,28 @@
         entries.sort_unstable();
         entries.dedup();
         self.budget.set_entries(entries.len());
+        self.shift.keep_peers(&entries);
         self.entries = entries;
         self.region_entries = in_region + 1;
     }
 
-    /// Takes in which servers the entry with the hash `entry` has requests at.
-    pub fn on_peer_load(&mut self, now: Instant, entry: u64, list: LoadList) {
-        self.loads.on_list(now, entry, list);
+    /// Takes in what the entry with the hash `entry` has sent.
+    pub fn on_peer_load(&mut self, now: Instant, entry: u64, word: LoadWord) {
+        self.shift.on_peer_sent(now, entry, &word.sent);
+        self.loads.on_list(now, entry, word.load);
     }
 
     /// Own requests at servers, for the other entries. Call it several times a
     /// second: it also smooths what is known of the servers' occupancy.
-    pub fn own_load(&mut self, now: Instant) -> LoadList {
+    pub fn own_load(&mut self, now: Instant) -> LoadWord {
         self.loads.apply(now, &mut self.catalog);
         for record in self.catalog.iter_mut() {
             record.observe(now);
         }
-        own_load(&self.catalog)
+        LoadWord {
+            load: own_load(&self.catalog),
+            sent: self.shift.sent().to_vec(),
+        }
     }
 
     /// The longest warm-up of any service.
@@ -212,7 +217,7 @@
         let Some(record) = self.catalog.get(handle) else {
             return wanted;
         };
-        self.shift.on_wish(now, &record.region);
+        self.shift.advance(now);
         if self.shift.permits(&record.region) {
             return wanted;
         }
@@ -358,7 +363,7 @@
         reason: PlacementReason,
     ) -> Option<Placement> {
         let record = self.catalog.get_mut(handle)?;
-        self.shift.on_sent(&record.region);
+        self.shift.on_sent(now, &record.region);
         record.in_flight += 1;
         if reason.cold {
             self.ramp.on_sent(now, record.hash);
--- a/crates/place/src/shift.rs
+++ b/crates/place/src/shift.rs
@@ -1,16 +1,17 @@
-//! Bounds how fast requests move between regions.
+//! Bounds how fast the requests of a region's callers move between regions.
 //!
-//! The shares in which an entry's requests run in each region follow what the
-//! placing wants, but stay within a part of the platform's cap of what they were
-//! a window ago. Each entry holds the bound for itself at every moment, so that
-//! it holds for all together, in windows that begin anywhere.
+//! The bound is on what runs where in one window against the window before, over
+//! all entries of a region. The entries tell each other what they sent, so that each
+//! holds the bound for all at every moment: in windows that begin anywhere. Where
+//! some are not heard, each still holds it for those that it hears, and what holds
+//! for parts of the requests holds for all of them.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
-/// Part of the platform's cap that is used: the rest covers what single entries
-/// deviate by.
-const USED_SHARE: f64 = 0.7;
+/// Part of the platform's cap that is used: the rest covers what others sent and is
+/// not heard yet, and requests that end up elsewhere than they were sent to.
+const USED_SHARE: f64 = 0.8;
 /// The window that the cap is meant for.
 const WINDOW: Duration = Duration::from_secs(2);
 /// The first window of traffic at an entry. It is shorter than the platform's, which
@@ -18,212 +19,209 @@
 /// requests come later: with 2 s a calm day of 83 entries moved 0.24 of a region's
 /// requests from its first window to its second, against a cap of 0.15.
 const FIRST_WINDOW: Duration = Duration::from_millis(1500);
-/// Time between two notes of the shares.
-const NOTE_EVERY: Duration = Duration::from_millis(50);
-/// Part of a window's requests by which a share may deviate for a moment, so
-/// that those move that need to.
-const SLACK_SHARE: f64 = 0.025;
-/// Least deviation, in requests.
+/// Requests of this span are counted together.
+const SLOT: Duration = Duration::from_millis(50);
+/// So many requests of a window may be elsewhere whatever their share: a window of a
+/// few requests can't keep shares exactly.
 const LEAST_SLACK: f64 = 1.0;
-/// How far the own region may be beyond its share where others have no room, as a
-/// multiple of the usual deviation.
-const OWN_SLACK: f64 = 1.5;
 /// A pause after which the next request may be the first of the traffic.
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
 /// Requests after which a pause doesn't begin the first window again.
-const FEW: f64 = 8.0;
+const FEW: u32 = 8;
 /// After this time the first window is not begun again.
 const LONGEST_FIRST: Duration = Duration::from_secs(30);
-/// Weight of the newest request in what is wanted.
-const WISH_WEIGHT: f64 = 0.03;
-/// Time after which what was wanted counts 37 %, where requests are rare.
-const WISH_SPAN: Duration = Duration::from_millis(1500);
-/// Weight of the newest pause in the rate of requests.
-const RATE_WEIGHT: f64 = 0.05;
-/// Longest pause between requests that counts as one.
-const LONGEST_PAUSE: Duration = Duration::from_secs(2);
-
-/// A share for each region; they add up to 1.
-type Shares = Vec<f64>;
-
-/// Follows what is wanted within bounds.
+
+/// Requests sent to each region, by the regions' names.
+type RegionCounts = Vec<u32>;
+
+/// Counts what runs where, and tells what may be sent.
 #[derive(Debug)]
 pub struct ShiftLimiter {
+    /// In an order that is the same at all entries.
     regions: Vec<String>,
     /// Largest part of the requests that may change their region in a window.
     most: f64,
-    /// The shares that are kept now.
-    level: Shares,
-    /// The shares that would be, without a bound.
-    wish: Shares,
-    /// Requests that are owed to each region; negative where it is ahead.
-    owed: Vec<f64>,
-    /// Requests sent to each region in the first window, which is free: there is
-    /// nothing before it that they could have moved from.
-    first: Vec<f64>,
-    begun: Option<Instant>,
-    first_at: Option<Instant>,
+    first: FirstWindow,
+    /// Requests of the last two windows, newest last.
+    slots: VecDeque<(Instant, RegionCounts)>,
+    /// Requests of the present window, and of the one before.
+    present: RegionCounts,
+    before: RegionCounts,
+    /// Requests that this entry sent since its start.
+    sent: RegionCounts,
+    /// The same of the other entries, as last heard.
+    heard: HashMap<u64, RegionCounts>,
+}
+
+/// Finds the first window of traffic, in which requests may go anywhere: there is
+/// nothing before it that they could have moved from.
+#[derive(Debug, Default)]
+struct FirstWindow {
     met: Option<Instant>,
-    /// Mean pause between requests, in seconds.
-    pause: f64,
-    asked_at: Option<Instant>,
-    /// The shares over the last window, newest last.
-    notes: VecDeque<(Instant, Shares)>,
+    begun: Option<Instant>,
+    last: Option<Instant>,
+    requests: u32,
+    is_over: bool,
 }
 
 impl ShiftLimiter {
     /// Bounds the part of the requests that change their region from one window
-    /// to the next to `cap`; `own` is the region in which they run by default.
-    pub fn new(cap: f64, own: &str, regions: &[String]) -> Self {
-        let mut all = vec![own.to_owned()];
-        for region in regions {
-            if !all.contains(region) {
-                all.push(region.clone());
-            }
-        }
-        let mut shares = vec![0.0; all.len()];
-        shares[0] = 1.0;
+    /// to the next to `cap`.
+    pub fn new(cap: f64, regions: &[String]) -> Self {
+        let mut all = regions.to_vec();
+        all.sort_unstable();
+        all.dedup();
+        let none = vec![0; all.len()];
         Self {
             most: cap * USED_SHARE,
-            level: shares.clone(),
-            wish: shares,
-            owed: vec![0.0; all.len()],
-            first: vec![0.0; all.len()],
-            begun: None,
-            first_at: None,
-            met: None,
-            pause: 0.1,
-            asked_at: None,
-            notes: VecDeque::new(),
+            first: FirstWindow::default(),
+            slots: VecDeque::new(),
+            present: none.clone(),
+            before: none.clone(),
+            sent: none,
+            heard: HashMap::new(),
             regions: all,
         }
     }
 
-    /// Takes in that a request would run in `region`. Call it once a request.
-    pub fn on_wish(&mut self, now: Instant, region: &str) {
-        let Some(wanted) = self.index(region) else {
-            return;
-        };
-        let asked_at = self.asked_at.replace(now).unwrap_or(now);
-        let pause = now.saturating_duration_since(asked_at).min(LONGEST_PAUSE);
-        let seconds = pause.as_secs_f64();
-        self.pause += RATE_WEIGHT * (seconds - self.pause);
-        let aged = 1.0 - (-seconds / WISH_SPAN.as_secs_f64()).exp();
-        let weight = WISH_WEIGHT.max(aged);
-        for (index, wish) in self.wish.iter_mut().enumerate() {
-            let sample = if index == wanted { 1.0 } else { 0.0 };
-            *wish += weight * (sample - *wish);
+    /// Counts what the last two windows hold at `now`. Call it before each use.
+    pub fn advance(&mut self, now: Instant) {
+        let age = |at: Instant| now.saturating_duration_since(at);
+        while self
+            .slots
+            .front()
+            .is_some_and(|(at, _)| age(*at) >= 2 * WINDOW)
+        {
+            self.slots.pop_front();
+        }
+        let first_ends = self.first.ends();
+        self.present.fill(0);
+        self.before.fill(0);
+        for (at, counts) in &self.slots {
+            let is_before = age(*at) >= WINDOW || first_ends.is_some_and(|ends| *at < ends);
+            let window = if is_before {
+                &mut self.before
+            } else {
+                &mut self.present
+            };
+            add(window, counts);
         }
-        self.follow(now);
     }
 
-    /// Whether a request may run in `region` now.
+    /// Whether a request may be sent to `region` now.
     pub fn permits(&self, region: &str) -> bool {
+        let before: u32 = self.before.iter().sum();
         let Some(index) = self.index(region) else {
             return true;
         };
-        self.is_free() || self.owed[index] + self.level[index] - 1.0 >= -self.slack()
-    }
-
-    /// Whether a request may run in its own region though others should get it,
-    /// since they have no room.
-    pub fn permits_own(&self) -> bool {
-        self.is_free() || self.owed[0] + self.level[0] - 1.0 >= -OWN_SLACK * self.slack()
+        if !self.first.is_over || before == 0 {
+            return true;
+        }
+        let present: u32 = self.present.iter().sum();
+        let (before, present) = (f64::from(before), f64::from(present + 1));
+        let mut moved = 0.0;
+        for (other, (now, then)) in self.present.iter().zip(&self.before).enumerate() {
+            let now = f64::from(*now) + if other == index { 1.0 } else { 0.0 };
+            let kept = f64::from(*then) / before * present;
+            moved += (now - kept).abs() / 2.0;
+            if other == index && now <= kept {
+                // It only makes up for what the region lacks.
+                return true;
+            }
+        }
+        moved <= (self.most * present).max(LEAST_SLACK)
     }
 
     /// A request was sent to `region`.
-    pub fn on_sent(&mut self, region: &str) {
-        let Some(sent) = self.index(region) else {
+    pub fn on_sent(&mut self, now: Instant, region: &str) {
+        let Some(index) = self.index(region) else {
             return;
         };
-        if self.is_free() {
-            self.first[sent] += 1.0;
-            return;
-        }
-        let most = OWN_SLACK * self.slack() + 1.0;
-        for (index, owed) in self.owed.iter_mut().enumerate() {
-            let taken = if index == sent { 1.0 } else { 0.0 };
-            *owed = (*owed + self.level[index] - taken).clamp(-most, most);
-        }
+        self.sent[index] = self.sent[index].wrapping_add(1);
+        let mut counts = vec![0; self.regions.len()];
+        counts[index] = 1;
+        self.count(now, &counts);
     }
 
-    fn index(&self, region: &str) -> Option<usize> {
-        self.regions.iter().position(|known| known == region)
+    /// What this entry sent to each region since its start, for the other entries of
+    /// its region.
+    pub fn sent(&self) -> &[u32] {
+        &self.sent
     }
 
-    fn is_free(&self) -> bool {
-        self.notes.is_empty()
+    /// Takes in what the entry `peer` of the own region sent since its start. The first
+    /// word of a run only tells where it begins.
+    pub fn on_peer_sent(&mut self, now: Instant, peer: u64, sent: &[u32]) {
+        if sent.len() != self.regions.len() {
+            return;
+        }
+        let Some(known) = self.heard.insert(peer, sent.to_vec()) else {
+            return;
+        };
+        let is_later = sent.iter().zip(&known).all(|(sent, known)| sent >= known);
+        if !is_later {
+            return;
+        }
+        let news = sent.iter().zip(&known).map(|(sent, known)| sent - known);
+        self.count(now, &news.collect::<RegionCounts>());
     }
 
-    fn slack(&self) -> f64 {
-        let expected = WINDOW.as_secs_f64() / self.pause.max(0.0001);
-        (SLACK_SHARE * expected).max(LEAST_SLACK)
+    /// Forgets entries that aren't in `live`.
+    pub fn keep_peers(&mut self, live: &[u64]) {
+        self.heard.retain(|peer, _| live.contains(peer));
     }
 
-    fn follow(&mut self, now: Instant) {
-        if self.notes.is_empty() && !self.is_first_over(now) {
+    fn count(&mut self, now: Instant, counts: &[u32]) {
+        if counts.iter().all(|count| *count == 0) {
             return;
         }
-        if self.notes.is_empty() {
-            self.end_first_window(now);
+        self.first.on_request(now);
+        let newest = self.slots.back().map(|(at, _)| *at);
+        if newest.is_none_or(|at| now.saturating_duration_since(at) >= SLOT) {
+            self.slots.push_back((now, vec![0; self.regions.len()]));
         }
-        let before = self.shares_before(now);
-        let moved: f64 = before
-            .iter()
-            .zip(&self.wish)
-            .map(|(before, wish)| (wish - before).abs() / 2.0)
-            .sum();
-        let part = if moved > self.most {
-            self.most / moved
-        } else {
-            1.0
-        };
-        for (index, level) in self.level.iter_mut().enumerate() {
-            *level = before[index] + part * (self.wish[index] - before[index]);
+        if let Some((_, slot)) = self.slots.back_mut() {
+            add(slot, counts);
         }
-        self.note(now);
+        add(&mut self.present, counts);
+    }
+
+    fn index(&self, region: &str) -> Option<usize> {
+        self.regions.iter().position(|known| known == region)
     }
+}
 
-    /// Whether the first window of traffic is over. Single requests, as of checks
-    /// before the traffic, are not its beginning.
-    fn is_first_over(&mut self, now: Instant) -> bool {
+impl FirstWindow {
+    /// Takes in a request. Single ones, as of checks before the traffic, are not its
+    /// beginning.
+    fn on_request(&mut self, now: Instant) {
+        if self.is_over {
+            return;
+        }
         let met = *self.met.get_or_insert(now);
         let begun = *self.begun.get_or_insert(now);
-        let sent: f64 = self.first.iter().sum();
         let waited = now.saturating_duration_since(met) >= LONGEST_FIRST;
-        let paused = self.first_at.is_none_or(|at| now - at > FIRST_PAUSE);
-        self.first_at = Some(now);
-        if paused && sent < FEW && !waited {
+        let paused = self
+            .last
+            .is_none_or(|at| now.saturating_duration_since(at) > FIRST_PAUSE);
+        self.last = Some(now);
+        if paused && self.requests < FEW && !waited {
             self.begun = Some(now);
-            self.first.fill(0.0);
-            return false;
-        }
-        now.saturating_duration_since(begun) >= FIRST_WINDOW
-    }
-
-    /// From now on the shares are bounded by those of the first window.
-    fn end_first_window(&mut self, now: Instant) {
-        let sent: f64 = self.first.iter().sum();
-        if sent > 0.0 {
-            self.level = self.first.iter().map(|count| count / sent).collect();
+            self.requests = 1;
+            return;
         }
-        self.notes.push_back((now, self.level.clone()));
+        self.requests += 1;
+        self.is_over = now.saturating_duration_since(begun) >= FIRST_WINDOW;
     }
 
-    /// The shares a window ago.
-    fn shares_before(&mut self, now: Instant) -> Shares {
-        let old = |at: Instant| now.saturating_duration_since(at) >= WINDOW;
-        while self.notes.len() > 1 && old(self.notes[1].0) {
-            self.notes.pop_front();
-        }
-        let before = self.notes.front();
-        before.map_or_else(|| self.level.clone(), |(_, shares)| shares.clone())
+    /// When it ends or ended, once it has begun.
+    fn ends(&self) -> Option<Instant> {
+        self.begun.map(|begun| begun + FIRST_WINDOW)
     }
+}
 
-    fn note(&mut self, now: Instant) {
-        let newest = self.notes.back().map(|(at, _)| *at);
-        if newest.is_none_or(|at| now.saturating_duration_since(at) >= NOTE_EVERY) {
-            self.notes.push_back((now, self.level.clone()));
-        }
+fn add(sum: &mut [u32], counts: &[u32]) {
+    for (sum, count) in sum.iter_mut().zip(counts) {
+        *sum = sum.saturating_add(*count);
     }
 }
--- a/crates/place/tests/limits.rs
+++ b/crates/place/tests/limits.rs
@@ -114,7 +114,7 @@
     const REGIONS: [&str; 3] = ["a", "b", "c"];
     let start = Instant::now();
     let regions = REGIONS.map(str::to_owned);
-    let mut limiter = ShiftLimiter::new(CAP, "a", &regions);
+    let mut limiter = ShiftLimiter::new(CAP, &regions);
     let mut sent: Vec<&str> = Vec::new();
     for request in 0..80 * PER_WINDOW {
         let now = start + ms((PAUSE_MS * request) as u64);
@@ -123,14 +123,14 @@
             25..45 => "c",
             _ => "a",
         };
-        limiter.on_wish(now, wanted);
+        limiter.advance(now);
         let permitted = REGIONS.into_iter().find(|region| limiter.permits(region));
         let region = if limiter.permits(wanted) {
             wanted
         } else {
             permitted.expect("some region is always permitted")
         };
-        limiter.on_sent(region);
+        limiter.on_sent(now, region);
         sent.push(region);
     }
     let share = |from: usize, region: &str| -> f64 {
@@ -165,7 +165,7 @@
     let regions = ["a", "b"].map(str::to_owned);
     let mut windows = [[0_u32; 2]; 4];
     for entry in 0..ENTRIES {
-        let mut limiter = ShiftLimiter::new(CAP, "a", &regions);
+        let mut limiter = ShiftLimiter::new(CAP, &regions);
         // Spread over the first half second.
         let first = stable_hash(&entry.to_le_bytes()) % 500;
         let mut request = 0;
@@ -175,14 +175,14 @@
             // Most of them, once servers are full of work that fills their caches.
             let away = at >= 1400 && stable_hash(&[entry as u8, request as u8]) % 100 < 70;
             let wanted = if away { "b" } else { "a" };
-            limiter.on_wish(now, wanted);
+            limiter.advance(now);
             let other = if away { "a" } else { "b" };
             let region = if limiter.permits(wanted) {
                 wanted
             } else {
                 other
             };
-            limiter.on_sent(region);
+            limiter.on_sent(now, region);
             windows[(at / WINDOW_MS) as usize][usize::from(region == "b")] += 1;
             request += 1;
             at = first + request * PAUSE_MS;
@@ -195,3 +195,63 @@
     }
     assert!(share(windows[3]) > 0.35, "it gets there: {windows:?}");
 }
+
+/// Plays entries of one region whose requests wish for two regions by turns of a die,
+/// one half each, and gives the part that was sent elsewhere. `told` lets them hear
+/// what the others sent.
+fn diverted(told: bool) -> f64 {
+    const ENTRIES: u64 = 6;
+    const PAUSE_MS: u64 = 60;
+    const TOLD_EVERY_MS: u64 = 80;
+    const SECONDS: u64 = 30;
+    let start = Instant::now();
+    let regions = ["a", "b"].map(str::to_owned);
+    let mut limiters: Vec<ShiftLimiter> = (0..ENTRIES)
+        .map(|_| ShiftLimiter::new(0.15, &regions))
+        .collect();
+    let mut windows = vec![[0_u32; 2]; SECONDS as usize / 2];
+    let (mut sent, mut elsewhere) = (0, 0);
+    for at in 0..SECONDS * 1000 {
+        let now = start + ms(at);
+        for entry in 0..ENTRIES {
+            if (at + 7 * entry) % PAUSE_MS != 0 {
+                continue;
+            }
+            let limiter = &mut limiters[entry as usize];
+            let dice = stable_hash(&(at * ENTRIES + entry).to_le_bytes());
+            let wanted = (dice >> 20) as usize % 2;
+            limiter.advance(now);
+            let is_free = limiter.permits(&regions[wanted]);
+            let region = if is_free { wanted } else { 1 - wanted };
+            limiter.on_sent(now, &regions[region]);
+            windows[at as usize / 2000][region] += 1;
+            sent += 1;
+            elsewhere += u32::from(!is_free);
+        }
+        if told && at % TOLD_EVERY_MS == 0 {
+            let words: Vec<Vec<u32>> = limiters.iter().map(|one| one.sent().to_vec()).collect();
+            for (entry, limiter) in limiters.iter_mut().enumerate() {
+                for (peer, word) in words.iter().enumerate().filter(|(peer, _)| *peer != entry) {
+                    limiter.on_peer_sent(now, peer as u64, word);
+                }
+            }
+        }
+    }
+    let share = |[near, far]: [u32; 2]| f64::from(far) / f64::from(near + far);
+    for pair in windows.windows(2) {
+        let change = (share(pair[1]) - share(pair[0])).abs();
+        assert!(change <= 0.15, "{change} of {windows:?}");
+    }
+    f64::from(elsewhere) / f64::from(sent)
+}
+
+/// Pattern: servers are spread unevenly, so that a part of a region's requests runs
+/// elsewhere all the time. Entries that know what the others sent let chance have its
+/// way within the cap; each for itself sends a tenth of all requests away from the
+/// server that was chosen.
+#[test]
+fn steady_shares_divert_few_requests() {
+    let (alone, together) = (diverted(false), diverted(true));
+    assert!(together < 0.03, "{together}");
+    assert!(alone > 2.0 * together, "alone {alone}, together {together}");
+}
--- a/crates/place/tests/placer.rs
+++ b/crates/place/tests/placer.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use common::{ms, placer, reading, request, route, server};
-use place::load::short_name;
+use place::load::{LoadWord, short_name};
 use place::prelude::*;
 use place::rank::stable_hash;
 use place::server::ServerReport;
@@ -135,6 +135,14 @@
     );
 }
 
+/// A word of an entry of another region.
+fn word(load: Vec<(u32, u16)>) -> LoadWord {
+    LoadWord {
+        load,
+        sent: Vec::new(),
+    }
+}
+
 /// Promise: what other entries have at a server counts as if it were one's own.
 #[test]
 fn other_entries_requests_count() {
@@ -146,11 +154,11 @@
         let placement = placer.place(now, &wanted).unwrap();
         let list = placer.own_load(now);
         placer.on_outcome(now, &placement, &wanted, GOOD, None);
-        list[0].0
+        list.load[0].0
     };
-    placer.on_peer_load(now + ms(1), 5, vec![(name, 12)]);
+    placer.on_peer_load(now + ms(1), 5, word(vec![(name, 12)]));
     assert!(placer.place(now + ms(2), &wanted).is_err());
-    placer.on_peer_load(now + ms(3), 5, Vec::new());
+    placer.on_peer_load(now + ms(3), 5, word(Vec::new()));
     assert!(placer.place(now + ms(4), &wanted).is_ok());
 }
 
@@ -162,10 +170,10 @@
     let browse = route("browse", "/");
     let wanted = request(&browse, Some(7));
     let placement = placer.place(now, &wanted).unwrap();
-    let name = placer.own_load(now)[0].0;
+    let name = placer.own_load(now).load[0].0;
     placer.on_outcome(now, &placement, &wanted, GOOD, None);
-    placer.on_peer_load(now, 5, vec![(name, 12)]);
-    placer.on_peer_load(now + ms(2000), 6, Vec::new());
+    placer.on_peer_load(now, 5, word(vec![(name, 12)]));
+    placer.on_peer_load(now + ms(2000), 6, word(Vec::new()));
     assert!(placer.place(now + ms(2001), &wanted).is_ok());
 }
 
@@ -178,9 +186,9 @@
     let browse = route("browse", "/");
     let wanted = request(&browse, Some(7));
     let placement = placer.place(now, &wanted).unwrap();
-    let name = placer.own_load(now)[0].0;
+    let name = placer.own_load(now).load[0].0;
     placer.on_outcome(now, &placement, &wanted, GOOD, None);
-    placer.on_peer_load(now, 5, vec![(name, 12)]);
+    placer.on_peer_load(now, 5, word(vec![(name, 12)]));
     assert!(placer.place(now + ms(1400), &wanted).is_err());
     assert!(placer.place(now + ms(1600), &wanted).is_ok());
 }
@@ -193,13 +201,13 @@
     let browse = route("browse", "/");
     let wanted = request(&browse, Some(7));
     let placement = placer.place(now, &wanted).unwrap();
-    let name = placer.own_load(now)[0].0;
+    let name = placer.own_load(now).load[0].0;
     placer.on_outcome(now, &placement, &wanted, GOOD, None);
     for entry in 0..5900 {
-        placer.on_peer_load(now, entry, Vec::new());
+        placer.on_peer_load(now, entry, word(Vec::new()));
     }
     assert!(placer.place(now + ms(1), &wanted).is_ok());
-    placer.on_peer_load(now + ms(2), 5, vec![(name, 12)]);
+    placer.on_peer_load(now + ms(2), 5, word(vec![(name, 12)]));
     assert!(placer.place(now + ms(61), &wanted).is_err());
 }
 
@@ -225,7 +233,7 @@
             placer.on_outcome(at, &placement, &wanted, GOOD, None);
         }
         placer.own_load(at);
-        placer.on_peer_load(at, 5, busy.clone());
+        placer.on_peer_load(at, 5, word(busy.clone()));
         placer.on_request(at, &browse, Some(7), Some(ms(3000)));
         if let Ok(placement) = placer.place(at, &wanted) {
             // Before, the other servers' load was not yet known.
