Words on load go to other regions as often as their number allows

Cause: one word in three went to other regions whatever their number. Where servers are spread unevenly a region's requests run elsewhere all the time, and there the others' load was known three times later than near by. The test's promise names the bound: up to 110 others once a second, 170 datagrams a second.

--- a/bin/lh-entry/src/beat.rs
+++ b/bin/lh-entry/src/beat.rs
@@ -102,10 +102,13 @@
     for beat in state.peers.borrow().heard(now) {
         if beat.region == state.config.region {
             near.push(beat.gossip);
-        } else if is_told_far(round) {
+        } else {
             far.push(beat.gossip);
         }
     }
+    if !is_told_far(round, near.len() as u32, far.len() as u32) {
+        far.clear();
+    }
     let word = state.placer.borrow_mut().own_load(now);
     tell_load(state, socket, &near, word.clone()).await;
     tell_load(state, socket, &far, word.for_others()).await;
--- a/crates/place/src/load.rs
+++ b/crates/place/src/load.rs
@@ -14,10 +14,10 @@
 const PAUSE_PER_ENTRY: Duration = Duration::from_millis(12);
 /// Shortest time between words on load; requests take longer.
 const LEAST_PAUSE: Duration = Duration::from_millis(80);
-/// One word in so many goes to other regions, whose entries rarely send requests here.
-/// Telling all of 83 entries alike came once a second to each: of two days of high
-/// load 0.58 and 0.69 of the requests were served, 0.66 and 0.72 this way.
-const FAR_EVERY: u32 = 3;
+/// Time between words to other regions, for each other entry there: at most 160 datagrams
+/// a second. In small fleets they go with every word: worth 0.533 -> 0.541 where servers
+/// are spread unevenly, against one word in three (mean of 15 days of trouble).
+const FAR_PAUSE_PER_ENTRY: Duration = Duration::from_millis(6);
 /// Time between two sums over all words, for each entry heard: a sum takes 0.13 us an
 /// entry, so that they stay within 1.3 % of a core however often words come.
 const SUM_PAUSE_PER_ENTRY: Duration = Duration::from_micros(10);
@@ -73,9 +73,12 @@
     (PAUSE_PER_ENTRY * near).max(LEAST_PAUSE)
 }
 
-/// Whether the word number `round` goes to entries of other regions as well.
-pub fn is_told_far(round: u32) -> bool {
-    round.is_multiple_of(FAR_EVERY)
+/// Whether the word number `round` of an entry with `near` others in its region goes to
+/// the `far` ones of other regions as well.
+pub fn is_told_far(round: u32, near: u32, far: u32) -> bool {
+    let pause = FAR_PAUSE_PER_ENTRY * far;
+    let words = pause.as_millis().div_ceil(load_pause(near).as_millis());
+    u128::from(round).is_multiple_of(words.max(1))
 }
 
 impl PeerLoads {
--- a/crates/place/tests/load.rs
+++ b/crates/place/tests/load.rs
@@ -5,17 +5,29 @@
 use place::load::{is_told_far, load_pause};
 
 /// Promise: in a region of up to 28 entries each hears the load of each other three times
-/// a second, those of other regions hear it once a second, and nobody sends more than
-/// 85 words a second within its region.
+/// a second, up to 110 of other regions hear it once a second, in a fleet of nine with
+/// every word, and nobody sends more than 85 words a second within its region and 170 to
+/// others.
 #[test]
 fn words_on_load_are_fresh_where_they_count() {
     for near in 0..=27_u32 {
         let pause = load_pause(near);
         assert!(pause <= Duration::from_millis(334), "{near}: {pause:?}");
-        let far = (1..=4).find(|round| is_told_far(*round)).unwrap();
-        assert!(pause * far <= Duration::from_millis(1000), "{near}");
         assert!(f64::from(near) / pause.as_secs_f64() <= 85.0, "{near}");
+        for far in 0..=110_u32 {
+            let words = (1..).find(|round| is_told_far(*round, near, far));
+            let pause = pause * words.unwrap();
+            assert!(
+                pause <= Duration::from_millis(1000),
+                "{near}, {far}: {pause:?}"
+            );
+            assert!(
+                f64::from(far) / pause.as_secs_f64() <= 170.0,
+                "{near}, {far}"
+            );
+        }
     }
-    let mut rounds = (0..300).filter(|round| is_told_far(*round));
-    assert_eq!(rounds.by_ref().count(), 100);
+    assert!((0..20).all(|round| is_told_far(round, 2, 6)));
+    let rounds = (0..300).filter(|round| is_told_far(*round, 13, 68));
+    assert_eq!(rounds.count(), 100);
 }
