Look-ups name few able entries of a region

Cause: look-ups named all entries of a region alike. Callers pick one of those named at random, so that an instance with a tenth of a core and 10 Mbit/s got what one with half a core and 200 Mbit/s got; and of 14 entries each knew a fourteenth of what was sent. Change: entries tell what they can carry, from their settings, and the rate they get; front::named takes the able ones, three or more in two failure domains, that carry four times the present rate, or the number that carries most together. Those not named stand by: they tell and hear no load and take no part of shared rates while they are idle. The names are found every 600 ms and kept, so that a look-up doesn't go through all entries.

--- a/bin/lh-entry/src/beat.rs
+++ b/bin/lh-entry/src/beat.rs
@@ -48,6 +48,8 @@
                 load_at = tokio::time::Instant::now() + load_pause(near);
             }
             _ = tick.tick() => {
+                let rate = state.meter.borrow_mut().measure(BEAT_EVERY.as_secs_f64());
+                state.told_rate.set(rate.round() as u32);
                 send(&state, &socket, false).await;
                 state.refresh_entries();
             }
@@ -100,6 +102,9 @@
     let now = Instant::now();
     let (mut near, mut far) = (Vec::new(), Vec::new());
     for beat in state.peers.borrow().heard(now) {
+        if !state.is_used(beat) {
+            continue;
+        }
         if beat.region == state.config.region {
             near.push(beat.gossip);
         } else {
@@ -153,6 +158,8 @@
         reads: state.reads.get(),
         ready: state.is_ready(),
         leaving: state.stop.get() != StopPhase::Serving,
+        capacity: state.config.capacity,
+        rate: state.told_rate.get(),
         version: state.version(),
         stamp: if state.has_own_routes() {
             state.tickets.stamp(now)
--- a/bin/lh-entry/src/config.rs
+++ b/bin/lh-entry/src/config.rs
@@ -7,6 +7,7 @@
 
 use conf::{CheckedSection, ProcessFile, schema};
 use place::budget::BudgetBounds;
+use place::front;
 
 use crate::error::Result;
 
@@ -49,6 +50,8 @@
     pub memory_bytes: usize,
     /// Descriptors that the process may use.
     pub descriptors: usize,
+    /// Requests a second that the instance can carry.
+    pub capacity: u32,
     /// Each failure domain's region.
     pub domains: HashMap<String, String>,
 }
@@ -92,6 +95,10 @@
             lookup_ttl_most: bounds.duration("lookup_ttl_most")?,
             memory_bytes: bounds.count::<usize>("memory_mb")? << 20,
             descriptors: bounds.count("descriptors")?,
+            capacity: front::capacity(
+                bounds.number("processor_share")? * bounds.number("processor_speed")?,
+                bounds.number("link_megabits")?,
+            ),
             domains,
         })
     }
--- a/bin/lh-entry/src/lookup.rs
+++ b/bin/lh-entry/src/lookup.rs
@@ -114,19 +114,31 @@
     LOOKUP_TTL.min(state.config.lookup_ttl_most)
 }
 
-/// The entries that take callers now, this one first.
+/// The entries that callers are told to use. Those that stopped taking callers since
+/// these were found are left out; where none is left, they are found again.
 fn open_entries(state: &InstanceState) -> Vec<OpenEntry> {
+    let entries = named_entries(state);
+    if !entries.is_empty() {
+        return entries;
+    }
+    state.refresh_entries();
+    named_entries(state)
+}
+
+fn named_entries(state: &InstanceState) -> Vec<OpenEntry> {
     let now = Instant::now();
+    let peers = state.peers.borrow();
     let mut entries = Vec::new();
-    if state.is_ready() {
-        entries.push(OpenEntry {
-            instance: state.config.instance.clone(),
-            region: state.config.region.clone(),
-            address: state.config.caller_address,
-            stamp: state.tickets.stamp(now),
-        });
-    }
-    for beat in state.peers.borrow().live(now).filter(|beat| beat.ready) {
+    for node in state.named.borrow().iter() {
+        if *node == state.config.instance {
+            if state.is_ready() {
+                entries.push(own_entry(state, now));
+            }
+            continue;
+        }
+        let Some(beat) = peers.find(now, node).filter(|beat| beat.ready) else {
+            continue;
+        };
         entries.push(OpenEntry {
             instance: beat.node.clone(),
             region: beat.region.clone(),
@@ -136,3 +148,12 @@
     }
     entries
 }
+
+fn own_entry(state: &InstanceState, now: Instant) -> OpenEntry {
+    OpenEntry {
+        instance: state.config.instance.clone(),
+        region: state.config.region.clone(),
+        address: state.config.caller_address,
+        stamp: state.tickets.stamp(now),
+    }
+}
--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -8,6 +8,7 @@
 
 use base::prelude::{Incarnation, InstanceId, NodeId};
 use place::catalog::CatalogChange;
+use place::front::{self, FrontEntry, RateMeter};
 use place::prelude::*;
 use place::rank::stable_hash;
 use place::routes::ANY_HOST;
@@ -49,6 +50,12 @@
     /// Until when what the deputy tells is fresh.
     pub(crate) deputy_until: Cell<Option<Instant>>,
     pub(crate) peers: RefCell<PeerTable>,
+    /// Instances that callers are told to use, by name.
+    pub(crate) named: RefCell<Vec<String>>,
+    /// Counts callers' requests.
+    pub(crate) meter: RefCell<RateMeter>,
+    /// Requests a second that this entry gets, as it told the others last.
+    pub(crate) told_rate: Cell<u32>,
     /// Home regions of client addresses.
     pub(crate) homes: RefCell<HomeBook>,
     pub(crate) pool: ServerPool,
@@ -95,6 +102,9 @@
             follows_until: Cell::new(None),
             deputy_until: Cell::new(None),
             peers: RefCell::new(peers),
+            named: RefCell::default(),
+            meter: RefCell::default(),
+            told_rate: Cell::new(0),
             homes: RefCell::default(),
             pool: ServerPool::default(),
             metrics,
@@ -232,19 +242,52 @@
             }
             log_change(change);
         }
+        if read_at.is_none() {
+            // It may be ready now, and counted among those that take callers.
+            self.refresh_entries();
+        }
     }
 
-    /// Divides shared rates among the entries that are live now.
+    /// Finds the entries that callers are told to use, and divides shared rates among
+    /// these and others that get requests.
     pub(crate) fn refresh_entries(&self) {
         let now = Instant::now();
-        let (hashes, in_region) = {
-            let peers = self.peers.borrow();
-            let live = || peers.live(now);
-            let hashes = live().map(|beat| stable_hash(beat.node.as_bytes()));
-            let near = live().filter(|beat| beat.region == self.config.region);
-            (hashes.collect(), near.count())
-        };
-        self.placer.borrow_mut().set_entries(hashes, in_region);
+        let peers = self.peers.borrow();
+        let own = self.as_front();
+        let ready = peers.live(now).filter(|beat| beat.ready);
+        let mut fronts: Vec<FrontEntry<'_>> = ready.map(PeerBeat::as_front).collect();
+        if self.is_ready() {
+            fronts.push(own);
+        }
+        let named: Vec<String> = front::named(&fronts)
+            .iter()
+            .map(|entry| entry.node.to_owned())
+            .collect();
+        let is_used =
+            |entry: &FrontEntry<'_>| entry.is_used() || named.iter().any(|node| node == entry.node);
+        let live = peers.live(now).map(PeerBeat::as_front);
+        let used: Vec<FrontEntry<'_>> = live.filter(is_used).collect();
+        let hashes = used.iter().map(|entry| stable_hash(entry.node.as_bytes()));
+        let near = used.iter().filter(|entry| entry.region == own.region);
+        let mut placer = self.placer.borrow_mut();
+        placer.set_entries(hashes.collect(), near.count());
+        placer.set_standby(!is_used(&own));
+        *self.named.borrow_mut() = named;
+    }
+
+    /// Whether the entry of `beat` is among those that get callers' requests.
+    pub(crate) fn is_used(&self, beat: &PeerBeat) -> bool {
+        beat.as_front().is_used() || self.named.borrow().contains(&beat.node)
+    }
+
+    fn as_front(&self) -> FrontEntry<'_> {
+        FrontEntry {
+            node: &self.config.instance,
+            domain: &self.config.domain,
+            region: &self.config.region,
+            capacity: self.config.capacity,
+            rate: f64::from(self.told_rate.get()),
+        }
     }
 
     /// Takes in a desired state; one that isn't newer changes nothing.
@@ -262,6 +305,9 @@
         *self.desired.borrow_mut() = Some(Rc::new(desired.clone()));
         self.metrics.version.set(desired.version as i64);
         log::info!(version = desired.version, before = known, routes = desired.routes.len(); "desired state in force");
+        if known == 0 {
+            self.refresh_entries();
+        }
     }
 
     fn apply_evacuations(&self) {
--- a/bin/lh-entry/tests/pages.rs
+++ b/bin/lh-entry/tests/pages.rs
@@ -28,8 +28,13 @@
             Some((key @ ("grace" | "retry_window" | "lookup_ttl_most"), _)) => {
                 format!("{key} = 2.5s")
             }
-            Some((key @ ("retry_ratio" | "shift_cap"), _)) => format!("{key} = 0.2"),
-            Some((key @ ("retry_slack" | "memory_mb" | "descriptors"), _)) => format!("{key} = 56"),
+            Some((
+                key @ ("retry_ratio" | "shift_cap" | "processor_share" | "processor_speed"),
+                _,
+            )) => format!("{key} = 0.2"),
+            Some((key @ ("retry_slack" | "memory_mb" | "descriptors" | "link_megabits"), _)) => {
+                format!("{key} = 56")
+            }
             Some(("address", value)) if value.contains("platform") => {
                 "address = 127.0.0.1:1".to_owned()
             }
--- a/crates/conf/src/schema/entry.rs
+++ b/crates/conf/src/schema/entry.rs
@@ -139,6 +139,24 @@
                     Some("256"),
                     "Memory of the process; bodies may fill a quarter.",
                 ),
+                key(
+                    "processor_share",
+                    number(0.0, 1024.0),
+                    Some("1"),
+                    "Part of a processor core that the process gets.",
+                ),
+                key(
+                    "processor_speed",
+                    number(0.0, 1024.0),
+                    Some("1"),
+                    "How many times as fast as usual that core is.",
+                ),
+                key(
+                    "link_megabits",
+                    number(0.0, 1e6),
+                    Some("1000"),
+                    "What the instance's link carries a second. Callers are sent to the entries whose processor and link carry most.",
+                ),
                 key(
                     "descriptors",
                     count(1, 1 << 24),
--- a/crates/place/src/budget.rs
+++ b/crates/place/src/budget.rs
@@ -30,6 +30,8 @@
 pub struct RetryBudget {
     bounds: BudgetBounds,
     entries: usize,
+    /// Whether this entry may use a part of the slack.
+    has_slack: bool,
     services: HashMap<String, ServiceWindow>,
 }
 
@@ -39,6 +41,7 @@
         Self {
             bounds,
             entries: 1,
+            has_slack: true,
             services: HashMap::new(),
         }
     }
@@ -48,6 +51,12 @@
         self.entries = entries.max(1);
     }
 
+    /// Sets whether this entry may use a part of the slack besides what its own requests
+    /// earn: entries that nobody counts may not.
+    pub fn set_slack(&mut self, has_slack: bool) {
+        self.has_slack = has_slack;
+    }
+
     /// A caller's request for `service` arrived.
     pub fn on_request(&mut self, now: Instant, service: &str) {
         if !self.services.contains_key(service) {
@@ -67,7 +76,11 @@
         };
         trim(&mut window.requests, now, self.bounds.window);
         trim(&mut window.repeats, now, self.bounds.window);
-        let slack = self.bounds.slack / self.entries as f64;
+        let slack = if self.has_slack {
+            self.bounds.slack / self.entries as f64
+        } else {
+            0.0
+        };
         let earned = self.bounds.ratio * window.requests.len() as f64;
         let allowed = SPENT_SHARE * (earned + slack);
         if window.repeats.len() as f64 + 1.0 > allowed {
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod choice;
 pub mod desired;
 pub mod directory;
+pub mod front;
 pub mod load;
 pub mod peers;
 pub mod placer;
--- a/crates/place/src/peers.rs
+++ b/crates/place/src/peers.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use crate::front::FrontEntry;
 use crate::load::LoadWord;
 use crate::rank::{pair_weight, stable_hash};
 
@@ -67,6 +68,10 @@
         pub ready: bool,
         /// Whether its process is about to end.
         pub leaving: bool,
+        /// Requests a second that it can carry.
+        pub capacity: u32,
+        /// Requests a second that it gets.
+        pub rate: u32,
         /// Version of the desired state in force there.
         pub version: u64,
         /// Its stamp for tickets; empty where no caller uses tickets.
@@ -82,6 +87,19 @@
     heard: Instant,
 }
 
+impl PeerBeat {
+    /// The entry as one that takes callers.
+    pub fn as_front(&self) -> FrontEntry<'_> {
+        FrontEntry {
+            node: &self.node,
+            domain: &self.domain,
+            region: &self.region,
+            capacity: self.capacity,
+            rate: f64::from(self.rate),
+        }
+    }
+}
+
 /// The entry that looks for one to follow.
 #[derive(Debug, Clone, Copy)]
 pub struct FollowerSeat<'a> {
@@ -138,6 +156,13 @@
             .map(|peer| &peer.beat)
     }
 
+    /// The live entry of the instance `node`, unless it is about to end.
+    pub fn find(&self, now: Instant, node: &str) -> Option<&PeerBeat> {
+        let peer = self.peers.get(node)?;
+        let is_live = now.saturating_duration_since(peer.heard) < LIVE_FOR;
+        (is_live && !peer.beat.leaving).then_some(&peer.beat)
+    }
+
     /// The run `incarnation` of the instance `node`, if its process is heard.
     pub fn run(&self, now: Instant, node: &str, incarnation: u64) -> Option<&PeerBeat> {
         let mut heard = self.heard(now);
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -71,6 +71,8 @@
     work: WorkBook,
     entries: Vec<u64>,
     region_entries: usize,
+    /// Whether this entry stands by: others don't count it in shared rates.
+    standby: bool,
     loads: PeerLoads,
     spread: ReturnSpread,
 }
@@ -90,6 +92,7 @@
             work: WorkBook::default(),
             entries: vec![config.own],
             region_entries: 1,
+            standby: false,
             loads: PeerLoads::default(),
             spread: ReturnSpread::new(config.own),
             config,
@@ -105,8 +108,15 @@
             .collect();
     }
 
-    /// Sets the hashes of all live entries, and how many others are in the own
-    /// region; the own entry is added to both.
+    /// Sets whether this entry stands by. Such a one takes no part of the rates that all
+    /// entries share, since the others don't count it.
+    pub fn set_standby(&mut self, standby: bool) {
+        self.standby = standby;
+        self.budget.set_slack(!standby);
+    }
+
+    /// Sets the hashes of all entries that get requests, and how many others are in the
+    /// own region; the own entry is added to both.
     pub fn set_entries(&mut self, mut entries: Vec<u64>, in_region: usize) {
         entries.push(self.config.own);
         entries.sort_unstable();
@@ -378,6 +388,9 @@
     }
 
     fn may_warm(&self, now: Instant, record: &ServerRecord, service: &str) -> bool {
+        if self.standby {
+            return false;
+        }
         let known = self.services.get(service);
         let rate = known.map_or(USUAL_COLD_RATE, |service| service.cold_rate);
         self.ramp
--- a/crates/place/tests/peers.rs
+++ b/crates/place/tests/peers.rs
@@ -20,6 +20,8 @@
         reads: true,
         ready: true,
         leaving: false,
+        capacity: 800,
+        rate: 0,
         version: 1,
         stamp: String::new(),
         known: vec![SocketAddr::from(([127, 0, 0, 2], 81))],
