Idle servers no longer take objects that belong elsewhere

A request that the servers of its object would refuse went to any idle server, ran as a miss there and drove out what belonged to it. Change: only servers of the object, and those that likely hold it, take it; in a fleet of one region an object has two servers. The smoothed occupancy goes with the spill.

--- a/crates/place/src/candidates.rs
+++ b/crates/place/src/candidates.rs
@@ -24,6 +24,15 @@
     Domain,
 }
 
+/// The candidates of a request.
+#[derive(Debug, Default)]
+pub struct RankedServers {
+    /// In the order of the places, then of the ranks.
+    pub candidates: Vec<Candidate>,
+    /// Regions or domains in which they are.
+    pub places: usize,
+}
+
 struct Usable<'a> {
     place: &'a str,
     weight: u64,
@@ -40,7 +49,7 @@
     service: &str,
     request: &PlacementRequest<'_>,
     scope: RankScope,
-) -> Vec<Candidate> {
+) -> RankedServers {
     let object = request
         .object
         .unwrap_or_else(|| stable_hash(request.route.name.as_bytes()));
@@ -67,19 +76,20 @@
         let places = left.place.cmp(right.place);
         places.then(right.weight.cmp(&left.weight))
     });
-    let mut candidates = Vec::with_capacity(usable.len());
+    let mut ranked = RankedServers::default();
     let mut place = "";
     let mut rank = 0;
     for server in usable {
         if server.place != place {
             place = server.place;
+            ranked.places += 1;
             rank = 0;
         }
-        candidates.push(Candidate {
+        ranked.candidates.push(Candidate {
             handle: server.handle,
             rank,
         });
         rank += usize::from(!server.cold);
     }
-    candidates
+    ranked
 }
--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -46,15 +46,11 @@
 /// between domains 0.082 -> 0.029 GB on a day of which nine tenths of the bytes are
 /// answers of 90 kB, whose callers get 0.80 of their worth instead of 0.88.
 const MOVE_SHARE: f64 = 0.25;
-/// Likelihood of holding an object from which on a server takes it as its own, as far
-/// as it has free slots: nothing is driven out by that.
+/// Likelihood of holding an object from which on a server takes it as one to which it
+/// belongs: nothing is driven out by that.
 const HOLDER: f64 = 0.5;
 /// Latency that a certain failure is worth, as a multiple of the objective.
 const FAILURE_COST: f64 = 3.0;
-/// Servers beyond those where an object belongs take it while this share of
-/// their slots or less was in use over the last second: they have time to load
-/// it, and seldom need what it drives out.
-const IDLE_SHARE: f64 = 0.3;
 /// What it costs to send an object where it doesn't belong, as a multiple of
 /// what a held object saves: it drives out another one there.
 const AFFINITY_COST: f64 = 2.0;
@@ -78,6 +74,9 @@
     pub domain: &'a str,
     /// Its region.
     pub region: &'a str,
+    /// Whether all candidates are in one place of their order, so that an object would
+    /// belong to a single server.
+    pub is_only: bool,
     /// Entries of its region, itself included.
     pub entries: usize,
     /// What it costs to send bytes elsewhere.
@@ -138,8 +137,7 @@
             self.block(RefusalReason::Full, Some(beyond * estimate.usual / slots));
             return;
         }
-        let belongs = self.belongs(candidate) || reason.warmth >= HOLDER;
-        if !belongs && (ahead > 0.0 || !is_idle(record, slots)) {
+        if !self.belongs(candidate) && reason.warmth < HOLDER {
             self.block(RefusalReason::Full, Some(wait));
             return;
         }
@@ -175,7 +173,8 @@
     }
 
     /// Lets the object belong to as many servers as its requests keep busy, and to
-    /// one more where its region is not free to choose.
+    /// one more where its region is not free to choose, or where there is but one place:
+    /// elsewhere those of the other places take what doesn't fit.
     pub fn set_width(&mut self, slots: f64) {
         let Some(object) = self.request.object else {
             return;
@@ -183,7 +182,8 @@
         let rate = self.work.demand(self.now, object) * self.place.entries as f64;
         let busy = rate * self.work.warm.value() / 1000.0;
         let spare = usize::from(self.place.limiter.is_some());
-        self.width = 1 + spare + (busy / (slots * OBJECT_SHARE)).floor() as usize;
+        let only = usize::from(self.place.is_only);
+        self.width = 1 + only + spare + (busy / (slots * OBJECT_SHARE)).floor() as usize;
     }
 
     /// The best server and why, or the reason for a refusal with the seconds
@@ -286,10 +286,6 @@
     usual: f64,
 }
 
-fn is_idle(record: &ServerRecord, slots: f64) -> bool {
-    record.usual_occupancy() < IDLE_SHARE * slots
-}
-
 /// How far a server at `rank` is from where an object belongs, 0 to 1.
 fn strangeness(rank: usize) -> f64 {
     const BY_RANK: [f64; 4] = [0.0, 0.3, 0.6, 0.8];
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use crate::budget::{BudgetBounds, RetryBudget};
-use crate::candidates::{Candidate, ranked_candidates};
+use crate::candidates::{RankedServers, ranked_candidates};
 use crate::catalog::{ServerCatalog, ServerHandle};
 use crate::choice::{ByteCosts, ChoicePlace, REGION_TRIP, ServerChoice, rank_scope};
 use crate::desired::{DesiredState, RouteSpec, ServiceSpec};
@@ -136,13 +136,10 @@
         self.loads.on_list(now, entry, word.load);
     }
 
-    /// Own requests at servers, for the other entries. Call it several times a
-    /// second: it also smooths what is known of the servers' occupancy.
+    /// Own requests at servers and what came of them, for the other entries. Call it
+    /// several times a second.
     pub fn own_load(&mut self, now: Instant) -> LoadWord {
         self.loads.apply(now, &mut self.catalog);
-        for record in self.catalog.iter_mut() {
-            record.observe(now);
-        }
         LoadWord {
             load: own_load(&self.catalog),
             sent: self.shift.sent().to_vec(),
@@ -203,12 +200,12 @@
         self.loads.apply(now, &mut self.catalog);
         let service = part.service.as_str();
         let scope = rank_scope(request, self.work.of(request.route), &self.config.costs);
-        let candidates = ranked_candidates(now, &self.catalog, service, request, scope);
-        if candidates.is_empty() {
+        let ranked = ranked_candidates(now, &self.catalog, service, request, scope);
+        if ranked.candidates.is_empty() {
             return Err(self.spread.refusal(RefusalReason::NoServer, None));
         }
-        let wanted = self.choose(now, request, service, &candidates, None);
-        let chosen = self.within_cap(now, request, service, &candidates, wanted);
+        let wanted = self.choose(now, request, service, &ranked, None);
+        let chosen = self.within_cap(now, request, service, &ranked, wanted);
         let (handle, reason) =
             chosen.map_err(|(reason, room_in)| self.spread.refusal(reason, room_in))?;
         let placement = self.send(now, handle, reason);
@@ -222,7 +219,7 @@
         now: Instant,
         request: &PlacementRequest<'_>,
         service: &str,
-        candidates: &[Candidate],
+        ranked: &RankedServers,
         wanted: ChoiceResult,
     ) -> ChoiceResult {
         let Ok((handle, reason)) = wanted else {
@@ -236,7 +233,7 @@
             return wanted;
         }
         let stays = !reason.away && self.shift.permits_own(&record.region);
-        let bounded = self.choose(now, request, service, candidates, Some(&self.shift));
+        let bounded = self.choose(now, request, service, ranked, Some(&self.shift));
         if stays { bounded.or(wanted) } else { bounded }
     }
 
@@ -245,7 +242,7 @@
         now: Instant,
         request: &PlacementRequest<'_>,
         service: &str,
-        candidates: &[Candidate],
+        ranked: &RankedServers,
         limiter: Option<&ShiftLimiter>,
     ) -> ChoiceResult {
         let Some(work) = self.work.known(request.route) else {
@@ -254,12 +251,13 @@
         let place = ChoicePlace {
             domain: &self.config.domain,
             region: &self.config.region,
+            is_only: ranked.places == 1,
             entries: self.region_entries,
             costs: self.config.costs,
             limiter,
         };
         let mut choice = ServerChoice::new(now, request, place, work);
-        for candidate in candidates {
+        for candidate in &ranked.candidates {
             let Some(record) = self.catalog.get(candidate.handle) else {
                 continue;
             };
--- a/crates/place/src/server.rs
+++ b/crates/place/src/server.rs
@@ -10,8 +10,6 @@
 /// A report of load counts less the older it is; after this time it counts 37 %.
 /// Most work ends within it.
 const REPORT_DECAY: Duration = Duration::from_millis(400);
-/// Time over which occupancy is smoothed: several requests.
-const USUAL_SPAN: Duration = Duration::from_millis(1000);
 /// First pause after a server could not be reached.
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 /// Longest pause: a server that is back must be found within seconds.
@@ -115,8 +113,6 @@
     pub in_flight: u32,
     /// Requests of other entries at the server, by their own word.
     pub peer_load: f64,
-    usual: f64,
-    usual_at: Option<Instant>,
     others: f64,
     others_at: Option<Instant>,
     paused_until: Option<Instant>,
@@ -139,8 +135,6 @@
             overwritten: false,
             in_flight: 0,
             peer_load: 0.0,
-            usual: 0.0,
-            usual_at: None,
             others: 0.0,
             others_at: None,
             paused_until: None,
@@ -178,20 +172,6 @@
         f64::from(self.in_flight) + (self.others * fresh).max(self.peer_load)
     }
 
-    /// Takes the present occupancy into the smoothed one; call it several times
-    /// a second.
-    pub fn observe(&mut self, now: Instant) {
-        let kept = self.usual_at.map_or(0.0, |at| decay(now, at, USUAL_SPAN));
-        let occupancy = self.occupancy(now);
-        self.usual = occupancy + (self.usual - occupancy) * kept;
-        self.usual_at = Some(now);
-    }
-
-    /// Requests that were at the server over the last second or so.
-    pub fn usual_occupancy(&self) -> f64 {
-        self.usual
-    }
-
     /// Takes in a load report that came with an answer; call it while the
     /// answered request still counts as in flight.
     pub fn on_report(&mut self, now: Instant, report: &ServerReport) {
--- a/crates/place/tests/placer.rs
+++ b/crates/place/tests/placer.rs
@@ -333,12 +333,13 @@
     assert!((10..=30).contains(&own), "{own} of {}", small.len());
 }
 
-/// Pattern: a hot object under load. A server that is told to hold it takes it while it
-/// has free slots, though the object belongs to a busier one.
+/// Pattern: a hot object under load. A server that is told to hold it takes it, though
+/// the object belongs to busier ones.
 #[test]
-fn a_holder_with_free_slots_takes_the_object() {
+fn a_holder_takes_the_object() {
     let now = Instant::now();
-    let mut placer = placer(now, &[server("p", "a1"), server("q", "a1")]);
+    let servers = [server("p", "a1"), server("q", "a1"), server("t", "b1")];
+    let mut placer = placer(now, &servers);
     let browse = route("browse", "/");
     let wanted = request(&browse, Some(7));
     let first = placer.place(now, &wanted).unwrap();
@@ -355,3 +356,21 @@
     }
     assert_eq!(placer.place(at + ms(1), &wanted).unwrap().id, other);
 }
+
+/// Pattern: the server of an object is full, and there is no other region. A second
+/// server takes the object, though neither is known to hold it.
+#[test]
+fn an_object_has_two_servers_where_there_is_one_region() {
+    let now = Instant::now();
+    let mut placer = placer(
+        now,
+        &[server("p", "a1"), server("q", "a1"), server("r", "a1")],
+    );
+    let browse = route("browse", "/");
+    let wanted = request(&browse, Some(7));
+    let first = placer.place(now, &wanted).unwrap();
+    let name = short_name(stable_hash(first.id.as_bytes()));
+    placer.on_peer_load(now + ms(1), 5, word(vec![(name, 11)]));
+    let second = placer.place(now + ms(2), &wanted).unwrap();
+    assert_ne!(second.id, first.id);
+}
