--- a/bin/lh-entry/src/app.rs
+++ b/bin/lh-entry/src/app.rs
@@ -15,7 +15,7 @@
 use crate::logs::LogQueue;
 use crate::metrics::EntryMetrics;
 use crate::state::InstanceState;
-use crate::{accept, beat, inner, stop, watch};
+use crate::{accept, fleet, inner, stop, watch};
 
 /// Listeners for everything but callers' requests.
 const INNER_LISTENERS: [&str; 4] = ["readiness", "look-ups", "metrics", "other entries"];
@@ -51,10 +51,8 @@
     let state = services.find::<InstanceState>("state")?;
     let beats = services.find::<UdpSocket>("beats")?;
     spawn_local(watch::watch_operator(Rc::clone(&state)));
-    spawn_local(watch::watch_servers(Rc::clone(&state)));
-    spawn_local(watch::watch_deputy(Rc::clone(&state)));
-    spawn_local(watch::watch_entries(Rc::clone(&state)));
-    spawn_local(beat::run(Rc::clone(&state), beats));
+    spawn_local(watch::watch_blocks(Rc::clone(&state)));
+    spawn_local(fleet::run(Rc::clone(&state), beats));
     for name in INNER_LISTENERS {
         let listener = services.find::<TcpListener>(name)?;
         spawn_local(inner::run(Rc::clone(&state), listener));
@@ -81,7 +79,7 @@
     for (name, address) in INNER_LISTENERS.into_iter().zip(addresses) {
         services.register(name, accept::listen(name, address)?)?;
     }
-    services.register("beats", beat::open(config.beat_address)?)?;
+    services.register("beats", fleet::open(config.beat_address)?)?;
     services.register("state", InstanceState::new(config, metrics, incarnation))?;
     Ok(services)
 }
--- a/bin/lh-entry/src/config.rs
+++ b/bin/lh-entry/src/config.rs
@@ -8,7 +8,7 @@
 use conf::{CheckedSection, ProcessFile, schema};
 use place::budget::BudgetBounds;
 use place::choice::ByteCosts;
-use place::front;
+use place::fleet::front;
 
 use crate::error::Result;
 
@@ -41,6 +41,8 @@
     pub store: SocketAddr,
     /// Time between SIGTERM and SIGKILL.
     pub grace: Duration,
+    /// Time within which a leaving server must get no more requests.
+    pub drain: Duration,
     /// Bounds on repeats.
     pub budget: BudgetBounds,
     /// Largest change of a region's share of requests from one window to the next.
@@ -89,6 +91,7 @@
             once_records: entry.count("once_records")?,
             store: file.section("store")?.address("address")?,
             grace: bounds.duration("grace")?,
+            drain: bounds.duration("drain")?,
             budget: BudgetBounds {
                 ratio: bounds.number("retry_ratio")?,
                 slack: bounds.number("retry_slack")?,
--- /dev/null
+++ b/bin/lh-entry/src/fleet.rs
@@ -0,0 +1,310 @@
+//! The entry's part in the fleet: datagrams and timers in and out of the decisions.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use place::fleet::known::KnownStore;
+use place::fleet::member::{BEAT_EVERY, MemberConfig};
+use place::fleet::message::{LoadBeat, PeerMessage};
+use place::fleet::regions::RegionBook;
+use place::load::{LoadWord, is_told_far, load_pause};
+use place::prelude::*;
+use place::rank::stable_hash;
+use tokio::net::UdpSocket;
+use tokio::sync::{Notify, watch};
+
+use crate::error::{Error, Result};
+use crate::state::InstanceState;
+use crate::view::ViewClient;
+use crate::{view, watch as store_watch};
+
+/// Largest datagram that is read, in bytes: a digest of a lead with sixteen regions.
+const DATAGRAM_BYTES: usize = 16 << 10;
+/// Datagrams taken in at once before timers get their turn.
+const DATAGRAMS_AT_ONCE: usize = 64;
+/// Time between two looks at whether this entry has become one that gets requests.
+const IDLE_LOOK: Duration = Duration::from_millis(600);
+
+/// What the fleet is to this entry: the decisions, and what they want done.
+#[derive(Debug)]
+pub(crate) struct FleetDesk {
+    member: RefCell<FleetMember>,
+    actions: RefCell<Vec<FleetAction>>,
+    wake: Notify,
+    /// Whether this entry watches the operator's rows itself.
+    pub(crate) watching: watch::Sender<bool>,
+    /// Asks leads for what they know more.
+    pub(crate) client: RefCell<ViewClient>,
+    own: RefCell<OwnState>,
+}
+
+impl FleetDesk {
+    /// The desk of an entry that starts now.
+    pub(crate) fn new(config: MemberConfig) -> Self {
+        let (watching, _) = watch::channel(false);
+        Self {
+            member: RefCell::new(FleetMember::new(Instant::now(), config)),
+            actions: RefCell::default(),
+            wake: Notify::new(),
+            watching,
+            client: RefCell::default(),
+            own: RefCell::default(),
+        }
+    }
+
+    /// Takes in `event`.
+    pub(crate) fn on_event(&self, event: FleetEvent) {
+        let mut actions = self.actions.borrow_mut();
+        let mut member = self.member.borrow_mut();
+        member.on_event(Instant::now(), event, &mut actions);
+        if !actions.is_empty() {
+            self.wake.notify_one();
+        }
+    }
+
+    /// Takes in what this entry knows of the store since `change`.
+    pub(crate) fn on_known(&self, change: impl FnOnce(&mut KnownStore)) {
+        let mut known = self.known();
+        change(&mut known);
+        self.on_event(FleetEvent::Known(known));
+    }
+
+    /// Takes in this entry's own state, where it differs.
+    fn on_own(&self, own: OwnState) {
+        if *self.own.borrow() != own {
+            self.own.replace(own.clone());
+            self.on_event(FleetEvent::Own(own));
+        }
+    }
+
+    /// What this entry knows of the store.
+    pub(crate) fn known(&self) -> KnownStore {
+        *self.member.borrow().known()
+    }
+
+    /// Whether this entry leads its region.
+    pub(crate) fn leads(&self) -> bool {
+        self.member.borrow().leads()
+    }
+
+    /// Whether this entry is listed as one that gets requests.
+    pub(crate) fn is_listed(&self) -> bool {
+        self.member.borrow().is_listed()
+    }
+
+    /// Whether this entry has heard of no other since its start.
+    pub(crate) fn is_lone(&self) -> bool {
+        self.member.borrow().is_lone()
+    }
+
+    /// Looks something up in what is known of all regions.
+    pub(crate) fn with_regions<T>(&self, look: impl FnOnce(Instant, &RegionBook) -> T) -> T {
+        look(Instant::now(), self.member.borrow().regions())
+    }
+
+    fn due(&self) -> Instant {
+        self.member.borrow().due(Instant::now())
+    }
+}
+
+/// Opens the socket for datagrams.
+///
+/// # Errors
+/// Where the address can't be used.
+pub(crate) fn open(address: SocketAddr) -> Result<UdpSocket> {
+    let open = || {
+        let socket = std::net::UdpSocket::bind(address)?;
+        socket.set_nonblocking(true)?;
+        UdpSocket::from_std(socket)
+    };
+    open().map_err(|cause| Error::Listen("beats", address, cause))
+}
+
+/// Takes part in the fleet until the process ends.
+pub(crate) async fn run(state: Rc<InstanceState>, socket: Rc<UdpSocket>) {
+    let mut measure = tokio::time::interval(BEAT_EVERY);
+    measure.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut buffer = vec![0; DATAGRAM_BYTES];
+    let mut load_at = Instant::now();
+    let mut round = 0;
+    loop {
+        tell_own(&state);
+        perform(&state, &socket).await;
+        tokio::select! {
+            () = tokio::time::sleep_until(load_at.into()) => {
+                load_at = Instant::now() + send_load(&state, &socket, round).await;
+                round += 1;
+            }
+            () = tokio::time::sleep_until(state.fleet.due().into()) => {
+                state.fleet.on_event(FleetEvent::Clock);
+            }
+            () = state.fleet.wake.notified() => {}
+            _ = measure.tick() => {
+                let rate = state.meter.borrow_mut().measure(BEAT_EVERY.as_secs_f64());
+                state.told_rate.set(rate.round() as u32);
+            }
+            received = socket.recv_from(&mut buffer) => match received {
+                Ok((length, from)) => {
+                    on_datagram(&state, from, &buffer[..length]);
+                    take_waiting(&state, &socket, &mut buffer);
+                }
+                Err(error) => log::debug!(error:%; "datagram not received"),
+            }
+        }
+    }
+}
+
+/// Tells the fleet what has changed in this entry.
+pub(crate) fn tell_own(state: &InstanceState) {
+    let stamp = if state.has_own_routes() {
+        state.tickets.stamp(Instant::now())
+    } else {
+        String::new()
+    };
+    state.fleet.on_own(OwnState {
+        ready: state.is_ready(),
+        leaving: state.is_stopping(),
+        rate: state.told_rate.get(),
+        stamp,
+    });
+}
+
+/// Takes in datagrams that have arrived meanwhile: one turn of the loop for many.
+fn take_waiting(state: &InstanceState, socket: &UdpSocket, buffer: &mut [u8]) {
+    for _ in 0..DATAGRAMS_AT_ONCE {
+        let Ok((length, from)) = socket.try_recv_from(buffer) else {
+            return;
+        };
+        on_datagram(state, from, &buffer[..length]);
+    }
+}
+
+fn on_datagram(state: &InstanceState, from: SocketAddr, bytes: &[u8]) {
+    match postcard::from_bytes::<PeerMessage>(bytes) {
+        Ok(PeerMessage::Load(beat)) => {
+            let mut placer = state.placer.borrow_mut();
+            placer.on_peer_load(Instant::now(), beat.entry, beat.word);
+        }
+        Ok(message) => state.fleet.on_event(FleetEvent::Message(message)),
+        Err(error) => {
+            if state.metrics.on_bad_datagram() == 1 {
+                log::warn!(from:%, error:%; "datagram not understood; further ones are counted only");
+            }
+        }
+    }
+}
+
+async fn perform(state: &Rc<InstanceState>, socket: &UdpSocket) {
+    loop {
+        let actions = state.fleet.actions.take();
+        if actions.is_empty() {
+            return;
+        }
+        for action in actions {
+            match action {
+                FleetAction::Send(targets, message) => send(socket, &targets, &message).await,
+                FleetAction::Pull(target) => {
+                    tokio::task::spawn_local(view::pull(Rc::clone(state), target));
+                }
+                FleetAction::ReadRegistry(wait) => {
+                    tokio::task::spawn_local(store_watch::read_registry(Rc::clone(state), wait));
+                }
+                FleetAction::WatchOperator(watches) => {
+                    state.fleet.watching.send_replace(watches);
+                }
+                FleetAction::ReadRows => {
+                    tokio::task::spawn_local(store_watch::read_rows(Rc::clone(state)));
+                }
+                FleetAction::WriteRow(leads) => {
+                    tokio::task::spawn_local(store_watch::write_row(Rc::clone(state), leads));
+                }
+                FleetAction::Confirm(at) => state.placer.borrow_mut().catalog.confirm(at),
+                FleetAction::ListsChanged => state.refresh_entries(),
+                FleetAction::Note(note) => log_note(state, &note),
+            }
+        }
+    }
+}
+
+async fn send(socket: &UdpSocket, targets: &[SocketAddr], message: &PeerMessage) {
+    if targets.is_empty() {
+        return;
+    }
+    let bytes = match postcard::to_allocvec(message) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            log::error!(error:%; "datagram not sent");
+            return;
+        }
+    };
+    for target in targets {
+        if let Err(error) = socket.send_to(&bytes, *target).await {
+            log::debug!(error:%, target:%; "datagram not sent");
+        }
+    }
+}
+
+/// Tells the entries that get requests where this one's are, those of other regions now
+/// and then; returns the time until the next word. An entry that gets none tells none.
+async fn send_load(state: &InstanceState, socket: &UdpSocket, round: u32) -> Duration {
+    if !state.fleet.is_listed() {
+        return IDLE_LOOK;
+    }
+    let (mut near, mut far) = (Vec::new(), Vec::new());
+    state.fleet.with_regions(|now, regions| {
+        for (region, entry) in regions.listed(now) {
+            if entry.node == state.config.instance {
+                continue;
+            }
+            if region == state.config.region {
+                near.push(entry.beat);
+            } else {
+                far.push(entry.beat);
+            }
+        }
+    });
+    let count = near.len() as u32;
+    if !is_told_far(round, count, far.len() as u32) {
+        far.clear();
+    }
+    let word = state.placer.borrow_mut().own_load(Instant::now());
+    send(socket, &near, &load_message(state, word.clone())).await;
+    send(socket, &far, &load_message(state, word.for_others())).await;
+    load_pause(count)
+}
+
+fn load_message(state: &InstanceState, word: LoadWord) -> PeerMessage {
+    PeerMessage::Load(LoadBeat {
+        entry: stable_hash(state.config.instance.as_bytes()),
+        word,
+    })
+}
+
+fn log_note(state: &InstanceState, note: &FleetNote) {
+    let known = state.fleet.known();
+    let age = |at: Option<Instant>| at.map_or(-1, |at| at.elapsed().as_millis() as i64);
+    let servers_age_ms = age(known.registry_at);
+    let operator_age_ms = age(known.operator_at);
+    match note {
+        FleetNote::Leads(reason) => {
+            log::info!(reason, servers_age_ms, operator_age_ms; "leads its region");
+        }
+        FleetNote::Follows(lead) => {
+            log::info!(lead = lead.as_str(), servers_age_ms, operator_age_ms; "leads no longer");
+        }
+        FleetNote::Leaders(leads) => {
+            log::info!(leads = leads.join(" "), servers_age_ms, operator_age_ms; "reader and deputy");
+        }
+        FleetNote::LeadsLost => {
+            log::warn!(servers_age_ms, operator_age_ms; "reader and deputy are silent");
+        }
+        FleetNote::Listed(listed, named) => {
+            log::info!(listed, named; "entries of the region listed");
+        }
+        FleetNote::Ahead => {
+            log::warn!(servers_age_ms; "what is known is ahead of the store; asking for all");
+        }
+    }
+}
--- a/bin/lh-entry/src/handover.rs
+++ b/bin/lh-entry/src/handover.rs
@@ -48,11 +48,14 @@
 ) -> Result<Response<AnswerBody>, Problem> {
     let node = &head.ticket.node;
     let stale = || stale_ticket(head.first_attempt);
-    let address = {
-        let peers = state.peers.borrow();
-        let run = peers.run(Instant::now(), node.instance.as_str(), node.incarnation.0);
-        run.map(|beat| beat.front).ok_or_else(stale)?
-    };
+    let run = state.fleet.with_regions(|now, regions| {
+        let mut listed = regions.listed(now).map(|(_, entry)| entry);
+        let run = listed.find(|entry| {
+            entry.node == node.instance.as_str() && entry.incarnation == node.incarnation.0
+        });
+        run.map(|entry| entry.front)
+    });
+    let address = run.ok_or_else(stale)?;
     let patience = ends.saturating_duration_since(Instant::now());
     let opening = state.pool.open(node.instance.as_str(), address, patience);
     let mut lease = opening.await.map_err(|reason| {
--- a/bin/lh-entry/src/inner.rs
+++ b/bin/lh-entry/src/inner.rs
@@ -80,12 +80,15 @@
             let service = query.strip_prefix("service=");
             json(StatusCode::OK, status::answer_status(state, service))
         }
-        view::VIEW_PATH => bytes(view::answer_view(state, query)),
-        view::DESIRED_PATH => bytes(view::answer_desired(state)),
+        view::VIEW_PATH => match view::answer_view(state, query) {
+            Some(answer) => bytes(answer),
+            None => text(StatusCode::BAD_REQUEST, String::new()),
+        },
         METRICS_PATH => {
             let placer = state.placer.borrow();
-            let heard = state.operator_at.get().map(|at| at.elapsed());
-            state.metrics.show_operator(heard);
+            let heard = state.fleet.known().operator_at;
+            state.metrics.show_operator(heard.map(|at| at.elapsed()));
+            state.metrics.leads.set(i64::from(state.fleet.leads()));
             let region = &state.config.region;
             state
                 .metrics
--- a/bin/lh-entry/src/lib.rs
+++ b/bin/lh-entry/src/lib.rs
@@ -10,12 +10,12 @@
 mod accept;
 mod app;
 mod attempt;
-mod beat;
 mod body;
 mod caller;
 mod cli;
 mod config;
 mod error;
+mod fleet;
 mod forward;
 mod handover;
 mod homes;
--- a/bin/lh-entry/src/lookup.rs
+++ b/bin/lh-entry/src/lookup.rs
@@ -114,38 +114,29 @@
     LOOKUP_TTL.min(state.config.lookup_ttl_most)
 }
 
-/// The entries that callers are told to use. Those that stopped taking callers since
-/// these were found are left out; where none is left, they are found again.
+/// The entries that callers are told to use, by the lists of their regions; before there
+/// is one, an entry that has met others tells nobody, since abler ones may be found.
 fn open_entries(state: &InstanceState) -> Vec<OpenEntry> {
-    let entries = named_entries(state);
-    if !entries.is_empty() {
-        return entries;
-    }
-    state.refresh_entries();
-    named_entries(state)
-}
-
-fn named_entries(state: &InstanceState) -> Vec<OpenEntry> {
-    let now = Instant::now();
-    let peers = state.peers.borrow();
     let mut entries = Vec::new();
-    for node in state.named.borrow().iter() {
-        if *node == state.config.instance {
-            if state.is_ready() {
-                entries.push(own_entry(state, now));
+    if state.fleet.is_lone() && !state.fleet.is_listed() && state.is_ready() {
+        return vec![own_entry(state, Instant::now())];
+    }
+    state.fleet.with_regions(|now, regions| {
+        for (region, entry) in regions.listed(now).filter(|(_, entry)| entry.named) {
+            if entry.node == state.config.instance {
+                if state.is_ready() {
+                    entries.push(own_entry(state, now));
+                }
+                continue;
             }
-            continue;
+            entries.push(OpenEntry {
+                instance: entry.node.clone(),
+                region: region.to_owned(),
+                address: entry.front,
+                stamp: entry.stamp.clone(),
+            });
         }
-        let Some(beat) = peers.find(now, node).filter(|beat| beat.ready) else {
-            continue;
-        };
-        entries.push(OpenEntry {
-            instance: beat.node.clone(),
-            region: beat.region.clone(),
-            address: beat.front,
-            stamp: beat.stamp.clone(),
-        });
-    }
+    });
     entries
 }
 
--- a/bin/lh-entry/src/metrics.rs
+++ b/bin/lh-entry/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Counters and histograms, and their text.
 
 use prometheus::{
-    Gauge, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Gauge, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 use std::time::{Duration, Instant};
@@ -34,6 +34,10 @@
     registry_age: Gauge,
     pub(crate) version: IntGauge,
     pub(crate) foreign_rows: IntGauge,
+    pub(crate) leads: IntGauge,
+    pulls: IntCounterVec,
+    told: IntCounterVec,
+    bad_datagrams: IntCounter,
     pub(crate) connections: IntGauge,
 }
 
@@ -102,7 +106,7 @@
         )?;
         let operator_age = Gauge::new(
             "laurelhill_desired_age_seconds",
-            "Time since the store or a reader last told the operator's rows",
+            "Time since the store or a lead last told the operator's rows",
         )?;
         let servers = GaugeVec::new(
             Opts::new("laurelhill_servers", "Known servers by service and state"),
@@ -124,6 +128,35 @@
             "laurelhill_foreign_rows",
             "Rows of the servers' registry that are no server's own word",
         )?;
+        let leads = IntGauge::new(
+            "laurelhill_leads",
+            "Whether the entry is the reader of its region or the deputy",
+        )?;
+        let pulls = IntCounterVec::new(
+            Opts::new(
+                "laurelhill_pulls_total",
+                "Questions to leads for what they know more, by what was asked for",
+            ),
+            &["asked", "result"],
+        )?;
+        let told = IntCounterVec::new(
+            Opts::new(
+                "laurelhill_registry_told_total",
+                "Copies of the registry told to other entries",
+            ),
+            &["copy"],
+        )?;
+        // Shown from the start, so that a rate can be told before the first one.
+        for copy in ["whole", "changes"] {
+            told.with_label_values(&[copy]);
+        }
+        for asked in ["all", "changes"] {
+            pulls.with_label_values(&[asked, "ok"]);
+        }
+        let bad_datagrams = IntCounter::new(
+            "laurelhill_bad_datagrams_total",
+            "Datagrams from other entries that were not understood",
+        )?;
         let connections = IntGauge::new("laurelhill_caller_connections", "Open connections")?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(good.clone()))?;
@@ -141,6 +174,10 @@
         registry.register(Box::new(registry_age.clone()))?;
         registry.register(Box::new(version.clone()))?;
         registry.register(Box::new(foreign_rows.clone()))?;
+        registry.register(Box::new(leads.clone()))?;
+        registry.register(Box::new(pulls.clone()))?;
+        registry.register(Box::new(told.clone()))?;
+        registry.register(Box::new(bad_datagrams.clone()))?;
         registry.register(Box::new(connections.clone()))?;
         Ok(Self {
             registry,
@@ -160,6 +197,10 @@
             registry_age,
             version,
             foreign_rows,
+            leads,
+            pulls,
+            told,
+            bad_datagrams,
             connections,
         })
     }
@@ -186,6 +227,25 @@
         self.store_calls.with_label_values(&[call, result]).inc();
     }
 
+    /// A lead was asked for changes or for a whole copy, and answered or not.
+    pub(crate) fn on_pull(&self, is_whole: bool, done: bool) {
+        let asked = if is_whole { "all" } else { "changes" };
+        let result = if done { "ok" } else { "failed" };
+        self.pulls.with_label_values(&[asked, result]).inc();
+    }
+
+    /// Another entry was told the registry's changes or all of it.
+    pub(crate) fn on_told(&self, is_whole: bool) {
+        let copy = if is_whole { "whole" } else { "changes" };
+        self.told.with_label_values(&[copy]).inc();
+    }
+
+    /// A datagram was not understood; returns how many so far.
+    pub(crate) fn on_bad_datagram(&self) -> u64 {
+        self.bad_datagrams.inc();
+        self.bad_datagrams.get()
+    }
+
     /// A request was refused.
     pub(crate) fn on_refusal(&self, reason: &str) {
         self.refusals.with_label_values(&[reason]).inc();
--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -2,25 +2,31 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use base::prelude::{Incarnation, InstanceId, NodeId};
 use place::catalog::CatalogChange;
-use place::front::{self, FrontEntry, RateMeter};
+use place::fleet::front::RateMeter;
+use place::fleet::known::KnownStore;
+use place::fleet::log::{ReadScope, RegistryDelta, RegistryLog};
+use place::fleet::member::MemberConfig;
+use place::fleet::seat::LeadSeat;
 use place::prelude::*;
 use place::rank::stable_hash;
 use place::routes::ANY_HOST;
-use place::view::ServerLog;
+use platform::client::StoreClient;
 use platform::desired::OperatorChange;
 
 use crate::config::EntryConfig;
+use crate::fleet::FleetDesk;
 use crate::homes::HomeBook;
 use crate::metrics::EntryMetrics;
 use crate::pool::ServerPool;
 use crate::stop::StopPhase;
 use crate::ticket::TicketDesk;
+use crate::view::EncodedChanges;
+use crate::watch::Dependency;
 
 /// The entry's state.
 #[derive(Debug)]
@@ -34,24 +40,15 @@
     pub(crate) desired: RefCell<Option<Rc<DesiredState>>>,
     pub(crate) limits: Cell<RequestLimits>,
     pub(crate) evacuated: RefCell<HashSet<String>>,
-    /// Version of the operator's rows behind desired state and evacuations.
-    pub(crate) operator: Cell<u64>,
-    /// When the store or a reader last told the operator's rows.
-    pub(crate) operator_at: Cell<Option<Instant>>,
-    pub(crate) servers: RefCell<ServerLog>,
-    /// Whether the store answered this entry lately.
-    pub(crate) reads: Cell<bool>,
-    /// Beats sent so far.
-    pub(crate) beats: Cell<u64>,
-    /// When the store last answered this entry's feed of the operator's rows.
-    pub(crate) answered_at: Cell<Option<Instant>>,
-    /// Until when what another entry tells is fresh.
-    pub(crate) follows_until: Cell<Option<Instant>>,
-    /// Until when what the deputy tells is fresh.
-    pub(crate) deputy_until: Cell<Option<Instant>>,
-    pub(crate) peers: RefCell<PeerTable>,
-    /// Instances that callers are told to use, by name.
-    pub(crate) named: RefCell<Vec<String>>,
+    /// The registry's changes, as other entries are told.
+    pub(crate) servers: RefCell<RegistryLog>,
+    /// The same, encoded.
+    pub(crate) encoded: RefCell<EncodedChanges>,
+    /// Reads the registry; taken while it does.
+    pub(crate) registry: RefCell<Option<StoreClient>>,
+    pub(crate) registry_dependency: RefCell<Dependency>,
+    /// The part in the fleet.
+    pub(crate) fleet: FleetDesk,
     /// Counts callers' requests.
     pub(crate) meter: RefCell<RateMeter>,
     /// Requests a second that this entry gets, as it told the others last.
@@ -79,11 +76,6 @@
             costs: config.costs,
             own,
         });
-        let now = Instant::now();
-        let mut peers = PeerTable::default();
-        for seed in &config.seeds {
-            peers.add_candidate(now, *seed);
-        }
         let (stopping, _) = tokio::sync::watch::channel(StopPhase::Serving);
         let node = NodeId::new(&InstanceId::new(&config.instance), Incarnation(incarnation));
         Self {
@@ -94,16 +86,11 @@
             desired: RefCell::default(),
             limits: Cell::new(RequestLimits::default()),
             evacuated: RefCell::default(),
-            operator: Cell::new(0),
-            operator_at: Cell::new(None),
-            servers: RefCell::new(ServerLog::new(incarnation)),
-            reads: Cell::new(true),
-            beats: Cell::new(0),
-            answered_at: Cell::new(None),
-            follows_until: Cell::new(None),
-            deputy_until: Cell::new(None),
-            peers: RefCell::new(peers),
-            named: RefCell::default(),
+            servers: RefCell::default(),
+            encoded: RefCell::default(),
+            registry: RefCell::default(),
+            registry_dependency: RefCell::new(Dependency::new("server registry")),
+            fleet: FleetDesk::new(member_config(&config, incarnation)),
             meter: RefCell::default(),
             told_rate: Cell::new(0),
             homes: RefCell::default(),
@@ -155,51 +142,32 @@
         }
     }
 
-    /// Where to hear what the store holds from another entry; `None` if it is this
-    /// entry's turn to read.
-    pub(crate) fn reader(&self) -> Option<SocketAddr> {
-        self.peers.borrow().reader(Instant::now(), self.seat())
-    }
-
-    /// Where to hear of the operator's changes besides the reader; `None` if this
-    /// entry is to ask the store.
-    pub(crate) fn deputy(&self) -> Option<SocketAddr> {
-        self.peers.borrow().deputy(Instant::now(), self.seat())
-    }
-
-    fn seat(&self) -> FollowerSeat<'_> {
-        FollowerSeat {
-            node: &self.config.instance,
-            region: &self.config.region,
-            reads: self.reads.get(),
-        }
+    /// Whether a planned stop has begun.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stop.get() != StopPhase::Serving
     }
 
-    /// Whether two other entries tell the operator's rows, so that one of them may
-    /// fall silent without this entry's being late.
-    pub(crate) fn is_told_twice(&self) -> bool {
-        let until = self.deputy_until.get();
-        self.follows() && until.is_some_and(|until| Instant::now() < until)
-    }
-
-    /// Whether what another entry tells is fresh, so that nothing need be read.
-    pub(crate) fn follows(&self) -> bool {
-        let until = self.follows_until.get();
-        until.is_some_and(|until| Instant::now() < until)
-    }
-
-    /// Takes in what another entry knows of the operator's rows, if it is newer.
-    pub(crate) fn on_told_operator(&self, version: u64, evacuated: &[String]) {
-        self.operator_at.set(Some(Instant::now()));
-        if version <= self.operator.get() {
+    /// Takes in the evacuations that a lead told with what it knows, `heard`. Where all
+    /// was asked for they count also if they seem older.
+    pub(crate) fn on_told_operator(
+        &self,
+        heard: &KnownStore,
+        evacuated: &[String],
+        is_whole: bool,
+    ) {
+        if heard.operator <= self.fleet.known().operator && !is_whole {
             return;
         }
-        self.operator.set(version);
         let told: Vec<OperatorChange> = evacuated
             .iter()
             .map(|domain| OperatorChange::Evacuate(domain.clone()))
             .collect();
         self.on_operator_rows(&told);
+        self.fleet.on_known(|known| {
+            known.operator = heard.operator;
+            known.operator_read = heard.operator_read;
+            known.operator_at = heard.operator_at;
+        });
     }
 
     /// Takes in all of the operator's rows: evacuations that aren't among them
@@ -227,68 +195,84 @@
     }
 
     /// Takes in a reading of the registry, unless a newer one is known.
-    pub(crate) fn on_servers(&self, snapshot: &CatalogSnapshot) {
-        let now = Instant::now();
+    pub(crate) fn on_servers(&self, snapshot: &CatalogSnapshot, mut scope: ReadScope) {
         let read_at = self.placer.borrow().catalog.read_at();
         if read_at.is_some_and(|at| at > snapshot.begun) {
             return;
         }
-        self.servers.borrow_mut().on_read(snapshot);
-        let changes = self.placer.borrow_mut().catalog.on_read(now, snapshot);
-        self.metrics.foreign_rows.set(snapshot.foreign.len() as i64);
-        for change in &changes {
+        let mut placer = self.placer.borrow_mut();
+        let changes = placer.catalog.on_read(Instant::now(), snapshot);
+        scope.missing = placer.catalog.missing().map(str::to_owned).collect();
+        drop(placer);
+        let version = scope.version;
+        let mut servers = self.servers.borrow_mut();
+        servers.on_read(snapshot, scope);
+        let changed_at = servers.version();
+        drop(servers);
+        self.on_catalog_changes(&changes, snapshot.foreign.len());
+        self.fleet.on_known(|known| {
+            known.registry = changed_at;
+            known.registry_read = version;
+            known.registry_at = Some(snapshot.begun);
+        });
+    }
+
+    /// Takes in what a lead told of the registry with what it knows, `heard`, unless it is
+    /// known. Where all was asked for it counts also if it seems older.
+    pub(crate) fn on_told_servers(
+        &self,
+        heard: &KnownStore,
+        delta: &RegistryDelta,
+        is_whole: bool,
+    ) {
+        let mut servers = self.servers.borrow_mut();
+        let Some(begun) = heard.registry_at else {
+            return;
+        };
+        if delta.version <= servers.version() && !is_whole {
+            return;
+        }
+        servers.on_told(delta);
+        drop(servers);
+        let mut placer = self.placer.borrow_mut();
+        let changes = placer.catalog.on_told(Instant::now(), begun, delta);
+        drop(placer);
+        self.on_catalog_changes(&changes, delta.foreign.len());
+        self.fleet.on_known(|known| {
+            known.registry = delta.version;
+            known.registry_read = heard.registry_read;
+            known.registry_at = Some(begun);
+        });
+    }
+
+    fn on_catalog_changes(&self, changes: &[CatalogChange], foreign: usize) {
+        self.metrics.foreign_rows.set(foreign as i64);
+        for change in changes {
             if let CatalogChange::Restarted(id) = change {
                 // Its connections ended with the former run.
                 self.pool.forget(id);
             }
             log_change(change);
         }
-        if read_at.is_none() {
-            // It may be ready now, and counted among those that take callers.
-            self.refresh_entries();
-        }
     }
 
-    /// Finds the entries that callers are told to use, and divides shared rates among
-    /// these and others that get requests.
+    /// Divides shared rates among the entries that get requests. One that isn't listed
+    /// stands by: the others don't count it.
     pub(crate) fn refresh_entries(&self) {
-        let now = Instant::now();
-        let peers = self.peers.borrow();
-        let own = self.as_front();
-        let ready = peers.live(now).filter(|beat| beat.ready);
-        let mut fronts: Vec<FrontEntry<'_>> = ready.map(PeerBeat::as_front).collect();
-        if self.is_ready() {
-            fronts.push(own);
-        }
-        let named: Vec<String> = front::named(&fronts)
-            .iter()
-            .map(|entry| entry.node.to_owned())
-            .collect();
-        let is_used =
-            |entry: &FrontEntry<'_>| entry.is_used() || named.iter().any(|node| node == entry.node);
-        let live = peers.live(now).map(PeerBeat::as_front);
-        let used: Vec<FrontEntry<'_>> = live.filter(is_used).collect();
-        let hashes = used.iter().map(|entry| stable_hash(entry.node.as_bytes()));
-        let near = used.iter().filter(|entry| entry.region == own.region);
+        let own = &self.config.instance;
+        let (mut hashes, mut near) = (Vec::new(), 0);
+        self.fleet.with_regions(|now, regions| {
+            for (region, entry) in regions.listed(now) {
+                if entry.node != *own {
+                    hashes.push(entry.hash());
+                    near += usize::from(region == self.config.region);
+                }
+            }
+        });
         let mut placer = self.placer.borrow_mut();
-        placer.set_entries(hashes.collect(), near.count());
-        placer.set_standby(!is_used(&own));
-        *self.named.borrow_mut() = named;
-    }
-
-    /// Whether the entry of `beat` is among those that get callers' requests.
-    pub(crate) fn is_used(&self, beat: &PeerBeat) -> bool {
-        beat.as_front().is_used() || self.named.borrow().contains(&beat.node)
-    }
-
-    fn as_front(&self) -> FrontEntry<'_> {
-        FrontEntry {
-            node: &self.config.instance,
-            domain: &self.config.domain,
-            region: &self.config.region,
-            capacity: self.config.capacity,
-            rate: f64::from(self.told_rate.get()),
-        }
+        placer.set_entries(hashes, near);
+        let gets_requests = self.fleet.is_listed() || self.fleet.is_lone();
+        placer.set_standby(!gets_requests);
     }
 
     /// Takes in a desired state; one that isn't newer changes nothing.
@@ -306,9 +290,7 @@
         *self.desired.borrow_mut() = Some(Rc::new(desired.clone()));
         self.metrics.version.set(desired.version as i64);
         log::info!(version = desired.version, before = known, routes = desired.routes.len(); "desired state in force");
-        if known == 0 {
-            self.refresh_entries();
-        }
+        self.fleet.on_known(|known| known.desired = desired.version);
     }
 
     fn apply_evacuations(&self) {
@@ -321,6 +303,26 @@
     }
 }
 
+fn member_config(config: &EntryConfig, incarnation: u64) -> MemberConfig {
+    MemberConfig {
+        incarnation,
+        seat: LeadSeat {
+            node: config.instance.clone(),
+            domain: config.domain.clone(),
+            beat: config.beat_address,
+            view: config.view_address,
+            capacity: config.capacity,
+            reads: true,
+            leads: false,
+        },
+        region: config.region.clone(),
+        front: config.caller_address,
+        regions: config.domains.values().cloned().collect(),
+        seeds: config.seeds.clone(),
+        drain: config.drain,
+    }
+}
+
 fn log_change(change: &CatalogChange) {
     let (id, event) = match change {
         CatalogChange::Joined(id, domain) => {
--- a/bin/lh-entry/src/status.rs
+++ b/bin/lh-entry/src/status.rs
@@ -8,7 +8,6 @@
 use serde::Serialize;
 
 use crate::state::InstanceState;
-use crate::stop::StopPhase;
 
 /// Path of the question.
 pub(crate) const STATUS_PATH: &str = "/v1/status";
@@ -23,7 +22,9 @@
     stopping: bool,
     in_flight: usize,
     /// Live entries, this one included.
-    instances: usize,
+    instances: u32,
+    /// Whether this entry is the reader of its region or the deputy.
+    leads: bool,
     evacuated: Vec<String>,
     /// Age of the newest reading of the servers' registry; -1 before the first.
     registry_age_ms: i64,
@@ -88,9 +89,10 @@
         domain: &state.config.domain,
         version: state.version(),
         ready: state.is_ready(),
-        stopping: state.stop.get() != StopPhase::Serving,
+        stopping: state.is_stopping(),
         in_flight: state.in_flight.get(),
-        instances: state.peers.borrow().live(now).count() + 1,
+        instances: state.fleet.with_regions(|now, regions| regions.live(now)),
+        leads: state.fleet.leads(),
         evacuated: state.evacuated.borrow().iter().cloned().collect(),
         registry_age_ms: catalog
             .read_at()
--- a/bin/lh-entry/src/stop.rs
+++ b/bin/lh-entry/src/stop.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use crate::error::Result;
+use crate::fleet;
 use crate::state::InstanceState;
-use crate::{beat, watch};
 
 /// Callers that keep an answer of the look-up three times its life have left by
 /// then; requests that come later are refused, so that all that was read is
@@ -38,8 +38,7 @@
     let begun = Instant::now();
     log::info!(in_flight = state.in_flight.get(); "stop requested");
     enter(state, StopPhase::Draining);
-    beat::tell_all(state).await;
-    tokio::task::spawn_local(watch::leave_entries(Rc::clone(state)));
+    fleet::tell_own(state);
     let refuse_after = REFUSE_AFTER.min(state.config.grace / 2);
     tokio::time::sleep(refuse_after).await;
     state.metrics.show_stop(begun.elapsed());
--- a/bin/lh-entry/src/view.rs
+++ b/bin/lh-entry/src/view.rs
@@ -1,42 +1,70 @@
-//! Tells other entries what this one read from the store, and hears it from them.
+//! Tells other entries what this one knows of the store, and asks leads for it.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use base64::Engine as _;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use place::desired::DesiredState;
-use place::view::{ServerCopy, ViewAnswer, ViewMark};
+use place::fleet::follow::PullTarget;
+use place::fleet::known::{KnownStore, StoreWord};
+use place::fleet::list::{EntryList, ListVersion};
+use place::fleet::log::{RegistryDelta, RegistryLog};
+use place::prelude::FleetEvent;
 use quick_error::quick_error;
 use serde::Serialize;
-use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::state::InstanceState;
 
-/// Path at which changes are told.
+/// Path of the question.
 pub(crate) const VIEW_PATH: &str = "/view";
-/// Path at which the desired state is told.
-pub(crate) const DESIRED_PATH: &str = "/desired";
-/// Longest wait for another entry of the region: several round trips. After it
-/// the store is asked, so that an entry that died costs no freshness.
+/// Longest wait for an answer: several round trips. After it the other lead is asked, so
+/// that one that died costs no freshness.
 const PATIENCE: Duration = Duration::from_millis(300);
-/// A reading older than this is no help: the store is asked instead. A reader's
-/// interval and a slow answer; with the time until a follower looks next, a
-/// server that leaves just after a reader went silent gets nothing for too long
-/// by a third of a second at least.
-const OLDEST: Duration = Duration::from_millis(1250);
-/// What was told counts as fresh for this long: several times the interval.
-const FRESH: Duration = Duration::from_millis(1500);
-/// The same of what the deputy told, which is asked less often.
-const DEPUTY_FRESH: Duration = Duration::from_millis(2500);
+/// The same for an entry that knows nothing: whole copies for a region's entries that all
+/// start at once take their time on the lead's link.
+const FIRST_PATIENCE: Duration = Duration::from_millis(1500);
 /// Largest answer that is read, in bytes.
 const ANSWER_BYTES: usize = 8 << 20;
+/// Encoded changes kept, by the version since which they are: followers differ by a few
+/// versions at most.
+const ENCODED_KEPT: usize = 16;
+
+base::common! {
+    /// What an entry knows and others may know more of.
+    struct ViewQuery {
+        /// Version of the registry's log.
+        registry: u64,
+        /// Version of the operator's rows.
+        operator: u64,
+        /// Version of the desired state.
+        desired: u64,
+        /// Versions of the lists of entries.
+        lists: Vec<(String, ListVersion)>,
+    }
+
+    /// What the one that asked lacks.
+    #[derive(Default)]
+    struct ViewAnswer {
+        store: StoreWord,
+        /// An encoded [`RegistryDelta`]; empty where nothing changed.
+        registry: Vec<u8>,
+        /// The failure domains to be evacuated, where something changed.
+        evacuated: Option<Vec<String>>,
+        /// An encoded [`DesiredState`]; empty where the one that asked has it.
+        desired: Vec<u8>,
+        lists: Vec<EntryList>,
+    }
+}
 
 quick_error! {
     /// Why another entry's word gave nothing.
@@ -51,10 +79,6 @@
         Timeout {
             display("no answer in time")
         }
-        /// The reader itself has no fresh reading.
-        Stale(age: Duration) {
-            display("the reader's reading is {} ms old", age.as_millis())
-        }
         /// An answer that isn't understood, as of another version.
         Format(why: postcard::Error) {
             display("answer not understood: {}", why)
@@ -63,35 +87,56 @@
     }
 }
 
-/// What changed since the mark in `query`, for a follower.
-pub(crate) fn answer_view(state: &InstanceState, query: &str) -> Vec<u8> {
-    let mark = read_mark(query);
-    let servers = state.servers.borrow();
-    let (mark, whole, entries, gone) = servers.since(mark);
-    let read_at = state.placer.borrow().catalog.read_at();
-    let answer = ViewAnswer {
-        mark,
-        age: read_at.map_or(Duration::MAX, |at| at.elapsed()),
-        trouble: !state.reads.get(),
-        whole,
-        entries,
-        gone,
-        foreign: servers.foreign().to_vec(),
-        desired: state.version(),
-        operator: state.operator.get(),
-        evacuated: state.evacuated.borrow().iter().cloned().collect(),
-    };
-    encode(&answer)
+/// Changes of the registry as encoded for one follower, for others that ask for the same:
+/// whole copies for a region's entries are made once.
+#[derive(Debug, Default)]
+pub(crate) struct EncodedChanges {
+    version: u64,
+    by_mark: HashMap<u64, Rc<Vec<u8>>>,
 }
 
-/// The desired state in force, for a follower.
-pub(crate) fn answer_desired(state: &InstanceState) -> Vec<u8> {
-    let desired = state.desired.borrow();
-    desired.as_deref().map(encode).unwrap_or_default()
+impl EncodedChanges {
+    fn since(&mut self, log: &RegistryLog, mark: u64) -> Rc<Vec<u8>> {
+        if self.version != log.version() || self.by_mark.len() >= ENCODED_KEPT {
+            self.by_mark.clear();
+            self.version = log.version();
+        }
+        let encoded = self.by_mark.entry(mark);
+        Rc::clone(encoded.or_insert_with(|| Rc::new(encode(&log.since(mark)))))
+    }
 }
 
-/// The bytes of `value`; none where it can't be encoded, which the follower tells
-/// from an answer, and reads for itself.
+/// What this entry knows beyond `query`; `None` where that isn't understood.
+pub(crate) fn answer_view(state: &InstanceState, query: &str) -> Option<Vec<u8>> {
+    let bytes = URL_SAFE_NO_PAD.decode(query).ok()?;
+    let query: ViewQuery = postcard::from_bytes(&bytes).ok()?;
+    let known = state.fleet.known();
+    let mut answer = ViewAnswer {
+        store: known.word(Instant::now()),
+        ..ViewAnswer::default()
+    };
+    if known.registry_at.is_some() && known.registry > query.registry {
+        let log = state.servers.borrow();
+        let changes = state.encoded.borrow_mut().since(&log, query.registry);
+        state.metrics.on_told(query.registry == 0);
+        answer.registry.clone_from(&changes);
+    }
+    if known.operator > query.operator {
+        answer.evacuated = Some(state.evacuated.borrow().iter().cloned().collect());
+    }
+    if known.desired > query.desired
+        && let Some(desired) = state.desired.borrow().as_deref()
+    {
+        answer.desired = encode(desired);
+    }
+    answer.lists = state
+        .fleet
+        .with_regions(|_, regions| regions.lists_since(&query.lists));
+    Some(encode(&answer))
+}
+
+/// The bytes of `value`; none where it can't be encoded, which the one that asked tells
+/// from an answer.
 fn encode<T: Serialize>(value: &T) -> Vec<u8> {
     postcard::to_allocvec(value).unwrap_or_else(|error| {
         log::error!(error:%; "nothing told to another entry");
@@ -99,100 +144,91 @@
     })
 }
 
-/// Follows one reader after the other.
-#[derive(Debug, Default)]
-pub(crate) struct ViewFollower {
-    reader: Option<SocketAddr>,
-    sender: Option<SendRequest<Empty<Bytes>>>,
-    copy: ServerCopy,
+/// Asks a lead for what it knows more, and takes that in.
+pub(crate) async fn pull(state: Rc<InstanceState>, target: PullTarget) {
+    let mut client = state.fleet.client.take();
+    let result = client.ask(&state, &target).await;
+    state.fleet.client.replace(client);
+    let result = result.and_then(|answer| take_in(&state, &target, &answer));
+    if let Err(error) = &result {
+        log::info!(lead:% = target.view, error:%; "lead not followed");
+    }
+    state.metrics.on_pull(target.whole, result.is_ok());
+    let done = result.is_ok();
+    state.fleet.on_event(FleetEvent::Pulled(target.view, done));
 }
 
-impl ViewFollower {
-    /// Asks the entry at `reader` once, and takes its word in.
-    ///
-    /// # Errors
-    /// Where nothing fresh is to be had there.
-    pub(crate) async fn follow(
-        &mut self,
-        state: &Rc<InstanceState>,
-        reader: SocketAddr,
-    ) -> Result<(), ViewError> {
-        let now = self.hear(state, reader).await?;
-        state.follows_until.set(Some(now + FRESH));
-        Ok(())
+fn take_in(
+    state: &InstanceState,
+    target: &PullTarget,
+    answer: &ViewAnswer,
+) -> Result<(), ViewError> {
+    let now = Instant::now();
+    let heard = KnownStore::heard(now, &answer.store);
+    if !answer.desired.is_empty() {
+        let desired: DesiredState = postcard::from_bytes(&answer.desired)?;
+        state.on_desired(&desired);
     }
-
-    /// The same at the deputy, whose word counts besides the reader's.
-    ///
-    /// # Errors
-    /// Where nothing fresh is to be had there.
-    pub(crate) async fn follow_deputy(
-        &mut self,
-        state: &Rc<InstanceState>,
-        deputy: SocketAddr,
-    ) -> Result<(), ViewError> {
-        let now = self.hear(state, deputy).await?;
-        state.deputy_until.set(Some(now + DEPUTY_FRESH));
-        Ok(())
+    if let Some(evacuated) = &answer.evacuated {
+        state.on_told_operator(&heard, evacuated, target.whole);
     }
-
-    /// Takes the word of `reader` in; gives the time at which it came.
-    async fn hear(
-        &mut self,
-        state: &Rc<InstanceState>,
-        reader: SocketAddr,
-    ) -> Result<Instant, ViewError> {
-        if self.reader != Some(reader) {
-            self.reader = Some(reader);
-            self.sender = None;
-        }
-        let result = self.ask(state, reader).await;
-        if result.is_err() {
-            self.sender = None;
-        }
-        result
+    if !answer.registry.is_empty() {
+        let delta: RegistryDelta = postcard::from_bytes(&answer.registry)?;
+        state.on_told_servers(&heard, &delta, target.whole);
     }
+    state
+        .fleet
+        .on_event(FleetEvent::Lists(answer.lists.clone()));
+    Ok(())
+}
+
+/// Asks one lead after the other, over a connection that is kept.
+#[derive(Debug, Default)]
+pub(crate) struct ViewClient {
+    lead: Option<SocketAddr>,
+    sender: Option<SendRequest<Empty<Bytes>>>,
+}
 
+impl ViewClient {
     async fn ask(
         &mut self,
-        state: &Rc<InstanceState>,
-        reader: SocketAddr,
-    ) -> Result<Instant, ViewError> {
-        let mark = self.copy.mark();
-        let path = format!("{VIEW_PATH}?{},{}", mark.reader, mark.change);
-        let answer: ViewAnswer = self.get(reader, &path).await?;
-        if answer.trouble || answer.age > OLDEST {
-            return Err(ViewError::Stale(answer.age));
+        state: &InstanceState,
+        target: &PullTarget,
+    ) -> Result<ViewAnswer, ViewError> {
+        if self.lead != Some(target.view) {
+            self.lead = Some(target.view);
+            self.sender = None;
         }
-        if answer.desired > state.version() {
-            let desired: DesiredState = self.get(reader, DESIRED_PATH).await?;
-            state.on_desired(&desired);
+        let known = state.fleet.known();
+        let of = |version: u64| if target.whole { 0 } else { version };
+        let query = encode(&ViewQuery {
+            registry: of(known.registry),
+            operator: of(known.operator),
+            desired: known.desired,
+            lists: state.fleet.with_regions(|_, regions| regions.versions()),
+        });
+        let path = format!("{VIEW_PATH}?{}", URL_SAFE_NO_PAD.encode(query));
+        let patience = if known.is_complete() {
+            PATIENCE
+        } else {
+            FIRST_PATIENCE
+        };
+        let fetched = timeout(patience, self.fetch(target.view, &path)).await;
+        let fetched = fetched.unwrap_or(Err(ViewError::Timeout));
+        if fetched.is_err() {
+            self.sender = None;
         }
-        state.on_told_operator(answer.operator, &answer.evacuated);
-        let now = Instant::now();
-        let snapshot = self.copy.on_answer(now, &answer);
-        state.on_servers(&snapshot);
-        Ok(now)
+        Ok(postcard::from_bytes(&fetched?)?)
     }
 
-    async fn get<T: DeserializeOwned>(
-        &mut self,
-        reader: SocketAddr,
-        path: &str,
-    ) -> Result<T, ViewError> {
-        let fetched = timeout(PATIENCE, self.fetch(reader, path)).await;
-        let bytes = fetched.unwrap_or(Err(ViewError::Timeout))?;
-        Ok(postcard::from_bytes(&bytes)?)
-    }
-
-    async fn fetch(&mut self, reader: SocketAddr, path: &str) -> Result<Bytes, ViewError> {
+    async fn fetch(&mut self, lead: SocketAddr, path: &str) -> Result<Bytes, ViewError> {
         let lost = |error: hyper::Error| ViewError::Connection(error.to_string());
         let open = self
             .sender
             .as_ref()
             .is_some_and(|sender| !sender.is_closed());
         if !open {
-            let stream = TcpStream::connect(reader)
+            let stream = TcpStream::connect(lead)
                 .await
                 .map_err(|error| ViewError::Connection(error.to_string()))?;
             let _ = stream.set_nodelay(true);
@@ -223,14 +259,3 @@
         Ok(body.to_bytes())
     }
 }
-
-fn read_mark(query: &str) -> ViewMark {
-    let parts = query.split_once(',');
-    let mark = parts.and_then(|(reader, change)| {
-        Some(ViewMark {
-            reader: reader.parse().ok()?,
-            change: change.parse().ok()?,
-        })
-    });
-    mark.unwrap_or_default()
-}
--- a/bin/lh-entry/tests/pages.rs
+++ b/bin/lh-entry/tests/pages.rs
@@ -25,7 +25,7 @@
             Some((key @ ("callers" | "ready" | "lookup"), _)) => format!("{key} = 127.0.0.1:1"),
             Some(("peer_ports", _)) => "peer_ports = 1-2".to_owned(),
             Some(("peer_seeds", _)) => "peer_seeds = 127.0.0.1:1,127.0.0.2:1".to_owned(),
-            Some((key @ ("grace" | "retry_window" | "lookup_ttl_most"), _)) => {
+            Some((key @ ("grace" | "drain" | "retry_window" | "lookup_ttl_most"), _)) => {
                 format!("{key} = 2.5s")
             }
             Some((
--- a/bin/lh-entry/tests/readers.rs
+++ b/bin/lh-entry/tests/readers.rs
@@ -123,8 +123,11 @@
     let reader = EntryProcess::start(proxy.address, names[0], &[]);
     reader.wait_ready().await;
     let deputy = EntryProcess::start(world.store.address(), names[1], &[reader.ip]);
+    until("the second is the deputy", async || {
+        !deputy.logged("leads its region").is_empty()
+    })
+    .await;
     let third = EntryProcess::start(world.store.address(), names[2], &[reader.ip]);
-    deputy.wait_ready().await;
     third.wait_ready().await;
     let asked = async || {
         let metrics = third.metrics().await;
@@ -158,18 +161,42 @@
     .await;
 }
 
-/// Promise: few entries read the store: a second one adds no readings.
+/// Promise: few entries read the store: of three in a region one reads the registry, two
+/// watch the operator's rows, and the third asks for nothing.
 #[tokio::test]
 async fn one_entry_of_a_region_reads() {
     let world = World::new(1).await;
     let first = EntryProcess::ready(&world, "n1").await;
     let second = EntryProcess::start(world.store.address(), "n2", &[first.ip]);
     second.wait_ready().await;
-    until("one of the two follows the other", async || {
-        let before = world.store.calls("/rows-get");
-        tokio::time::sleep(Duration::from_secs(3)).await;
-        // One reader makes three or four calls in this time, two make seven.
-        world.store.calls("/rows-get") - before <= 5
+    let third = EntryProcess::start(world.store.address(), "n3", &[first.ip]);
+    third.wait_ready().await;
+    let entries = [&first, &second, &third];
+    until("one reads and two watch", async || {
+        let before = calls_of(&entries).await;
+        // Longer than a watch without changes stays open.
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        let after = calls_of(&entries).await;
+        let pairs = || before.iter().zip(&after);
+        let reading = pairs().filter(|(before, after)| after.0 > before.0);
+        let watching = pairs().filter(|(before, after)| after.1 > before.1);
+        reading.count() == 1 && watching.count() == 2
     })
     .await;
 }
+
+/// Readings of the registry and watches of the operator's rows so far, by entry.
+async fn calls_of(entries: &[&EntryProcess]) -> Vec<(u64, u64)> {
+    let mut calls = Vec::new();
+    for entry in entries {
+        let metrics = entry.metrics().await;
+        let sum = |call: &str| -> u64 {
+            let name = format!("laurelhill_store_calls_total{{call=\"{call}\"");
+            let lines = metrics.lines().filter(|line| line.starts_with(&name));
+            let counts = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok());
+            counts.sum()
+        };
+        calls.push((sum("servers"), sum("operator")));
+    }
+    calls
+}
--- a/crates/conf/src/schema/entry.rs
+++ b/crates/conf/src/schema/entry.rs
@@ -115,6 +115,12 @@
                     Some("6s"),
                     "Time from SIGTERM to SIGKILL.",
                 ),
+                key(
+                    "drain",
+                    duration(100, HOUR_MS),
+                    Some("2500ms"),
+                    "Time within which a server that leaves must get no more requests: how often the registry is read follows from it.",
+                ),
                 key(
                     "retry_ratio",
                     number(0.0, 100.0),
--- a/crates/emulate/benches/slopes.rs
+++ b/crates/emulate/benches/slopes.rs
@@ -11,11 +11,11 @@
 use place::choice::ByteCosts;
 use place::desired::{DesiredState, RequestKind, RouteSpec, ServiceSpec, SplitPart};
 use place::directory::in_order;
+use place::fleet::log::{ReadScope, RegistryLog};
 use place::load::{LoadWord, short_name};
 use place::prelude::*;
 use place::rank::stable_hash;
 use place::request::ServerOutcome;
-use place::view::{ServerLog, ViewMark};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -253,15 +253,19 @@
             spread += 1;
             drop(black_box(in_order(&entries, Some("r3"), spread, |e| &e.0)));
         });
-        let mut log = ServerLog::new(1);
+        let mut log = RegistryLog::default();
         let servers: Vec<ServerEntry> = (0..count * 4).map(|number| server(number, 0)).collect();
-        log.on_read(&CatalogSnapshot {
+        let snapshot = CatalogSnapshot {
             entries: servers,
             foreign: Vec::new(),
             begun: Instant::now(),
-        });
-        let (mark, ..) = log.since(ViewMark::default());
-        let follow = median(7, 20, || drop(black_box(log.since(mark))));
+        };
+        let scope = ReadScope {
+            version: 1,
+            ..ReadScope::default()
+        };
+        log.on_read(&snapshot, scope);
+        let follow = median(7, 20, || drop(black_box(log.since(1))));
         println!("{count:>13} {answer:>18.1?} {follow:>22.1?}");
     }
 }
--- a/crates/place/src/catalog.rs
+++ b/crates/place/src/catalog.rs
@@ -7,6 +7,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
+use crate::fleet::log::RegistryDelta;
 use crate::server::{EntryState, ServerEntry, ServerRecord};
 
 /// After the registry's return, live servers are listed again within about 2 s.
@@ -140,6 +141,48 @@
         changes
     }
 
+    /// Takes in what another entry told of the registry as of `begun`, and returns what
+    /// changed. Whether a server whose row vanished is gone was decided there.
+    pub fn on_told(
+        &mut self,
+        now: Instant,
+        begun: Instant,
+        delta: &RegistryDelta,
+    ) -> Vec<CatalogChange> {
+        let mut changes = Vec::new();
+        for id in &delta.gone {
+            if self.by_id.contains_key(id) {
+                self.remove(id);
+                changes.push(CatalogChange::Gone(id.clone()));
+            }
+        }
+        for entry in &delta.entries {
+            self.update(begun, entry, &mut changes);
+        }
+        for id in &delta.foreign {
+            self.overwrite(id, &mut changes);
+        }
+        if delta.whole {
+            let entries = delta.entries.iter().map(|entry| &entry.id);
+            let kept = entries.chain(&delta.foreign).chain(&delta.missing);
+            let listed: HashSet<&str> = kept.map(String::as_str).collect();
+            self.sweep(now, &listed, true, &mut changes);
+        }
+        self.confirm(begun);
+        changes
+    }
+
+    /// What is known is as fresh as of `begun`.
+    pub fn confirm(&mut self, begun: Instant) {
+        self.read_at = self.read_at.max(Some(begun));
+    }
+
+    /// Servers whose rows vanished and that are kept for now.
+    pub fn missing(&self) -> impl Iterator<Item = &str> {
+        let missing = self.iter().filter(|record| record.missing_since.is_some());
+        missing.map(|record| record.entry.id.as_str())
+    }
+
     /// Sets the evacuated failure domains. Servers of one that is taken back
     /// are treated as cold for `warmup`: their caches may have been dropped.
     pub fn set_evacuated(&mut self, now: Instant, domains: HashSet<String>, warmup: Duration) {
--- /dev/null
+++ b/crates/place/src/fleet/follow.rs
@@ -0,0 +1,156 @@
+//! From whom an entry that is behind takes what it lacks.
+
+use std::cmp::Reverse;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::fleet::known::KnownStore;
+use crate::fleet::leads::{HeardLead, LeadTable};
+use crate::fleet::regions::RegionBook;
+
+/// Half of a region's entries ask the reader first, half the deputy; who has waited
+/// this long for its own asks the other.
+const OTHER_AFTER: Duration = Duration::from_millis(250);
+/// A lead that didn't answer isn't asked again for this long.
+const AVOIDED_FOR: Duration = Duration::from_millis(800);
+/// An entry that is behind for so long doesn't wait for leads any more.
+const BEHIND_MOST: Duration = Duration::from_millis(800);
+/// Shortest time between two questions, so that a lead that promises what it doesn't
+/// tell isn't asked without end.
+const ASK_PAUSE: Duration = Duration::from_millis(50);
+/// A lead takes what other regions know of the store only where its own knowledge is
+/// this old: the store tells each region's leads itself.
+const FAR_AFTER: Duration = Duration::from_millis(3000);
+/// A lead's reading of the store counts as its newest word for this long.
+const READ_LIFE: Duration = Duration::from_millis(2000);
+/// What an entry knows that is newer than the store's newest version at a lead is no
+/// word of the store's, once it lasts for this time: readings of different entries are
+/// a second apart.
+const AHEAD_MOST: Duration = Duration::from_millis(3000);
+
+/// A question to a lead.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PullTarget {
+    /// Where the lead tells what it knows.
+    pub view: SocketAddr,
+    /// Whether all is asked for, also what is thought known.
+    pub whole: bool,
+}
+
+/// Who asks.
+#[derive(Debug, Clone, Copy)]
+pub struct FollowerPlace<'a> {
+    /// Its region.
+    pub region: &'a str,
+    /// Its hash.
+    pub hash: u64,
+    /// Whether it leads.
+    pub leads: bool,
+}
+
+/// The questions of one entry, one at a time.
+#[derive(Debug, Default)]
+pub struct PullState {
+    asked: Option<SocketAddr>,
+    asked_at: Option<Instant>,
+    avoided: Option<(SocketAddr, Instant)>,
+    behind_since: Option<Instant>,
+    ahead_since: Option<Instant>,
+}
+
+impl PullState {
+    /// The lead at `view` has answered, or not.
+    pub fn on_pulled(&mut self, now: Instant, view: SocketAddr, done: bool) {
+        self.asked = None;
+        self.avoided = (!done).then_some((view, now));
+    }
+
+    /// Whether leads know more, and none has told it for too long.
+    pub fn is_stuck(&self, now: Instant) -> bool {
+        let since = self.behind_since;
+        since.is_some_and(|since| now.saturating_duration_since(since) >= BEHIND_MOST)
+    }
+
+    /// Whether something is waited for.
+    pub fn is_behind(&self) -> bool {
+        self.behind_since.is_some()
+    }
+
+    /// Whom to ask now, if anybody.
+    pub fn next(
+        &mut self,
+        now: Instant,
+        place: FollowerPlace<'_>,
+        known: &KnownStore,
+        leads: &LeadTable,
+        regions: &RegionBook,
+    ) -> Option<PullTarget> {
+        let mut sources: Vec<&HeardLead> = leads.fresh_of(now, place.region).collect();
+        sources.sort_by_key(|lead| Reverse(lead.order()));
+        let is_ahead = !sources.is_empty() && sources.iter().all(|lead| is_ahead(now, known, lead));
+        let ahead_since = is_ahead.then(|| self.ahead_since.unwrap_or(now));
+        self.ahead_since = ahead_since;
+        let whole =
+            ahead_since.is_some_and(|since| now.saturating_duration_since(since) >= AHEAD_MOST);
+        let lacks = |lead: &&HeardLead| {
+            known.is_behind_registry(&lead.known)
+                || known.is_behind_operator(&lead.known)
+                || regions.is_behind(&lead.lists)
+        };
+        let preferred = (place.hash % 2) as usize;
+        if !place.leads && sources.len() > 1 && preferred == 1 {
+            sources.swap(0, 1);
+        }
+        let first = sources.first().copied();
+        let mut ahead: Vec<&HeardLead> = sources.into_iter().filter(lacks).collect();
+        if place.leads || ahead.is_empty() {
+            let far = leads.fresh(now).filter(|lead| lead.region != place.region);
+            let wanted = far.filter(|lead| place.leads && lacks_far(now, known, lead, regions));
+            ahead.extend(wanted);
+        }
+        if ahead.is_empty() && !whole {
+            self.behind_since = None;
+            return None;
+        }
+        let since = *self.behind_since.get_or_insert(now);
+        let is_recent = |at: Instant, span| now.saturating_duration_since(at) < span;
+        if self.asked.is_some() || self.asked_at.is_some_and(|at| is_recent(at, ASK_PAUSE)) {
+            return None;
+        }
+        let avoided = self.avoided.filter(|(_, at)| is_recent(*at, AVOIDED_FOR));
+        let is_avoided = |lead: &&HeardLead| avoided.is_none_or(|(view, _)| lead.view() != view);
+        let chosen = if whole {
+            first
+        } else {
+            ahead.into_iter().find(is_avoided)
+        }?;
+        let is_other = first.is_some_and(|first| first.view() != chosen.view());
+        if is_other && !place.leads && avoided.is_none() && is_recent(since, OTHER_AFTER) {
+            return None;
+        }
+        self.asked = Some(chosen.view());
+        self.asked_at = Some(now);
+        Some(PullTarget {
+            view: chosen.view(),
+            whole,
+        })
+    }
+}
+
+/// Whether the entry knows what no reading of the lead can have shown yet.
+fn is_ahead(now: Instant, known: &KnownStore, lead: &HeardLead) -> bool {
+    let read_at = lead.known.registry_at;
+    read_at.is_some_and(|at| now.saturating_duration_since(at) < READ_LIFE)
+        && known.registry > lead.known.registry_read
+}
+
+/// Whether a lead of another region tells something that this region's leads can't hear
+/// themselves.
+fn lacks_far(now: Instant, known: &KnownStore, lead: &HeardLead, regions: &RegionBook) -> bool {
+    let is_old =
+        |at: Option<Instant>| at.is_none_or(|at| now.saturating_duration_since(at) >= FAR_AFTER);
+    let registry = known.is_behind_registry(&lead.known) && is_old(known.registry_at);
+    let operator = known.is_behind_operator(&lead.known)
+        && (is_old(known.operator_at) || lead.known.desired > known.desired);
+    registry || operator || regions.is_behind(&lead.lists)
+}
--- /dev/null
+++ b/crates/place/src/fleet/known.rs
@@ -0,0 +1,117 @@
+//! How much an entry knows of what the store holds.
+
+use std::time::{Duration, Instant};
+
+base::common! {
+    /// What an entry knows of the store, as it tells others.
+    #[derive(Copy, Eq, Default)]
+    pub struct StoreWord {
+        /// The store's version at the reading that last changed something in the
+        /// registry.
+        pub registry: u64,
+        /// The store's version at the newest reading of the registry.
+        pub registry_read: u64,
+        /// Milliseconds since that reading began; `u32::MAX` before the first.
+        pub registry_age: u32,
+        /// The store's version when the operator's rows last changed.
+        pub operator: u64,
+        /// The store's version at its newest word on them.
+        pub operator_read: u64,
+        /// Milliseconds since that word; `u32::MAX` before the first.
+        pub operator_age: u32,
+        /// Version of the desired state in force.
+        pub desired: u64,
+    }
+}
+
+/// The same as this entry keeps it, with times of its own clock.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct KnownStore {
+    /// The store's version at the reading that last changed something in the registry.
+    pub registry: u64,
+    /// The store's version at the newest reading of the registry.
+    pub registry_read: u64,
+    /// When that reading began.
+    pub registry_at: Option<Instant>,
+    /// The store's version when the operator's rows last changed.
+    pub operator: u64,
+    /// The store's version at its newest word on them.
+    pub operator_read: u64,
+    /// When that word came.
+    pub operator_at: Option<Instant>,
+    /// Version of the desired state in force.
+    pub desired: u64,
+}
+
+impl KnownStore {
+    /// What another entry's `word` says, by this entry's clock.
+    pub fn heard(now: Instant, word: &StoreWord) -> Self {
+        let at = |age: u32| {
+            let span = Duration::from_millis(u64::from(age));
+            (age < u32::MAX).then(|| now.checked_sub(span)).flatten()
+        };
+        Self {
+            registry: word.registry,
+            registry_read: word.registry_read,
+            registry_at: at(word.registry_age),
+            operator: word.operator,
+            operator_read: word.operator_read,
+            operator_at: at(word.operator_age),
+            desired: word.desired,
+        }
+    }
+
+    /// The word for other entries.
+    pub fn word(&self, now: Instant) -> StoreWord {
+        let age = |at: Option<Instant>| {
+            at.map_or(u32::MAX, |at| millis(now.saturating_duration_since(at)))
+        };
+        StoreWord {
+            registry: self.registry,
+            registry_read: self.registry_read,
+            registry_age: age(self.registry_at),
+            operator: self.operator,
+            operator_read: self.operator_read,
+            operator_age: age(self.operator_at),
+            desired: self.desired,
+        }
+    }
+
+    /// Whether everything that the registry and the operator's rows are needed for is
+    /// known.
+    pub fn is_complete(&self) -> bool {
+        self.registry_at.is_some() && self.desired > 0
+    }
+
+    /// Whether `other` knows more of the registry.
+    pub fn is_behind_registry(&self, other: &Self) -> bool {
+        other.registry_at.is_some()
+            && (self.registry_at.is_none() || other.registry > self.registry)
+    }
+
+    /// Whether `other` knows more of the operator's rows.
+    pub fn is_behind_operator(&self, other: &Self) -> bool {
+        other.desired > self.desired || other.operator > self.operator
+    }
+
+    /// Takes from `other` how fresh it is in what both know alike; whether that made
+    /// the registry fresher.
+    pub fn confirm(&mut self, other: &Self) -> bool {
+        if !self.is_behind_operator(other) {
+            self.operator_read = self.operator_read.max(other.operator_read);
+            self.operator_at = self.operator_at.max(other.operator_at);
+        }
+        let is_same = !self.is_behind_registry(other) && other.registry_read >= self.registry;
+        if !is_same || other.registry_at <= self.registry_at {
+            return false;
+        }
+        self.registry_read = self.registry_read.max(other.registry_read);
+        self.registry_at = other.registry_at;
+        true
+    }
+}
+
+/// Whole milliseconds, short enough for a message.
+pub(crate) fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX - 1)
+}
--- /dev/null
+++ b/crates/place/src/fleet/leads.rs
@@ -0,0 +1,123 @@
+//! The leads that an entry hears, by their digests.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::fleet::known::KnownStore;
+use crate::fleet::list::ListVersion;
+use crate::fleet::message::RegionDigest;
+use crate::fleet::seat::{LEADS, LeadSeat, SeatOrder};
+
+/// A lead that was silent for this long is done without: two digests may get lost.
+pub const LEAD_SILENT: Duration = Duration::from_millis(1500);
+/// A silent lead is forgotten after this time.
+const REMEMBERED_FOR: Duration = Duration::from_secs(60);
+
+/// A lead as it was heard last.
+#[derive(Debug, Clone)]
+pub struct HeardLead {
+    /// The lead.
+    pub seat: LeadSeat,
+    /// Its region.
+    pub region: String,
+    /// Whether its process is about to end.
+    pub leaving: bool,
+    /// What it knows of the store.
+    pub known: KnownStore,
+    /// The lists of entries that it knows.
+    pub lists: Vec<(String, ListVersion)>,
+    /// Who leads its region by its word, and substitutes.
+    pub seats: Vec<LeadSeat>,
+    incarnation: u64,
+    at: Instant,
+}
+
+/// All leads that were heard.
+#[derive(Debug, Default)]
+pub struct LeadTable {
+    leads: HashMap<String, HeardLead>,
+}
+
+impl HeardLead {
+    /// Its place among others.
+    pub fn order(&self) -> SeatOrder {
+        self.seat.order()
+    }
+
+    /// Where it tells what it knows.
+    pub fn view(&self) -> SocketAddr {
+        self.seat.view
+    }
+
+    /// Whether `node` leads the region by this one's word.
+    pub fn appoints(&self, node: &str) -> bool {
+        let mut leads = self.seats.iter().take(LEADS);
+        leads.any(|seat| seat.node == node)
+    }
+}
+
+impl LeadTable {
+    /// Takes in a digest; one of an earlier run changes nothing and gives `false`.
+    pub fn on_digest(&mut self, now: Instant, digest: &RegionDigest) -> bool {
+        let known = self.leads.get(&digest.seat.node);
+        if known.is_some_and(|lead| lead.incarnation > digest.incarnation) {
+            return false;
+        }
+        let own = digest
+            .regions
+            .iter()
+            .find(|word| word.region == digest.region);
+        let lead = HeardLead {
+            seat: digest.seat.clone(),
+            region: digest.region.clone(),
+            leaving: digest.leaving || !digest.seat.leads,
+            known: KnownStore::heard(now, &digest.store),
+            lists: digest
+                .regions
+                .iter()
+                .map(|word| (word.region.clone(), word.list))
+                .collect(),
+            seats: own.map(|word| word.seats.clone()).unwrap_or_default(),
+            incarnation: digest.incarnation,
+            at: now,
+        };
+        self.leads.insert(lead.seat.node.clone(), lead);
+        true
+    }
+
+    /// The leads that are heard and stay.
+    pub fn fresh(&self, now: Instant) -> impl Iterator<Item = &HeardLead> {
+        self.leads.values().filter(move |lead| {
+            !lead.leaving && now.saturating_duration_since(lead.at) < LEAD_SILENT
+        })
+    }
+
+    /// Those of `region`.
+    pub fn fresh_of<'a>(
+        &'a self,
+        now: Instant,
+        region: &'a str,
+    ) -> impl Iterator<Item = &'a HeardLead> {
+        self.fresh(now).filter(move |lead| lead.region == region)
+    }
+
+    /// When the last lead of `region` will have been silent for too long.
+    pub fn silent_at(&self, region: &str) -> Option<Instant> {
+        let near = self.leads.values().filter(|lead| lead.region == region);
+        let staying = near.filter(|lead| !lead.leaving);
+        staying.map(|lead| lead.at + LEAD_SILENT).max()
+    }
+
+    /// The first of them.
+    pub fn first_of(&self, now: Instant, region: &str) -> Option<&HeardLead> {
+        let near = self.fresh(now).filter(|lead| lead.region == region);
+        near.max_by_key(|lead| lead.order())
+    }
+
+    /// Forgets leads that were silent for long.
+    pub fn forget(&mut self, now: Instant) {
+        self.leads
+            .retain(|_, lead| now.saturating_duration_since(lead.at) < REMEMBERED_FOR);
+    }
+}
--- /dev/null
+++ b/crates/place/src/fleet/log.rs
@@ -0,0 +1,186 @@
+//! The servers' registry as it is told from entry to entry: what changed since a
+//! version of the store.
+//!
+//! Versions are the store's own, so that an entry may ask any other for what it lacks,
+//! whichever of them read it. What is told twice does no harm.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::catalog::CatalogSnapshot;
+use crate::server::ServerEntry;
+
+/// Servers that are gone stay in the log for this many changes: a third of the largest
+/// fleet may be replaced while an entry hears nothing.
+const GONE_KEPT: usize = 1024;
+/// A log so far ahead of the store holds what no reading gave, as after a damaged
+/// message, and is read anew.
+const AHEAD_MOST: u64 = 1000;
+
+base::common! {
+    /// What changed in the registry.
+    #[derive(Eq, Default)]
+    pub struct RegistryDelta {
+        /// The store's version up to which this tells all.
+        pub version: u64,
+        /// Whether `entries` are all there are.
+        pub whole: bool,
+        /// Entries that changed.
+        pub entries: Vec<ServerEntry>,
+        /// Servers that are gone.
+        pub gone: Vec<String>,
+        /// Keys of rows that are no server's own word; always all of them.
+        pub foreign: Vec<String>,
+        /// Servers whose rows vanished but may have lapsed; always all of them.
+        pub missing: Vec<String>,
+    }
+}
+
+/// What a reading of the registry covers.
+#[derive(Debug, Clone, Default)]
+pub struct ReadScope {
+    /// The store's version as of which it is.
+    pub version: u64,
+    /// Whether it was made from all rows; else from those that changed since the reading
+    /// before it.
+    pub whole: bool,
+    /// Servers whose rows were dropped since the reading before it.
+    pub dropped: Vec<String>,
+    /// Servers that aren't in it, but may still be there.
+    pub missing: Vec<String>,
+}
+
+/// The registry with the versions at which its entries changed.
+#[derive(Debug, Default)]
+pub struct RegistryLog {
+    /// The store's version at the newest change; 0 before the first reading.
+    version: u64,
+    /// Changes after this version are all known.
+    oldest: u64,
+    entries: BTreeMap<String, (u64, ServerEntry)>,
+    gone: VecDeque<(u64, String)>,
+    foreign: Vec<String>,
+    missing: Vec<String>,
+}
+
+impl RegistryLog {
+    /// The store's version at the newest change; 0 where nothing is known.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The servers whose rows stand in the registry.
+    pub fn entries(&self) -> impl Iterator<Item = &ServerEntry> {
+        let entries = self.entries.values().map(|(_, entry)| entry);
+        entries.filter(|entry| !self.missing.contains(&entry.id))
+    }
+
+    /// Keys of rows that are no server's own word.
+    pub fn foreign(&self) -> &[String] {
+        &self.foreign
+    }
+
+    /// Takes in a reading of the registry.
+    pub fn on_read(&mut self, snapshot: &CatalogSnapshot, scope: ReadScope) {
+        if scope.version.saturating_add(AHEAD_MOST) < self.version {
+            *self = Self::default();
+        }
+        let is_first = self.version == 0;
+        let stamp = scope.version.max(self.version.saturating_add(1));
+        let mut is_changed = self.foreign != snapshot.foreign || self.missing != scope.missing;
+        let was_out = |id: &String| self.foreign.contains(id) || self.missing.contains(id);
+        let mut left = std::mem::take(&mut self.entries);
+        for entry in &snapshot.entries {
+            let is_back = was_out(&entry.id) || scope.dropped.contains(&entry.id);
+            let changed = match left.remove(&entry.id) {
+                Some((changed, known)) if !is_back && is_same(&known, entry) => changed,
+                _ => {
+                    is_changed = true;
+                    stamp
+                }
+            };
+            let record = (changed, entry.clone());
+            self.entries.insert(entry.id.clone(), record);
+        }
+        for (id, record) in left {
+            if scope.missing.contains(&id) || snapshot.foreign.contains(&id) {
+                self.entries.insert(id, record);
+                continue;
+            }
+            is_changed = true;
+            self.forget(stamp, id);
+        }
+        for id in scope.dropped {
+            // Others may have heard of it from another reader.
+            if !scope.missing.contains(&id) {
+                is_changed = true;
+                self.forget(stamp, id);
+            }
+        }
+        self.foreign.clone_from(&snapshot.foreign);
+        self.missing = scope.missing;
+        if is_changed || is_first {
+            self.version = stamp;
+        }
+        if is_first || scope.whole {
+            // What was dropped since the reading before it isn't known.
+            self.oldest = self.version;
+        }
+    }
+
+    /// What changed since `version`; everything where that isn't known any more.
+    pub fn since(&self, version: u64) -> RegistryDelta {
+        let whole = version < self.oldest || version == 0;
+        let is_news = |changed: u64| whole || changed > version;
+        let changed = self.entries.values().filter(|(at, _)| is_news(*at));
+        let gone = self.gone.iter().filter(|(at, _)| is_news(*at) && !whole);
+        RegistryDelta {
+            version: self.version,
+            whole,
+            entries: changed.map(|(_, entry)| entry.clone()).collect(),
+            gone: gone.map(|(_, id)| id.clone()).collect(),
+            foreign: self.foreign.clone(),
+            missing: self.missing.clone(),
+        }
+    }
+
+    /// Takes in what another entry told.
+    pub fn on_told(&mut self, delta: &RegistryDelta) {
+        if delta.whole {
+            self.entries.clear();
+            self.gone.clear();
+            self.oldest = delta.version;
+        }
+        for id in &delta.gone {
+            self.entries.remove(id);
+            self.forget(delta.version, id.clone());
+        }
+        for entry in &delta.entries {
+            let record = (delta.version, entry.clone());
+            self.entries.insert(entry.id.clone(), record);
+        }
+        self.foreign.clone_from(&delta.foreign);
+        self.missing.clone_from(&delta.missing);
+        self.version = delta.version;
+    }
+
+    fn forget(&mut self, stamp: u64, id: String) {
+        self.gone.push_back((stamp, id));
+        while self.gone.len() > GONE_KEPT {
+            if let Some((stamp, _)) = self.gone.pop_front() {
+                self.oldest = stamp;
+            }
+        }
+    }
+}
+
+/// Whether nothing differs but the heartbeat and the rest of a warm-up that was told.
+fn is_same(known: &ServerEntry, entry: &ServerEntry) -> bool {
+    let is_warming =
+        !entry.cold_remaining.is_zero() && entry.cold_remaining <= known.cold_remaining;
+    let mut known = known.clone();
+    known.seq = entry.seq;
+    if is_warming {
+        known.cold_remaining = entry.cold_remaining;
+    }
+    known == *entry
+}
--- /dev/null
+++ b/crates/place/src/fleet/regions.rs
@@ -0,0 +1,198 @@
+//! What an entry knows of each region's entries and leads.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use crate::fleet::known::millis;
+use crate::fleet::list::{EntryList, ListVersion, ListedEntry};
+use crate::fleet::message::RegionWord;
+use crate::fleet::seat::LeadSeat;
+
+/// A region whose leads were silent for this long counts as lost: its entries are told
+/// to no caller and take no part in shared rates. Longer than a region without leads
+/// takes to find new ones.
+const REGION_SILENT: Duration = Duration::from_millis(3500);
+/// No list is so many versions ahead of the one before it: one that is comes from a
+/// damaged message, and would bar all that follow.
+const STEP_MOST: u64 = 1 << 20;
+/// Leads of a region that are remembered, silent ones among them.
+const SEATS_KEPT: usize = 8;
+
+/// What is known of one region.
+#[derive(Debug, Default)]
+struct RegionRecord {
+    list: EntryList,
+    heard: Option<Instant>,
+    live: u32,
+    seats: Vec<LeadSeat>,
+}
+
+/// What is known of all regions.
+#[derive(Debug)]
+pub struct RegionBook {
+    own: String,
+    regions: BTreeMap<String, RegionRecord>,
+}
+
+impl RegionBook {
+    /// A book of `regions`, of which `own` is this entry's.
+    pub fn new(own: &str, regions: &[String]) -> Self {
+        let names = regions.iter().map(String::as_str).chain([own]);
+        let records = names.map(|name| {
+            let mut record = RegionRecord::default();
+            name.clone_into(&mut record.list.region);
+            (name.to_owned(), record)
+        });
+        Self {
+            own: own.to_owned(),
+            regions: records.collect(),
+        }
+    }
+
+    /// Takes in what a lead said of a region, unless something later is known.
+    pub fn on_word(&mut self, now: Instant, word: &RegionWord) {
+        let Some(record) = self.regions.get_mut(&word.region) else {
+            return;
+        };
+        let heard = now.checked_sub(Duration::from_millis(u64::from(word.age)));
+        if word.age == u32::MAX || heard.is_none() || heard < record.heard {
+            return;
+        }
+        record.heard = heard;
+        record.live = word.live;
+        if !word.seats.is_empty() {
+            record.seats.clone_from(&word.seats);
+            record.seats.truncate(SEATS_KEPT);
+        }
+    }
+
+    /// Takes in who may lead a region that isn't heard.
+    pub fn on_hint(&mut self, now: Instant, region: &str, seats: &[LeadSeat]) {
+        if self.is_heard(now, region) {
+            return;
+        }
+        let Some(record) = self.regions.get_mut(region) else {
+            return;
+        };
+        for seat in seats {
+            record.seats.retain(|known| known.node != seat.node);
+            record.seats.insert(0, seat.clone());
+        }
+        record.seats.truncate(SEATS_KEPT);
+    }
+
+    /// This entry leads its region, with `live` entries and `seats`.
+    pub fn on_own(&mut self, now: Instant, live: u32, seats: Vec<LeadSeat>) {
+        if let Some(record) = self.regions.get_mut(&self.own) {
+            record.heard = Some(now);
+            record.live = live;
+            record.seats = seats;
+        }
+    }
+
+    /// Takes in a list; whether it is newer than the one known.
+    pub fn on_list(&mut self, list: EntryList) -> bool {
+        let Some(record) = self.regions.get_mut(&list.region) else {
+            return false;
+        };
+        let known = record.list.version;
+        let is_absurd =
+            known.number > 0 && list.version.number > known.number.saturating_add(STEP_MOST);
+        if list.version <= known || is_absurd {
+            return false;
+        }
+        record.list = list;
+        true
+    }
+
+    /// The newest list of a region's entries.
+    pub fn list(&self, region: &str) -> Option<&EntryList> {
+        self.regions.get(region).map(|record| &record.list)
+    }
+
+    /// The lists that are newer than `known`.
+    pub fn lists_since(&self, known: &[(String, ListVersion)]) -> Vec<EntryList> {
+        let version_of = |region: &str| {
+            let found = known.iter().find(|(name, _)| name == region);
+            found.map_or(ListVersion::default(), |(_, version)| *version)
+        };
+        let lists = self.regions.values().map(|record| &record.list);
+        lists
+            .filter(|list| list.version > version_of(&list.region))
+            .cloned()
+            .collect()
+    }
+
+    /// The versions of all lists.
+    pub fn versions(&self) -> Vec<(String, ListVersion)> {
+        let lists = self.regions.values().map(|record| &record.list);
+        lists
+            .map(|list| (list.region.clone(), list.version))
+            .collect()
+    }
+
+    /// Whether one of `lists` is newer than the one known.
+    pub fn is_behind(&self, lists: &[(String, ListVersion)]) -> bool {
+        lists.iter().any(|(region, version)| {
+            let known = self.regions.get(region);
+            known.is_some_and(|record| *version > record.list.version)
+        })
+    }
+
+    /// Whether a lead of `region` was heard lately.
+    pub fn is_heard(&self, now: Instant, region: &str) -> bool {
+        let heard = self.regions.get(region).and_then(|record| record.heard);
+        heard.is_some_and(|at| now.saturating_duration_since(at) < REGION_SILENT)
+    }
+
+    /// The regions whose entries count: those that are heard, and the own one.
+    pub fn counted(&self, now: Instant) -> impl Iterator<Item = &str> {
+        let names = self.regions.keys().map(String::as_str);
+        names.filter(move |name| *name == self.own || self.is_heard(now, name))
+    }
+
+    /// The entries that get requests, with their regions.
+    pub fn listed(&self, now: Instant) -> impl Iterator<Item = (&str, &ListedEntry)> {
+        self.counted(now).flat_map(move |name| {
+            let list = self.list(name).map_or(&[][..], |list| &list.entries);
+            list.iter().map(move |entry| (name, entry))
+        })
+    }
+
+    /// Live entries of all regions that are heard.
+    pub fn live(&self, now: Instant) -> u32 {
+        let counted = self.counted(now).filter_map(|name| self.regions.get(name));
+        counted.map(|record| record.live).sum()
+    }
+
+    /// Leads and substitutes of a region, as heard or hinted last.
+    pub fn seats(&self, region: &str) -> &[LeadSeat] {
+        self.regions
+            .get(region)
+            .map_or(&[][..], |record| &record.seats)
+    }
+
+    /// The other regions.
+    pub fn others(&self) -> impl Iterator<Item = &str> {
+        let names = self.regions.keys().map(String::as_str);
+        names.filter(|name| *name != self.own)
+    }
+
+    /// What this entry says of all regions; with the leads of others if `to_leads`.
+    pub fn words(&self, now: Instant, to_leads: bool) -> Vec<RegionWord> {
+        let word = |(name, record): (&String, &RegionRecord)| RegionWord {
+            region: name.clone(),
+            age: record
+                .heard
+                .map_or(u32::MAX, |at| millis(now.saturating_duration_since(at))),
+            live: record.live,
+            list: record.list.version,
+            seats: if to_leads || *name == self.own {
+                record.seats.clone()
+            } else {
+                Vec::new()
+            },
+        };
+        self.regions.iter().map(word).collect()
+    }
+}
--- a/crates/place/tests/common/mod.rs
+++ b/crates/place/tests/common/mod.rs
@@ -8,6 +8,7 @@
 use place::budget::BudgetBounds;
 use place::choice::ByteCosts;
 use place::desired::{ServiceSpec, SplitPart};
+use place::fleet::log::ReadScope;
 use place::prelude::*;
 
 /// Milliseconds.
@@ -39,6 +40,14 @@
     }
 }
 
+/// A reading as of `version` that was made from what had changed.
+pub fn changes(version: u64) -> ReadScope {
+    ReadScope {
+        version,
+        ..ReadScope::default()
+    }
+}
+
 /// A route to `board` under `prefix`.
 pub fn route(name: &str, prefix: &str) -> RouteSpec {
     RouteSpec {
--- /dev/null
+++ b/crates/place/tests/fleet.rs
@@ -0,0 +1,399 @@
+//! How a fleet finds its leads and hears what the store holds, in virtual time.
+
+mod fleet_world;
+
+use std::time::Duration;
+
+use fleet_world::{DRAIN, FleetWorld, REGIONS, domain_of, ms, region_of};
+use place::fleet::known::StoreWord;
+use place::fleet::message::{PeerMessage, RegionDigest, RegionWord};
+use place::prelude::*;
+
+/// A fleet of `count` that has run for a while.
+fn settled(count: usize) -> FleetWorld {
+    let mut world = FleetWorld::new(count);
+    world.run(ms(8000));
+    assert!(world.is_settled());
+    world
+}
+
+/// Promise: where all entries start at once each region has two able leads in different
+/// failure domains and everybody knows what the store holds within 1.5 s, at few calls.
+#[test]
+fn a_fleet_that_starts_knows_everything_soon() {
+    for count in [12, 300, 1000] {
+        let mut world = FleetWorld::new(count);
+        let took = world.until_known(ms(3000));
+        assert!(took <= ms(1500), "{count} entries took {took:?}");
+        world.run(ms(2000));
+        assert!(world.is_settled(), "{count}");
+        for region in 0..REGIONS {
+            let leads = world.leads(region);
+            assert_ne!(domain_of(leads[0]), domain_of(leads[1]));
+            let able = |entry: &usize| (entry / REGIONS).is_multiple_of(11);
+            assert!(count < 100 || leads.iter().all(able), "{leads:?}");
+        }
+        let able = count as u64 / 11 + 3;
+        // Able entries read both tables at once, the others hear of them.
+        assert!(
+            world.calls <= 3 * able + 60,
+            "{count}: {} calls",
+            world.calls
+        );
+    }
+}
+
+/// Promise: on calm days a fleet makes the same calls to the store whatever its size, and
+/// an entry that doesn't lead sends and hears the same few datagrams.
+#[test]
+fn calm_costs_do_not_grow_with_the_fleet() {
+    let mut seen = Vec::new();
+    for count in [100, 1000] {
+        let mut world = settled(count);
+        let calls = world.calls_in(ms(20_000));
+        let follower = (0..count).find(|entry| !world.entries[*entry].member.leads());
+        let before = world.entries[follower.unwrap()].datagrams;
+        world.run(ms(20_000));
+        let datagrams = world.entries[follower.unwrap()].datagrams - before;
+        // Beats to two leads and their digests.
+        assert!(datagrams <= 9 * 20, "{count}: {datagrams} datagrams");
+        seen.push(calls);
+    }
+    let (few, many) = (seen[0], seen[1]);
+    assert!(
+        many.abs_diff(few) <= 4,
+        "{few} calls at 100, {many} at 1000"
+    );
+    assert!(many <= 7 * 20, "{many} calls in 20 s");
+}
+
+/// Promise: a change is known everywhere at once.
+#[test]
+fn a_change_is_known_everywhere_at_once() {
+    for count in [12, 300, 1000] {
+        let mut world = settled(count);
+        for _ in 0..5 {
+            world.change();
+            let took = world.until_known(DRAIN);
+            assert!(took < ms(1100), "{count} entries took {took:?}");
+            world.run(ms(700));
+        }
+    }
+}
+
+/// Promise: the loss of a region's reader, its deputy or both makes nobody late by more
+/// than the time in which a leaving server must get no more requests.
+#[test]
+fn lost_leads_make_nobody_late() {
+    for count in [12, 300] {
+        for lost in [&[0][..], &[1], &[0, 1]] {
+            let mut world = settled(count);
+            let mut leads = world.leads(1);
+            leads.sort_by_key(|entry| {
+                !matches!(
+                    world.entries[*entry].notes.last(),
+                    Some(FleetNote::Leads(_))
+                )
+            });
+            for index in lost {
+                world.kill(leads[*index]);
+            }
+            let before = world.calls;
+            world.run(ms(100));
+            world.change();
+            let took = world.until_known(ms(6000));
+            assert!(took <= DRAIN, "{count} entries, {lost:?} lost: {took:?}");
+            world.run(ms(4000));
+            assert!(world.is_settled(), "{count}, {lost:?}");
+            // Followers read for themselves only while nobody leads.
+            let calls = world.calls - before;
+            let most = 50
+                + if lost.len() == 2 {
+                    2 * count as u64 / 3 + 20
+                } else {
+                    0
+                };
+            assert!(calls <= most, "{count}, {lost:?}: {calls} calls");
+        }
+    }
+}
+
+/// Promise: while the store refuses a third of the entries, the leads of one region among
+/// them, everybody hears of changes in time, and no more calls are made than by leads.
+#[test]
+fn refused_entries_hear_of_changes() {
+    for count in [12, 300] {
+        let mut world = settled(count);
+        for entry in 0..count {
+            world.entries[entry].refused = entry % 3 == 1 && entry % 2 == 0;
+        }
+        for lead in world.leads(2) {
+            world.entries[lead].refused = true;
+        }
+        let calls = world.calls_in(ms(1000));
+        for _ in 0..4 {
+            world.change();
+            // The first change may meet leads that don't know yet that they are refused.
+            let took = world.until_known(ms(6000));
+            assert!(took <= ms(4000), "{count} entries took {took:?}");
+            world.run(ms(1000));
+        }
+        let calls = calls + world.calls_in(ms(5000));
+        assert!(calls <= 20 * 6, "{count}: {calls} calls in 6 s");
+    }
+}
+
+/// Promise: a store that is down is asked by the leads and a substitute or two only, and
+/// everybody knows what it holds soon after its return.
+#[test]
+fn a_store_that_is_down_is_not_pressed() {
+    let mut seen = Vec::new();
+    for count in [100, 1000] {
+        let mut world = settled(count);
+        world.store_down = true;
+        seen.push(world.calls_in(ms(10_000)));
+        world.version += 1;
+        world.registry = world.version;
+        world.operator = world.version;
+        world.store_down = false;
+        let took = world.until_known(ms(6000));
+        assert!(took <= ms(2500), "{count} entries took {took:?}");
+    }
+    assert!(
+        seen[1] <= seen[0] + 20 && seen[1] <= 350,
+        "{seen:?} calls in 10 s"
+    );
+}
+
+/// Promise: entries that are cut off from the rest, but not from the store, hear of
+/// changes in time, and are one fleet again soon after the cut.
+#[test]
+fn a_part_that_is_cut_off_hears_of_changes() {
+    for count in [12, 300] {
+        let mut world = settled(count);
+        let part: Vec<usize> = (0..count)
+            .filter(|entry| domain_of(*entry) == "d1-0")
+            .collect();
+        for entry in &part {
+            world.entries[*entry].group = 1;
+        }
+        world.run(ms(2600));
+        world.change();
+        let took = world.until_known(ms(6000));
+        assert!(took <= DRAIN, "{count} entries took {took:?}");
+        world.run(ms(6000));
+        for entry in &part {
+            world.entries[*entry].group = 0;
+        }
+        world.run(ms(4000));
+        assert!(world.is_settled(), "{count}: {:?}", world.leads(1));
+        world.change();
+        let took = world.until_known(ms(6000));
+        assert!(took <= ms(1100), "{count} entries took {took:?}");
+    }
+}
+
+/// Promise: regions that lose each other for minutes drop each other's entries, go on by
+/// themselves and find each other again within seconds.
+#[test]
+fn regions_find_each_other_again() {
+    let mut world = settled(60);
+    for entry in 0..60 {
+        world.entries[entry].group = region_of(entry) as u32;
+    }
+    world.run(ms(200_000));
+    world.change();
+    assert!(world.until_known(ms(6000)) <= ms(1100));
+    let counted = |world: &FleetWorld, entry: usize| {
+        let regions = world.entries[entry].member.regions();
+        regions.counted(world.now).count()
+    };
+    assert!((0..60).all(|entry| counted(&world, entry) == 1));
+    for entry in 0..60 {
+        world.entries[entry].group = 0;
+    }
+    world.run(ms(3000));
+    assert!((0..60).all(|entry| counted(&world, entry) == REGIONS));
+}
+
+/// Promise: a region that is lost is told to nobody within seconds, and is back soon
+/// after its return; so is the whole fleet after a loss of all.
+#[test]
+fn a_lost_region_and_a_lost_fleet_come_back() {
+    for lost in [vec![1], vec![0, 1, 2]] {
+        let mut world = settled(300);
+        let gone: Vec<usize> = (0..300)
+            .filter(|entry| lost.contains(&region_of(*entry)))
+            .collect();
+        for entry in &gone {
+            world.kill(*entry);
+        }
+        world.run(ms(6000));
+        for entry in world.live() {
+            let regions = world.entries[entry].member.regions();
+            assert!(!regions.counted(world.now).any(|region| region == "r1"));
+        }
+        for entry in &gone {
+            world.restart(*entry);
+        }
+        let took = world.until_known(ms(6000));
+        assert!(took <= ms(1500), "{lost:?}: {took:?}");
+        world.run(ms(3000));
+        assert!(world.is_settled(), "{lost:?}");
+    }
+}
+
+/// Promise: an entry that is about to end is told to no caller any more within a tenth of
+/// a second, also where it leads its region.
+#[test]
+fn a_leaving_entry_is_told_to_nobody() {
+    for leads in [false, true] {
+        let mut world = settled(300);
+        let listed = |world: &FleetWorld, entry: usize, node: &str| {
+            let regions = world.entries[entry].member.regions();
+            regions
+                .listed(world.now)
+                .any(|(_, listed)| listed.node == node && listed.named)
+        };
+        let named = (0..300).find(|entry| {
+            let is_named = listed(&world, 0, &format!("n{entry}"));
+            is_named && world.entries[*entry].member.leads() == leads
+        });
+        // Where no lead is named, any that leads serves as well.
+        let leaving = named.unwrap_or_else(|| world.leads(0)[0]);
+        let node = format!("n{leaving}");
+        let mut own = world.entries[leaving].own.clone();
+        own.leaving = true;
+        own.ready = false;
+        world.set_own(leaving, own);
+        world.run(ms(150));
+        let near = region_of(leaving);
+        let telling: Vec<usize> = (0..300)
+            .filter(|entry| region_of(*entry) == near && *entry != leaving)
+            .filter(|entry| listed(&world, *entry, &node))
+            .collect();
+        assert!(telling.is_empty(), "leads {leads}: {telling:?}");
+        world.kill(leaving);
+        world.run(ms(4000));
+        assert!(world.is_settled());
+    }
+}
+
+/// Promise: a rolling restart of half the entries loses no region its leads for longer
+/// than a moment, and an entry that starts knows everything within half a second.
+#[test]
+fn a_rolling_restart_is_not_noticed() {
+    let mut world = settled(300);
+    for entry in (0..300).step_by(2) {
+        let mut own = world.entries[entry].own.clone();
+        own.leaving = true;
+        own.ready = false;
+        world.set_own(entry, own);
+        world.run(ms(40));
+        world.kill(entry);
+        world.run(ms(20));
+        world.restart(entry);
+        if entry % 30 == 0 {
+            world.change();
+        }
+        world.run(ms(40));
+    }
+    let took = world.until_known(ms(6000));
+    assert!(took <= ms(500), "{took:?}");
+    for region in 0..REGIONS {
+        assert!(!world.leads(region).is_empty());
+    }
+    world.run(ms(3000));
+    assert!(world.is_settled());
+}
+
+/// Promise: where no seed answers, the leads are found by their rows in the store.
+#[test]
+fn leads_are_found_without_seeds() {
+    let mut world = FleetWorld::with_seeds(60, &[100_000, 100_001, 100_002]);
+    world.run(ms(30_000));
+    assert!(world.is_settled(), "{:?}", world.leads(0));
+    world.kill(7);
+    world.run(ms(3000));
+    world.restart(7);
+    world.run(ms(6000));
+    assert!(world.is_settled());
+    world.change();
+    assert!(world.until_known(ms(6000)) <= ms(1100));
+}
+
+/// Promise: a digest that tells what no reading gave is overcome within seconds.
+#[test]
+fn a_forged_digest_is_overcome() {
+    let mut world = settled(300);
+    let liar = world.leads(1)[0];
+    let victims: Vec<usize> = (0..300).filter(|entry| region_of(*entry) == 1).collect();
+    for victim in &victims {
+        let mut known = *world.entries[*victim].member.known();
+        if *victim != liar && !world.entries[*victim].member.leads() {
+            known.registry = u64::MAX - 7;
+            world.tell(*victim, FleetEvent::Known(known));
+        }
+    }
+    world.run(ms(6000));
+    world.change();
+    world.run(ms(3000));
+    for victim in victims {
+        let known = world.entries[victim].member.known();
+        assert_eq!(known.registry, world.registry, "entry {victim}");
+    }
+}
+
+/// Promise: nonsense from another entry changes nothing for good: unknown regions, lists
+/// of the far future, a digest of a region by one that doesn't lead it.
+#[test]
+fn nonsense_changes_nothing() {
+    let mut world = settled(60);
+    let sender = world.leads(2)[0];
+    let words = vec![
+        RegionWord {
+            region: "nowhere".to_owned(),
+            age: 0,
+            live: 9,
+            list: Default::default(),
+            seats: Vec::new(),
+        },
+        RegionWord {
+            region: "r1".to_owned(),
+            age: 0,
+            live: 0,
+            list: place::fleet::list::ListVersion {
+                number: u64::MAX,
+                author: 3,
+            },
+            seats: Vec::new(),
+        },
+    ];
+    let mut seat = LeadSeatOf(&world, sender).seat();
+    seat.node = "stranger".to_owned();
+    let digest = RegionDigest {
+        incarnation: 1,
+        seat,
+        region: "r1".to_owned(),
+        leaving: false,
+        store: StoreWord::default(),
+        regions: words,
+    };
+    for entry in 0..60 {
+        let message = PeerMessage::Digest(Box::new(digest.clone()));
+        world.tell(entry, FleetEvent::Message(message));
+    }
+    world.run(ms(5000));
+    assert!(world.is_settled());
+    world.change();
+    assert!(world.until_known(Duration::from_secs(6)) <= ms(1100));
+}
+
+struct LeadSeatOf<'a>(&'a FleetWorld, usize);
+
+impl LeadSeatOf<'_> {
+    fn seat(&self) -> place::fleet::seat::LeadSeat {
+        let regions = self.0.entries[self.1].member.regions();
+        regions.seats("r2")[0].clone()
+    }
+}
--- /dev/null
+++ b/crates/place/tests/fleet_world/mod.rs
@@ -0,0 +1,503 @@
+//! A fleet in virtual time: the entries' decisions, a network that delays and cuts, and a
+//! store that is only versions.
+#![allow(dead_code, unreachable_pub, missing_docs)]
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use place::fleet::follow::PullTarget;
+use place::fleet::known::KnownStore;
+use place::fleet::member::MemberConfig;
+use place::fleet::message::PeerMessage;
+use place::fleet::reading::ReadOutcome;
+use place::fleet::seat::LeadSeat;
+use place::prelude::*;
+
+/// One way within a region, and between two.
+const NEAR: Duration = Duration::from_millis(1);
+const FAR: Duration = Duration::from_millis(35);
+/// An answer of the store.
+const STORE: Duration = Duration::from_millis(5);
+/// How long a watch of the operator's rows stays open.
+const WATCH: Duration = Duration::from_millis(2000);
+/// Within this time a leaving server must get no more requests.
+pub const DRAIN: Duration = Duration::from_millis(2500);
+pub const REGIONS: usize = 3;
+const DOMAINS: usize = 3;
+/// One entry in so many is able.
+const ABLE_EACH: usize = 11;
+
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// What is on its way.
+#[derive(Debug)]
+enum Delivery {
+    Datagram(PeerMessage),
+    Clock,
+    ReadEnds { begun: Instant, wait: Duration },
+    PullEnds { from: usize, whole: bool },
+    WatchEnds,
+    Rows,
+}
+
+#[derive(Debug)]
+struct Arrival {
+    at: Instant,
+    number: u64,
+    to: usize,
+    run: u64,
+    delivery: Delivery,
+}
+
+impl PartialEq for Arrival {
+    fn eq(&self, other: &Self) -> bool {
+        self.number == other.number
+    }
+}
+impl Eq for Arrival {}
+impl PartialOrd for Arrival {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Arrival {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.number).cmp(&(other.at, other.number))
+    }
+}
+
+/// One entry's process.
+#[derive(Debug)]
+pub struct SimEntry {
+    pub member: FleetMember,
+    pub alive: bool,
+    pub run: u64,
+    /// Whether the store refuses it.
+    pub refused: bool,
+    /// Entries of different groups don't reach each other.
+    pub group: u32,
+    pub datagrams: u64,
+    pub own: OwnState,
+    pub notes: Vec<FleetNote>,
+    clock: Option<Instant>,
+    watches: bool,
+    watching: bool,
+}
+
+pub struct FleetWorld {
+    pub start: Instant,
+    pub now: Instant,
+    pub entries: Vec<SimEntry>,
+    /// The store's version, and those at which registry and operator's rows changed.
+    pub version: u64,
+    pub registry: u64,
+    pub operator: u64,
+    pub store_down: bool,
+    pub calls: u64,
+    row: Vec<(String, SocketAddr)>,
+    queue: BinaryHeap<Reverse<Arrival>>,
+    number: u64,
+    seeds: Vec<usize>,
+}
+
+pub fn region_of(entry: usize) -> usize {
+    entry % REGIONS
+}
+
+pub fn domain_of(entry: usize) -> String {
+    format!("d{}-{}", region_of(entry), entry / REGIONS % DOMAINS)
+}
+
+fn address(entry: usize) -> SocketAddr {
+    let bytes = (entry as u32).to_be_bytes();
+    SocketAddr::from(([10, bytes[1], bytes[2], bytes[3]], 7000))
+}
+
+fn entry_at(address: SocketAddr) -> usize {
+    let SocketAddr::V4(address) = address else {
+        panic!("an address of the fleet");
+    };
+    u32::from_be_bytes(address.ip().octets()) as usize & 0x00ff_ffff
+}
+
+impl FleetWorld {
+    /// `count` entries that all start within 0.3 s.
+    pub fn new(count: usize) -> Self {
+        Self::with_seeds(count, &[0, 1, 5])
+    }
+
+    pub fn with_seeds(count: usize, seeds: &[usize]) -> Self {
+        let start = Instant::now();
+        let mut world = Self {
+            start,
+            now: start,
+            entries: Vec::new(),
+            version: 10,
+            registry: 10,
+            operator: 10,
+            store_down: false,
+            calls: 0,
+            row: Vec::new(),
+            queue: BinaryHeap::new(),
+            number: 0,
+            seeds: seeds.to_vec(),
+        };
+        for entry in 0..count {
+            let at = start + ms((entry as u64 * 37) % 300);
+            let member = FleetMember::new(at, world.config(entry, 1));
+            world.entries.push(SimEntry {
+                member,
+                alive: true,
+                run: 1,
+                refused: false,
+                group: 0,
+                datagrams: 0,
+                own: OwnState::default(),
+                notes: Vec::new(),
+                clock: None,
+                watches: false,
+                watching: false,
+            });
+            world.push(at, entry, Delivery::Clock);
+        }
+        world
+    }
+
+    fn config(&self, entry: usize, run: u64) -> MemberConfig {
+        let is_able = (entry / REGIONS).is_multiple_of(ABLE_EACH);
+        MemberConfig {
+            incarnation: run,
+            seat: LeadSeat {
+                node: format!("n{entry}"),
+                domain: domain_of(entry),
+                beat: address(entry),
+                view: address(entry),
+                capacity: if is_able { 1000 } else { 100 },
+                reads: true,
+                leads: false,
+            },
+            region: format!("r{}", region_of(entry)),
+            front: address(entry),
+            regions: (0..REGIONS).map(|region| format!("r{region}")).collect(),
+            seeds: self.seeds.iter().map(|seed| address(*seed)).collect(),
+            drain: DRAIN,
+        }
+    }
+
+    fn push(&mut self, at: Instant, to: usize, delivery: Delivery) {
+        self.number += 1;
+        let run = self.entries.get(to).map_or(1, |entry| entry.run);
+        self.queue.push(Reverse(Arrival {
+            at,
+            number: self.number,
+            to,
+            run,
+            delivery,
+        }));
+    }
+
+    /// Plays on for `span`.
+    pub fn run(&mut self, span: Duration) {
+        let until = self.now + span;
+        while let Some(Reverse(arrival)) = self.queue.peek() {
+            if arrival.at > until {
+                break;
+            }
+            let Some(Reverse(arrival)) = self.queue.pop() else {
+                break;
+            };
+            self.now = self.now.max(arrival.at);
+            self.deliver(arrival);
+        }
+        self.now = until;
+    }
+
+    fn deliver(&mut self, arrival: Arrival) {
+        let to = arrival.to;
+        if !self.entries[to].alive || self.entries[to].run != arrival.run {
+            return;
+        }
+        match arrival.delivery {
+            Delivery::Datagram(message) => {
+                self.entries[to].datagrams += 1;
+                self.tell(to, FleetEvent::Message(message));
+            }
+            Delivery::Clock => {
+                if self.entries[to].clock.is_some_and(|due| due > self.now) {
+                    return;
+                }
+                self.entries[to].clock = None;
+                self.tell(to, FleetEvent::Clock);
+            }
+            Delivery::ReadEnds { begun, wait } => self.end_read(to, begun, wait),
+            Delivery::PullEnds { from, whole } => self.end_pull(to, from, whole),
+            Delivery::WatchEnds => self.end_watch(to),
+            Delivery::Rows => {
+                let rows = self.row.clone();
+                self.tell(to, FleetEvent::Rows(rows));
+            }
+        }
+    }
+
+    /// Gives `event` to an entry and does what it wants done.
+    pub fn tell(&mut self, entry: usize, event: FleetEvent) {
+        let mut actions = Vec::new();
+        self.entries[entry]
+            .member
+            .on_event(self.now, event, &mut actions);
+        for action in actions {
+            self.act(entry, action);
+        }
+        let known = *self.entries[entry].member.known();
+        let own = OwnState {
+            ready: known.is_complete() && !self.entries[entry].own.leaving,
+            ..self.entries[entry].own.clone()
+        };
+        if own != self.entries[entry].own {
+            self.set_own(entry, own);
+        }
+        let due = self.entries[entry].member.due(self.now);
+        if self.entries[entry].clock.is_none_or(|clock| clock > due) {
+            self.entries[entry].clock = Some(due);
+            self.push(due, entry, Delivery::Clock);
+        }
+    }
+
+    pub fn set_own(&mut self, entry: usize, own: OwnState) {
+        self.entries[entry].own = own.clone();
+        self.tell(entry, FleetEvent::Own(own));
+    }
+
+    fn act(&mut self, entry: usize, action: FleetAction) {
+        match action {
+            FleetAction::Send(targets, message) => {
+                for target in targets {
+                    self.send(entry, entry_at(target), message.clone());
+                }
+            }
+            FleetAction::Pull(PullTarget { view, whole }) => {
+                let from = entry_at(view);
+                let delay = 2 * self.delay(entry, from);
+                self.push(self.now + delay, entry, Delivery::PullEnds { from, whole });
+            }
+            FleetAction::ReadRegistry(wait) => {
+                self.calls += 1;
+                let begun = self.now;
+                let span = if self.is_served(entry) {
+                    wait
+                } else {
+                    Duration::ZERO
+                };
+                self.push(
+                    begun + span + STORE,
+                    entry,
+                    Delivery::ReadEnds { begun, wait },
+                );
+            }
+            FleetAction::WatchOperator(watches) => {
+                self.entries[entry].watches = watches;
+                if watches && !self.entries[entry].watching {
+                    self.begin_watch(entry, Duration::ZERO);
+                }
+            }
+            FleetAction::ReadRows => {
+                self.calls += 1;
+                if self.is_served(entry) {
+                    self.push(self.now + STORE, entry, Delivery::Rows);
+                }
+            }
+            FleetAction::WriteRow(leads) => {
+                self.calls += 1;
+                if self.is_served(entry) {
+                    let region = format!("r{}", region_of(entry));
+                    self.row.retain(|(known, _)| *known != region);
+                    let rows = leads.into_iter().map(|lead| (region.clone(), lead));
+                    self.row.extend(rows);
+                }
+            }
+            FleetAction::Note(note) => self.entries[entry].notes.push(note),
+            FleetAction::Confirm(_) | FleetAction::ListsChanged => {}
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: PeerMessage) {
+        self.entries[from].datagrams += 1;
+        if to < self.entries.len() && self.reaches(from, to) {
+            let at = self.now + self.delay(from, to);
+            self.push(at, to, Delivery::Datagram(message));
+        }
+    }
+
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        self.entries[to].alive && self.entries[from].group == self.entries[to].group
+    }
+
+    fn delay(&self, from: usize, to: usize) -> Duration {
+        if region_of(from) == region_of(to) {
+            NEAR
+        } else {
+            FAR
+        }
+    }
+
+    fn is_served(&self, entry: usize) -> bool {
+        !self.store_down && !self.entries[entry].refused
+    }
+
+    fn end_read(&mut self, entry: usize, begun: Instant, wait: Duration) {
+        if !self.is_served(entry) {
+            self.tell(entry, FleetEvent::Read(ReadOutcome::Failed));
+            return;
+        }
+        let mut known = *self.entries[entry].member.known();
+        let is_news = known.registry_at.is_none() || known.registry != self.registry;
+        known.registry = self.registry;
+        known.registry_read = self.version;
+        known.registry_at = Some(begun + wait);
+        self.tell(entry, FleetEvent::Known(known));
+        let outcome = if is_news {
+            ReadOutcome::Changed
+        } else {
+            ReadOutcome::Same
+        };
+        self.tell(entry, FleetEvent::Read(outcome));
+    }
+
+    fn end_pull(&mut self, entry: usize, from: usize, whole: bool) {
+        if !self.reaches(entry, from) {
+            self.tell(entry, FleetEvent::Pulled(address(from), false));
+            return;
+        }
+        let told = *self.entries[from].member.known();
+        let mut known = *self.entries[entry].member.known();
+        if whole || known.is_behind_registry(&told) {
+            known.registry = told.registry;
+            known.registry_read = told.registry_read;
+            known.registry_at = told.registry_at;
+        }
+        if whole || known.is_behind_operator(&told) {
+            known.operator = told.operator;
+            known.operator_read = told.operator_read;
+            known.operator_at = told.operator_at;
+            known.desired = told.desired;
+        }
+        let versions = self.entries[entry].member.regions().versions();
+        let lists = self.entries[from].member.regions().lists_since(&versions);
+        self.tell(entry, FleetEvent::Known(known));
+        self.tell(entry, FleetEvent::Lists(lists));
+        self.tell(entry, FleetEvent::Pulled(address(from), true));
+    }
+
+    fn begin_watch(&mut self, entry: usize, wait: Duration) {
+        self.calls += 1;
+        self.entries[entry].watching = true;
+        self.push(self.now + wait + STORE, entry, Delivery::WatchEnds);
+    }
+
+    fn end_watch(&mut self, entry: usize) {
+        self.entries[entry].watching = false;
+        let served = self.is_served(entry);
+        if served {
+            let mut known = *self.entries[entry].member.known();
+            self.learn_operator(&mut known);
+            self.tell(entry, FleetEvent::Known(known));
+        }
+        self.tell(entry, FleetEvent::Watched(served));
+        if self.entries[entry].watches && !self.entries[entry].watching {
+            self.begin_watch(entry, if served { WATCH } else { ms(1200) });
+        }
+    }
+
+    fn learn_operator(&self, known: &mut KnownStore) {
+        known.operator = known.operator.max(self.operator);
+        known.operator_read = self.version;
+        known.operator_at = Some(self.now);
+        known.desired = known.desired.max(self.operator);
+    }
+
+    /// The registry and the operator's rows change; open watches are told.
+    pub fn change(&mut self) {
+        self.version += 1;
+        self.registry = self.version;
+        self.operator = self.version;
+        for entry in 0..self.entries.len() {
+            if self.entries[entry].alive && self.entries[entry].watching && self.is_served(entry) {
+                let mut known = *self.entries[entry].member.known();
+                self.learn_operator(&mut known);
+                self.tell(entry, FleetEvent::Known(known));
+            }
+        }
+    }
+
+    /// The process of `entry` ends without a word.
+    pub fn kill(&mut self, entry: usize) {
+        self.entries[entry].alive = false;
+    }
+
+    /// The process of `entry` starts anew.
+    pub fn restart(&mut self, entry: usize) {
+        let run = self.entries[entry].run + 1;
+        let member = FleetMember::new(self.now, self.config(entry, run));
+        let known = &mut self.entries[entry];
+        known.member = member;
+        known.run = run;
+        known.alive = true;
+        known.own = OwnState::default();
+        known.notes.clear();
+        known.clock = None;
+        known.watches = false;
+        known.watching = false;
+        self.push(self.now, entry, Delivery::Clock);
+    }
+
+    /// Numbers of the live entries.
+    pub fn live(&self) -> Vec<usize> {
+        let count = self.entries.len();
+        (0..count)
+            .filter(|entry| self.entries[*entry].alive)
+            .collect()
+    }
+
+    /// Numbers of the entries that lead `region`.
+    pub fn leads(&self, region: usize) -> Vec<usize> {
+        let live = self.live().into_iter();
+        live.filter(|entry| region_of(*entry) == region)
+            .filter(|entry| self.entries[*entry].member.leads())
+            .collect()
+    }
+
+    /// Whether every region has exactly two leads.
+    pub fn is_settled(&self) -> bool {
+        (0..REGIONS).all(|region| self.leads(region).len() == 2)
+    }
+
+    /// Live entries that don't know the newest change.
+    pub fn behind(&self) -> Vec<usize> {
+        let mut live = self.live();
+        live.retain(|entry| {
+            let known = self.entries[*entry].member.known();
+            !known.is_complete() || known.registry < self.registry || known.operator < self.operator
+        });
+        live
+    }
+
+    /// Plays until nobody is behind; how long that took, at most `most`.
+    pub fn until_known(&mut self, most: Duration) -> Duration {
+        let begun = self.now;
+        while !self.behind().is_empty() && self.now < begun + most {
+            self.run(ms(10));
+        }
+        self.now - begun
+    }
+
+    /// Calls to the store while `span` is played.
+    pub fn calls_in(&mut self, span: Duration) -> u64 {
+        let before = self.calls;
+        self.run(span);
+        self.calls - before
+    }
+}
--- a/crates/place/tests/front.rs
+++ b/crates/place/tests/front.rs
@@ -1,6 +1,6 @@
 //! Which entries callers are told to use.
 
-use place::front::{FrontEntry, RateMeter, capacity, named};
+use place::fleet::front::{FrontEntry, RateMeter, capacity, named};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
--- /dev/null
+++ b/crates/place/tests/log.rs
@@ -0,0 +1,145 @@
+//! What an entry learns of another one's readings of the registry.
+
+mod common;
+
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use common::{changes, domains, ms, reading, server};
+use place::fleet::log::{ReadScope, RegistryLog};
+use place::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// Fixed, so that each run gives the same verdict.
+const SEED: u64 = 7;
+
+/// Promise: a reading that brought only heartbeats, or the rest of a warm-up that was
+/// told, costs a follower nothing; the end of the warm-up is told.
+#[test]
+fn heartbeats_are_not_told() {
+    let now = Instant::now();
+    let mut log = RegistryLog::default();
+    let mut cold = server("x", "a1");
+    cold.cold_remaining = ms(3000);
+    log.on_read(&reading(now, &[cold.clone()]), changes(1));
+    cold.seq = 9;
+    cold.cold_remaining = ms(1500);
+    log.on_read(&reading(now, &[cold.clone()]), changes(2));
+    assert_eq!(log.version(), 1);
+    cold.cold_remaining = ms(0);
+    log.on_read(&reading(now, &[cold]), changes(3));
+    assert_eq!(log.since(1).entries.len(), 1);
+}
+
+/// Promise: a server whose row vanished while the registry was in trouble is kept by
+/// followers until its reader gives it up, also by one that then reads itself.
+#[test]
+fn followers_keep_what_their_reader_keeps() {
+    let now = Instant::now();
+    let (mut reader, mut follower) = (RegistryLog::default(), RegistryLog::default());
+    let mut catalog = ServerCatalog::new(domains());
+    let both = [server("x", "a1"), server("y", "a1")];
+    reader.on_read(&reading(now, &both), changes(1));
+    let kept = ReadScope {
+        dropped: vec!["y".to_owned()],
+        missing: vec!["y".to_owned()],
+        ..changes(2)
+    };
+    reader.on_read(&reading(now, &both[..1]), kept);
+    let delta = reader.since(0);
+    follower.on_told(&delta);
+    catalog.on_told(now, now, &delta);
+    assert_eq!(catalog.iter().count(), 2);
+    // What it would go on from if it read itself has no row of the missing server.
+    assert_eq!(follower.entries().count(), 1);
+    reader.on_read(&reading(now, &both[..1]), changes(3));
+    let delta = reader.since(follower.version());
+    catalog.on_told(now, now, &delta);
+    assert_eq!(catalog.iter().count(), 1);
+}
+
+/// Promise: a log that holds what no reading gave is made anew by the next reading.
+#[test]
+fn a_log_ahead_of_the_store_is_made_anew() {
+    let now = Instant::now();
+    let mut log = RegistryLog::default();
+    log.on_read(&reading(now, &[server("x", "a1")]), changes(u64::MAX - 3));
+    log.on_read(&reading(now, &[server("y", "a1")]), changes(40));
+    assert_eq!(log.version(), 40);
+    let told = log.since(0);
+    assert!(told.whole && told.entries.len() == 1 && told.gone.is_empty());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Promise: whatever servers come, go and change, whichever answers are missed, and
+    /// whichever of two readers, or another follower, is asked, an entry that hears knows
+    /// what the one that it asked knows, also of servers that this one never saw.
+    #[test]
+    fn a_follower_catches_up(steps in prop::collection::vec((0u8..40, 0u8..4, any::<bool>()), 1..300)) {
+        let now = Instant::now();
+        let mut readers = [RegistryLog::default(), RegistryLog::default()];
+        let mut relay = RegistryLog::default();
+        let mut follower = RegistryLog::default();
+        let mut catalog = ServerCatalog::new(domains());
+        let mut present: BTreeSet<u8> = BTreeSet::new();
+        let mut leaving: BTreeSet<u8> = BTreeSet::new();
+        // What was dropped since each reader's last reading; `None` before the first and
+        // where the history is gone.
+        let mut dropped: [Option<Vec<String>>; 2] = [None, None];
+        for (version, (number, heard, is_second)) in (1..).zip(steps) {
+            if !present.insert(number) && !leaving.insert(number) {
+                present.remove(&number);
+                leaving.remove(&number);
+                for dropped in dropped.iter_mut().flatten() {
+                    dropped.push(format!("s{number}"));
+                }
+            }
+            if number == 39 {
+                dropped = [None, None];
+            }
+            let entries: Vec<ServerEntry> = present
+                .iter()
+                .map(|number| {
+                    let mut entry = server(&format!("s{number}"), "a1");
+                    // A run that left is followed by another one of the same server.
+                    entry.started = Some(version);
+                    if leaving.contains(number) {
+                        entry.state = EntryState::Draining;
+                    }
+                    entry
+                })
+                .collect();
+            let reader = &mut readers[usize::from(is_second)];
+            let since = dropped[usize::from(is_second)].replace(Vec::new());
+            let scope = ReadScope {
+                whole: since.is_none(),
+                dropped: since.unwrap_or_default(),
+                ..changes(version)
+            };
+            reader.on_read(&reading(now, &entries), scope);
+            let source = match heard {
+                0 => continue,
+                1 => {
+                    relay.on_told(&reader.since(relay.version()));
+                    &relay
+                }
+                _ => &*reader,
+            };
+            let delta = source.since(follower.version());
+            follower.on_told(&delta);
+            catalog.on_told(now, now, &delta);
+            let known: BTreeSet<String> = follower.entries().map(|entry| entry.id.clone()).collect();
+            let expected: BTreeSet<String> = entries.iter().map(|entry| entry.id.clone()).collect();
+            prop_assert_eq!(&known, &expected);
+            let listed: BTreeSet<String> = catalog.iter().map(|record| record.entry.id.clone()).collect();
+            prop_assert_eq!(&listed, &expected);
+        }
+    }
+}
--- a/crates/place/tests/runs.rs
+++ b/crates/place/tests/runs.rs
@@ -3,13 +3,13 @@
 mod common;
 
 use std::collections::HashMap;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use common::{domains, ms, placer, reading, request, route, server};
+use common::{changes, domains, ms, placer, reading, request, route, server};
 use place::catalog::CatalogChange;
+use place::fleet::log::RegistryLog;
 use place::load::short_name;
 use place::prelude::*;
-use place::view::{ServerCopy, ServerLog, ViewAnswer, ViewMark};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -117,17 +117,17 @@
 #[test]
 fn a_new_run_gets_its_cold_rate_at_followers_too() {
     let now = Instant::now();
-    let mut log = ServerLog::new(1);
-    let mut copy = ServerCopy::default();
+    let mut log = RegistryLog::default();
+    let mut known = 0;
     let mut placer = placer(now, &[]);
     let mut fresh = run("x", 2000, 1);
     fresh.cold_remaining = ms(3000);
     for (step, entry) in [run("x", 1000, 9), fresh].into_iter().enumerate() {
         let at = now + ms(1000 * (step as u64 + 1));
-        log.on_read(&reading(at, &[entry]));
-        let answer = view(&log, copy.mark());
-        let snapshot = copy.on_answer(at + ms(300), &answer);
-        placer.catalog.on_read(at + ms(300), &snapshot);
+        log.on_read(&reading(at, &[entry]), changes(step as u64 + 1));
+        let delta = log.since(known);
+        known = delta.version;
+        placer.catalog.on_told(at + ms(300), at, &delta);
     }
     let board = route("browse", "/");
     let at = now + ms(2400);
@@ -136,22 +136,6 @@
     assert_eq!(refused.unwrap_err().reason, RefusalReason::Cold);
 }
 
-fn view(log: &ServerLog, mark: ViewMark) -> ViewAnswer {
-    let (mark, whole, entries, gone) = log.since(mark);
-    ViewAnswer {
-        mark,
-        age: Duration::ZERO,
-        trouble: false,
-        whole,
-        entries,
-        gone,
-        foreign: log.foreign().to_vec(),
-        desired: 0,
-        operator: 0,
-        evacuated: Vec::new(),
-    }
-}
-
 /// Promise: a row of another writer takes a server out only while it stands; the
 /// server's own next word brings it back as it was, not cold, and the others hold.
 /// Followers see the same.
@@ -160,8 +144,8 @@
     let now = Instant::now();
     let mut own = ServerCatalog::new(domains());
     let mut follower = ServerCatalog::new(domains());
-    let mut log = ServerLog::new(1);
-    let mut copy = ServerCopy::default();
+    let mut log = RegistryLog::default();
+    let mut known = 0;
     let (x, y) = (run("x", 1000, 5), run("y", 1000, 5));
     let steps = [
         (vec![x.clone(), y.clone()], vec![], vec!["x", "y"]),
@@ -176,9 +160,10 @@
             begun: at,
         };
         own.on_read(at, &snapshot);
-        log.on_read(&snapshot);
-        let answer = view(&log, copy.mark());
-        follower.on_read(at, &copy.on_answer(at, &answer));
+        log.on_read(&snapshot, changes(step as u64 + 1));
+        let delta = log.since(known);
+        known = delta.version;
+        follower.on_told(at, at, &delta);
         assert_eq!(open(&own), expected, "step {step}");
         assert_eq!(open(&follower), expected, "step {step}, follower");
     }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -12,9 +12,11 @@
 pub use error::{Error, Result};
 pub use platform::{Commit, ObjectStore, Row, RowWrite, TableService};
 
-/// The product's own table of entries, in which they find each other: a row each under
-/// its instance's name, with the address that takes beats.
+/// The product's own table, in which the entries that lead a region are found.
 pub const ENTRY_TABLE: &str = "laurelhill-entries";
 /// Keys that begin so hold a region's client blocks in that table, as CIDR, separated
 /// by commas.
 pub const BLOCK_PREFIX: &str = "blocks/";
+/// Rows of that table with this prefix and a region's name hold where the entries that
+/// lead the region take datagrams, separated by commas.
+pub const LEAD_PREFIX: &str = "leads/";
