An empty store is watched, not read again and again

Ruled out: deputies that read beside their reader (2 calls each). Change: that something was read is remembered apart from the version. Conclusion: kept; an_empty_store_is_not_pressed fails without it.

--- a/bin/lh-entry/src/watch.rs
+++ b/bin/lh-entry/src/watch.rs
@@ -39,13 +39,14 @@
     let mut dependency = Dependency::new("operator feed");
     let mut watching = state.fleet.watching.subscribe();
     let mut pause = FIRST_PAUSE;
-    let mut is_history_gone = false;
+    // A store that nobody has written to is at version 0, and its rows are none.
+    let mut has_read = false;
     loop {
         if watching.wait_for(|watches| *watches).await.is_err() {
             return;
         }
         let known = state.fleet.known().operator_read;
-        let resume = (known > 0 && !is_history_gone).then_some(known);
+        let resume = (known > 0 || has_read).then_some(known);
         let result = match resume {
             None => client.read_operator().await,
             Some(after) => client.watch_operator(after, FEED_WAIT).await,
@@ -57,13 +58,14 @@
             Ok(rows) => {
                 dependency.regained();
                 pause = FIRST_PAUSE;
-                is_history_gone = false;
+                has_read = true;
                 on_rows(&state, &rows, resume.is_none());
                 state.fleet.on_event(FleetEvent::Watched(true));
             }
             Err(Error::HistoryGone) => {
                 log::info!("history of the operator's rows is gone; reading all");
-                is_history_gone = true;
+                has_read = false;
+                state.fleet.on_known(|known| known.operator_read = 0);
             }
             Err(error) => {
                 dependency.lost(&error);
--- a/bin/lh-entry/tests/readers.rs
+++ b/bin/lh-entry/tests/readers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use place::rank::stable_hash;
-use platform_standin::desired_state;
+use platform_standin::{FakeStore, desired_state, server_entry};
 use world::{BOARD, DESK, EntryProcess, SilentProxy, World, until};
 
 /// Promise: an entry that the store doesn't answer learns servers, desired states and
@@ -161,6 +161,33 @@
     .await;
 }
 
+/// Promise: a store that holds nothing yet is watched, not read again and again.
+#[tokio::test]
+async fn an_empty_store_is_not_pressed() {
+    let store = FakeStore::start().await;
+    let entry = EntryProcess::start(store.address(), "n1", &[]);
+    until("it leads its region", async || {
+        !entry.logged("leads its region").is_empty()
+    })
+    .await;
+    let calls = || store.calls("/rows-get") + store.calls("/rows-feed");
+    let before = calls();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    // Two watches a reader's interval apart make six; without a wait they are hundreds.
+    assert!(calls() - before <= 30, "{} calls", calls() - before);
+    store.put("op", "config", &desired_state(5, &[BOARD]));
+    store.put(
+        "servers",
+        "i-0",
+        &server_entry("board", nowhere(), "ready", 1),
+    );
+    entry.wait_ready().await;
+}
+
+fn nowhere() -> std::net::SocketAddr {
+    "127.0.0.1:1".parse().unwrap()
+}
+
 /// Promise: few entries read the store: of three in a region one reads the registry, two
 /// watch the operator's rows, and the third asks for nothing.
 #[tokio::test]
