Leads that the store leaves without an answer hear from others in time

Both leads of a region had lost the store without a word, but were heard. They took what other regions' leads know only when their own reading was 3 s old, and their follower, well connected itself, trusted them: a server that left got a request 2.8 s later (bound 2.5 s). Ruled out: lost digests: the follower had each; the reading's own time-out of 2.4 s: it only decides who reads next. Change: other regions' word on the registry counts from half of the drain bound on. A reading that takes 0.6 s longer than the store may hold it counts against its lead at once. A substitute reads from three quarters of the bound on and leads where no lead is answered. Substitutes are chosen whether or not the store answered them, so that a store that is down isn't tried by one after the other.

--- a/crates/place/src/fleet/follow.rs
+++ b/crates/place/src/fleet/follow.rs
@@ -18,9 +18,10 @@
 /// Shortest time between two questions, so that a lead that promises what it doesn't
 /// tell isn't asked without end.
 const ASK_PAUSE: Duration = Duration::from_millis(50);
-/// A lead takes what other regions know of the store only where its own knowledge is
-/// this old: the store tells each region's leads itself.
-const FAR_AFTER: Duration = Duration::from_millis(3000);
+/// A lead takes what other regions know of the operator's rows only where its own
+/// knowledge is this old, longer than its watch stays open: the store tells each
+/// region's leads itself.
+const FAR_AFTER: Duration = Duration::from_millis(2500);
 /// A lead's reading of the store counts as its newest word for this long.
 const READ_LIFE: Duration = Duration::from_millis(2000);
 /// What an entry knows that is newer than the store's newest version at a lead is no
@@ -46,6 +47,9 @@
     pub hash: u64,
     /// Whether it leads.
     pub leads: bool,
+    /// A lead takes what other regions know of the registry where its own knowledge is this
+    /// old: it hears from the store more often while that answers.
+    pub far_after: Duration,
 }
 
 /// The questions of one entry, one at a time.
@@ -105,7 +109,8 @@
         let mut ahead: Vec<&HeardLead> = sources.into_iter().filter(lacks).collect();
         if place.leads || ahead.is_empty() {
             let far = leads.fresh(now).filter(|lead| lead.region != place.region);
-            let wanted = far.filter(|lead| place.leads && lacks_far(now, known, lead, regions));
+            let wanted =
+                far.filter(|lead| place.leads && lacks_far(now, place, known, lead, regions));
             ahead.extend(wanted);
         }
         if ahead.is_empty() && !whole {
@@ -146,11 +151,19 @@
 
 /// Whether a lead of another region tells something that this region's leads can't hear
 /// themselves.
-fn lacks_far(now: Instant, known: &KnownStore, lead: &HeardLead, regions: &RegionBook) -> bool {
-    let is_old =
-        |at: Option<Instant>| at.is_none_or(|at| now.saturating_duration_since(at) >= FAR_AFTER);
-    let registry = known.is_behind_registry(&lead.known) && is_old(known.registry_at);
+fn lacks_far(
+    now: Instant,
+    place: FollowerPlace<'_>,
+    known: &KnownStore,
+    lead: &HeardLead,
+    regions: &RegionBook,
+) -> bool {
+    let is_old = |at: Option<Instant>, most: Duration| {
+        at.is_none_or(|at| now.saturating_duration_since(at) >= most)
+    };
+    let registry =
+        known.is_behind_registry(&lead.known) && is_old(known.registry_at, place.far_after);
     let operator = known.is_behind_operator(&lead.known)
-        && (is_old(known.operator_at) || lead.known.desired > known.desired);
+        && (is_old(known.operator_at, FAR_AFTER) || lead.known.desired > known.desired);
     registry || operator || regions.is_behind(&lead.lists)
 }
--- a/crates/place/src/fleet/member/asking.rs
+++ b/crates/place/src/fleet/member/asking.rs
@@ -18,6 +18,7 @@
             region: &self.config.region,
             hash: self.hash,
             leads: self.leading.is_some(),
+            far_after: self.readings.pace().deputy,
         };
         let next = self
             .pulls
--- a/crates/place/src/fleet/member/hearing.rs
+++ b/crates/place/src/fleet/member/hearing.rs
@@ -65,7 +65,7 @@
         } else {
             let mut seats = self.roster.seats(now, region);
             if region == self.config.region {
-                seats.push(self.own_seat());
+                seats.push(self.own_seat(now));
             }
             seats
         };
@@ -145,7 +145,7 @@
         if self.hears_lead(now) && self.leading.is_none() {
             return;
         }
-        let own = self.own_seat();
+        let own = self.own_seat(now);
         let is_new = self.search.on_hint(now, &hint.seats, &own);
         if is_new {
             self.beat_due = now;
--- a/crates/place/src/fleet/member/mod.rs
+++ b/crates/place/src/fleet/member/mod.rs
@@ -175,7 +175,7 @@
             regions: RegionBook::new(&config.region, &config.regions),
             search: LeadSearch::new(&config.seeds, hash),
             pulls: PullState::default(),
-            readings: ReadingPlan::new(ReadPace::new(config.drain), hash),
+            readings: ReadingPlan::new(now, ReadPace::new(config.drain), hash),
             leading: None,
             seats: Vec::new(),
             counted: Vec::new(),
--- a/crates/place/src/fleet/member/role.rs
+++ b/crates/place/src/fleet/member/role.rs
@@ -9,7 +9,7 @@
 impl FleetMember {
     /// Begins or ends to lead.
     pub(super) fn review_role(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
-        let own = self.own_seat();
+        let own = self.own_seat(now);
         let top = self.leads.first_of(now, &self.config.region);
         let above = top.filter(|lead| self.leading.is_none() || lead.order() > own.order());
         if let Some(lead) = above {
@@ -18,6 +18,9 @@
             self.set_seats(now, seats, actions);
             match (self.leading, appointed) {
                 (None, true) => self.lead(now, "appointed by the reader", actions),
+                (None, false) if self.reads_alone(now) && !self.own.leaving => {
+                    self.lead(now, "leads are not answered by the store", actions);
+                }
                 (Some(_), false) => self.follow(now, node, actions),
                 _ => {}
             }
@@ -35,7 +38,7 @@
             let near = self.leads.fresh_of(now, &self.config.region);
             let mut leading: Vec<LeadSeat> = near.map(|lead| lead.seat.clone()).collect();
             if !self.own.leaving {
-                leading.push(self.own_seat());
+                leading.push(self.own_seat(now));
             }
             let others = self.roster.seats(now, &self.config.region);
             let seats = seat::choose(leading, others);
@@ -94,13 +97,23 @@
     /// Whether no other lead of the region comes before this one.
     pub(super) fn is_first(&self, now: Instant) -> bool {
         let first = self.leads.first_of(now, &self.config.region);
-        first.is_none_or(|lead| !self.own.leaving && lead.order() < self.own_seat().order())
+        first.is_none_or(|lead| !self.own.leaving && lead.order() < self.own_seat(now).order())
+    }
+
+    /// Whether this entry has read the store itself just now, though no lead of its
+    /// region is answered.
+    fn reads_alone(&self, now: Instant) -> bool {
+        let read_at = self.readings.done_at();
+        let reads = read_at
+            .is_some_and(|at| now.saturating_duration_since(at) < self.readings.pace().reader);
+        let mut leads = self.leads.fresh_of(now, &self.config.region);
+        reads && self.reads && leads.all(|lead| !lead.seat.reads)
     }
 
     /// This entry as one that leads or may lead.
-    pub(super) fn own_seat(&self) -> LeadSeat {
+    pub(super) fn own_seat(&self, now: Instant) -> LeadSeat {
         LeadSeat {
-            reads: self.reads,
+            reads: self.reads && !self.readings.is_overdue(now),
             leads: self.leading.is_some(),
             ..self.config.seat.clone()
         }
--- a/crates/place/src/fleet/member/telling.rs
+++ b/crates/place/src/fleet/member/telling.rs
@@ -77,7 +77,7 @@
     fn own_beat(&self, now: Instant) -> EntryBeat {
         EntryBeat {
             incarnation: self.config.incarnation,
-            seat: self.own_seat(),
+            seat: self.own_seat(now),
             region: self.config.region.clone(),
             front: self.config.front,
             rate: self.own.rate,
@@ -120,7 +120,7 @@
     pub(super) fn digest(&self, now: Instant, to_leads: bool) -> PeerMessage {
         PeerMessage::Digest(Box::new(RegionDigest {
             incarnation: self.config.incarnation,
-            seat: self.own_seat(),
+            seat: self.own_seat(now),
             region: self.config.region.clone(),
             leaving: self.own.leaving,
             store: self.known.word(now),
--- a/crates/place/src/fleet/reading.rs
+++ b/crates/place/src/fleet/reading.rs
@@ -14,9 +14,10 @@
 /// Entries that get no requests read this much later than others where no lead is
 /// heard, spread over it: a new lead is found meanwhile.
 const STANDBY_SPREAD: Duration = Duration::from_millis(500);
-/// A substitute tries the store where the leads' reading is this many times the age
-/// at which entries without leads read.
-const SUBSTITUTE_FACTOR: f64 = 1.6;
+/// A reading that takes this much longer than the store was allowed to wait counts as
+/// failed for the choice of leads, though its answer may still come: others don't wait
+/// as long as it does.
+const OVERDUE_AFTER: Duration = Duration::from_millis(600);
 
 /// What came of a reading of the registry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -61,19 +62,23 @@
     begun: Option<Instant>,
     /// When a reader reads next.
     next: Option<Instant>,
+    done_at: Option<Instant>,
+    overdue_at: Instant,
     is_reading: bool,
     pause: Duration,
     not_before: Option<Instant>,
 }
 
 impl ReadingPlan {
-    /// A plan at `pace` of an entry with the hash `hash`.
-    pub fn new(pace: ReadPace, hash: u64) -> Self {
+    /// The plan at `pace` of an entry with the hash `hash` that starts at `now`.
+    pub fn new(now: Instant, pace: ReadPace, hash: u64) -> Self {
         Self {
             pace,
             spread: (hash % 1009) as f64 / 1009.0,
             begun: None,
             next: None,
+            done_at: None,
+            overdue_at: now,
             is_reading: false,
             pause: FIRST_PAUSE,
             not_before: None,
@@ -90,6 +95,7 @@
         }
         self.pause = FIRST_PAUSE;
         self.not_before = None;
+        self.done_at = Some(now);
         self.next = match outcome {
             ReadOutcome::Changed => Some(now + self.pace.reader.mul_f64(NEWS_SHARE)),
             _ => self.begun.map(|begun| begun + self.pace.reader),
@@ -113,8 +119,7 @@
             ReadRole::Deputy => age.is_none_or(|age| age >= self.pace.deputy),
             ReadRole::Follower { stuck: true, .. } => true,
             ReadRole::Follower { substitute, .. } => {
-                let late = self.pace.member.mul_f64(SUBSTITUTE_FACTOR);
-                substitute && age.is_some_and(|age| age >= late)
+                substitute && age.is_some_and(|age| age >= self.pace.member)
             }
             ReadRole::Alone { used, first } => match age {
                 None => now >= first,
@@ -124,12 +129,29 @@
         if !is_due {
             return None;
         }
+        let wait = match role {
+            ReadRole::Reader => self.pace.reader,
+            _ => Duration::ZERO,
+        };
         self.begun = Some(now);
         self.is_reading = true;
-        match role {
-            ReadRole::Reader => Some(self.pace.reader),
-            _ => Some(Duration::ZERO),
-        }
+        self.overdue_at = now + wait + OVERDUE_AFTER;
+        Some(wait)
+    }
+
+    /// Whether the present reading takes too long.
+    pub fn is_overdue(&self, now: Instant) -> bool {
+        self.is_reading && now >= self.overdue_at
+    }
+
+    /// When the last reading that succeeded ended.
+    pub fn done_at(&self) -> Option<Instant> {
+        self.done_at
+    }
+
+    /// Times between readings.
+    pub fn pace(&self) -> ReadPace {
+        self.pace
     }
 
     fn lone_age(&self, used: bool) -> Duration {
--- a/crates/place/src/fleet/seat.rs
+++ b/crates/place/src/fleet/seat.rs
@@ -71,6 +71,12 @@
             .position(|seat| leading.iter().all(|known| known.domain != seat.domain));
         leading.push(others.remove(apart.unwrap_or(0)));
     }
+    // Whether the store answered them doesn't count here: while it is down, entry after
+    // entry would come to try it.
+    others.sort_by_key(|seat| {
+        let (_, class, _, hash) = seat.order();
+        Reverse((class, hash))
+    });
     let mut seats = leading;
     for other in others {
         let substitutes = &seats[LEADS.min(seats.len())..];
--- a/crates/place/tests/fleet.rs
+++ b/crates/place/tests/fleet.rs
@@ -118,6 +118,36 @@
     }
 }
 
+/// Promise: where both leads of a region get no answers of the store any more, though they
+/// live and are heard, nobody else of the region is late: they hear from other regions'
+/// leads, and where these are out of reach a substitute reads and leads.
+#[test]
+fn blind_leads_make_nobody_late() {
+    for count in [12, 300] {
+        for is_apart in [false, true] {
+            let mut world = settled(count);
+            let leads = world.leads(1);
+            for lead in &leads {
+                world.entries[*lead].silent = true;
+            }
+            for entry in 0..count {
+                let is_cut = is_apart && region_of(entry) == 1;
+                world.entries[entry].group = u32::from(is_cut);
+            }
+            for wait in [300, 700, 1300] {
+                world.run(ms(wait));
+                world.change();
+                let begun = world.now;
+                while world.behind().iter().any(|entry| !leads.contains(entry)) {
+                    world.run(ms(10));
+                    let took = world.now - begun;
+                    assert!(took <= DRAIN, "{count} entries, apart {is_apart}: {took:?}");
+                }
+            }
+        }
+    }
+}
+
 /// Promise: while the store refuses a third of the entries, the leads of one region among
 /// them, everybody hears of changes in time, and no more calls are made than by leads.
 #[test]
--- a/crates/place/tests/fleet_world/mod.rs
+++ b/crates/place/tests/fleet_world/mod.rs
@@ -22,6 +22,8 @@
 const STORE: Duration = Duration::from_millis(5);
 /// How long a watch of the operator's rows stays open.
 const WATCH: Duration = Duration::from_millis(2000);
+/// How long an entry waits for an answer of the store.
+const PATIENCE: Duration = Duration::from_millis(1500);
 /// Within this time a leaving server must get no more requests.
 pub const DRAIN: Duration = Duration::from_millis(2500);
 pub const REGIONS: usize = 3;
@@ -78,6 +80,8 @@
     pub run: u64,
     /// Whether the store refuses it.
     pub refused: bool,
+    /// Whether its calls to the store get no answer.
+    pub silent: bool,
     /// Entries of different groups don't reach each other.
     pub group: u32,
     pub datagrams: u64,
@@ -154,6 +158,7 @@
                 alive: true,
                 run: 1,
                 refused: false,
+                silent: false,
                 group: 0,
                 datagrams: 0,
                 own: OwnState::default(),
@@ -289,6 +294,8 @@
                 let begun = self.now;
                 let span = if self.is_served(entry) {
                     wait
+                } else if self.entries[entry].silent {
+                    wait + PATIENCE
                 } else {
                     Duration::ZERO
                 };
@@ -345,7 +352,7 @@
     }
 
     fn is_served(&self, entry: usize) -> bool {
-        !self.store_down && !self.entries[entry].refused
+        !self.store_down && !self.entries[entry].refused && !self.entries[entry].silent
     }
 
     fn end_read(&mut self, entry: usize, begun: Instant, wait: Duration) {
