--- a/bin/lh-entry/src/watch.rs
+++ b/bin/lh-entry/src/watch.rs
@@ -69,7 +69,7 @@
             }
             Err(error) => {
                 dependency.lost(&error);
-                state.placer.borrow_mut().catalog.on_read_failed();
+                on_store_failed(&state);
                 state.fleet.on_event(FleetEvent::Watched(false));
                 tokio::time::sleep(pause).await;
                 pause = (pause * 2).min(LONGEST_PAUSE);
@@ -78,6 +78,12 @@
     }
 }
 
+/// Rows that vanish from now on may only have lapsed.
+fn on_store_failed(state: &InstanceState) {
+    let mut placer = state.placer.borrow_mut();
+    placer.catalog.on_read_failed(Instant::now());
+}
+
 /// Takes in the operator's rows: all of them, or those that changed.
 fn on_rows(state: &InstanceState, rows: &OperatorRows, is_whole: bool) {
     if rows.version < state.fleet.known().operator {
@@ -149,7 +155,7 @@
             }
         }
         Err(_) => {
-            state.placer.borrow_mut().catalog.on_read_failed();
+            on_store_failed(&state);
             ReadOutcome::Failed
         }
     };
--- a/crates/place/src/catalog.rs
+++ b/crates/place/src/catalog.rs
@@ -94,7 +94,8 @@
     evacuated: HashSet<String>,
     read_at: Option<Instant>,
     trips: TripBook,
-    trouble: bool,
+    /// When the registry failed to answer last, until it does again.
+    failed_at: Option<Instant>,
     settled_at: Option<Instant>,
 }
 
@@ -136,8 +137,8 @@
     }
 
     /// The registry did not answer a reading.
-    pub fn on_read_failed(&mut self) {
-        self.trouble = true;
+    pub fn on_read_failed(&mut self, now: Instant) {
+        self.failed_at = Some(now);
         self.settled_at = None;
     }
 
@@ -146,8 +147,7 @@
         if self.read_at.is_some_and(|at| at > snapshot.begun) {
             return Vec::new();
         }
-        if self.trouble {
-            self.trouble = false;
+        if self.failed_at.take().is_some() {
             self.settled_at = Some(now + RELIST_TIME);
         }
         let settled = self.settled_at.is_none_or(|at| now >= at);
@@ -197,9 +197,15 @@
         changes
     }
 
-    /// What is known is as fresh as of `begun`.
+    /// What is known is as fresh as of `begun`, by the word of another entry. Its reading
+    /// ends a disturbance that only this entry has met: without that, a lead that read again
+    /// after 12 s kept a server that had left for 3.5 s.
     pub fn confirm(&mut self, begun: Instant) {
         self.read_at = self.read_at.max(Some(begun));
+        if let Some(failed_at) = self.failed_at.filter(|failed_at| *failed_at <= begun) {
+            self.failed_at = None;
+            self.settled_at = Some(failed_at + RELIST_TIME);
+        }
     }
 
     /// Servers whose rows vanished and that are kept for now.
--- a/crates/place/tests/catalog.rs
+++ b/crates/place/tests/catalog.rs
@@ -64,7 +64,7 @@
     let now = Instant::now();
     let mut catalog = ServerCatalog::new(domains());
     catalog.on_read(now, &reading(now, &[server("x", "a1"), server("y", "a1")]));
-    catalog.on_read_failed();
+    catalog.on_read_failed(now + ms(100));
     let back = now + Duration::from_secs(5);
     catalog.on_read(back, &reading(back, &[]));
     assert_eq!(open(&catalog), ["x", "y"], "lapsed, not gone");
@@ -76,6 +76,24 @@
     assert_eq!(open(&catalog), ["x"], "still missing: gone");
 }
 
+/// Promise: a disturbance that only this entry met is over once another one's reading is
+/// told: a server that leaves later is gone at once, as for everybody. What lapsed at the
+/// time is still kept for two seconds.
+#[test]
+fn another_entrys_reading_ends_a_disturbance() {
+    let now = Instant::now();
+    let both = [server("x", "a1"), server("y", "a1")];
+    for (after, expected) in [(500, &["x", "y"][..]), (9000, &["x"])] {
+        let mut catalog = ServerCatalog::new(domains());
+        catalog.on_read(now, &reading(now, &both));
+        catalog.on_read_failed(now + ms(1000));
+        catalog.confirm(now + ms(1200));
+        let later = now + ms(1200 + after);
+        catalog.on_read(later, &reading(later, &both[..1]));
+        assert_eq!(open(&catalog), expected, "{after} ms after");
+    }
+}
+
 /// Promise: a reading that began before the newest one changes nothing.
 #[test]
 fn an_older_reading_changes_nothing() {
