--- a/crates/emulate/benches/slopes.rs
+++ b/crates/emulate/benches/slopes.rs
@@ -11,7 +11,11 @@
 use place::choice::ByteCosts;
 use place::desired::{DesiredState, RequestKind, RouteSpec, ServiceSpec, SplitPart};
 use place::directory::in_order;
+use place::fleet::known::KnownStore;
 use place::fleet::log::{ReadScope, RegistryLog};
+use place::fleet::member::MemberConfig;
+use place::fleet::message::{EntryBeat, PeerMessage};
+use place::fleet::seat::LeadSeat;
 use place::load::{LoadWord, short_name};
 use place::prelude::*;
 use place::rank::stable_hash;
@@ -242,6 +246,73 @@
     }
 }
 
+/// A region's lead that hears `entries` others, and what it makes of a beat and of its own
+/// turn to speak.
+fn leads() {
+    println!("\nentries of a region   a beat at the lead   a digest and a list");
+    for entries in [33, 98, 370, 1000] {
+        let seat = |number: usize| LeadSeat {
+            node: format!("edge-lhr-a-{number}"),
+            domain: format!("d{}", number % 3),
+            beat: SocketAddr::from(([10, 0, (number / 250) as u8, (number % 250) as u8], 7)),
+            view: SocketAddr::from(([10, 0, (number / 250) as u8, (number % 250) as u8], 8)),
+            capacity: if number.is_multiple_of(11) { 1000 } else { 100 },
+            reads: true,
+            leads: false,
+        };
+        let beat = |number: usize| {
+            PeerMessage::Beat(Box::new(EntryBeat {
+                incarnation: 1,
+                seat: seat(number),
+                region: "r0".to_owned(),
+                front: seat(number).beat,
+                rate: (number % 9) as u32,
+                ready: true,
+                leaving: false,
+                seeks: false,
+                stamp: String::new(),
+            }))
+        };
+        let start = Instant::now();
+        let config = MemberConfig {
+            incarnation: 1,
+            seat: seat(0),
+            region: "r0".to_owned(),
+            front: seat(0).beat,
+            regions: (0..REGIONS).map(|region| format!("r{region}")).collect(),
+            seeds: Vec::new(),
+            drain: Duration::from_millis(2500),
+        };
+        let mut lead = FleetMember::new(start, config);
+        let mut actions = Vec::new();
+        let known = KnownStore {
+            registry_at: Some(start),
+            ..KnownStore::default()
+        };
+        lead.on_event(start, FleetEvent::Known(known), &mut actions);
+        let mut now = start + Duration::from_secs(2);
+        lead.on_event(now, FleetEvent::Clock, &mut actions);
+        for number in 1..entries {
+            lead.on_event(now, FleetEvent::Message(beat(number)), &mut actions);
+        }
+        let mut number = 0;
+        let heard = median(7, 200, || {
+            number = number % (entries - 1) + 1;
+            lead.on_event(now, FleetEvent::Message(beat(number)), &mut actions);
+            actions.clear();
+        });
+        let spoken = median(7, 20, || {
+            now += Duration::from_millis(601);
+            for number in 1..entries {
+                lead.on_event(now, FleetEvent::Message(beat(number)), &mut actions);
+            }
+            actions.clear();
+        });
+        let spoken = spoken.saturating_sub(heard * entries as u32);
+        println!("{entries:>19} {heard:>20.1?} {spoken:>21.1?}");
+    }
+}
+
 fn lookups() {
     println!("\nentries known   look-up in order   answer to a follower");
     for count in [12, 90, 5900] {
@@ -300,6 +371,7 @@
     bundles();
     choosing();
     words();
+    leads();
     lookups();
     blocks();
 }
