crates/place by area: limits, placing, fleet; who is asked for what is lacked in four steps

Cause: 26 modules stood side by side, and PullState::next did four things in 60 lines. Ruled out: an area for servers: catalog and server are what all areas speak of. Change: moves and paths only; next is split into the leads in order, those ahead, and whether this entry is ahead itself. Measured: tests of place pass; nothing decided differently.

--- a/bin/lh-entry/src/config.rs
+++ b/bin/lh-entry/src/config.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use conf::{CheckedSection, ProcessFile, schema};
-use place::budget::BudgetBounds;
-use place::choice::ByteCosts;
 use place::fleet::front;
+use place::limits::budget::BudgetBounds;
+use place::placing::choice::ByteCosts;
 
 use crate::error::Result;
 
--- a/bin/lh-entry/src/fleet.rs
+++ b/bin/lh-entry/src/fleet.rs
@@ -9,7 +9,7 @@
 use place::fleet::member::{BEAT_EVERY, MemberConfig};
 use place::fleet::message::{LoadBeat, PeerMessage};
 use place::fleet::regions::RegionBook;
-use place::load::{LoadWord, is_told_far, load_pause};
+use place::placing::load::{LoadWord, is_told_far, load_pause};
 use place::prelude::*;
 use place::rank::stable_hash;
 use tokio::net::UdpSocket;
--- a/bin/lh-entry/src/job.rs
+++ b/bin/lh-entry/src/job.rs
@@ -11,8 +11,8 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use place::catalog::ServerHandle;
 use place::desired::RouteSpec;
+use place::placing::timing::millis;
 use place::request::{Placement, PlacementRequest, Refusal, ServerOutcome};
-use place::timing::millis;
 use platform::headers::{self, ServerHead};
 use tokio::time::timeout_at;
 
--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -67,7 +67,7 @@
     /// The state of an entry that knows nothing yet.
     pub(crate) fn new(config: EntryConfig, metrics: EntryMetrics, incarnation: u64) -> Self {
         let own = stable_hash(config.instance.as_bytes());
-        let placer = RequestPlacer::new(place::placer::PlacerConfig {
+        let placer = RequestPlacer::new(place::placing::placer::PlacerConfig {
             domain: config.domain.clone(),
             region: config.region.clone(),
             domains: config.domains.clone(),
--- a/crates/emulate/src/policy.rs
+++ b/crates/emulate/src/policy.rs
@@ -4,7 +4,7 @@
 
 use place::catalog::{CatalogSnapshot, ServerHandle};
 use place::desired::{DesiredState, RouteSpec};
-use place::load::LoadWord;
+use place::placing::load::LoadWord;
 use place::prelude::*;
 use place::rank::stable_hash;
 
--- a/crates/emulate/src/setup.rs
+++ b/crates/emulate/src/setup.rs
@@ -3,9 +3,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use place::budget::BudgetBounds;
-use place::choice::ByteCosts;
 use place::desired::{DesiredState, RequestKind, RequestLimits, RouteSpec, ServiceSpec, SplitPart};
+use place::limits::budget::BudgetBounds;
+use place::placing::choice::ByteCosts;
 use place::prelude::*;
 use place::rank::stable_hash;
 
--- a/crates/emulate/src/timeline.rs
+++ b/crates/emulate/src/timeline.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-use place::load::LoadWord;
+use place::placing::load::LoadWord;
 
 /// Microseconds from the start.
 pub(crate) type Micros = u64;
--- a/crates/emulate/tests/patterns.rs
+++ b/crates/emulate/tests/patterns.rs
@@ -7,7 +7,7 @@
     EntryPolicy, Experiment, FaultKind, NaivePolicy, PlacerPolicy, PolicyChoice, ServerFault,
     TrialReport, run_trial,
 };
-use place::load::LoadWord;
+use place::placing::load::LoadWord;
 use place::request::{Placement, ServerOutcome};
 use place::server::ServerReport;
 
--- a/crates/place/src/catalog.rs
+++ b/crates/place/src/catalog.rs
@@ -8,8 +8,8 @@
 use std::time::{Duration, Instant};
 
 use crate::fleet::log::RegistryDelta;
+use crate::placing::trip::TripBook;
 use crate::server::{EntryState, ServerEntry, ServerRecord};
-use crate::trip::TripBook;
 
 /// After the registry's return, live servers are listed again within about 2 s.
 const RELIST_TIME: Duration = Duration::from_millis(2200);
--- a/crates/place/src/fleet/follow.rs
+++ b/crates/place/src/fleet/follow.rs
@@ -89,30 +89,9 @@
         leads: &LeadTable,
         regions: &RegionBook,
     ) -> Option<PullTarget> {
-        let mut sources: Vec<&HeardLead> = leads.fresh_of(now, place.region).collect();
-        sources.sort_by_key(|lead| Reverse(lead.order()));
-        let is_ahead = !sources.is_empty() && sources.iter().all(|lead| is_ahead(now, known, lead));
-        let ahead_since = is_ahead.then(|| self.ahead_since.unwrap_or(now));
-        self.ahead_since = ahead_since;
-        let whole =
-            ahead_since.is_some_and(|since| now.saturating_duration_since(since) >= AHEAD_MOST);
-        let lacks = |lead: &&HeardLead| {
-            known.is_behind_registry(&lead.known)
-                || known.is_behind_operator(&lead.known)
-                || regions.is_behind(&lead.lists)
-        };
-        let preferred = (place.hash % 2) as usize;
-        if !place.leads && sources.len() > 1 && preferred == 1 {
-            sources.swap(0, 1);
-        }
-        let first = sources.first().copied();
-        let mut ahead: Vec<&HeardLead> = sources.into_iter().filter(lacks).collect();
-        if place.leads || ahead.is_empty() {
-            let far = leads.fresh(now).filter(|lead| lead.region != place.region);
-            let wanted =
-                far.filter(|lead| place.leads && lacks_far(now, place, known, lead, regions));
-            ahead.extend(wanted);
-        }
+        let near = near_leads(now, place, leads);
+        let whole = self.is_ahead_for_long(now, known, &near);
+        let ahead = leads_ahead(now, place, known, leads, regions, &near);
         if ahead.is_empty() && !whole {
             self.behind_since = None;
             return None;
@@ -122,6 +101,7 @@
         if self.asked.is_some() || self.asked_at.is_some_and(|at| is_recent(at, ASK_PAUSE)) {
             return None;
         }
+        let first = near.first().copied();
         let avoided = self.avoided.filter(|(_, at)| is_recent(*at, AVOIDED_FOR));
         let is_avoided = |lead: &&HeardLead| avoided.is_none_or(|(view, _)| lead.view() != view);
         let chosen = if whole {
@@ -140,6 +120,50 @@
             whole,
         })
     }
+
+    /// Whether what is known has been ahead of the store's word at all leads for too long.
+    fn is_ahead_for_long(&mut self, now: Instant, known: &KnownStore, near: &[&HeardLead]) -> bool {
+        let is_ahead = !near.is_empty() && near.iter().all(|lead| is_ahead(now, known, lead));
+        self.ahead_since = is_ahead.then(|| self.ahead_since.unwrap_or(now));
+        let since = self.ahead_since;
+        since.is_some_and(|since| now.saturating_duration_since(since) >= AHEAD_MOST)
+    }
+}
+
+/// The leads of the own region, in the order in which this entry asks them.
+fn near_leads<'a>(
+    now: Instant,
+    place: FollowerPlace<'a>,
+    leads: &'a LeadTable,
+) -> Vec<&'a HeardLead> {
+    let mut near: Vec<&HeardLead> = leads.fresh_of(now, place.region).collect();
+    near.sort_by_key(|lead| Reverse(lead.order()));
+    if !place.leads && near.len() > 1 && !place.hash.is_multiple_of(2) {
+        near.swap(0, 1);
+    }
+    near
+}
+
+/// The leads that know more than this entry; for a lead also those of other regions.
+fn leads_ahead<'a>(
+    now: Instant,
+    place: FollowerPlace<'_>,
+    known: &KnownStore,
+    leads: &'a LeadTable,
+    regions: &RegionBook,
+    near: &[&'a HeardLead],
+) -> Vec<&'a HeardLead> {
+    let lacks = |lead: &&&HeardLead| {
+        known.is_behind_registry(&lead.known)
+            || known.is_behind_operator(&lead.known)
+            || regions.is_behind(&lead.lists)
+    };
+    let mut ahead: Vec<&HeardLead> = near.iter().filter(lacks).copied().collect();
+    if place.leads {
+        let far = leads.fresh(now).filter(|lead| lead.region != place.region);
+        ahead.extend(far.filter(|lead| lacks_far(now, place, known, lead, regions)));
+    }
+    ahead
 }
 
 /// Whether the entry knows what no reading of the lead can have shown yet.
--- a/crates/place/src/fleet/message.rs
+++ b/crates/place/src/fleet/message.rs
@@ -6,7 +6,7 @@
 use crate::fleet::known::StoreWord;
 use crate::fleet::list::ListVersion;
 use crate::fleet::seat::LeadSeat;
-use crate::load::LoadWord;
+use crate::placing::load::LoadWord;
 
 base::common! {
     /// One datagram between entries.
--- a/crates/place/src/choice.rs
+++ b/crates/place/src/placing/choice.rs
@@ -2,13 +2,13 @@
 
 use std::time::Instant;
 
-use crate::candidates::{Candidate, RankScope};
 use crate::catalog::ServerHandle;
+use crate::limits::shift::ShiftLimiter;
+use crate::placing::candidates::{Candidate, RankScope};
+use crate::placing::timing::millis;
+use crate::placing::work::RouteWork;
 use crate::request::{PlacementReason, PlacementRequest, RefusalReason};
 use crate::server::ServerRecord;
-use crate::shift::ShiftLimiter;
-use crate::timing::millis;
-use crate::work::RouteWork;
 
 /// Requests at a server, as a multiple of its slots, up to which it gets more.
 /// Beyond, waiting costs the objective of those behind.
--- a/crates/place/src/load.rs
+++ b/crates/place/src/placing/load.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::catalog::ServerCatalog;
-use crate::warmth::Sighting;
+use crate::placing::warmth::Sighting;
 
 /// An entry's word counts for this long: it is given several times a second.
 const LOAD_LIFE: Duration = Duration::from_millis(1500);
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placing/placer.rs
@@ -8,23 +8,23 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use crate::budget::{BudgetBounds, RetryBudget};
-use crate::candidates::{RankedServers, ranked_candidates};
 use crate::catalog::{ServerCatalog, ServerHandle};
-use crate::choice::{ByteCosts, ChoicePlace, ServerChoice, rank_scope};
 use crate::desired::{DesiredState, RouteSpec, ServiceSpec};
-use crate::load::{LoadWord, PeerLoads, own_load};
-use crate::ramp::ColdRamp;
-use crate::refusal::ReturnSpread;
+use crate::limits::budget::{BudgetBounds, RetryBudget};
+use crate::limits::ramp::ColdRamp;
+use crate::limits::refusal::ReturnSpread;
+use crate::limits::shift::ShiftLimiter;
+use crate::limits::split::TrafficSplitter;
+use crate::placing::candidates::{RankedServers, ranked_candidates};
+use crate::placing::choice::{ByteCosts, ChoicePlace, ServerChoice, rank_scope};
+use crate::placing::load::{LoadWord, PeerLoads, own_load};
+use crate::placing::timing::millis;
+use crate::placing::warmth::WarmthMap;
+use crate::placing::work::WorkBook;
 use crate::request::{
     Placement, PlacementReason, PlacementRequest, Refusal, RefusalReason, ServerOutcome,
 };
 use crate::server::{EntryState, ServerRecord, ServerReport};
-use crate::shift::ShiftLimiter;
-use crate::split::TrafficSplitter;
-use crate::timing::millis;
-use crate::warmth::WarmthMap;
-use crate::work::WorkBook;
 
 /// A server that rejects a request as full has about this many times its slots.
 const FULL_FACTOR: f64 = 3.0;
--- a/crates/place/src/warmth.rs
+++ b/crates/place/src/placing/warmth.rs
@@ -8,8 +8,8 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use crate::load::short_name;
-use crate::timing::Average;
+use crate::placing::load::short_name;
+use crate::placing::timing::Average;
 
 /// Ages of a sighting that are told apart.
 const AGES: [Duration; 3] = [
--- a/crates/place/src/work.rs
+++ b/crates/place/src/placing/work.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use crate::desired::RouteSpec;
-use crate::timing::{Average, millis};
-use crate::warmth::{Belief, WarmthRates};
+use crate::placing::timing::{Average, millis};
+use crate::placing::warmth::{Belief, WarmthRates};
 
 /// Weight of the newest answer in the work of a route.
 const WORK_WEIGHT: f64 = 0.05;
--- a/crates/place/src/prelude.rs
+++ b/crates/place/src/prelude.rs
@@ -3,7 +3,7 @@
 pub use crate::catalog::{CatalogSnapshot, ServerCatalog};
 pub use crate::desired::{DesiredState, RequestKind, RequestLimits, RouteSpec, ServiceSpec};
 pub use crate::fleet::member::{FleetAction, FleetEvent, FleetMember, FleetNote, OwnState};
-pub use crate::placer::{PlacerConfig, RequestPlacer};
+pub use crate::placing::placer::{PlacerConfig, RequestPlacer};
 pub use crate::request::{Placement, PlacementRequest, Refusal, RefusalReason, ServerOutcome};
 pub use crate::routes::RouteTable;
 pub use crate::server::{EntryState, ServerEntry, ServerReport};
--- a/crates/place/src/request.rs
+++ b/crates/place/src/request.rs
@@ -4,8 +4,8 @@
 
 use crate::catalog::ServerHandle;
 use crate::desired::RouteSpec;
+use crate::placing::warmth::Belief;
 use crate::server::ServerEntry;
-use crate::warmth::Belief;
 
 /// A request that wants a server.
 #[derive(Debug)]
--- a/crates/place/src/server.rs
+++ b/crates/place/src/server.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use crate::placing::timing::Average;
 use crate::rank::{pair_weight, stable_hash};
-use crate::timing::Average;
 
 /// A report of load counts less the older it is; after this time it counts 37 %.
 /// Most work ends within it.
--- a/crates/place/tests/common/mod.rs
+++ b/crates/place/tests/common/mod.rs
@@ -5,10 +5,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use place::budget::BudgetBounds;
-use place::choice::ByteCosts;
 use place::desired::{ServiceSpec, SplitPart};
 use place::fleet::log::ReadScope;
+use place::limits::budget::BudgetBounds;
+use place::placing::choice::ByteCosts;
 use place::prelude::*;
 
 /// Milliseconds.
--- a/crates/place/tests/limits.rs
+++ b/crates/place/tests/limits.rs
@@ -6,10 +6,10 @@
 use std::time::{Duration, Instant};
 
 use common::ms;
-use place::budget::{BudgetBounds, RetryBudget};
-use place::ramp::ColdRamp;
+use place::limits::budget::{BudgetBounds, RetryBudget};
+use place::limits::ramp::ColdRamp;
+use place::limits::shift::ShiftLimiter;
 use place::rank::stable_hash;
-use place::shift::ShiftLimiter;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
--- a/crates/place/tests/load.rs
+++ b/crates/place/tests/load.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use place::load::{is_told_far, load_pause};
+use place::placing::load::{is_told_far, load_pause};
 
 /// Promise: in a region of up to 28 entries each hears the load of each other three times
 /// a second, up to 110 of other regions hear it once a second, in a fleet of nine with
--- a/crates/place/tests/placer.rs
+++ b/crates/place/tests/placer.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use common::{ms, placer, reading, request, route, server};
-use place::load::{LoadWord, short_name};
+use place::placing::load::{LoadWord, short_name};
 use place::prelude::*;
 use place::rank::stable_hash;
 use place::server::ServerReport;
--- a/crates/place/tests/routes.rs
+++ b/crates/place/tests/routes.rs
@@ -4,8 +4,8 @@
 
 use common::{desired, route};
 use place::desired::SplitPart;
+use place::limits::split::TrafficSplitter;
 use place::prelude::*;
-use place::split::TrafficSplitter;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
--- a/crates/place/tests/runs.rs
+++ b/crates/place/tests/runs.rs
@@ -8,7 +8,7 @@
 use common::{changes, domains, ms, placer, reading, request, route, server};
 use place::catalog::CatalogChange;
 use place::fleet::log::RegistryLog;
-use place::load::short_name;
+use place::placing::load::short_name;
 use place::prelude::*;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
--- a/crates/place/tests/trip.rs
+++ b/crates/place/tests/trip.rs
@@ -5,8 +5,8 @@
 use std::time::Instant;
 
 use common::{ms, placer, request, route, server};
+use place::placing::trip::TripBook;
 use place::prelude::*;
-use place::trip::TripBook;
 
 /// Promise: an estimate follows the network wherever it stands, and neither queues nor
 /// lost packets make it much longer.
