--- a/crates/place/tests/fleet.rs
+++ b/crates/place/tests/fleet.rs
@@ -367,6 +367,23 @@
     assert!(world.is_settled());
 }
 
+/// Promise: an entry that is left alone in its region asks for others at its own pace,
+/// though everybody answers that those lead which are gone.
+#[test]
+fn a_lone_entry_asks_at_its_own_pace() {
+    let mut world = settled(60);
+    let lone = (0..60)
+        .rfind(|entry| region_of(*entry) == 2 && !world.entries[*entry].member.leads())
+        .unwrap();
+    for entry in (0..60).filter(|entry| region_of(*entry) == 2 && *entry != lone) {
+        world.kill(entry);
+    }
+    let before = world.entries[lone].datagrams;
+    world.run(ms(10_000));
+    let datagrams = world.entries[lone].datagrams - before;
+    assert!(datagrams <= 10 * 60, "{datagrams} datagrams in 10 s");
+}
+
 /// Promise: where no seed answers, the leads are found by their rows in the store.
 #[test]
 fn leads_are_found_without_seeds() {
--- a/crates/place/tests/fleet_world/mod.rs
+++ b/crates/place/tests/fleet_world/mod.rs
@@ -24,6 +24,8 @@
 const WATCH: Duration = Duration::from_millis(2000);
 /// How long an entry waits for an answer of the store.
 const PATIENCE: Duration = Duration::from_millis(1500);
+/// Messages on their way at once in a fleet that isn't answering itself without end.
+const WAITING_MOST: usize = 500_000;
 /// Within this time a leaving server must get no more requests.
 pub const DRAIN: Duration = Duration::from_millis(2500);
 pub const REGIONS: usize = 3;
@@ -197,6 +199,11 @@
     }
 
     fn push(&mut self, at: Instant, to: usize, delivery: Delivery) {
+        let waiting = self.queue.len();
+        assert!(
+            waiting < WAITING_MOST,
+            "{waiting} messages are on their way at once"
+        );
         self.number += 1;
         let run = self.entries.get(to).map_or(1, |entry| entry.run);
         self.queue.push(Reverse(Arrival {
