--- /dev/null
+++ b/crates/place/tests/roster.rs
@@ -0,0 +1,60 @@
+//! Which entries a lead takes as live.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use common::ms;
+use place::fleet::message::EntryBeat;
+use place::fleet::roster::{BeatNews, EntryRoster};
+use place::fleet::seat::LeadSeat;
+
+fn beat(incarnation: u64) -> EntryBeat {
+    let address = SocketAddr::from(([127, 0, 0, 1], 81));
+    EntryBeat {
+        incarnation,
+        seat: LeadSeat {
+            node: "n".to_owned(),
+            domain: "a1".to_owned(),
+            beat: address,
+            view: address,
+            capacity: 800,
+            reads: true,
+            leads: false,
+        },
+        region: "a".to_owned(),
+        front: address,
+        rate: 0,
+        ready: true,
+        leaving: false,
+        seeks: false,
+        stamp: String::new(),
+    }
+}
+
+/// Promise: an entry that fell silent is left out within three seconds.
+#[test]
+fn a_silent_entry_is_left_out() {
+    let now = Instant::now();
+    let mut roster = EntryRoster::default();
+    roster.on_beat(now, beat(1));
+    assert_eq!(roster.live(now + ms(2000), "a").count(), 1);
+    assert_eq!(roster.live(now + ms(3000), "a").count(), 0);
+}
+
+/// Promise: a beat of an earlier run, late on the network, doesn't undo the stop
+/// or the start that came after it.
+#[test]
+fn a_beat_of_an_earlier_run_changes_nothing() {
+    let now = Instant::now();
+    let mut roster = EntryRoster::default();
+    let mut stopping = beat(2);
+    stopping.leaving = true;
+    roster.on_beat(now, stopping);
+    assert_eq!(roster.on_beat(now + ms(1), beat(1)), BeatNews::Outdated);
+    assert!(roster.seats(now + ms(2), "a").is_empty());
+    assert_eq!(roster.on_beat(now + ms(3), beat(3)), BeatNews::Changed);
+    assert_eq!(roster.seats(now + ms(4), "a").len(), 1);
+    assert_eq!(roster.on_beat(now + ms(5), beat(3)), BeatNews::Same);
+}
