--- a/crates/place/tests/fleet.rs
+++ b/crates/place/tests/fleet.rs
@@ -446,7 +446,8 @@
             seats: Vec::new(),
         },
     ];
-    let mut seat = LeadSeatOf(&world, sender).seat();
+    let regions = world.entries[sender].member.regions();
+    let mut seat = regions.seats("r2")[0].clone();
     seat.node = "stranger".to_owned();
     let digest = RegionDigest {
         incarnation: 1,
@@ -465,12 +466,3 @@
     world.change();
     assert!(world.until_known(Duration::from_secs(6)) <= ms(1100));
 }
-
-struct LeadSeatOf<'a>(&'a FleetWorld, usize);
-
-impl LeadSeatOf<'_> {
-    fn seat(&self) -> place::fleet::seat::LeadSeat {
-        let regions = self.0.entries[self.1].member.regions();
-        regions.seats("r2")[0].clone()
-    }
-}
