Sight: what a request is, and whether the server that broke it off had ended

Cause: request lines name attempts, whose ids differ each time, and a broken connection was logged alike whether the server ended or the link did. Ruled out: a print in each line (a hash of each body costs processor time where nothing is wrong; it is made when a request breaks). Change: a request that a server broke off gets a print: a hash of all that the server got but what differs between attempts. The server is looked at once, by one connection; lines 'server ended under requests' and 'server broke off requests and runs on' name the prints, laurelhill_broken_off_total counts them. No decision changes.

--- a/bin/lh-entry/src/caller.rs
+++ b/bin/lh-entry/src/caller.rs
@@ -24,6 +24,8 @@
 const NUMBER: HeaderName = HeaderName::from_static("laurelhill-number");
 /// Header with the number of the caller's attempt under one number; the first is 1.
 const ATTEMPT: HeaderName = HeaderName::from_static("laurelhill-attempt");
+/// Headers of the own interface that differ between two attempts of a caller.
+const ATTEMPT_HEADERS: [HeaderName; 5] = [REQUEST_ID, DEADLINE, TICKET, NUMBER, ATTEMPT];
 /// Headers by which a caller asks on the own interface.
 const OWN_HEADERS: [HeaderName; 3] = [DEADLINE, TICKET, OBJECT];
 
@@ -145,6 +147,11 @@
     }
 }
 
+/// Whether the header of the own interface differs between two attempts of a caller.
+pub(crate) fn is_of_attempt(name: &HeaderName) -> bool {
+    ATTEMPT_HEADERS.contains(name)
+}
+
 fn number(headers: &HeaderMap, name: &HeaderName) -> Result<Option<u64>, Problem> {
     let Some(value) = headers.get(name) else {
         return Ok(None);
--- a/bin/lh-entry/src/intake.rs
+++ b/bin/lh-entry/src/intake.rs
@@ -35,6 +35,14 @@
         }
     }
 
+    /// All of it, or its beginning as long as that is here.
+    pub(crate) fn beginning(&self) -> &[u8] {
+        match self {
+            Self::Whole { bytes, .. } | Self::Streamed(Some((bytes, ..))) => bytes,
+            Self::Streamed(None) => &[],
+        }
+    }
+
     /// Its size in bytes, as far as it is known.
     pub(crate) fn size(&self) -> usize {
         match self {
--- a/bin/lh-entry/src/job.rs
+++ b/bin/lh-entry/src/job.rs
@@ -10,6 +10,7 @@
 use hyper::header;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use place::catalog::ServerHandle;
+use place::crash::print::RequestPrint;
 use place::desired::RouteSpec;
 use place::placing::timing::millis;
 use place::request::{Placement, PlacementRequest, Refusal, ServerOutcome};
@@ -19,8 +20,10 @@
 use crate::attempt::AttemptGuard;
 use crate::body::{AnswerBody, RequestBody};
 use crate::caller::{Caller, Interface};
+use crate::crash;
 use crate::intake::JobBody;
 use crate::pool::Lease;
+use crate::print::request_print;
 use crate::problem::{Problem, state_outcome};
 use crate::record::{RequestOutcome, RequestRecord};
 use crate::reply::{broken, fail, is_sound, read_answer, refuse, strip_hop_headers};
@@ -53,6 +56,8 @@
     runs: u32,
     unreachable: u32,
     may_have_run: bool,
+    /// The request's print, once it was needed.
+    print: Option<RequestPrint>,
 }
 
 /// What came of an attempt.
@@ -201,6 +206,10 @@
                 return AttemptEnd::Unreachable;
             }
         };
+        if matches!(body, JobBody::Streamed(_)) {
+            // Its beginning is gone once it is sent.
+            self.print(body);
+        }
         let Some(request) = self.request(&guard.placement, body) else {
             guard.finish(ServerOutcome::Abandoned, None);
             return AttemptEnd::Broken;
@@ -225,22 +234,23 @@
                 };
                 self.record.on_result(&broken(error.error()));
                 guard.finish(outcome, None);
-                return if unsent {
-                    AttemptEnd::Unreachable
-                } else {
-                    AttemptEnd::Broken
-                };
+                if unsent {
+                    return AttemptEnd::Unreachable;
+                }
+                self.on_broken_off(route, &guard.placement, body);
+                return AttemptEnd::Broken;
             }
             Ok(Ok(answer)) => answer,
         };
-        self.take_answer(guard, lease, answer).await
+        self.take_answer(route, guard, lease, (answer, body)).await
     }
 
     async fn take_answer(
         &mut self,
+        route: &RouteSpec,
         mut guard: AttemptGuard,
         lease: Lease,
-        answer: Response<Incoming>,
+        (answer, sent): (Response<Incoming>, &JobBody),
     ) -> AttemptEnd {
         let (parts, body) = answer.into_parts();
         let head = headers::read_server(parts.status, &parts.headers);
@@ -274,6 +284,7 @@
             Ok(Err(error)) => {
                 guard.finish(ServerOutcome::Broken, None);
                 self.record.on_result(&broken(&error));
+                self.on_broken_off(route, &guard.placement, sent);
                 return AttemptEnd::Broken;
             }
             Ok(Ok(read)) => read,
@@ -303,6 +314,22 @@
         }
     }
 
+    /// The request's print; of a body that is passed on in pieces, its beginning counts.
+    fn print(&mut self, body: &JobBody) -> RequestPrint {
+        let (method, target, headers) = (&self.method, &self.target, &self.headers);
+        let print = || request_print(method, target, headers, body.beginning());
+        *self.progress.print.get_or_insert_with(print)
+    }
+
+    /// The server of `placement` broke the request off.
+    fn on_broken_off(&mut self, route: &RouteSpec, placement: &Placement, body: &JobBody) {
+        let print = self.print(body);
+        self.record.print = Some(print);
+        if let Some(part) = route.parts.get(self.part) {
+            crash::on_broken_off(&self.state, placement, &part.service, print);
+        }
+    }
+
     /// Takes in the size of an answer of which `read` bytes are here.
     fn note_size(&self, headers: &HeaderMap, read: usize) {
         let stated = headers.get(header::CONTENT_LENGTH);
--- a/bin/lh-entry/src/metrics.rs
+++ b/bin/lh-entry/src/metrics.rs
@@ -38,6 +38,7 @@
     pulls: IntCounterVec,
     told: IntCounterVec,
     bad_datagrams: IntCounter,
+    broken_off: IntCounterVec,
     pub(crate) connections: IntGauge,
 }
 
@@ -157,6 +158,13 @@
             "laurelhill_bad_datagrams_total",
             "Datagrams from other entries that were not understood",
         )?;
+        let broken_off = IntCounterVec::new(
+            Opts::new(
+                "laurelhill_broken_off_total",
+                "Servers that broke off requests, by service and whether they had ended",
+            ),
+            &["service", "server"],
+        )?;
         let connections = IntGauge::new("laurelhill_caller_connections", "Open connections")?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(good.clone()))?;
@@ -178,6 +186,7 @@
         registry.register(Box::new(pulls.clone()))?;
         registry.register(Box::new(told.clone()))?;
         registry.register(Box::new(bad_datagrams.clone()))?;
+        registry.register(Box::new(broken_off.clone()))?;
         registry.register(Box::new(connections.clone()))?;
         Ok(Self {
             registry,
@@ -201,6 +210,7 @@
             pulls,
             told,
             bad_datagrams,
+            broken_off,
             connections,
         })
     }
@@ -246,6 +256,12 @@
         self.bad_datagrams.get()
     }
 
+    /// A server of `service` broke off requests, and had ended or not.
+    pub(crate) fn on_broken_off(&self, service: &str, has_ended: bool) {
+        let server = if has_ended { "ended" } else { "runs" };
+        self.broken_off.with_label_values(&[service, server]).inc();
+    }
+
     /// A request was refused.
     pub(crate) fn on_refusal(&self, reason: &str) {
         self.refusals.with_label_values(&[reason]).inc();
--- /dev/null
+++ b/bin/lh-entry/src/print.rs
@@ -0,0 +1,65 @@
+//! The print of a request: what tells it from others, and not one attempt of its caller
+//! from the next.
+
+use hyper::header::{self, HeaderName};
+use hyper::{HeaderMap, Method, Uri};
+use place::crash::print::RequestPrint;
+use platform::headers;
+use sha2::{Digest, Sha256};
+
+use crate::caller;
+use crate::reply::is_hop_header;
+
+/// Headers of tracing and clocks, which differ from one attempt to the next.
+const TRACE_HEADERS: [HeaderName; 4] = [
+    HeaderName::from_static("traceparent"),
+    HeaderName::from_static("tracestate"),
+    HeaderName::from_static("baggage"),
+    header::DATE,
+];
+
+/// The print of a request with as much of its body as is at hand. A cryptographic hash,
+/// so that no caller can make a request that is taken for another's.
+pub(crate) fn request_print(
+    method: &Method,
+    target: &Uri,
+    headers: &HeaderMap,
+    body: &[u8],
+) -> RequestPrint {
+    let mut hasher = Sha256::new();
+    add(&mut hasher, method.as_str().as_bytes());
+    let target = target.path_and_query();
+    add(
+        &mut hasher,
+        target.map_or("/", |target| target.as_str()).as_bytes(),
+    );
+    let mut kept: Vec<(&str, &[u8])> = headers
+        .iter()
+        .filter(|(name, _)| !is_of_attempt(name))
+        .map(|(name, value)| (name.as_str(), value.as_bytes()))
+        .collect();
+    // A proxy on the way may send them in another order.
+    kept.sort_unstable();
+    for (name, value) in kept {
+        add(&mut hasher, name.as_bytes());
+        add(&mut hasher, value);
+    }
+    add(&mut hasher, body);
+    let digest = hasher.finalize();
+    let mut half = [0; 16];
+    half.copy_from_slice(&digest[..16]);
+    RequestPrint(u128::from_be_bytes(half))
+}
+
+/// Adds a part with its length, so that no two lists of parts read alike.
+fn add(hasher: &mut Sha256, part: &[u8]) {
+    hasher.update((part.len() as u64).to_be_bytes());
+    hasher.update(part);
+}
+
+fn is_of_attempt(name: &HeaderName) -> bool {
+    headers::is_of_attempt(name)
+        || caller::is_of_attempt(name)
+        || is_hop_header(name)
+        || TRACE_HEADERS.contains(name)
+}
--- a/bin/lh-entry/src/record.rs
+++ b/bin/lh-entry/src/record.rs
@@ -6,6 +6,7 @@
 
 use base::prelude::Outcome;
 use hyper::StatusCode;
+use place::crash::print::RequestPrint;
 use place::desired::RouteSpec;
 use place::request::{Placement, Refusal};
 use place::server::ServerReport;
@@ -21,6 +22,8 @@
     pub(crate) id: String,
     pub(crate) route: Option<Rc<RouteSpec>>,
     pub(crate) returning: bool,
+    /// The request's print, where it was needed.
+    pub(crate) print: Option<RequestPrint>,
     attempts: String,
     count: u32,
     refusal: Option<Refusal>,
@@ -65,6 +68,7 @@
             id: id.to_owned(),
             route: None,
             returning: false,
+            print: None,
             attempts: String::new(),
             count: 0,
             refusal: None,
@@ -177,6 +181,7 @@
             .as_ref()
             .is_none_or(|route| route.kind.may_repeat());
         let lost = outcome == RequestOutcome::Unknown && !may_repeat;
+        let print = self.print.map(|print| print.to_string());
         let level = if lost {
             log::Level::Warn
         } else {
@@ -193,6 +198,7 @@
             reason = refused,
             back_in_ms,
             returning = self.returning,
+            print = print.as_deref().unwrap_or_default(),
             version = self.state.version(),
             servers_age_ms;
             "request"
--- a/bin/lh-entry/src/reply.rs
+++ b/bin/lh-entry/src/reply.rs
@@ -61,6 +61,11 @@
     )
 }
 
+/// Whether the header concerns one connection only.
+pub(crate) fn is_hop_header(name: &HeaderName) -> bool {
+    HOP_HEADERS.contains(name)
+}
+
 /// Drops the headers that concern one connection only.
 pub(crate) fn strip_hop_headers(headers: &mut HeaderMap) {
     let listed: Vec<HeaderName> = headers
--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -19,6 +19,7 @@
 use platform::desired::OperatorChange;
 
 use crate::config::EntryConfig;
+use crate::crash::CrashDesk;
 use crate::fleet::FleetDesk;
 use crate::homes::HomeBook;
 use crate::metrics::EntryMetrics;
@@ -56,6 +57,8 @@
     /// Home regions of client addresses.
     pub(crate) homes: RefCell<HomeBook>,
     pub(crate) pool: ServerPool,
+    /// Servers that broke off requests.
+    pub(crate) crashes: CrashDesk,
     pub(crate) metrics: EntryMetrics,
     pub(crate) stop: Cell<StopPhase>,
     pub(crate) stopping: tokio::sync::watch::Sender<StopPhase>,
@@ -95,6 +98,7 @@
             told_rate: Cell::new(0),
             homes: RefCell::default(),
             pool: ServerPool::default(),
+            crashes: CrashDesk::default(),
             metrics,
             stop: Cell::new(StopPhase::Serving),
             stopping,
--- a/bin/lh-entry/tests/pages.rs
+++ b/bin/lh-entry/tests/pages.rs
@@ -59,6 +59,12 @@
     let world = World::new(1).await;
     let entry = EntryProcess::ready(&world, "n1").await;
     entry.send("GET", "/board/x", "a").await;
+    world.backends[0].set_behavior(Behavior::Break);
+    entry.send("GET", "/board/x", "broken-off").await;
+    until("the server has been looked at", async || {
+        !entry.logged("server broke off requests").is_empty()
+    })
+    .await;
     world.backends[0].set_behavior(Behavior::Full);
     entry.send("GET", "/board/x", "full").await;
     world
--- a/bin/lhctl/src/trace.rs
+++ b/bin/lhctl/src/trace.rs
@@ -15,12 +15,14 @@
 /// And up to this long after its answer.
 const AFTER: i64 = 1000;
 /// Events that are told only if they concern a server that the request met.
-const SERVER_EVENTS: [&str; 5] = [
+const SERVER_EVENTS: [&str; 7] = [
     "server joined",
     "server is leaving",
     "server is gone",
     "server is cold",
     "server's entry missing, kept for now",
+    "server ended under requests",
+    "server broke off requests and runs on",
 ];
 
 /// One log line.
--- a/crates/place/src/catalog.rs
+++ b/crates/place/src/catalog.rs
@@ -21,6 +21,13 @@
     hash: u64,
 }
 
+impl ServerHandle {
+    /// Hash of the server's run, the same at all entries.
+    pub fn run(self) -> u64 {
+        self.hash
+    }
+}
+
 /// One complete reading of the registry.
 #[derive(Debug, Clone)]
 pub struct CatalogSnapshot {
--- /dev/null
+++ b/crates/place/src/crash/mod.rs
@@ -0,0 +1,3 @@
+//! Requests under which servers end.
+
+pub mod print;
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod blocks;
 pub mod catalog;
+pub mod crash;
 pub mod desired;
 pub mod directory;
 pub mod fleet;
