A request that ends its servers is refused at all entries after three

Cause: nothing that an entry saw a request do to a server outlived the answer or left the entry. Each arrival was judged anew, at each entry, and sent to a second server when the first broke off. Ruled out: a bound of each entry alone (12 entries see one end each); a count by the store (its calls are priced, and it may be away); refusing at the first end (whatever was caught beside the cause would be refused). Change: crate place, area crash. Entries tell their leads which requests were at a run of a server when it ended; leads tell each other and judge: a request that alone explains three ends is refused everywhere for a quarter of an hour, with when to come back. A good answer at any entry clears it. A print is made only while somebody is suspected.

--- a/bin/lh-entry/src/crash.rs
+++ b/bin/lh-entry/src/crash.rs
@@ -11,6 +11,8 @@
 use std::time::Duration;
 
 use place::crash::print::RequestPrint;
+use place::crash::word::CrashSighting;
+use place::prelude::FleetEvent;
 use place::request::Placement;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
@@ -78,6 +80,15 @@
     prints.sort_unstable();
     prints.dedup();
     state.metrics.on_broken_off(&server.service, has_ended);
+    if has_ended {
+        let run = server.run;
+        let sightings = prints
+            .iter()
+            .map(|print| CrashSighting { run, print: *print });
+        state
+            .fleet
+            .on_event(FleetEvent::Crashed(sightings.collect()));
+    }
     let shown: Vec<String> = prints
         .iter()
         .take(PRINTS_SHOWN)
--- a/bin/lh-entry/src/fleet.rs
+++ b/bin/lh-entry/src/fleet.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use place::crash::print::RequestPrint;
 use place::fleet::known::KnownStore;
 use place::fleet::member::{BEAT_EVERY, MemberConfig};
 use place::fleet::message::{LoadBeat, PeerMessage};
@@ -99,6 +100,35 @@
         self.member.borrow().is_lone()
     }
 
+    /// Whether any request may be in quarantine.
+    pub(crate) fn has_verdicts(&self) -> bool {
+        self.member.borrow().has_verdicts()
+    }
+
+    /// How much longer the request is refused; `None` where it isn't.
+    pub(crate) fn quarantine_left(&self, print: RequestPrint) -> Option<Duration> {
+        let member = self.member.borrow();
+        member.quarantine_left(Instant::now(), print)
+    }
+
+    /// The requests in quarantine.
+    pub(crate) fn quarantined(&self) -> Vec<RequestPrint> {
+        self.member.borrow().quarantined().collect()
+    }
+
+    /// Whether good answers are to be compared with suspects.
+    pub(crate) fn has_suspects(&self) -> bool {
+        self.member.borrow().has_suspects(Instant::now())
+    }
+
+    /// A server answered the request well.
+    pub(crate) fn on_answered(&self, print: RequestPrint) {
+        let is_news = self.member.borrow().suspects(print);
+        if is_news {
+            self.on_event(FleetEvent::Cleared(print));
+        }
+    }
+
     /// Looks something up in what is known of all regions.
     pub(crate) fn with_regions<T>(&self, look: impl FnOnce(Instant, &RegionBook) -> T) -> T {
         look(Instant::now(), self.member.borrow().regions())
@@ -288,6 +318,15 @@
     let servers_age_ms = age(known.registry_at);
     let operator_age_ms = age(known.operator_at);
     match note {
+        FleetNote::Accused(print) => {
+            log::info!(print:%; "request was at two servers that ended");
+        }
+        FleetNote::Quarantined(print) => {
+            log::warn!(print:%; "request ends servers and is refused");
+        }
+        FleetNote::Cleared(print) => {
+            log::info!(print:%; "request answered well, nothing is held of it");
+        }
         FleetNote::Leads(reason) => {
             log::info!(reason, servers_age_ms, operator_age_ms; "leads its region");
         }
--- a/bin/lh-entry/src/job.rs
+++ b/bin/lh-entry/src/job.rs
@@ -13,7 +13,7 @@
 use place::crash::print::RequestPrint;
 use place::desired::RouteSpec;
 use place::placing::timing::millis;
-use place::request::{Placement, PlacementRequest, Refusal, ServerOutcome};
+use place::request::{Placement, PlacementRequest, Refusal, RefusalReason, ServerOutcome};
 use platform::headers::{self, ServerHead};
 use tokio::time::timeout_at;
 
@@ -79,6 +79,9 @@
     ) -> Response<AnswerBody> {
         let mut last: Option<Response<AnswerBody>> = None;
         loop {
+            if let Some(refusal) = self.quarantine(&body) {
+                return self.give_up(last, refusal);
+            }
             let guard = match self.place(route, &body) {
                 Ok(guard) => guard,
                 Err(refusal) => return self.give_up(last, refusal),
@@ -86,7 +89,10 @@
             self.record.on_placed(&guard.placement);
             let end = self.attempt(route, guard, &mut body).await;
             match end {
-                AttemptEnd::Answer(answer) => return self.pass_back(answer),
+                AttemptEnd::Answer(answer) => {
+                    self.clear(&body);
+                    return self.pass_back(answer);
+                }
                 AttemptEnd::OutOfTime => {
                     return fail(&mut self.record, &self.caller, StatusCode::GATEWAY_TIMEOUT);
                 }
@@ -114,6 +120,29 @@
         }
     }
 
+    /// The refusal of a request that ended the servers that ran it: however many callers
+    /// repeat it, at whichever entry, it reaches no further one.
+    fn quarantine(&mut self, body: &JobBody) -> Option<Refusal> {
+        if !self.state.fleet.has_verdicts() {
+            return None;
+        }
+        let print = self.print(body);
+        let retry_after = self.state.fleet.quarantine_left(print)?;
+        self.record.print = Some(print);
+        Some(Refusal {
+            reason: RefusalReason::Quarantined,
+            retry_after,
+        })
+    }
+
+    /// A server has answered the request well: where it is suspected, nobody refuses it.
+    fn clear(&mut self, body: &JobBody) {
+        if self.state.fleet.has_suspects() {
+            let print = self.print(body);
+            self.state.fleet.on_answered(print);
+        }
+    }
+
     fn may_try_again(&mut self, route: &RouteSpec, body: &JobBody) -> bool {
         if self.progress.may_have_run && !route.kind.may_repeat() {
             return false;
--- a/bin/lh-entry/src/status.rs
+++ b/bin/lh-entry/src/status.rs
@@ -26,6 +26,8 @@
     /// Whether this entry is the reader of its region or the deputy.
     leads: bool,
     evacuated: Vec<String>,
+    /// Prints of the requests that end servers and are refused.
+    quarantined: Vec<String>,
     /// Age of the newest reading of the servers' registry; -1 before the first.
     registry_age_ms: i64,
     services: Vec<ServiceStatus>,
@@ -93,6 +95,12 @@
         in_flight: state.in_flight.get(),
         instances: state.fleet.with_regions(|now, regions| regions.live(now)),
         leads: state.fleet.leads(),
+        quarantined: state
+            .fleet
+            .quarantined()
+            .iter()
+            .map(ToString::to_string)
+            .collect(),
         evacuated: state.evacuated.borrow().iter().cloned().collect(),
         registry_age_ms: catalog
             .read_at()
--- /dev/null
+++ b/crates/place/src/crash/outbox.rs
@@ -0,0 +1,99 @@
+//! What an entry saw itself and tells its leads: held for a moment, then told a few times,
+//! since datagrams are lost.
+
+use std::time::{Duration, Instant};
+
+use crate::crash::print::RequestPrint;
+use crate::crash::word::{ClearWord, CrashSighting, CrashWord};
+use crate::fleet::known::millis;
+
+/// A sighting is held for this long: most requests that were caught beside the cause are
+/// answered by another server meanwhile, and need not be told.
+const HOLD_TIME: Duration = Duration::from_millis(200);
+/// Time between two tellings of the same.
+const RETELL_EVERY: Duration = Duration::from_millis(400);
+/// How often the same is told: for longer than a region without leads takes to find new
+/// ones.
+const TELLINGS: u32 = 8;
+/// Sightings and clearings that wait at most; 48 bytes each. A datagram holds as many.
+const WAITING_MOST: usize = 256;
+
+/// Something to be told.
+#[derive(Debug, Clone, Copy)]
+struct OutboxItem {
+    news: OutboxNews,
+    due: Instant,
+    told: u32,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum OutboxNews {
+    Sighting(CrashSighting),
+    Cleared(RequestPrint, Instant),
+}
+
+/// What waits to be told.
+#[derive(Debug, Default)]
+pub struct CrashOutbox {
+    items: Vec<OutboxItem>,
+}
+
+impl CrashOutbox {
+    /// A request was at a server when it ended.
+    pub fn on_sighting(&mut self, now: Instant, sighting: CrashSighting) {
+        self.push(OutboxItem {
+            news: OutboxNews::Sighting(sighting),
+            due: now + HOLD_TIME,
+            told: 0,
+        });
+    }
+
+    /// A request was answered well: what wasn't told of it yet need not be.
+    pub fn on_cleared(&mut self, now: Instant, print: RequestPrint, was_told: bool) {
+        let is_of = |item: &OutboxItem| match item.news {
+            OutboxNews::Sighting(sighting) => sighting.print == print,
+            OutboxNews::Cleared(cleared, _) => cleared == print,
+        };
+        let told = self.items.iter().any(|item| is_of(item) && item.told > 0);
+        self.items.retain(|item| !is_of(item));
+        if told || was_told {
+            self.push(OutboxItem {
+                news: OutboxNews::Cleared(print, now),
+                due: now,
+                told: 0,
+            });
+        }
+    }
+
+    /// When something is to be told next.
+    pub fn due(&self) -> Option<Instant> {
+        self.items.iter().map(|item| item.due).min()
+    }
+
+    /// What is to be told now.
+    pub fn take(&mut self, now: Instant) -> CrashWord {
+        let mut word = CrashWord::default();
+        for item in &mut self.items {
+            if item.due > now {
+                continue;
+            }
+            item.due = now + RETELL_EVERY;
+            item.told += 1;
+            match item.news {
+                OutboxNews::Sighting(sighting) => word.sightings.push(sighting),
+                OutboxNews::Cleared(print, at) => word.cleared.push(ClearWord {
+                    print,
+                    age: millis(now.saturating_duration_since(at)),
+                }),
+            }
+        }
+        self.items.retain(|item| item.told < TELLINGS);
+        word
+    }
+
+    fn push(&mut self, item: OutboxItem) {
+        if self.items.len() < WAITING_MOST {
+            self.items.push(item);
+        }
+    }
+}
--- /dev/null
+++ b/crates/place/src/crash/verdict.rs
@@ -0,0 +1,151 @@
+//! Which requests are accused, in quarantine or cleared, as an entry knows it.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use crate::crash::print::RequestPrint;
+use crate::crash::word::{ClearWord, VerdictKind, VerdictWord};
+use crate::fleet::known::millis;
+
+/// How long a request stays in quarantine: time to mend the service, at the price of a few
+/// servers each time that it is tried again.
+const QUARANTINE_TIME: Duration = Duration::from_secs(900);
+/// How long all entries look out for a good answer to an accused request.
+const ACCUSED_TIME: Duration = Duration::from_secs(60);
+/// How long a cleared request is safe from verdicts that were made before.
+const CLEARED_TIME: Duration = Duration::from_secs(60);
+/// How long others are told that a request is cleared: several tellings.
+const CLEARED_TOLD: Duration = Duration::from_secs(3);
+/// Verdicts kept at most: a datagram of 3 kB holds them all. Requests in quarantine stay
+/// when accused ones make room.
+const VERDICTS_MOST: usize = 128;
+/// Clearings kept at most.
+const CLEARED_MOST: usize = 256;
+
+#[derive(Debug, Clone, Copy)]
+struct VerdictRecord {
+    kind: VerdictKind,
+    since: Instant,
+}
+
+impl VerdictRecord {
+    fn ends(&self) -> Instant {
+        self.since
+            + match self.kind {
+                VerdictKind::Accused => ACCUSED_TIME,
+                VerdictKind::Quarantined => QUARANTINE_TIME,
+            }
+    }
+}
+
+/// What is held of requests.
+#[derive(Debug, Default)]
+pub struct VerdictBook {
+    records: HashMap<RequestPrint, VerdictRecord>,
+    cleared: HashMap<RequestPrint, Instant>,
+}
+
+impl VerdictBook {
+    /// Whether nothing is held of any request.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Whether something is held of the request.
+    pub fn contains(&self, print: RequestPrint) -> bool {
+        self.records.contains_key(&print)
+    }
+
+    /// How much longer the request stays in quarantine; `None` where it isn't.
+    pub fn quarantine_left(&self, now: Instant, print: RequestPrint) -> Option<Duration> {
+        let record = self.records.get(&print)?;
+        let left = record.ends().saturating_duration_since(now);
+        (record.kind == VerdictKind::Quarantined && !left.is_zero()).then_some(left)
+    }
+
+    /// The requests in quarantine.
+    pub fn quarantined(&self) -> impl Iterator<Item = RequestPrint> {
+        let records = self.records.iter();
+        records
+            .filter(|(_, record)| record.kind == VerdictKind::Quarantined)
+            .map(|(print, _)| *print)
+    }
+
+    /// Takes in a verdict made at `since`; whether it is stricter than what was held, or
+    /// later. One from before the request was cleared is void.
+    pub fn judge(&mut self, print: RequestPrint, kind: VerdictKind, since: Instant) -> bool {
+        let is_void = self.cleared.get(&print).is_some_and(|at| *at >= since);
+        let known = self.records.get(&print).copied();
+        let is_known = known.is_some_and(|known| (known.kind, known.since) >= (kind, since));
+        if is_void || is_known || !self.has_room(print, kind) {
+            return false;
+        }
+        let is_stricter = known.is_none_or(|known| known.kind < kind);
+        self.records.insert(print, VerdictRecord { kind, since });
+        is_stricter
+    }
+
+    /// The request was answered well at `at`; whether that is news.
+    pub fn clear(&mut self, print: RequestPrint, at: Instant) -> bool {
+        let known = self.cleared.get(&print);
+        let is_news = known.is_none_or(|known| *known < at);
+        if !is_news || (known.is_none() && self.cleared.len() >= CLEARED_MOST) {
+            return false;
+        }
+        self.cleared.insert(print, at);
+        if self
+            .records
+            .get(&print)
+            .is_some_and(|held| held.since <= at)
+        {
+            self.records.remove(&print);
+        }
+        true
+    }
+
+    /// Drops what no longer counts.
+    pub fn forget(&mut self, now: Instant) {
+        self.records.retain(|_, record| record.ends() > now);
+        self.cleared
+            .retain(|_, at| now.saturating_duration_since(*at) < CLEARED_TIME);
+    }
+
+    /// All verdicts, for others.
+    pub fn words(&self, now: Instant) -> Vec<VerdictWord> {
+        let word = |(print, record): (&RequestPrint, &VerdictRecord)| VerdictWord {
+            print: *print,
+            kind: record.kind,
+            age: millis(now.saturating_duration_since(record.since)),
+        };
+        self.records.iter().map(word).collect()
+    }
+
+    /// Requests cleared lately, for others.
+    pub fn cleared_words(&self, now: Instant) -> Vec<ClearWord> {
+        let words = self.cleared.iter().map(|(print, at)| ClearWord {
+            print: *print,
+            age: millis(now.saturating_duration_since(*at)),
+        });
+        let told = CLEARED_TOLD.as_millis();
+        words.filter(|word| u128::from(word.age) < told).collect()
+    }
+
+    /// Whether there is room for the verdict, made by an accused request where need be.
+    fn has_room(&mut self, print: RequestPrint, kind: VerdictKind) -> bool {
+        if self.records.len() < VERDICTS_MOST || self.records.contains_key(&print) {
+            return true;
+        }
+        let accused = self.records.iter();
+        let oldest = accused
+            .filter(|(_, record)| record.kind == VerdictKind::Accused)
+            .min_by_key(|(_, record)| record.since)
+            .map(|(print, _)| *print);
+        match oldest {
+            Some(oldest) if kind == VerdictKind::Quarantined => {
+                self.records.remove(&oldest);
+                true
+            }
+            _ => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/place/src/crash/word.rs
@@ -0,0 +1,61 @@
+//! What entries tell each other of requests under which servers ended.
+
+use crate::crash::print::RequestPrint;
+
+base::common! {
+    /// A request that was at a run of a server when it ended.
+    #[derive(Copy, Eq, Hash, PartialOrd, Ord)]
+    pub struct CrashSighting {
+        /// Hash of the server's run.
+        pub run: u64,
+        /// The request.
+        pub print: RequestPrint,
+    }
+
+    /// How a request is treated.
+    #[derive(Copy, Eq, PartialOrd, Ord)]
+    pub enum VerdictKind {
+        /// Served as any other; one good answer clears it.
+        Accused,
+        /// Refused at once.
+        Quarantined,
+    }
+
+    /// A verdict as entries tell it.
+    #[derive(Copy, Eq)]
+    pub struct VerdictWord {
+        /// The request.
+        pub print: RequestPrint,
+        /// How it is treated.
+        pub kind: VerdictKind,
+        /// Milliseconds since it was judged.
+        pub age: u32,
+    }
+
+    /// A request that a server has answered well.
+    #[derive(Copy, Eq)]
+    pub struct ClearWord {
+        /// The request.
+        pub print: RequestPrint,
+        /// Milliseconds since the answer.
+        pub age: u32,
+    }
+
+    /// One datagram about such requests.
+    #[derive(Eq, Default)]
+    pub struct CrashWord {
+        /// Requests that were at servers when these ended.
+        pub sightings: Vec<CrashSighting>,
+        /// Requests that were answered well all the same.
+        pub cleared: Vec<ClearWord>,
+        /// What the sender holds of requests.
+        pub verdicts: Vec<VerdictWord>,
+    }
+}
+
+impl CrashWord {
+    /// Whether it says nothing.
+    pub fn is_empty(&self) -> bool {
+        self.sightings.is_empty() && self.cleared.is_empty() && self.verdicts.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/place/src/fleet/member/crashes.rs
@@ -0,0 +1,178 @@
+//! What an entry makes of requests under which servers ended, and whom it tells.
+
+use std::time::{Duration, Instant};
+
+use crate::crash::print::RequestPrint;
+use crate::crash::word::{CrashSighting, CrashWord, VerdictKind};
+use crate::fleet::member::{BEAT_EVERY, FleetAction, FleetMember, FleetNote};
+use crate::fleet::message::PeerMessage;
+
+impl FleetMember {
+    /// How much longer the request is refused; `None` where it isn't.
+    pub fn quarantine_left(&self, now: Instant, print: RequestPrint) -> Option<Duration> {
+        self.verdicts.quarantine_left(now, print)
+    }
+
+    /// Whether any request may be in quarantine.
+    pub fn has_verdicts(&self) -> bool {
+        !self.verdicts.is_empty()
+    }
+
+    /// Whether good answers are to be compared with the suspects now. Callers need make no
+    /// prints otherwise.
+    pub fn has_suspects(&self, now: Instant) -> bool {
+        self.has_verdicts() || self.ledger.is_fresh(now)
+    }
+
+    /// Whether a good answer to the request is news.
+    pub fn suspects(&self, print: RequestPrint) -> bool {
+        self.verdicts.contains(print) || self.ledger.suspects(print)
+    }
+
+    /// The requests in quarantine.
+    pub fn quarantined(&self) -> impl Iterator<Item = RequestPrint> {
+        self.verdicts.quarantined()
+    }
+
+    pub(super) fn on_crashed(&mut self, now: Instant, sightings: &[CrashSighting]) {
+        for sighting in sightings {
+            if self.ledger.on_sighting(now, *sighting) {
+                self.outbox.on_sighting(now, *sighting);
+            }
+        }
+    }
+
+    pub(super) fn on_cleared(
+        &mut self,
+        now: Instant,
+        print: RequestPrint,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        let was_held = self.verdicts.contains(print);
+        self.outbox.on_cleared(now, print, was_held);
+        self.clear(now, print, actions);
+    }
+
+    /// Takes in what another entry says; what is news to a lead goes to the other leads.
+    pub(super) fn on_crash_word(
+        &mut self,
+        now: Instant,
+        word: &CrashWord,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        let mut news = CrashWord::default();
+        for cleared in &word.cleared {
+            let at = ago(now, cleared.age);
+            if self.clear(at, cleared.print, actions) {
+                news.cleared.push(*cleared);
+            }
+        }
+        for sighting in &word.sightings {
+            if self.ledger.on_sighting(now, *sighting) {
+                news.sightings.push(*sighting);
+            }
+        }
+        for verdict in &word.verdicts {
+            if self
+                .verdicts
+                .judge(verdict.print, verdict.kind, ago(now, verdict.age))
+            {
+                self.note(verdict.print, verdict.kind, actions);
+            }
+        }
+        if self.leading.is_some() && !news.is_empty() {
+            let leads = self.far_leads(now);
+            let leads = self.others(leads);
+            actions.push(FleetAction::Send(leads, PeerMessage::Crash(news)));
+        }
+    }
+
+    /// When something about such requests is to be told or judged.
+    pub(super) fn crashes_due(&self) -> Option<Instant> {
+        let tells = self.leading.is_some() && self.has_verdicts();
+        let verdicts = tells.then_some(self.verdicts_due);
+        let dues = [self.outbox.due(), self.ledger.judge_due(), verdicts];
+        dues.into_iter().flatten().min()
+    }
+
+    pub(super) fn review_crashes(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
+        self.verdicts.forget(now);
+        self.tell_sightings(now, actions);
+        if self.ledger.judge_due().is_some_and(|due| now >= due) {
+            self.judge(now, actions);
+        }
+        if self.leading.is_some() && now >= self.verdicts_due {
+            self.tell_verdicts(now, actions);
+        }
+    }
+
+    /// Tells the leads what this entry saw itself.
+    fn tell_sightings(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
+        let word = self.outbox.take(now);
+        if word.is_empty() {
+            return;
+        }
+        let leads = if self.leading.is_some() {
+            self.far_leads(now)
+        } else {
+            self.near_leads(now)
+        };
+        let leads = self.others(leads);
+        actions.push(FleetAction::Send(leads, PeerMessage::Crash(word)));
+    }
+
+    /// Judges the suspects. An entry that hears a lead leaves it to that one, which knows
+    /// what others saw: by what one entry saw, a request that was often caught beside the
+    /// cause would seem to be it.
+    fn judge(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
+        if self.leading.is_none() && self.hears_lead(now) {
+            self.ledger.leave();
+            return;
+        }
+        for (print, kind) in self.ledger.judge(now, &mut self.verdicts) {
+            self.note(print, kind, actions);
+            self.verdicts_due = now;
+        }
+    }
+
+    /// Tells the entries of the region and the other leads what is held of requests.
+    fn tell_verdicts(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
+        self.verdicts_due = now + BEAT_EVERY;
+        let word = CrashWord {
+            sightings: Vec::new(),
+            cleared: self.verdicts.cleared_words(now),
+            verdicts: self.verdicts.words(now),
+        };
+        if word.is_empty() {
+            return;
+        }
+        let mut targets = self.far_leads(now);
+        targets.extend(self.roster.addresses(now, &self.config.region));
+        let targets = self.others(targets);
+        actions.push(FleetAction::Send(targets, PeerMessage::Crash(word)));
+    }
+
+    /// The request was answered well at `at`; whether that is news.
+    fn clear(&mut self, at: Instant, print: RequestPrint, actions: &mut Vec<FleetAction>) -> bool {
+        let was_held = self.verdicts.contains(print);
+        let was_suspect = self.ledger.clear(print);
+        let is_news = self.verdicts.clear(print, at);
+        if was_held && !self.verdicts.contains(print) {
+            actions.push(FleetAction::Note(FleetNote::Cleared(print)));
+            self.verdicts_due = at;
+        }
+        is_news || was_suspect
+    }
+
+    fn note(&self, print: RequestPrint, kind: VerdictKind, actions: &mut Vec<FleetAction>) {
+        actions.push(FleetAction::Note(match kind {
+            VerdictKind::Accused => FleetNote::Accused(print),
+            VerdictKind::Quarantined => FleetNote::Quarantined(print),
+        }));
+    }
+}
+
+fn ago(now: Instant, millis: u32) -> Instant {
+    let span = Duration::from_millis(u64::from(millis));
+    now.checked_sub(span).unwrap_or(now)
+}
--- a/crates/place/src/fleet/member/hearing.rs
+++ b/crates/place/src/fleet/member/hearing.rs
@@ -27,6 +27,7 @@
             PeerMessage::Beat(beat) => self.on_beat(now, *beat, actions),
             PeerMessage::Digest(digest) => self.on_digest(now, &digest, actions),
             PeerMessage::Hint(hint) => self.on_hint(now, &hint),
+            PeerMessage::Crash(word) => self.on_crash_word(now, &word, actions),
             PeerMessage::Load(_) => {}
         }
     }
--- a/crates/place/src/fleet/member/mod.rs
+++ b/crates/place/src/fleet/member/mod.rs
@@ -5,6 +5,7 @@
 //! leads, what it tells and whom it asks are the modules below.
 
 mod asking;
+mod crashes;
 mod hearing;
 mod role;
 mod telling;
@@ -12,6 +13,11 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use crate::crash::ledger::CrashLedger;
+use crate::crash::outbox::CrashOutbox;
+use crate::crash::print::RequestPrint;
+use crate::crash::verdict::VerdictBook;
+use crate::crash::word::CrashSighting;
 use crate::fleet::follow::{PullState, PullTarget};
 use crate::fleet::known::KnownStore;
 use crate::fleet::leads::LeadTable;
@@ -86,6 +92,10 @@
     Pulled(SocketAddr, bool),
     /// The store's rows of leads: regions and addresses.
     Rows(Vec<(String, SocketAddr)>),
+    /// Requests of this entry that were at a server when it ended.
+    Crashed(Vec<CrashSighting>),
+    /// A server answered a request well that had been at one that ended.
+    Cleared(RequestPrint),
 }
 
 /// What the entry is to do.
@@ -119,6 +129,12 @@
     Leads(&'static str),
     /// It leads no longer, for the entry that is named.
     Follows(String),
+    /// A request was at two servers when they ended.
+    Accused(RequestPrint),
+    /// A request has ended servers and is refused from now on.
+    Quarantined(RequestPrint),
+    /// A request that something was held of was answered well.
+    Cleared(RequestPrint),
     /// Its region's reader and deputy.
     Leaders(Vec<String>),
     /// The region's leads are silent.
@@ -158,6 +174,11 @@
     seats_due: Instant,
     rows_due: Instant,
     row: Vec<SocketAddr>,
+    /// Which requests were at servers when these ended.
+    ledger: CrashLedger,
+    verdicts: VerdictBook,
+    outbox: CrashOutbox,
+    verdicts_due: Instant,
 }
 
 impl FleetMember {
@@ -188,6 +209,10 @@
             seats_due: now,
             rows_due: now,
             row: Vec::new(),
+            ledger: CrashLedger::default(),
+            verdicts: VerdictBook::default(),
+            outbox: CrashOutbox::default(),
+            verdicts_due: now,
             config,
         }
     }
@@ -216,6 +241,8 @@
             }
             FleetEvent::Pulled(view, done) => self.pulls.on_pulled(now, view, done),
             FleetEvent::Rows(rows) => self.on_rows(now, &rows),
+            FleetEvent::Crashed(sightings) => self.on_crashed(now, &sightings),
+            FleetEvent::Cleared(print) => self.on_cleared(now, print, actions),
         }
         self.review(now, actions);
     }
@@ -224,11 +251,13 @@
     pub fn due(&self, now: Instant) -> Instant {
         let silent = self.leads.silent_at(&self.config.region);
         let waits = self.leading.is_some() || self.pulls.is_behind();
-        match silent.filter(|at| !waits && *at > now) {
+        let due = match silent.filter(|at| !waits && *at > now) {
             Some(at) => self.beat_due.min(at).max(now),
             None if self.leading.is_none() => now + SEARCH_EVERY,
             None => now + LOOK_EVERY,
-        }
+        };
+        let crashes = self.crashes_due().map(|at| at.max(now));
+        crashes.map_or(due, |crashes| crashes.min(due))
     }
 
     /// What is known of all regions.
@@ -290,5 +319,6 @@
         self.review_rows(now, actions);
         self.review_pull(now, actions);
         self.review_reading(now, actions);
+        self.review_crashes(now, actions);
     }
 }
--- a/crates/place/src/fleet/member/telling.rs
+++ b/crates/place/src/fleet/member/telling.rs
@@ -99,10 +99,7 @@
             BEAT_EVERY
         };
         self.beat_due = now + pause;
-        let region = &self.config.region;
-        let fresh = self.leads.fresh_of(now, region).map(|lead| lead.seat.beat);
-        let appointed = self.seats.iter().take(LEADS).map(|seat| seat.beat);
-        let mut targets: Vec<SocketAddr> = fresh.chain(appointed).collect();
+        let mut targets = self.near_leads(now);
         if seeks {
             targets.extend(self.seats.iter().map(|seat| seat.beat));
             targets.extend(self.search.seeds());
@@ -117,6 +114,14 @@
         actions.push(FleetAction::Send(targets, beat));
     }
 
+    /// The leads of the own region, heard or appointed.
+    pub(super) fn near_leads(&self, now: Instant) -> Vec<SocketAddr> {
+        let region = &self.config.region;
+        let fresh = self.leads.fresh_of(now, region).map(|lead| lead.seat.beat);
+        let appointed = self.seats.iter().take(LEADS).map(|seat| seat.beat);
+        fresh.chain(appointed).collect()
+    }
+
     pub(super) fn digest(&self, now: Instant, to_leads: bool) -> PeerMessage {
         PeerMessage::Digest(Box::new(RegionDigest {
             incarnation: self.config.incarnation,
@@ -152,7 +157,7 @@
 
     /// The other leads of the own region and those of all others; where a region isn't
     /// heard, whoever may know them.
-    fn far_leads(&mut self, now: Instant) -> Vec<SocketAddr> {
+    pub(super) fn far_leads(&mut self, now: Instant) -> Vec<SocketAddr> {
         // All that are heard, not only those that their region names: where a region has
         // more than one pair, each learns of the other here.
         let heard = self.leads.fresh(now).map(|lead| lead.seat.beat);
@@ -177,7 +182,7 @@
     }
 
     /// `addresses` once each, without the own one.
-    fn others(&self, mut addresses: Vec<SocketAddr>) -> Vec<SocketAddr> {
+    pub(super) fn others(&self, mut addresses: Vec<SocketAddr>) -> Vec<SocketAddr> {
         addresses.sort_unstable();
         addresses.dedup();
         addresses.retain(|address| *address != self.config.seat.beat);
--- a/crates/place/src/fleet/message.rs
+++ b/crates/place/src/fleet/message.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::crash::word::CrashWord;
 use crate::fleet::front::FrontEntry;
 use crate::fleet::known::StoreWord;
 use crate::fleet::list::ListVersion;
@@ -20,6 +21,9 @@
         Hint(LeadHint),
         /// Where the sender's requests are; among the entries that get requests.
         Load(LoadBeat),
+        /// Requests under which servers ended; from an entry to its leads, among leads,
+        /// and from leads to the entries of their region.
+        Crash(CrashWord),
     }
 
     /// An entry's requests at servers.
--- a/crates/place/src/request.rs
+++ b/crates/place/src/request.rs
@@ -89,6 +89,8 @@
     Late,
     /// The bound on moving to other regions is reached.
     ShiftCap,
+    /// Servers ended while they ran the request.
+    Quarantined,
 }
 
 impl RefusalReason {
@@ -100,6 +102,7 @@
             Self::Cold => "cold",
             Self::Late => "late",
             Self::ShiftCap => "shift-cap",
+            Self::Quarantined => "quarantined",
         }
     }
 }
--- /dev/null
+++ b/crates/place/tests/crashes.rs
@@ -0,0 +1,200 @@
+//! Requests that end servers: who is to blame, who hears of it, and what it costs.
+
+mod fleet_world;
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use fleet_world::{FleetWorld, ms};
+use place::crash::ledger::CrashLedger;
+use place::crash::print::RequestPrint;
+use place::crash::verdict::VerdictBook;
+use place::crash::word::{CrashSighting, VerdictKind};
+use place::prelude::*;
+use proptest::prelude::*;
+
+const FATAL: RequestPrint = RequestPrint(1);
+
+fn sighting(run: u64, print: RequestPrint) -> CrashSighting {
+    CrashSighting { run, print }
+}
+
+/// A fleet of `count` that has run for a while.
+fn settled(count: usize) -> FleetWorld {
+    let mut world = FleetWorld::new(count);
+    world.run(ms(8000));
+    world
+}
+
+/// Lets the request end a server for each of `entries`.
+fn crash(world: &mut FleetWorld, entries: &[usize], first_run: u64) {
+    for (run, entry) in (first_run..).zip(entries) {
+        world.tell(*entry, FleetEvent::Crashed(vec![sighting(run, FATAL)]));
+    }
+}
+
+fn refusing(world: &FleetWorld) -> usize {
+    let now = world.now;
+    let entries = world.entries.iter().filter(|entry| entry.alive);
+    entries
+        .filter(|entry| entry.member.quarantine_left(now, FATAL).is_some())
+        .count()
+}
+
+/// Promise: a request that ended three servers, each seen by another entry of another
+/// region, is refused by all entries within 1.5 s, whatever their number.
+#[test]
+fn what_each_entry_saw_once_all_know_soon() {
+    for count in [12, 300, 1000] {
+        let mut world = settled(count);
+        crash(&mut world, &[0, 4, 11], 100);
+        world.run(ms(1500));
+        assert_eq!(refusing(&world), count);
+    }
+}
+
+/// Promise: what an entry that doesn't lead sends and hears for it doesn't grow with the
+/// fleet.
+#[test]
+fn it_costs_the_same_in_a_large_fleet() {
+    let mut heard = Vec::new();
+    for count in [100, 1000] {
+        let mut world = settled(count);
+        let follower = (0..count).find(|entry| !world.entries[*entry].member.leads());
+        let follower = follower.unwrap();
+        assert_eq!(world.entries[follower].crash_datagrams, 0);
+        crash(&mut world, &[0, 4, 11], 100);
+        world.run(ms(10_000));
+        heard.push(world.entries[follower].crash_datagrams);
+    }
+    // Both leads tell their verdicts with each beat.
+    assert!(heard.iter().all(|datagrams| *datagrams <= 40), "{heard:?}");
+    assert!(heard[0].abs_diff(heard[1]) <= 4, "{heard:?}");
+}
+
+/// Promise: the verdict outlives the leads that made it.
+#[test]
+fn a_verdict_outlives_the_leads() {
+    let mut world = settled(60);
+    crash(&mut world, &[0, 4, 11], 100);
+    world.run(ms(1500));
+    let leads: Vec<usize> = (0..60)
+        .filter(|entry| world.entries[*entry].member.leads())
+        .collect();
+    for lead in &leads {
+        world.kill(*lead);
+    }
+    world.run(ms(10_000));
+    assert_eq!(refusing(&world), 60 - leads.len());
+    for lead in &leads {
+        world.restart(*lead);
+    }
+    world.run(ms(3000));
+    assert_eq!(refusing(&world), 60);
+}
+
+/// Promise: a good answer anywhere lifts what all entries hold of a request.
+#[test]
+fn a_good_answer_clears_a_request_everywhere() {
+    let mut world = settled(60);
+    crash(&mut world, &[0, 4, 11], 100);
+    world.run(ms(1500));
+    assert_eq!(refusing(&world), 60);
+    world.tell(20, FleetEvent::Cleared(FATAL));
+    world.run(ms(1500));
+    assert_eq!(refusing(&world), 0);
+    world.run(ms(10_000));
+    assert_eq!(refusing(&world), 0);
+}
+
+/// Promise: two ends are not enough, and one server that several entries saw is one end.
+#[test]
+fn two_ends_may_be_chance() {
+    let mut world = settled(60);
+    for entry in [0, 4, 11, 20] {
+        crash(&mut world, &[entry, entry + 1], 100);
+    }
+    world.run(ms(5000));
+    assert_eq!(refusing(&world), 0);
+}
+
+/// Promise: after a quarantine one further end is enough for the next, and without one a
+/// request is served.
+#[test]
+fn a_quarantine_ends_and_returns() {
+    let (mut ledger, mut verdicts) = (CrashLedger::default(), VerdictBook::default());
+    let mut now = Instant::now();
+    for run in 0..3 {
+        ledger.on_sighting(now, sighting(run, FATAL));
+    }
+    ledger.judge(now, &mut verdicts);
+    let left = verdicts.quarantine_left(now, FATAL).unwrap();
+    now += left + ms(1);
+    verdicts.forget(now);
+    ledger.on_sighting(now, sighting(50, RequestPrint(7)));
+    ledger.judge(now, &mut verdicts);
+    assert_eq!(verdicts.quarantine_left(now, FATAL), None);
+    now += ms(1);
+    ledger.on_sighting(now, sighting(51, FATAL));
+    ledger.judge(now, &mut verdicts);
+    assert!(verdicts.quarantine_left(now, FATAL).is_some());
+}
+
+/// Promise: requests that never part are both refused in the end, not served for good.
+#[test]
+fn inseparable_requests_are_found_out() {
+    let (mut ledger, mut verdicts) = (CrashLedger::default(), VerdictBook::default());
+    let now = Instant::now();
+    for run in 0..5 {
+        ledger.on_sighting(now, sighting(run, FATAL));
+        ledger.on_sighting(now, sighting(run, RequestPrint(2)));
+    }
+    ledger.judge(now, &mut verdicts);
+    assert_eq!(verdicts.quarantined().count(), 2);
+}
+
+/// One server's end: which of the bystanders were there, and whether the request was.
+fn ends() -> impl Strategy<Value = Vec<(BTreeSet<u128>, bool)>> {
+    let bystanders = proptest::collection::btree_set(2_u128..40, 0..6);
+    proptest::collection::vec((bystanders, proptest::bool::weighted(0.8)), 1..40)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(24), ..ProptestConfig::default() })]
+
+    /// Promise: bystanders, which other servers answer, are never refused, though servers
+    /// end by themselves as well; the cause is refused once it ended enough servers.
+    #[test]
+    fn bystanders_are_never_refused(ends in ends()) {
+        let (mut ledger, mut verdicts) = (CrashLedger::default(), VerdictBook::default());
+        let mut now = Instant::now();
+        let mut fatal_ends = 0;
+        for (run, (bystanders, is_fatal)) in ends.into_iter().enumerate() {
+            let run = run as u64;
+            for print in &bystanders {
+                ledger.on_sighting(now, sighting(run, RequestPrint(*print)));
+            }
+            if is_fatal {
+                ledger.on_sighting(now, sighting(run, FATAL));
+                fatal_ends += 1;
+            }
+            let news = ledger.judge(now, &mut verdicts);
+            let refused = |print: &RequestPrint| {
+                news.contains(&(*print, VerdictKind::Quarantined)) && *print != FATAL
+            };
+            prop_assert!(!bystanders.iter().any(|print| refused(&RequestPrint(*print))));
+            // They run again on another server, and are answered.
+            now += ms(200);
+            for print in &bystanders {
+                ledger.clear(RequestPrint(*print));
+                verdicts.clear(RequestPrint(*print), now);
+            }
+            now += Duration::from_millis(50);
+            if verdicts.quarantine_left(now, FATAL).is_some() {
+                break;
+            }
+        }
+        prop_assert!(fatal_ends <= 3);
+        prop_assert_eq!(verdicts.quarantine_left(now, FATAL).is_some(), fatal_ends == 3);
+    }
+}
--- a/crates/place/tests/fleet_world/mod.rs
+++ b/crates/place/tests/fleet_world/mod.rs
@@ -89,6 +89,8 @@
     /// Entries of different groups don't reach each other.
     pub group: u32,
     pub datagrams: u64,
+    /// Those of them about requests that end servers.
+    pub crash_datagrams: u64,
     pub own: OwnState,
     pub notes: Vec<FleetNote>,
     clock: Option<Instant>,
@@ -166,6 +168,7 @@
                 deaf: false,
                 group: 0,
                 datagrams: 0,
+                crash_datagrams: 0,
                 own: OwnState::default(),
                 notes: Vec::new(),
                 clock: None,
@@ -239,6 +242,8 @@
         match arrival.delivery {
             Delivery::Datagram(message) => {
                 self.entries[to].datagrams += 1;
+                let is_crash = matches!(message, PeerMessage::Crash(_));
+                self.entries[to].crash_datagrams += u64::from(is_crash);
                 self.tell(to, FleetEvent::Message(message));
             }
             Delivery::Clock => {
