A quarantine outlives all entries: a row in the store

Cause: what leads hold of requests was lost with them; after a loss of all entries such a request would have ended three servers more. Ruled out: reading by each entry (calls grow with the fleet); leads read these rows already when they start and every 15 s. Change: the first lead of each region writes a row for a request in quarantine, deletes it when the request is cleared or its time is over, and mends both at its next look. Refusals, lines, status and metrics have their tests.

--- a/bin/lh-entry/src/fleet.rs
+++ b/bin/lh-entry/src/fleet.rs
@@ -19,7 +19,7 @@
 use crate::error::{Error, Result};
 use crate::state::InstanceState;
 use crate::view::ViewClient;
-use crate::{view, watch as store_watch};
+use crate::{quarantine, view, watch as store_watch};
 
 /// Largest datagram that is read, in bytes: a digest of a lead with sixteen regions.
 const DATAGRAM_BYTES: usize = 16 << 10;
@@ -250,6 +250,12 @@
                 FleetAction::WriteRow(leads) => {
                     tokio::task::spawn_local(store_watch::write_row(Rc::clone(state), leads));
                 }
+                FleetAction::KeepQuarantines(quarantines) => {
+                    tokio::task::spawn_local(quarantine::keep(Rc::clone(state), quarantines));
+                }
+                FleetAction::DropQuarantines(prints) => {
+                    tokio::task::spawn_local(quarantine::drop_rows(Rc::clone(state), prints));
+                }
                 FleetAction::Confirm(at) => state.placer.borrow_mut().catalog.confirm(at),
                 FleetAction::ListsChanged => state.refresh_entries(),
                 FleetAction::Note(note) => log_note(state, &note),
--- a/bin/lh-entry/src/lib.rs
+++ b/bin/lh-entry/src/lib.rs
@@ -29,6 +29,7 @@
 mod pool;
 mod print;
 mod problem;
+mod quarantine;
 mod record;
 mod reply;
 mod state;
--- a/bin/lh-entry/src/watch.rs
+++ b/bin/lh-entry/src/watch.rs
@@ -16,6 +16,7 @@
 use platform::tables::PlatformClient;
 use store::{BLOCK_PREFIX, ENTRY_TABLE, LEAD_PREFIX, Row, RowWrite, TableService};
 
+use crate::quarantine;
 use crate::state::InstanceState;
 
 /// Longest wait for an answer of the store. Slow answers of up to a second
@@ -191,6 +192,8 @@
         .iter()
         .partition(|row| row.key.starts_with(BLOCK_PREFIX));
     state.homes.borrow_mut().on_rows(&blocks);
+    let kept = quarantine::read(&others);
+    state.fleet.on_event(FleetEvent::Kept(kept));
     let mut leads = Vec::new();
     for row in others {
         let Some(region) = row.key.strip_prefix(LEAD_PREFIX) else {
--- a/bin/lh-entry/tests/crashes.rs
+++ b/bin/lh-entry/tests/crashes.rs
@@ -80,6 +80,29 @@
     }
 }
 
+/// Lets the request end servers until `entry` refuses it.
+async fn until_refused(service: &mut FragileService, entry: &EntryProcess) {
+    for arrival in 0.. {
+        if ask(entry, "fatal", FATAL, &format!("f{arrival}")).await == 503
+            && !quarantined(entry).await.is_empty()
+        {
+            return;
+        }
+        assert!(arrival < 100, "it is never refused");
+        service.refill().await;
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+/// The requests in quarantine, as the entry shows them.
+async fn quarantined(entry: &EntryProcess) -> String {
+    let document = entry.document("/v1/status").await;
+    let prints = document["quarantined"].as_array().cloned();
+    let prints = prints.unwrap_or_default();
+    let prints = prints.iter().filter_map(|print| print.as_str());
+    prints.collect::<Vec<_>>().join(" ")
+}
+
 async fn ask(entry: &EntryProcess, object: &str, path: &str, id: &str) -> u16 {
     let mut sender = entry.connect().await;
     let answer = exchange(&mut sender, request_for(object, "GET", path, id, b"")).await;
@@ -152,3 +175,59 @@
         }
     }
 }
+
+/// Promise: the refusal says that it has not run and when to come back, and shows in the
+/// entry's line, its metrics and its status.
+#[tokio::test]
+async fn a_refused_request_is_told_why() {
+    let mut service = FragileService::new().await;
+    let entry = EntryProcess::ready(&service.world, "n1").await;
+    until_refused(&mut service, &entry).await;
+    let sends = service.sends();
+    let other = ask(&entry, "other", FATAL, "other").await;
+    assert_eq!(other, 502, "another object is another request");
+    let mut sender = entry.connect().await;
+    let request = request_for("fatal", "GET", FATAL, "refused", b"");
+    let answer = exchange(&mut sender, request).await.unwrap();
+    assert_eq!(answer.status, 503);
+    let seconds: f64 = answer.header("retry-after").parse().unwrap();
+    assert!(seconds > 60.0, "{seconds}");
+    assert!(service.sends() > sends, "only the other one was sent");
+    until("it is logged", async || {
+        let lines = entry.logged("\"refused\"");
+        lines.iter().any(|line| line.contains("\"quarantined\""))
+    })
+    .await;
+    let shown = quarantined(&entry).await;
+    assert!(
+        !entry
+            .logged("request ends servers and is refused")
+            .is_empty()
+    );
+    assert!(!entry.logged(&format!("\"print\":\"{shown}\"")).is_empty());
+    let metrics = entry.metrics().await;
+    assert!(metrics.contains("laurelhill_refusals_total{reason=\"quarantined\"}"));
+}
+
+/// Promise: a request that ends servers is still refused after all entries were lost.
+#[tokio::test]
+async fn a_quarantine_outlives_all_entries() {
+    let mut service = FragileService::new().await;
+    let entry = EntryProcess::ready(&service.world, "n1").await;
+    until_refused(&mut service, &entry).await;
+    until("the store keeps it", async || {
+        let rows = service.world.store.row_versions("laurelhill-entries");
+        rows.keys().any(|key| key.starts_with("quarantine/"))
+    })
+    .await;
+    drop(entry);
+    service.refill().await;
+    let sends = service.sends();
+    let entry = EntryProcess::ready(&service.world, "n2").await;
+    until("it is known again", async || {
+        !quarantined(&entry).await.is_empty()
+    })
+    .await;
+    assert_eq!(ask(&entry, "fatal", FATAL, "later").await, 503);
+    assert_eq!(service.sends(), sends);
+}
--- a/crates/place/src/crash/print.rs
+++ b/crates/place/src/crash/print.rs
@@ -12,9 +12,20 @@
     pub struct RequestPrint(pub u128);
 }
 
+impl RequestPrint {
+    /// The print in full, for the store.
+    pub fn key(self) -> String {
+        format!("{:032x}", self.0)
+    }
+
+    /// The print that [`RequestPrint::key`] wrote.
+    pub fn parse(key: &str) -> Option<Self> {
+        u128::from_str_radix(key, 16).ok().map(Self)
+    }
+}
+
 impl fmt::Display for RequestPrint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let digits = format!("{:032x}", self.0);
-        formatter.write_str(&digits[..SHOWN_DIGITS])
+        formatter.write_str(&self.key()[..SHOWN_DIGITS])
     }
 }
--- a/crates/place/src/crash/verdict.rs
+++ b/crates/place/src/crash/verdict.rs
@@ -65,10 +65,15 @@
 
     /// The requests in quarantine.
     pub fn quarantined(&self) -> impl Iterator<Item = RequestPrint> {
+        self.quarantines().map(|(print, _)| print)
+    }
+
+    /// The requests in quarantine, with the time of the verdict.
+    pub fn quarantines(&self) -> impl Iterator<Item = (RequestPrint, Instant)> {
         let records = self.records.iter();
         records
             .filter(|(_, record)| record.kind == VerdictKind::Quarantined)
-            .map(|(print, _)| *print)
+            .map(|(print, record)| (*print, record.since))
     }
 
     /// Takes in a verdict made at `since`; whether it is stricter than what was held, or
--- a/crates/place/src/fleet/member/crashes.rs
+++ b/crates/place/src/fleet/member/crashes.rs
@@ -73,11 +73,9 @@
             }
         }
         for verdict in &word.verdicts {
-            if self
-                .verdicts
-                .judge(verdict.print, verdict.kind, ago(now, verdict.age))
-            {
-                self.note(verdict.print, verdict.kind, actions);
+            let since = ago(now, verdict.age);
+            if self.verdicts.judge(verdict.print, verdict.kind, since) {
+                self.on_verdict(now, verdict.print, verdict.kind, actions);
             }
         }
         if self.leading.is_some() && !news.is_empty() {
@@ -87,6 +85,35 @@
         }
     }
 
+    /// Takes in what the store keeps, so that a quarantine outlives all entries; the first
+    /// lead of a region mends rows that are missing or over.
+    pub(super) fn on_kept(
+        &mut self,
+        now: Instant,
+        rows: &[(RequestPrint, Duration)],
+        actions: &mut Vec<FleetAction>,
+    ) {
+        for (print, age) in rows {
+            let since = now.checked_sub(*age).unwrap_or(now);
+            if self.verdicts.judge(*print, VerdictKind::Quarantined, since) {
+                actions.push(FleetAction::Note(FleetNote::Quarantined(*print)));
+                self.verdicts_due = now;
+            }
+        }
+        self.verdicts.forget(now);
+        if self.leading.is_none() || !self.is_first(now) {
+            return;
+        }
+        let is_over = |print: &RequestPrint| self.quarantine_left(now, *print).is_none();
+        let over = rows.iter().map(|(print, _)| *print).filter(is_over);
+        let over: Vec<RequestPrint> = over.collect();
+        let is_kept = |print: RequestPrint| rows.iter().any(|(kept, _)| *kept == print);
+        let quarantines = self.quarantines(now);
+        let missing = quarantines.filter(|(print, _)| !is_kept(*print)).collect();
+        keep(missing, actions);
+        drop_rows(over, actions);
+    }
+
     /// When something about such requests is to be told or judged.
     pub(super) fn crashes_due(&self) -> Option<Instant> {
         let tells = self.leading.is_some() && self.has_verdicts();
@@ -129,8 +156,9 @@
             self.ledger.leave();
             return;
         }
-        for (print, kind) in self.ledger.judge(now, &mut self.verdicts) {
-            self.note(print, kind, actions);
+        let news = self.ledger.judge(now, &mut self.verdicts);
+        for (print, kind) in &news {
+            self.on_verdict(now, *print, *kind, actions);
             self.verdicts_due = now;
         }
     }
@@ -159,16 +187,48 @@
         let is_news = self.verdicts.clear(print, at);
         if was_held && !self.verdicts.contains(print) {
             actions.push(FleetAction::Note(FleetNote::Cleared(print)));
+            if self.leading.is_some() && self.is_first(at) {
+                drop_rows(vec![print], actions);
+            }
             self.verdicts_due = at;
         }
         is_news || was_suspect
     }
 
-    fn note(&self, print: RequestPrint, kind: VerdictKind, actions: &mut Vec<FleetAction>) {
-        actions.push(FleetAction::Note(match kind {
-            VerdictKind::Accused => FleetNote::Accused(print),
-            VerdictKind::Quarantined => FleetNote::Quarantined(print),
-        }));
+    /// The requests in quarantine, and how long ago they were put there.
+    fn quarantines(&self, now: Instant) -> impl Iterator<Item = (RequestPrint, Duration)> {
+        let quarantines = self.verdicts.quarantines();
+        quarantines.map(move |(print, since)| (print, now.saturating_duration_since(since)))
+    }
+
+    /// A request is treated more strictly from now on.
+    fn on_verdict(
+        &mut self,
+        now: Instant,
+        print: RequestPrint,
+        kind: VerdictKind,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        if kind == VerdictKind::Accused {
+            actions.push(FleetAction::Note(FleetNote::Accused(print)));
+            return;
+        }
+        actions.push(FleetAction::Note(FleetNote::Quarantined(print)));
+        if self.leading.is_some() && self.is_first(now) {
+            keep(vec![(print, Duration::ZERO)], actions);
+        }
+    }
+}
+
+fn keep(quarantines: Vec<(RequestPrint, Duration)>, actions: &mut Vec<FleetAction>) {
+    if !quarantines.is_empty() {
+        actions.push(FleetAction::KeepQuarantines(quarantines));
+    }
+}
+
+fn drop_rows(prints: Vec<RequestPrint>, actions: &mut Vec<FleetAction>) {
+    if !prints.is_empty() {
+        actions.push(FleetAction::DropQuarantines(prints));
     }
 }
 
--- a/crates/place/src/fleet/member/mod.rs
+++ b/crates/place/src/fleet/member/mod.rs
@@ -92,6 +92,8 @@
     Pulled(SocketAddr, bool),
     /// The store's rows of leads: regions and addresses.
     Rows(Vec<(String, SocketAddr)>),
+    /// The store's rows of requests in quarantine, and how long ago they were put there.
+    Kept(Vec<(RequestPrint, Duration)>),
     /// Requests of this entry that were at a server when it ended.
     Crashed(Vec<CrashSighting>),
     /// A server answered a request well that had been at one that ended.
@@ -114,6 +116,10 @@
     ReadRows,
     /// Write the region's row of leads.
     WriteRow(Vec<SocketAddr>),
+    /// Write rows of requests in quarantine, and how long ago they were put there.
+    KeepQuarantines(Vec<(RequestPrint, Duration)>),
+    /// Delete the rows of requests that are in quarantine no longer.
+    DropQuarantines(Vec<RequestPrint>),
     /// What is known of the registry is as fresh as of this time.
     Confirm(Instant),
     /// The entries that get requests have changed.
@@ -241,6 +247,7 @@
             }
             FleetEvent::Pulled(view, done) => self.pulls.on_pulled(now, view, done),
             FleetEvent::Rows(rows) => self.on_rows(now, &rows),
+            FleetEvent::Kept(rows) => self.on_kept(now, &rows, actions),
             FleetEvent::Crashed(sightings) => self.on_crashed(now, &sightings),
             FleetEvent::Cleared(print) => self.on_cleared(now, print, actions),
         }
--- a/crates/place/tests/crashes.rs
+++ b/crates/place/tests/crashes.rs
@@ -93,6 +93,40 @@
     assert_eq!(refusing(&world), 60);
 }
 
+/// Promise: a verdict outlives a loss of all entries, at one row in the store.
+#[test]
+fn a_verdict_outlives_all_entries() {
+    let mut world = settled(60);
+    crash(&mut world, &[0, 4, 11], 100);
+    world.run(ms(1500));
+    assert_eq!(world.kept.len(), 1);
+    for entry in 0..60 {
+        world.kill(entry);
+    }
+    for entry in 0..60 {
+        world.restart(entry);
+    }
+    // Before they count as settled.
+    world.run(ms(3000));
+    assert_eq!(refusing(&world), 60);
+}
+
+/// Promise: what is cleared leaves the store as well, also where it was away meanwhile.
+#[test]
+fn a_cleared_request_leaves_the_store() {
+    let mut world = settled(60);
+    crash(&mut world, &[0, 4, 11], 100);
+    world.run(ms(1500));
+    world.store_down = true;
+    world.tell(20, FleetEvent::Cleared(FATAL));
+    world.run(ms(2000));
+    assert_eq!(world.kept.len(), 1);
+    world.store_down = false;
+    world.run(ms(20_000));
+    assert_eq!(world.kept.len(), 0);
+    assert_eq!(refusing(&world), 0);
+}
+
 /// Promise: a good answer anywhere lifts what all entries hold of a request.
 #[test]
 fn a_good_answer_clears_a_request_everywhere() {
--- a/crates/place/tests/fleet_world/mod.rs
+++ b/crates/place/tests/fleet_world/mod.rs
@@ -3,10 +3,11 @@
 #![allow(dead_code, unreachable_pub, missing_docs)]
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BTreeMap, BinaryHeap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use place::crash::print::RequestPrint;
 use place::fleet::follow::PullTarget;
 use place::fleet::known::KnownStore;
 use place::fleet::member::MemberConfig;
@@ -109,6 +110,8 @@
     pub store_down: bool,
     pub calls: u64,
     row: Vec<(String, SocketAddr)>,
+    /// The store's rows of requests in quarantine.
+    pub kept: BTreeMap<RequestPrint, Instant>,
     queue: BinaryHeap<Reverse<Arrival>>,
     number: u64,
     seeds: Vec<usize>,
@@ -152,6 +155,7 @@
             store_down: false,
             calls: 0,
             row: Vec::new(),
+            kept: BTreeMap::new(),
             queue: BinaryHeap::new(),
             number: 0,
             seeds: seeds.to_vec(),
@@ -257,6 +261,9 @@
             Delivery::PullEnds { from, whole } => self.end_pull(to, from, whole),
             Delivery::WatchEnds => self.end_watch(to),
             Delivery::Rows => {
+                let kept = self.kept.iter();
+                let kept = kept.map(|(print, at)| (*print, self.now - *at)).collect();
+                self.tell(to, FleetEvent::Kept(kept));
                 let rows = self.row.clone();
                 self.tell(to, FleetEvent::Rows(rows));
             }
@@ -332,6 +339,20 @@
                     self.push(self.now + STORE, entry, Delivery::Rows);
                 }
             }
+            FleetAction::KeepQuarantines(quarantines) => {
+                self.calls += 1;
+                if self.is_served(entry) {
+                    for (print, age) in quarantines {
+                        self.kept.insert(print, self.now - age);
+                    }
+                }
+            }
+            FleetAction::DropQuarantines(prints) => {
+                self.calls += 1;
+                if self.is_served(entry) {
+                    self.kept.retain(|print, _| !prints.contains(print));
+                }
+            }
             FleetAction::WriteRow(leads) => {
                 self.calls += 1;
                 if self.is_served(entry) {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -20,3 +20,6 @@
 /// Rows of that table with this prefix and a region's name hold where the entries that
 /// lead the region take datagrams, separated by commas.
 pub const LEAD_PREFIX: &str = "leads/";
+
+/// Keys of rows that keep a request's quarantine, followed by its print.
+pub const QUARANTINE_PREFIX: &str = "quarantine/";
