--- a/crates/place/src/crash/verdict.rs
+++ b/crates/place/src/crash/verdict.rs
@@ -16,6 +16,9 @@
 const CLEARED_TIME: Duration = Duration::from_secs(60);
 /// How long others are told that a request is cleared: several tellings.
 const CLEARED_TOLD: Duration = Duration::from_secs(3);
+/// Verdicts of the same kind whose times differ by less are the same one: each entry that
+/// tells it on adds the time of the trip.
+const SAME_VERDICT: Duration = Duration::from_secs(5);
 /// Verdicts kept at most: a datagram of 3 kB holds them all. Requests in quarantine stay
 /// when accused ones make room.
 const VERDICTS_MOST: usize = 128;
@@ -81,7 +84,10 @@
     pub fn judge(&mut self, print: RequestPrint, kind: VerdictKind, since: Instant) -> bool {
         let is_void = self.cleared.get(&print).is_some_and(|at| *at >= since);
         let known = self.records.get(&print).copied();
-        let is_known = known.is_some_and(|known| (known.kind, known.since) >= (kind, since));
+        let is_known = known.is_some_and(|known| {
+            let is_older = since < known.since + SAME_VERDICT;
+            known.kind > kind || (known.kind == kind && is_older)
+        });
         if is_void || is_known || !self.has_room(print, kind) {
             return false;
         }
@@ -90,22 +96,22 @@
         is_stricter
     }
 
-    /// The request was answered well at `at`; whether that is news.
+    /// The request was answered well at `at`; whether that is news. The same answer told
+    /// again isn't, though it seems later by the time of the trip: leads would tell each
+    /// other of it without end.
     pub fn clear(&mut self, print: RequestPrint, at: Instant) -> bool {
-        let known = self.cleared.get(&print);
-        let is_news = known.is_none_or(|known| *known < at);
-        if !is_news || (known.is_none() && self.cleared.len() >= CLEARED_MOST) {
+        let known = self.cleared.get(&print).copied();
+        if known.is_none() && self.cleared.len() >= CLEARED_MOST {
             return false;
         }
-        self.cleared.insert(print, at);
-        if self
-            .records
-            .get(&print)
-            .is_some_and(|held| held.since <= at)
-        {
+        let latest = known.map_or(at, |known| known.max(at));
+        self.cleared.insert(print, latest);
+        let held = self.records.get(&print);
+        let is_held = held.is_some_and(|held| held.since <= at);
+        if is_held {
             self.records.remove(&print);
         }
-        true
+        is_held || known.is_none()
     }
 
     /// Drops what no longer counts.
--- a/crates/place/tests/crashes.rs
+++ b/crates/place/tests/crashes.rs
@@ -141,6 +141,26 @@
     assert_eq!(refusing(&world), 0);
 }
 
+/// Promise: once a request is cleared nobody speaks of it for long.
+#[test]
+fn a_cleared_request_is_soon_forgotten() {
+    let mut world = settled(60);
+    crash(&mut world, &[0, 4, 11], 100);
+    world.run(ms(1500));
+    world.tell(20, FleetEvent::Cleared(FATAL));
+    world.run(ms(5000));
+    let told = |world: &FleetWorld| -> u64 {
+        world
+            .entries
+            .iter()
+            .map(|entry| entry.crash_datagrams)
+            .sum()
+    };
+    let before = told(&world);
+    world.run(ms(5000));
+    assert_eq!(told(&world), before);
+}
+
 /// Promise: two ends are not enough, and one server that several entries saw is one end.
 #[test]
 fn two_ends_may_be_chance() {
--- a/crates/place/tests/fleet_world/mod.rs
+++ b/crates/place/tests/fleet_world/mod.rs
@@ -109,6 +109,9 @@
     pub operator: u64,
     pub store_down: bool,
     pub calls: u64,
+    /// One datagram in so many is lost.
+    pub loses: Option<u64>,
+    sent: u64,
     row: Vec<(String, SocketAddr)>,
     /// The store's rows of requests in quarantine.
     pub kept: BTreeMap<RequestPrint, Instant>,
@@ -154,6 +157,8 @@
             operator: 10,
             store_down: false,
             calls: 0,
+            loses: None,
+            sent: 0,
             row: Vec::new(),
             kept: BTreeMap::new(),
             queue: BinaryHeap::new(),
@@ -369,7 +374,11 @@
 
     fn send(&mut self, from: usize, to: usize, message: PeerMessage) {
         self.entries[from].datagrams += 1;
-        if to < self.entries.len() && self.reaches(from, to) {
+        self.sent += 1;
+        let is_lost = self
+            .loses
+            .is_some_and(|each| self.sent.is_multiple_of(each));
+        if to < self.entries.len() && self.reaches(from, to) && !is_lost {
             let at = self.now + self.delay(from, to);
             self.push(at, to, Delivery::Datagram(message));
         }
