Quarantine in the field's words; a companion and a failing service refuse nobody else

Cause: two cases by which somebody else could be refused, found on reading: from the fifth end on a request counted as the cause though another was at more of them; where servers end whatever they run, each of many requests seemed to be it. The words of a court are no terms of the field. Ruled out: weighing by the share of all ends (a failure domain that ends would hide the cause for hours). Change: from the fifth end on only equals count as inseparable; eight requests in quarantine at most. Report, status, quarantine, suspect in place of the former words; what a request has to do with ended servers is a module of its own. Measured: both new tests fail without their mechanism (two mutations).

--- a/bin/lh-entry/src/crash.rs
+++ b/bin/lh-entry/src/crash.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use place::crash::print::RequestPrint;
-use place::crash::word::CrashSighting;
+use place::crash::word::CrashReport;
 use place::prelude::FleetEvent;
 use place::request::Placement;
 use tokio::net::TcpStream;
@@ -82,12 +82,10 @@
     state.metrics.on_broken_off(&server.service, has_ended);
     if has_ended {
         let run = server.run;
-        let sightings = prints
+        let reports = prints
             .iter()
-            .map(|print| CrashSighting { run, print: *print });
-        state
-            .fleet
-            .on_event(FleetEvent::Crashed(sightings.collect()));
+            .map(|print| CrashReport { run, print: *print });
+        state.fleet.on_event(FleetEvent::Crashed(reports.collect()));
     }
     let shown: Vec<String> = prints
         .iter()
--- a/bin/lh-entry/src/fleet.rs
+++ b/bin/lh-entry/src/fleet.rs
@@ -101,8 +101,8 @@
     }
 
     /// Whether any request may be in quarantine.
-    pub(crate) fn has_verdicts(&self) -> bool {
-        self.member.borrow().has_verdicts()
+    pub(crate) fn has_statuses(&self) -> bool {
+        self.member.borrow().has_statuses()
     }
 
     /// How much longer the request is refused; `None` where it isn't.
@@ -324,7 +324,7 @@
     let servers_age_ms = age(known.registry_at);
     let operator_age_ms = age(known.operator_at);
     match note {
-        FleetNote::Accused(print) => {
+        FleetNote::Suspected(print) => {
             log::info!(print:%; "request was at two servers that ended");
         }
         FleetNote::Quarantined(print) => {
--- a/bin/lh-entry/src/job.rs
+++ b/bin/lh-entry/src/job.rs
@@ -13,17 +13,15 @@
 use place::crash::print::RequestPrint;
 use place::desired::RouteSpec;
 use place::placing::timing::millis;
-use place::request::{Placement, PlacementRequest, Refusal, RefusalReason, ServerOutcome};
+use place::request::{Placement, PlacementRequest, Refusal, ServerOutcome};
 use platform::headers::{self, ServerHead};
 use tokio::time::timeout_at;
 
 use crate::attempt::AttemptGuard;
 use crate::body::{AnswerBody, RequestBody};
 use crate::caller::{Caller, Interface};
-use crate::crash;
 use crate::intake::JobBody;
 use crate::pool::Lease;
-use crate::print::request_print;
 use crate::problem::{Problem, state_outcome};
 use crate::record::{RequestOutcome, RequestRecord};
 use crate::reply::{broken, fail, is_sound, read_answer, refuse, strip_hop_headers};
@@ -57,7 +55,7 @@
     unreachable: u32,
     may_have_run: bool,
     /// The request's print, once it was needed.
-    print: Option<RequestPrint>,
+    pub(crate) print: Option<RequestPrint>,
 }
 
 /// What came of an attempt.
@@ -120,29 +118,6 @@
         }
     }
 
-    /// The refusal of a request that ended the servers that ran it: however many callers
-    /// repeat it, at whichever entry, it reaches no further one.
-    fn quarantine(&mut self, body: &JobBody) -> Option<Refusal> {
-        if !self.state.fleet.has_verdicts() {
-            return None;
-        }
-        let print = self.print(body);
-        let retry_after = self.state.fleet.quarantine_left(print)?;
-        self.record.print = Some(print);
-        Some(Refusal {
-            reason: RefusalReason::Quarantined,
-            retry_after,
-        })
-    }
-
-    /// A server has answered the request well: where it is suspected, nobody refuses it.
-    fn clear(&mut self, body: &JobBody) {
-        if self.state.fleet.has_suspects() {
-            let print = self.print(body);
-            self.state.fleet.on_answered(print);
-        }
-    }
-
     fn may_try_again(&mut self, route: &RouteSpec, body: &JobBody) -> bool {
         if self.progress.may_have_run && !route.kind.may_repeat() {
             return false;
@@ -343,22 +318,6 @@
         }
     }
 
-    /// The request's print; of a body that is passed on in pieces, its beginning counts.
-    fn print(&mut self, body: &JobBody) -> RequestPrint {
-        let (method, target, headers) = (&self.method, &self.target, &self.headers);
-        let print = || request_print(method, target, headers, body.beginning());
-        *self.progress.print.get_or_insert_with(print)
-    }
-
-    /// The server of `placement` broke the request off.
-    fn on_broken_off(&mut self, route: &RouteSpec, placement: &Placement, body: &JobBody) {
-        let print = self.print(body);
-        self.record.print = Some(print);
-        if let Some(part) = route.parts.get(self.part) {
-            crash::on_broken_off(&self.state, placement, &part.service, print);
-        }
-    }
-
     /// Takes in the size of an answer of which `read` bytes are here.
     fn note_size(&self, headers: &HeaderMap, read: usize) {
         let stated = headers.get(header::CONTENT_LENGTH);
--- a/bin/lh-entry/src/lib.rs
+++ b/bin/lh-entry/src/lib.rs
@@ -35,6 +35,7 @@
 mod state;
 mod status;
 mod stop;
+mod suspect;
 mod ticket;
 mod view;
 mod watch;
--- a/bin/lh-entry/src/quarantine.rs
+++ b/bin/lh-entry/src/quarantine.rs
@@ -29,7 +29,7 @@
     quarantines
 }
 
-/// Writes a row for each of `quarantines`, which were judged so long ago.
+/// Writes a row for each of `quarantines`, which began so long ago.
 pub(crate) async fn keep(state: Rc<InstanceState>, quarantines: Vec<(RequestPrint, Duration)>) {
     let now = unix_time();
     let write = |(print, age): &(RequestPrint, Duration)| {
--- a/bin/lh-entry/tests/crashes.rs
+++ b/bin/lh-entry/tests/crashes.rs
@@ -1,6 +1,6 @@
 //! Servers of one service ended one after the other, in a wave of fifteen within five
 //! seconds. At each of them the same request was at work: its callers asked again at any
-//! entry, each entry judged each arrival anew, sent it to a second server when the first
+//! entry, each entry took each arrival for a new one, sent it to a second server when the first
 //! broke off, and told nobody. Requests that were at work beside it broke off too, and
 //! were answered by other servers. What one entry had seen was forgotten with the answer:
 //!
--- a/crates/place/src/crash/ledger.rs
+++ b/crates/place/src/crash/ledger.rs
@@ -1,21 +1,26 @@
-//! Judges which request ended servers, from all that were at them.
+//! Finds the request that ended servers, from all that were at them.
 
+use std::cmp::Reverse;
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use crate::crash::print::RequestPrint;
-use crate::crash::verdict::VerdictBook;
-use crate::crash::word::{CrashSighting, VerdictKind};
+use crate::crash::quarantine::QuarantineBook;
+use crate::crash::word::{CrashReport, PrintStatus};
 
 /// Servers that a request may end before it is put into quarantine. Two may be chance: a
 /// request and its repeat that each met a server on its way down.
 const FREE_ENDS: usize = 3;
-/// Ends after which a request is accused: all entries look out for a good answer to it.
-const ACCUSED_ENDS: usize = 2;
-/// Ends from which a request is to blame although another was at the same servers: two
-/// that never part can't be told from each other.
+/// Ends after which a request is a suspect everywhere: all entries look out for a good
+/// answer to it.
+const SUSPECT_ENDS: usize = 2;
+/// Ends from which a request counts as a cause although another was at the same servers:
+/// two that never part can't be told from each other.
 const INSEPARABLE_ENDS: usize = 5;
-/// Time from the first news until it is judged, so that the words of all entries that had
+/// Requests in quarantine at once. Where more seem to end servers, it is the servers that
+/// end, whatever they run, and refusing callers would only add to it.
+const QUARANTINES_MOST: usize = 8;
+/// Time from the first news until the cause is looked for, so that the words of all entries that had
 /// requests at the server are in: several trips between regions.
 const SETTLE_TIME: Duration = Duration::from_millis(300);
 /// How long an end counts: a request that comes every few minutes is found out as well.
@@ -45,19 +50,19 @@
     /// Ends for each suspect.
     totals: HashMap<RequestPrint, usize>,
     /// When suspects were last put into quarantine.
-    sentenced: HashMap<RequestPrint, Instant>,
-    judge_due: Option<Instant>,
+    quarantined_at: HashMap<RequestPrint, Instant>,
+    review_due: Option<Instant>,
     newest: Option<Instant>,
 }
 
 impl CrashLedger {
     /// Takes in that a request was at a server when it ended; whether that is news.
-    pub fn on_sighting(&mut self, now: Instant, sighting: CrashSighting) -> bool {
+    pub fn on_report(&mut self, now: Instant, report: CrashReport) -> bool {
         self.forget(now);
-        let found = self.ends.iter().position(|end| end.run == sighting.run);
+        let found = self.ends.iter().position(|end| end.run == report.run);
         let index = found.unwrap_or_else(|| {
             self.ends.push_back(ServerEnd {
-                run: sighting.run,
+                run: report.run,
                 at: now,
                 suspects: Vec::new(),
                 cleared: Vec::new(),
@@ -65,7 +70,7 @@
             self.ends.len() - 1
         });
         let end = &mut self.ends[index];
-        let print = sighting.print;
+        let print = report.print;
         let is_known = end.suspects.contains(&print) || end.cleared.contains(&print);
         if is_known || end.suspects.len() >= SUSPECTS_MOST {
             return false;
@@ -73,7 +78,7 @@
         end.suspects.push(print);
         *self.totals.entry(print).or_default() += 1;
         self.newest = Some(now);
-        self.judge_due = self.judge_due.or(Some(now + SETTLE_TIME));
+        self.review_due = self.review_due.or(Some(now + SETTLE_TIME));
         true
     }
 
@@ -83,7 +88,7 @@
         if self.totals.remove(&print).is_none() {
             return false;
         }
-        self.sentenced.remove(&print);
+        self.quarantined_at.remove(&print);
         for end in &mut self.ends {
             if let Some(index) = end.suspects.iter().position(|known| *known == print) {
                 end.suspects.swap_remove(index);
@@ -104,60 +109,77 @@
         age.is_some_and(|age| age < FRESH_TIME)
     }
 
-    /// When it is to be judged next.
-    pub fn judge_due(&self) -> Option<Instant> {
-        self.judge_due
+    /// When the cause is to be looked for next.
+    pub fn review_due(&self) -> Option<Instant> {
+        self.review_due
     }
 
-    /// Leaves the judging of what is known so far to others.
+    /// Leaves what is known so far to others.
     pub fn leave(&mut self) {
-        self.judge_due = None;
+        self.review_due = None;
     }
 
-    /// Judges the suspects; adds to `verdicts` and returns what is new.
-    pub fn judge(
+    /// Looks for the cause of the ends; raises the status of requests in `book` and returns
+    /// those that it raised.
+    pub fn review(
         &mut self,
         now: Instant,
-        verdicts: &mut VerdictBook,
-    ) -> Vec<(RequestPrint, VerdictKind)> {
-        self.judge_due = None;
+        book: &mut QuarantineBook,
+    ) -> Vec<(RequestPrint, PrintStatus)> {
+        self.review_due = None;
         self.forget(now);
-        let mut news = Vec::new();
-        for (print, total) in &self.totals {
-            let kind = if *total >= FREE_ENDS && self.is_to_blame(*print) {
-                self.sentenced.insert(*print, now);
-                VerdictKind::Quarantined
-            } else if *total >= ACCUSED_ENDS && !verdicts.contains(*print) {
-                VerdictKind::Accused
+        let mut raised = Vec::new();
+        for print in self.often_seen() {
+            let room = book.quarantines().count() < QUARANTINES_MOST;
+            let status = if room && self.is_cause(print) {
+                self.quarantined_at.insert(print, now);
+                PrintStatus::Quarantined
+            } else if !book.contains(print) {
+                PrintStatus::Suspect
             } else {
                 continue;
             };
-            if verdicts.judge(*print, kind, now) {
-                news.push((*print, kind));
+            if book.raise(print, status, now) {
+                raised.push((print, status));
             }
         }
-        news.sort_unstable();
-        news
+        raised
+    }
+
+    /// Requests that were at several servers when these ended, those at most of them first.
+    fn often_seen(&self) -> Vec<RequestPrint> {
+        let totals = self.totals.iter();
+        let often = totals.filter(|(_, total)| **total >= SUSPECT_ENDS);
+        let mut prints: Vec<RequestPrint> = often.map(|(print, _)| *print).collect();
+        prints.sort_unstable_by_key(|print| (Reverse(self.total(*print)), *print));
+        prints
     }
 
     /// Whether the request alone explains enough ends, one of them since it was last put
     /// into quarantine.
-    fn is_to_blame(&self, print: RequestPrint) -> bool {
-        let blamed: Vec<&ServerEnd> = self
+    fn is_cause(&self, print: RequestPrint) -> bool {
+        let explained: Vec<&ServerEnd> = self
             .ends
             .iter()
             .filter(|end| end.suspects.contains(&print) && self.explains(print, end))
             .collect();
-        let since = self.sentenced.get(&print);
-        let is_new = blamed.iter().any(|end| since.is_none_or(|at| end.at > *at));
-        blamed.len() >= FREE_ENDS && is_new
+        let since = self.quarantined_at.get(&print);
+        let is_new = explained
+            .iter()
+            .any(|end| since.is_none_or(|at| end.at > *at));
+        explained.len() >= FREE_ENDS && is_new
     }
 
-    /// Whether no other request that was there has ended as many servers.
+    /// Whether no other request that was there has been at as many ends.
     fn explains(&self, print: RequestPrint, end: &ServerEnd) -> bool {
         let total = self.total(print);
+        let most = if total >= INSEPARABLE_ENDS {
+            total
+        } else {
+            total - 1
+        };
         let mut others = end.suspects.iter().filter(|other| **other != print);
-        total >= INSEPARABLE_ENDS || others.all(|other| self.total(*other) < total)
+        others.all(|other| self.total(*other) <= most)
     }
 
     fn total(&self, print: RequestPrint) -> usize {
@@ -178,7 +200,7 @@
                     *total -= 1;
                     if *total == 0 {
                         self.totals.remove(&print);
-                        self.sentenced.remove(&print);
+                        self.quarantined_at.remove(&print);
                     }
                 }
             }
--- a/crates/place/src/crash/mod.rs
+++ b/crates/place/src/crash/mod.rs
@@ -3,7 +3,7 @@
 //! A server that ends takes along all requests that were at it, and their callers send
 //! them again. One of them may be the cause, and ends each further server that gets it.
 //! Entries tell their leads which requests were at which run of a server when it ended;
-//! leads tell each other, so that each judges by what all entries saw. A request that
+//! leads tell each other, so that each decides by what all entries saw. A request that
 //! alone explains enough ends is in quarantine at all entries: it is refused at once.
 //! Whatever a server answers well is cleared.
 //!
@@ -13,5 +13,5 @@
 pub mod ledger;
 pub mod outbox;
 pub mod print;
-pub mod verdict;
+pub mod quarantine;
 pub mod word;
--- a/crates/place/src/crash/outbox.rs
+++ b/crates/place/src/crash/outbox.rs
@@ -4,10 +4,10 @@
 use std::time::{Duration, Instant};
 
 use crate::crash::print::RequestPrint;
-use crate::crash::word::{ClearWord, CrashSighting, CrashWord};
+use crate::crash::word::{ClearWord, CrashReport, CrashWord};
 use crate::fleet::known::millis;
 
-/// A sighting is held for this long: most requests that were caught beside the cause are
+/// A report is held for this long: most requests that were caught beside the cause are
 /// answered by another server meanwhile, and need not be told.
 const HOLD_TIME: Duration = Duration::from_millis(200);
 /// Time between two tellings of the same.
@@ -15,7 +15,7 @@
 /// How often the same is told: for longer than a region without leads takes to find new
 /// ones.
 const TELLINGS: u32 = 8;
-/// Sightings and clearings that wait at most; 48 bytes each. A datagram holds as many.
+/// Reports and clearings that wait at most; 48 bytes each. A datagram holds as many.
 const WAITING_MOST: usize = 256;
 
 /// Something to be told.
@@ -28,7 +28,7 @@
 
 #[derive(Debug, Clone, Copy)]
 enum OutboxNews {
-    Sighting(CrashSighting),
+    Report(CrashReport),
     Cleared(RequestPrint, Instant),
 }
 
@@ -40,9 +40,9 @@
 
 impl CrashOutbox {
     /// A request was at a server when it ended.
-    pub fn on_sighting(&mut self, now: Instant, sighting: CrashSighting) {
+    pub fn on_report(&mut self, now: Instant, report: CrashReport) {
         self.push(OutboxItem {
-            news: OutboxNews::Sighting(sighting),
+            news: OutboxNews::Report(report),
             due: now + HOLD_TIME,
             told: 0,
         });
@@ -51,7 +51,7 @@
     /// A request was answered well: what wasn't told of it yet need not be.
     pub fn on_cleared(&mut self, now: Instant, print: RequestPrint, was_told: bool) {
         let is_of = |item: &OutboxItem| match item.news {
-            OutboxNews::Sighting(sighting) => sighting.print == print,
+            OutboxNews::Report(report) => report.print == print,
             OutboxNews::Cleared(cleared, _) => cleared == print,
         };
         let told = self.items.iter().any(|item| is_of(item) && item.told > 0);
@@ -80,7 +80,7 @@
             item.due = now + RETELL_EVERY;
             item.told += 1;
             match item.news {
-                OutboxNews::Sighting(sighting) => word.sightings.push(sighting),
+                OutboxNews::Report(report) => word.reports.push(report),
                 OutboxNews::Cleared(print, at) => word.cleared.push(ClearWord {
                     print,
                     age: millis(now.saturating_duration_since(at)),
--- a/crates/place/src/crash/verdict.rs
+++ b/crates/place/src/crash/quarantine.rs
@@ -1,60 +1,60 @@
-//! Which requests are accused, in quarantine or cleared, as an entry knows it.
+//! Which requests are suspects, in quarantine or cleared, as an entry knows it.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use crate::crash::print::RequestPrint;
-use crate::crash::word::{ClearWord, VerdictKind, VerdictWord};
+use crate::crash::word::{ClearWord, PrintStatus, StatusWord};
 use crate::fleet::known::millis;
 
 /// How long a request stays in quarantine: time to mend the service, at the price of a few
 /// servers each time that it is tried again.
 const QUARANTINE_TIME: Duration = Duration::from_secs(900);
-/// How long all entries look out for a good answer to an accused request.
-const ACCUSED_TIME: Duration = Duration::from_secs(60);
-/// How long a cleared request is safe from verdicts that were made before.
+/// How long all entries look out for a good answer to a suspect.
+const SUSPECT_TIME: Duration = Duration::from_secs(60);
+/// How long a cleared request is safe from what was found before.
 const CLEARED_TIME: Duration = Duration::from_secs(60);
 /// How long others are told that a request is cleared: several tellings.
 const CLEARED_TOLD: Duration = Duration::from_secs(3);
-/// Verdicts of the same kind whose times differ by less are the same one: each entry that
+/// Words of the same status whose times differ by less are the same one: each entry that
 /// tells it on adds the time of the trip.
-const SAME_VERDICT: Duration = Duration::from_secs(5);
-/// Verdicts kept at most: a datagram of 3 kB holds them all. Requests in quarantine stay
-/// when accused ones make room.
-const VERDICTS_MOST: usize = 128;
+const SAME_STATUS: Duration = Duration::from_secs(5);
+/// Requests kept at most: a datagram of 3 kB holds them all. Those in quarantine stay
+/// where suspects make room.
+const STATUSES_MOST: usize = 128;
 /// Clearings kept at most.
 const CLEARED_MOST: usize = 256;
 
 #[derive(Debug, Clone, Copy)]
-struct VerdictRecord {
-    kind: VerdictKind,
+struct StatusRecord {
+    status: PrintStatus,
     since: Instant,
 }
 
-impl VerdictRecord {
+impl StatusRecord {
     fn ends(&self) -> Instant {
         self.since
-            + match self.kind {
-                VerdictKind::Accused => ACCUSED_TIME,
-                VerdictKind::Quarantined => QUARANTINE_TIME,
+            + match self.status {
+                PrintStatus::Suspect => SUSPECT_TIME,
+                PrintStatus::Quarantined => QUARANTINE_TIME,
             }
     }
 }
 
-/// What is held of requests.
+/// What is known of requests.
 #[derive(Debug, Default)]
-pub struct VerdictBook {
-    records: HashMap<RequestPrint, VerdictRecord>,
+pub struct QuarantineBook {
+    records: HashMap<RequestPrint, StatusRecord>,
     cleared: HashMap<RequestPrint, Instant>,
 }
 
-impl VerdictBook {
-    /// Whether nothing is held of any request.
+impl QuarantineBook {
+    /// Whether nothing is known of any request.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
     }
 
-    /// Whether something is held of the request.
+    /// Whether something is known of the request.
     pub fn contains(&self, print: RequestPrint) -> bool {
         self.records.contains_key(&print)
     }
@@ -63,7 +63,7 @@
     pub fn quarantine_left(&self, now: Instant, print: RequestPrint) -> Option<Duration> {
         let record = self.records.get(&print)?;
         let left = record.ends().saturating_duration_since(now);
-        (record.kind == VerdictKind::Quarantined && !left.is_zero()).then_some(left)
+        (record.status == PrintStatus::Quarantined && !left.is_zero()).then_some(left)
     }
 
     /// The requests in quarantine.
@@ -71,28 +71,28 @@
         self.quarantines().map(|(print, _)| print)
     }
 
-    /// The requests in quarantine, with the time of the verdict.
+    /// The requests in quarantine, and since when.
     pub fn quarantines(&self) -> impl Iterator<Item = (RequestPrint, Instant)> {
         let records = self.records.iter();
         records
-            .filter(|(_, record)| record.kind == VerdictKind::Quarantined)
+            .filter(|(_, record)| record.status == PrintStatus::Quarantined)
             .map(|(print, record)| (*print, record.since))
     }
 
-    /// Takes in a verdict made at `since`; whether it is stricter than what was held, or
-    /// later. One from before the request was cleared is void.
-    pub fn judge(&mut self, print: RequestPrint, kind: VerdictKind, since: Instant) -> bool {
+    /// The request has had this status since `since`; whether it is stricter than the one
+    /// known. What was found before the request was cleared is void.
+    pub fn raise(&mut self, print: RequestPrint, status: PrintStatus, since: Instant) -> bool {
         let is_void = self.cleared.get(&print).is_some_and(|at| *at >= since);
         let known = self.records.get(&print).copied();
         let is_known = known.is_some_and(|known| {
-            let is_older = since < known.since + SAME_VERDICT;
-            known.kind > kind || (known.kind == kind && is_older)
+            let is_older = since < known.since + SAME_STATUS;
+            known.status > status || (known.status == status && is_older)
         });
-        if is_void || is_known || !self.has_room(print, kind) {
+        if is_void || is_known || !self.has_room(print, status) {
             return false;
         }
-        let is_stricter = known.is_none_or(|known| known.kind < kind);
-        self.records.insert(print, VerdictRecord { kind, since });
+        let is_stricter = known.is_none_or(|known| known.status < status);
+        self.records.insert(print, StatusRecord { status, since });
         is_stricter
     }
 
@@ -121,11 +121,11 @@
             .retain(|_, at| now.saturating_duration_since(*at) < CLEARED_TIME);
     }
 
-    /// All verdicts, for others.
-    pub fn words(&self, now: Instant) -> Vec<VerdictWord> {
-        let word = |(print, record): (&RequestPrint, &VerdictRecord)| VerdictWord {
+    /// All requests with their status, for others.
+    pub fn words(&self, now: Instant) -> Vec<StatusWord> {
+        let word = |(print, record): (&RequestPrint, &StatusRecord)| StatusWord {
             print: *print,
-            kind: record.kind,
+            status: record.status,
             age: millis(now.saturating_duration_since(record.since)),
         };
         self.records.iter().map(word).collect()
@@ -141,18 +141,18 @@
         words.filter(|word| u128::from(word.age) < told).collect()
     }
 
-    /// Whether there is room for the verdict, made by an accused request where need be.
-    fn has_room(&mut self, print: RequestPrint, kind: VerdictKind) -> bool {
-        if self.records.len() < VERDICTS_MOST || self.records.contains_key(&print) {
+    /// Whether there is room for the request, made by a suspect where need be.
+    fn has_room(&mut self, print: RequestPrint, status: PrintStatus) -> bool {
+        if self.records.len() < STATUSES_MOST || self.records.contains_key(&print) {
             return true;
         }
-        let accused = self.records.iter();
-        let oldest = accused
-            .filter(|(_, record)| record.kind == VerdictKind::Accused)
+        let records = self.records.iter();
+        let oldest = records
+            .filter(|(_, record)| record.status == PrintStatus::Suspect)
             .min_by_key(|(_, record)| record.since)
             .map(|(print, _)| *print);
         match oldest {
-            Some(oldest) if kind == VerdictKind::Quarantined => {
+            Some(oldest) if status == PrintStatus::Quarantined => {
                 self.records.remove(&oldest);
                 true
             }
--- a/crates/place/src/crash/word.rs
+++ b/crates/place/src/crash/word.rs
@@ -5,7 +5,7 @@
 base::common! {
     /// A request that was at a run of a server when it ended.
     #[derive(Copy, Eq, Hash, PartialOrd, Ord)]
-    pub struct CrashSighting {
+    pub struct CrashReport {
         /// Hash of the server's run.
         pub run: u64,
         /// The request.
@@ -14,21 +14,21 @@
 
     /// How a request is treated.
     #[derive(Copy, Eq, PartialOrd, Ord)]
-    pub enum VerdictKind {
+    pub enum PrintStatus {
         /// Served as any other; one good answer clears it.
-        Accused,
+        Suspect,
         /// Refused at once.
         Quarantined,
     }
 
-    /// A verdict as entries tell it.
+    /// The status of a request as entries tell it.
     #[derive(Copy, Eq)]
-    pub struct VerdictWord {
+    pub struct StatusWord {
         /// The request.
         pub print: RequestPrint,
         /// How it is treated.
-        pub kind: VerdictKind,
-        /// Milliseconds since it was judged.
+        pub status: PrintStatus,
+        /// Milliseconds since it got this status.
         pub age: u32,
     }
 
@@ -45,17 +45,17 @@
     #[derive(Eq, Default)]
     pub struct CrashWord {
         /// Requests that were at servers when these ended.
-        pub sightings: Vec<CrashSighting>,
+        pub reports: Vec<CrashReport>,
         /// Requests that were answered well all the same.
         pub cleared: Vec<ClearWord>,
-        /// What the sender holds of requests.
-        pub verdicts: Vec<VerdictWord>,
+        /// What the sender knows of requests.
+        pub statuses: Vec<StatusWord>,
     }
 }
 
 impl CrashWord {
     /// Whether it says nothing.
     pub fn is_empty(&self) -> bool {
-        self.sightings.is_empty() && self.cleared.is_empty() && self.verdicts.is_empty()
+        self.reports.is_empty() && self.cleared.is_empty() && self.statuses.is_empty()
     }
 }
--- a/crates/place/src/fleet/member/crashes.rs
+++ b/crates/place/src/fleet/member/crashes.rs
@@ -3,41 +3,41 @@
 use std::time::{Duration, Instant};
 
 use crate::crash::print::RequestPrint;
-use crate::crash::word::{CrashSighting, CrashWord, VerdictKind};
+use crate::crash::word::{CrashReport, CrashWord, PrintStatus};
 use crate::fleet::member::{BEAT_EVERY, FleetAction, FleetMember, FleetNote};
 use crate::fleet::message::PeerMessage;
 
 impl FleetMember {
     /// How much longer the request is refused; `None` where it isn't.
     pub fn quarantine_left(&self, now: Instant, print: RequestPrint) -> Option<Duration> {
-        self.verdicts.quarantine_left(now, print)
+        self.quarantine.quarantine_left(now, print)
     }
 
     /// Whether any request may be in quarantine.
-    pub fn has_verdicts(&self) -> bool {
-        !self.verdicts.is_empty()
+    pub fn has_statuses(&self) -> bool {
+        !self.quarantine.is_empty()
     }
 
     /// Whether good answers are to be compared with the suspects now. Callers need make no
     /// prints otherwise.
     pub fn has_suspects(&self, now: Instant) -> bool {
-        self.has_verdicts() || self.ledger.is_fresh(now)
+        self.has_statuses() || self.ledger.is_fresh(now)
     }
 
     /// Whether a good answer to the request is news.
     pub fn suspects(&self, print: RequestPrint) -> bool {
-        self.verdicts.contains(print) || self.ledger.suspects(print)
+        self.quarantine.contains(print) || self.ledger.suspects(print)
     }
 
     /// The requests in quarantine.
     pub fn quarantined(&self) -> impl Iterator<Item = RequestPrint> {
-        self.verdicts.quarantined()
+        self.quarantine.quarantined()
     }
 
-    pub(super) fn on_crashed(&mut self, now: Instant, sightings: &[CrashSighting]) {
-        for sighting in sightings {
-            if self.ledger.on_sighting(now, *sighting) {
-                self.outbox.on_sighting(now, *sighting);
+    pub(super) fn on_crashed(&mut self, now: Instant, reports: &[CrashReport]) {
+        for report in reports {
+            if self.ledger.on_report(now, *report) {
+                self.outbox.on_report(now, *report);
             }
         }
     }
@@ -48,7 +48,7 @@
         print: RequestPrint,
         actions: &mut Vec<FleetAction>,
     ) {
-        let was_held = self.verdicts.contains(print);
+        let was_held = self.quarantine.contains(print);
         self.outbox.on_cleared(now, print, was_held);
         self.clear(now, print, actions);
     }
@@ -67,15 +67,15 @@
                 news.cleared.push(*cleared);
             }
         }
-        for sighting in &word.sightings {
-            if self.ledger.on_sighting(now, *sighting) {
-                news.sightings.push(*sighting);
+        for report in &word.reports {
+            if self.ledger.on_report(now, *report) {
+                news.reports.push(*report);
             }
         }
-        for verdict in &word.verdicts {
-            let since = ago(now, verdict.age);
-            if self.verdicts.judge(verdict.print, verdict.kind, since) {
-                self.on_verdict(now, verdict.print, verdict.kind, actions);
+        for word in &word.statuses {
+            let since = ago(now, word.age);
+            if self.quarantine.raise(word.print, word.status, since) {
+                self.on_raised(now, word.print, word.status, actions);
             }
         }
         if self.leading.is_some() && !news.is_empty() {
@@ -95,12 +95,15 @@
     ) {
         for (print, age) in rows {
             let since = now.checked_sub(*age).unwrap_or(now);
-            if self.verdicts.judge(*print, VerdictKind::Quarantined, since) {
+            if self
+                .quarantine
+                .raise(*print, PrintStatus::Quarantined, since)
+            {
                 actions.push(FleetAction::Note(FleetNote::Quarantined(*print)));
-                self.verdicts_due = now;
+                self.statuses_due = now;
             }
         }
-        self.verdicts.forget(now);
+        self.quarantine.forget(now);
         if self.leading.is_none() || !self.is_first(now) {
             return;
         }
@@ -114,27 +117,27 @@
         drop_rows(over, actions);
     }
 
-    /// When something about such requests is to be told or judged.
+    /// When something about such requests is to be told or reviewed.
     pub(super) fn crashes_due(&self) -> Option<Instant> {
-        let tells = self.leading.is_some() && self.has_verdicts();
-        let verdicts = tells.then_some(self.verdicts_due);
-        let dues = [self.outbox.due(), self.ledger.judge_due(), verdicts];
+        let tells = self.leading.is_some() && self.has_statuses();
+        let statuses = tells.then_some(self.statuses_due);
+        let dues = [self.outbox.due(), self.ledger.review_due(), statuses];
         dues.into_iter().flatten().min()
     }
 
     pub(super) fn review_crashes(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
-        self.verdicts.forget(now);
-        self.tell_sightings(now, actions);
-        if self.ledger.judge_due().is_some_and(|due| now >= due) {
-            self.judge(now, actions);
+        self.quarantine.forget(now);
+        self.tell_reports(now, actions);
+        if self.ledger.review_due().is_some_and(|due| now >= due) {
+            self.review_ledger(now, actions);
         }
-        if self.leading.is_some() && now >= self.verdicts_due {
-            self.tell_verdicts(now, actions);
+        if self.leading.is_some() && now >= self.statuses_due {
+            self.tell_statuses(now, actions);
         }
     }
 
     /// Tells the leads what this entry saw itself.
-    fn tell_sightings(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
+    fn tell_reports(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
         let word = self.outbox.take(now);
         if word.is_empty() {
             return;
@@ -148,28 +151,28 @@
         actions.push(FleetAction::Send(leads, PeerMessage::Crash(word)));
     }
 
-    /// Judges the suspects. An entry that hears a lead leaves it to that one, which knows
+    /// Looks for the cause. An entry that hears a lead leaves it to that one, which knows
     /// what others saw: by what one entry saw, a request that was often caught beside the
     /// cause would seem to be it.
-    fn judge(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
+    fn review_ledger(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
         if self.leading.is_none() && self.hears_lead(now) {
             self.ledger.leave();
             return;
         }
-        let news = self.ledger.judge(now, &mut self.verdicts);
-        for (print, kind) in &news {
-            self.on_verdict(now, *print, *kind, actions);
-            self.verdicts_due = now;
+        let news = self.ledger.review(now, &mut self.quarantine);
+        for (print, status) in &news {
+            self.on_raised(now, *print, *status, actions);
+            self.statuses_due = now;
         }
     }
 
     /// Tells the entries of the region and the other leads what is held of requests.
-    fn tell_verdicts(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
-        self.verdicts_due = now + BEAT_EVERY;
+    fn tell_statuses(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
+        self.statuses_due = now + BEAT_EVERY;
         let word = CrashWord {
-            sightings: Vec::new(),
-            cleared: self.verdicts.cleared_words(now),
-            verdicts: self.verdicts.words(now),
+            reports: Vec::new(),
+            cleared: self.quarantine.cleared_words(now),
+            statuses: self.quarantine.words(now),
         };
         if word.is_empty() {
             return;
@@ -182,35 +185,35 @@
 
     /// The request was answered well at `at`; whether that is news.
     fn clear(&mut self, at: Instant, print: RequestPrint, actions: &mut Vec<FleetAction>) -> bool {
-        let was_held = self.verdicts.contains(print);
+        let was_held = self.quarantine.contains(print);
         let was_suspect = self.ledger.clear(print);
-        let is_news = self.verdicts.clear(print, at);
-        if was_held && !self.verdicts.contains(print) {
+        let is_news = self.quarantine.clear(print, at);
+        if was_held && !self.quarantine.contains(print) {
             actions.push(FleetAction::Note(FleetNote::Cleared(print)));
             if self.leading.is_some() && self.is_first(at) {
                 drop_rows(vec![print], actions);
             }
-            self.verdicts_due = at;
+            self.statuses_due = at;
         }
         is_news || was_suspect
     }
 
     /// The requests in quarantine, and how long ago they were put there.
     fn quarantines(&self, now: Instant) -> impl Iterator<Item = (RequestPrint, Duration)> {
-        let quarantines = self.verdicts.quarantines();
+        let quarantines = self.quarantine.quarantines();
         quarantines.map(move |(print, since)| (print, now.saturating_duration_since(since)))
     }
 
     /// A request is treated more strictly from now on.
-    fn on_verdict(
+    fn on_raised(
         &mut self,
         now: Instant,
         print: RequestPrint,
-        kind: VerdictKind,
+        status: PrintStatus,
         actions: &mut Vec<FleetAction>,
     ) {
-        if kind == VerdictKind::Accused {
-            actions.push(FleetAction::Note(FleetNote::Accused(print)));
+        if status == PrintStatus::Suspect {
+            actions.push(FleetAction::Note(FleetNote::Suspected(print)));
             return;
         }
         actions.push(FleetAction::Note(FleetNote::Quarantined(print)));
--- a/crates/place/src/fleet/member/mod.rs
+++ b/crates/place/src/fleet/member/mod.rs
@@ -16,8 +16,8 @@
 use crate::crash::ledger::CrashLedger;
 use crate::crash::outbox::CrashOutbox;
 use crate::crash::print::RequestPrint;
-use crate::crash::verdict::VerdictBook;
-use crate::crash::word::CrashSighting;
+use crate::crash::quarantine::QuarantineBook;
+use crate::crash::word::CrashReport;
 use crate::fleet::follow::{PullState, PullTarget};
 use crate::fleet::known::KnownStore;
 use crate::fleet::leads::LeadTable;
@@ -95,7 +95,7 @@
     /// The store's rows of requests in quarantine, and how long ago they were put there.
     Kept(Vec<(RequestPrint, Duration)>),
     /// Requests of this entry that were at a server when it ended.
-    Crashed(Vec<CrashSighting>),
+    Crashed(Vec<CrashReport>),
     /// A server answered a request well that had been at one that ended.
     Cleared(RequestPrint),
 }
@@ -136,7 +136,7 @@
     /// It leads no longer, for the entry that is named.
     Follows(String),
     /// A request was at two servers when they ended.
-    Accused(RequestPrint),
+    Suspected(RequestPrint),
     /// A request has ended servers and is refused from now on.
     Quarantined(RequestPrint),
     /// A request that something was held of was answered well.
@@ -182,9 +182,9 @@
     row: Vec<SocketAddr>,
     /// Which requests were at servers when these ended.
     ledger: CrashLedger,
-    verdicts: VerdictBook,
+    quarantine: QuarantineBook,
     outbox: CrashOutbox,
-    verdicts_due: Instant,
+    statuses_due: Instant,
 }
 
 impl FleetMember {
@@ -216,9 +216,9 @@
             rows_due: now,
             row: Vec::new(),
             ledger: CrashLedger::default(),
-            verdicts: VerdictBook::default(),
+            quarantine: QuarantineBook::default(),
             outbox: CrashOutbox::default(),
-            verdicts_due: now,
+            statuses_due: now,
             config,
         }
     }
@@ -248,7 +248,7 @@
             FleetEvent::Pulled(view, done) => self.pulls.on_pulled(now, view, done),
             FleetEvent::Rows(rows) => self.on_rows(now, &rows),
             FleetEvent::Kept(rows) => self.on_kept(now, &rows, actions),
-            FleetEvent::Crashed(sightings) => self.on_crashed(now, &sightings),
+            FleetEvent::Crashed(reports) => self.on_crashed(now, &reports),
             FleetEvent::Cleared(print) => self.on_cleared(now, print, actions),
         }
         self.review(now, actions);
--- a/crates/place/tests/crash_load.rs
+++ b/crates/place/tests/crash_load.rs
@@ -8,7 +8,7 @@
 
 use fleet_world::{FleetWorld, ms};
 use place::crash::print::RequestPrint;
-use place::crash::word::CrashSighting;
+use place::crash::word::CrashReport;
 use place::prelude::*;
 use place::rank::pair_weight;
 
@@ -68,7 +68,7 @@
     runs: u64,
     third_at: Option<Instant>,
     fatal_ends: BTreeSet<u64>,
-    reports: Vec<(Instant, usize, CrashSighting)>,
+    reports: Vec<(Instant, usize, CrashReport)>,
     tally: Tally,
 }
 
@@ -226,8 +226,8 @@
         }
         for job in jobs {
             let print = job.print;
-            let sighting = CrashSighting { run, print };
-            self.reports.push((now + LOOK_TIME, job.entry, sighting));
+            let report = CrashReport { run, print };
+            self.reports.push((now + LOOK_TIME, job.entry, report));
             if !job.repeats || job.sends >= SENDS_MOST {
                 continue;
             }
@@ -241,11 +241,11 @@
 
     fn report(&mut self) {
         let now = self.world.now;
-        let due = |(at, ..): &(Instant, usize, CrashSighting)| *at <= now;
+        let due = |(at, ..): &(Instant, usize, CrashReport)| *at <= now;
         let (ready, left) = self.reports.drain(..).partition(due);
         self.reports = left;
-        for (_, entry, sighting) in ready {
-            self.world.tell(entry, FleetEvent::Crashed(vec![sighting]));
+        for (_, entry, report) in ready {
+            self.world.tell(entry, FleetEvent::Crashed(vec![report]));
         }
     }
 }
--- a/crates/place/tests/crashes.rs
+++ b/crates/place/tests/crashes.rs
@@ -1,4 +1,4 @@
-//! Requests that end servers: who is to blame, who hears of it, and what it costs.
+//! Requests that end servers: which is the cause, who hears of it, and what it costs.
 
 mod fleet_world;
 
@@ -8,15 +8,15 @@
 use fleet_world::{FleetWorld, ms};
 use place::crash::ledger::CrashLedger;
 use place::crash::print::RequestPrint;
-use place::crash::verdict::VerdictBook;
-use place::crash::word::{CrashSighting, VerdictKind};
+use place::crash::quarantine::QuarantineBook;
+use place::crash::word::{CrashReport, PrintStatus};
 use place::prelude::*;
 use proptest::prelude::*;
 
 const FATAL: RequestPrint = RequestPrint(1);
 
-fn sighting(run: u64, print: RequestPrint) -> CrashSighting {
-    CrashSighting { run, print }
+fn report(run: u64, print: RequestPrint) -> CrashReport {
+    CrashReport { run, print }
 }
 
 /// A fleet of `count` that has run for a while.
@@ -29,7 +29,7 @@
 /// Lets the request end a server for each of `entries`.
 fn crash(world: &mut FleetWorld, entries: &[usize], first_run: u64) {
     for (run, entry) in (first_run..).zip(entries) {
-        world.tell(*entry, FleetEvent::Crashed(vec![sighting(run, FATAL)]));
+        world.tell(*entry, FleetEvent::Crashed(vec![report(run, FATAL)]));
     }
 }
 
@@ -67,14 +67,14 @@
         world.run(ms(10_000));
         heard.push(world.entries[follower].crash_datagrams);
     }
-    // Both leads tell their verdicts with each beat.
+    // Both leads tell their statuses with each beat.
     assert!(heard.iter().all(|datagrams| *datagrams <= 40), "{heard:?}");
     assert!(heard[0].abs_diff(heard[1]) <= 4, "{heard:?}");
 }
 
-/// Promise: the verdict outlives the leads that made it.
+/// Promise: a quarantine outlives the leads that found the cause.
 #[test]
-fn a_verdict_outlives_the_leads() {
+fn a_quarantine_outlives_the_leads() {
     let mut world = settled(60);
     crash(&mut world, &[0, 4, 11], 100);
     world.run(ms(1500));
@@ -93,9 +93,9 @@
     assert_eq!(refusing(&world), 60);
 }
 
-/// Promise: a verdict outlives a loss of all entries, at one row in the store.
+/// Promise: a quarantine outlives a loss of all entries, at one row in the store.
 #[test]
-fn a_verdict_outlives_all_entries() {
+fn a_quarantine_outlives_all_entries() {
     let mut world = settled(60);
     crash(&mut world, &[0, 4, 11], 100);
     world.run(ms(1500));
@@ -176,35 +176,62 @@
 /// request is served.
 #[test]
 fn a_quarantine_ends_and_returns() {
-    let (mut ledger, mut verdicts) = (CrashLedger::default(), VerdictBook::default());
+    let (mut ledger, mut book) = (CrashLedger::default(), QuarantineBook::default());
     let mut now = Instant::now();
     for run in 0..3 {
-        ledger.on_sighting(now, sighting(run, FATAL));
+        ledger.on_report(now, report(run, FATAL));
     }
-    ledger.judge(now, &mut verdicts);
-    let left = verdicts.quarantine_left(now, FATAL).unwrap();
+    ledger.review(now, &mut book);
+    let left = book.quarantine_left(now, FATAL).unwrap();
     now += left + ms(1);
-    verdicts.forget(now);
-    ledger.on_sighting(now, sighting(50, RequestPrint(7)));
-    ledger.judge(now, &mut verdicts);
-    assert_eq!(verdicts.quarantine_left(now, FATAL), None);
+    book.forget(now);
+    ledger.on_report(now, report(50, RequestPrint(7)));
+    ledger.review(now, &mut book);
+    assert_eq!(book.quarantine_left(now, FATAL), None);
     now += ms(1);
-    ledger.on_sighting(now, sighting(51, FATAL));
-    ledger.judge(now, &mut verdicts);
-    assert!(verdicts.quarantine_left(now, FATAL).is_some());
+    ledger.on_report(now, report(51, FATAL));
+    ledger.review(now, &mut book);
+    assert!(book.quarantine_left(now, FATAL).is_some());
 }
 
 /// Promise: requests that never part are both refused in the end, not served for good.
 #[test]
 fn inseparable_requests_are_found_out() {
-    let (mut ledger, mut verdicts) = (CrashLedger::default(), VerdictBook::default());
+    let (mut ledger, mut book) = (CrashLedger::default(), QuarantineBook::default());
     let now = Instant::now();
     for run in 0..5 {
-        ledger.on_sighting(now, sighting(run, FATAL));
-        ledger.on_sighting(now, sighting(run, RequestPrint(2)));
+        ledger.on_report(now, report(run, FATAL));
+        ledger.on_report(now, report(run, RequestPrint(2)));
     }
-    ledger.judge(now, &mut verdicts);
-    assert_eq!(verdicts.quarantined().count(), 2);
+    ledger.review(now, &mut book);
+    assert_eq!(book.quarantined().count(), 2);
+}
+
+/// Promise: a request that was caught often beside the cause is not taken for it.
+#[test]
+fn a_constant_companion_is_not_refused() {
+    let (mut ledger, mut book) = (CrashLedger::default(), QuarantineBook::default());
+    let now = Instant::now();
+    for run in 0..8 {
+        ledger.on_report(now, report(run, FATAL));
+        if run < 6 {
+            ledger.on_report(now, report(run, RequestPrint(2)));
+        }
+    }
+    ledger.review(now, &mut book);
+    assert_eq!(book.quarantined().collect::<Vec<_>>(), [FATAL]);
+}
+
+/// Promise: where servers end whatever they run, few callers are refused for it.
+#[test]
+fn a_service_that_ends_by_itself_refuses_few() {
+    let (mut ledger, mut book) = (CrashLedger::default(), QuarantineBook::default());
+    let now = Instant::now();
+    for run in 0..400 {
+        ledger.on_report(now, report(run, RequestPrint(u128::from(run % 50))));
+        ledger.review(now, &mut book);
+    }
+    assert!(book.quarantined().count() <= 8);
 }
 
 /// One server's end: which of the bystanders were there, and whether the request was.
@@ -220,35 +247,35 @@
     /// end by themselves as well; the cause is refused once it ended enough servers.
     #[test]
     fn bystanders_are_never_refused(ends in ends()) {
-        let (mut ledger, mut verdicts) = (CrashLedger::default(), VerdictBook::default());
+        let (mut ledger, mut book) = (CrashLedger::default(), QuarantineBook::default());
         let mut now = Instant::now();
         let mut fatal_ends = 0;
         for (run, (bystanders, is_fatal)) in ends.into_iter().enumerate() {
             let run = run as u64;
             for print in &bystanders {
-                ledger.on_sighting(now, sighting(run, RequestPrint(*print)));
+                ledger.on_report(now, report(run, RequestPrint(*print)));
             }
             if is_fatal {
-                ledger.on_sighting(now, sighting(run, FATAL));
+                ledger.on_report(now, report(run, FATAL));
                 fatal_ends += 1;
             }
-            let news = ledger.judge(now, &mut verdicts);
+            let news = ledger.review(now, &mut book);
             let refused = |print: &RequestPrint| {
-                news.contains(&(*print, VerdictKind::Quarantined)) && *print != FATAL
+                news.contains(&(*print, PrintStatus::Quarantined)) && *print != FATAL
             };
             prop_assert!(!bystanders.iter().any(|print| refused(&RequestPrint(*print))));
             // They run again on another server, and are answered.
             now += ms(200);
             for print in &bystanders {
                 ledger.clear(RequestPrint(*print));
-                verdicts.clear(RequestPrint(*print), now);
+                book.clear(RequestPrint(*print), now);
             }
             now += Duration::from_millis(50);
-            if verdicts.quarantine_left(now, FATAL).is_some() {
+            if book.quarantine_left(now, FATAL).is_some() {
                 break;
             }
         }
         prop_assert!(fatal_ends <= 3);
-        prop_assert_eq!(verdicts.quarantine_left(now, FATAL).is_some(), fatal_ends == 3);
+        prop_assert_eq!(book.quarantine_left(now, FATAL).is_some(), fatal_ends == 3);
     }
 }
