--- a/bin/lh-entry/tests/crashes.rs
+++ b/bin/lh-entry/tests/crashes.rs
@@ -1,12 +1,15 @@
-//! Servers of one service ended one after the other, in a wave of fifteen within five
-//! seconds. At each of them the same request was at work: its callers asked again at any
-//! entry, each entry took each arrival for a new one, sent it to a second server when the first
-//! broke off, and told nobody. Requests that were at work beside it broke off too, and
-//! were answered by other servers. What one entry had seen was forgotten with the answer:
+//! Servers of one service ended one after the other, fifteen of them within five seconds,
+//! and again half a minute later. At each of them the same request was at work: its callers
+//! sent it again to any entry, and each entry took each arrival for a new one, sent it to a
+//! second server when the first broke off, and told nobody. What one entry had seen was
+//! forgotten with the answer. Requests that were caught beside it were answered by other
+//! servers, so that nothing but the cause was at every end. Lines of different entries that
+//! name the same request settled it:
 //!
 //! ```text
-//! i-266d552151(occupancy 1.0) -> broke at 102ms; i-01e69a4556(occupancy 1.0) -> broke at 296ms
-//! i-59c1e0769e(occupancy 1.0) -> broke at 85ms; i-8455c6618f(occupancy 1.0) -> broke at 127ms
+//! n0 server ended under requests, server i-0, prints ab9c5761c91e
+//! n1 server ended under requests, server i-1, prints ab9c5761c91e
+//! n2 server ended under requests, server i-4, prints ab9c5761c91e
 //! ```
 
 mod world;
