Operators lift a quarantine; a large body passed on in pieces is the same request

Cause: a false quarantine could only be waited out. The print of a body beyond 1 MiB covered what happened to be at hand, which differs each time, so that such an upload was never found out. Ruled out: printing all of a body that is passed on (its end comes after the server is chosen); lifting at one entry (the others would go on refusing). Change: lhctl quarantines, lhctl lift: a row that leads take as a good answer and then delete. The first 64 KiB of a body count.

--- a/bin/lh-entry/src/print.rs
+++ b/bin/lh-entry/src/print.rs
@@ -18,7 +18,10 @@
     header::DATE,
 ];
 
-/// The print of a request with as much of its body as is at hand. A cryptographic hash,
+/// Bytes of a body that count: how many of a longer one are at hand differs each time.
+const PRINTED_BODY: usize = 64 << 10;
+
+/// The print of a request with the beginning of its body. A cryptographic hash,
 /// so that no caller can make a request that is taken for another's.
 pub(crate) fn request_print(
     method: &Method,
@@ -44,7 +47,7 @@
         add(&mut hasher, name.as_bytes());
         add(&mut hasher, value);
     }
-    add(&mut hasher, body);
+    add(&mut hasher, &body[..body.len().min(PRINTED_BODY)]);
     let digest = hasher.finalize();
     let mut half = [0; 16];
     half.copy_from_slice(&digest[..16]);
--- a/bin/lh-entry/src/quarantine.rs
+++ b/bin/lh-entry/src/quarantine.rs
@@ -1,48 +1,47 @@
 //! The store's rows of requests in quarantine: what must outlive all entries.
 
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use place::crash::print::RequestPrint;
+use place::crash::word::KeptQuarantine;
 use platform::tables::PlatformClient;
-use store::{ENTRY_TABLE, QUARANTINE_PREFIX, Row, RowWrite, TableService};
+use store::{QuarantineRow, Row, RowWrite, TableService};
 
 use crate::state::InstanceState;
 use crate::watch::PATIENCE;
 
-/// The requests in quarantine among `rows`, and how long ago they were put there.
-pub(crate) fn read(rows: &[&Row]) -> Vec<(RequestPrint, Duration)> {
-    let now = unix_time();
-    let mut quarantines = Vec::new();
+/// What `rows` say of requests in quarantine.
+pub(crate) fn read(rows: &[&Row]) -> Vec<KeptQuarantine> {
+    let mut kept = Vec::new();
     for row in rows {
-        let Some(key) = row.key.strip_prefix(QUARANTINE_PREFIX) else {
+        if !QuarantineRow::is_one(row) {
             continue;
-        };
-        match (RequestPrint::parse(key), row.value.parse()) {
-            // Another entry's clock may be ahead.
-            (Some(print), Ok(millis)) => {
-                quarantines.push((print, now.saturating_sub(Duration::from_millis(millis))));
-            }
-            _ => log::warn!(key = row.key.as_str(); "row of a request in quarantine left out"),
         }
+        let read = QuarantineRow::read(row)
+            .and_then(|row| RequestPrint::parse(&row.print).map(|print| (print, row)));
+        let Some((print, QuarantineRow { age, lifted, .. })) = read else {
+            log::warn!(key = row.key.as_str(); "row of a request in quarantine left out");
+            continue;
+        };
+        kept.push(KeptQuarantine { print, age, lifted });
     }
-    quarantines
+    kept
 }
 
 /// Writes a row for each of `quarantines`, which began so long ago.
 pub(crate) async fn keep(state: Rc<InstanceState>, quarantines: Vec<(RequestPrint, Duration)>) {
-    let now = unix_time();
-    let write = |(print, age): &(RequestPrint, Duration)| {
-        let since = now.saturating_sub(*age).as_millis().to_string();
-        RowWrite::new(ENTRY_TABLE, &row_key(*print), &since)
-    };
-    commit(&state, &quarantines.iter().map(write).collect::<Vec<_>>()).await;
+    let writes = quarantines.iter();
+    let writes = writes.map(|(print, age)| QuarantineRow::keep(&print.key(), *age));
+    commit(&state, &writes.collect::<Vec<_>>()).await;
 }
 
 /// Deletes the rows of `prints`.
 pub(crate) async fn drop_rows(state: Rc<InstanceState>, prints: Vec<RequestPrint>) {
-    let delete = |print: &RequestPrint| RowWrite::delete(ENTRY_TABLE, &row_key(*print));
-    commit(&state, &prints.iter().map(delete).collect::<Vec<_>>()).await;
+    let writes = prints
+        .iter()
+        .map(|print| QuarantineRow::delete(&print.key()));
+    commit(&state, &writes.collect::<Vec<_>>()).await;
 }
 
 async fn commit(state: &InstanceState, writes: &[RowWrite]) {
@@ -55,12 +54,3 @@
         log::info!(error:%; "rows of requests in quarantine not written");
     }
 }
-
-fn row_key(print: RequestPrint) -> String {
-    format!("{QUARANTINE_PREFIX}{}", print.key())
-}
-
-fn unix_time() -> Duration {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    now.unwrap_or_default()
-}
--- a/bin/lh-entry/tests/crashes.rs
+++ b/bin/lh-entry/tests/crashes.rs
@@ -16,11 +16,15 @@
 
 use std::time::Duration;
 
-use platform_standin::{Behavior, FakeBackend, server_entry};
-use world::{BOARD, EntryProcess, World, exchange, request_for, until};
+use platform_standin::{Behavior, FakeBackend, desired_state, server_entry, with_body_limit};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use world::{BOARD, DESK, EntryProcess, World, exchange, request_for, until};
 
 /// Path of the request that ends the servers that run it.
 const FATAL: &str = "/board/fatal";
+/// In the path of each request that ends servers.
+const FATAL_WORD: &str = "/fatal";
 /// Servers that it may end before it must be known everywhere.
 const FREE_ENDS: usize = 3;
 /// Time from the third end until all entries must know of it, in which the request comes on.
@@ -51,7 +55,7 @@
         let running = |backend: &&FakeBackend| !backend.has_ended();
         for _ in self.world.backends.iter().filter(running).count()..8 {
             let backend = FakeBackend::start(&format!("i-{}", self.started)).await;
-            backend.set_fatal(FATAL);
+            backend.set_fatal(FATAL_WORD);
             backend.set_behavior(Behavior::Run(Duration::from_millis(20)));
             let mut entry = server_entry(BOARD.service, backend.address(), "ready", 1);
             let zone = if self.started.is_multiple_of(2) {
@@ -212,6 +216,48 @@
     assert!(metrics.contains("laurelhill_refusals_total{reason=\"quarantined\"}"));
 }
 
+/// Sends a body of 2 MB in two pieces, the first of `first` bytes; the status line.
+async fn upload(entry: &EntryProcess, id: &str, first: usize) -> String {
+    let body = vec![b'x'; 2_000_000];
+    let mut stream = TcpStream::connect(entry.callers()).await.unwrap();
+    let head = format!(
+        "POST /desk/fatal HTTP/1.1\r\nHost: board.example\r\nRequest-Id: {id}\r\n\
+         Affinity-Key: fatal\r\nDeadline-Ms: 40000\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream.write_all(&body[..first]).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(30)).await;
+    // A refused one is not read to its end.
+    let _ = stream.write_all(&body[first..]).await;
+    let mut line = String::new();
+    let _ = BufReader::new(stream).read_line(&mut line).await;
+    line
+}
+
+/// Promise: a body that is passed on in pieces, which differ each time, makes no other
+/// request of it.
+#[tokio::test]
+async fn a_large_upload_that_ends_servers_is_refused() {
+    let mut service = FragileService::new().await;
+    let desired = with_body_limit(desired_state(9, &[BOARD, DESK]), 8 << 20);
+    service.world.store.put("op", "config", &desired);
+    let entry = EntryProcess::ready(&service.world, "n1").await;
+    until("the larger bodies are allowed", async || {
+        !entry.logged("\"version\":9").is_empty()
+    })
+    .await;
+    for arrival in 0..100 {
+        let status = upload(&entry, &format!("f{arrival}"), 300_000 + 7_777 * arrival).await;
+        if status.contains("503") && !quarantined(&entry).await.is_empty() {
+            return;
+        }
+        service.refill().await;
+        tokio::time::sleep(PAUSE).await;
+    }
+    panic!("it is never refused");
+}
+
 /// Promise: a request that ends servers is still refused after all entries were lost.
 #[tokio::test]
 async fn a_quarantine_outlives_all_entries() {
--- a/bin/lhctl/src/cli.rs
+++ b/bin/lhctl/src/cli.rs
@@ -42,6 +42,18 @@
     Drain(DrainArguments),
     /// Take a drain back.
     Undrain(DrainArguments),
+    /// List the requests that entries refuse since servers ended under them.
+    Quarantines {
+        #[command(flatten)]
+        platform: PlatformArguments,
+    },
+    /// Let a request in quarantine be served again.
+    Lift {
+        /// The request's print, or how it begins, as logs show it.
+        print: String,
+        #[command(flatten)]
+        platform: PlatformArguments,
+    },
     /// Show what instances have in force.
     Status {
         #[command(flatten)]
--- a/bin/lhctl/src/lib.rs
+++ b/bin/lhctl/src/lib.rs
@@ -7,6 +7,7 @@
 mod error;
 mod explain;
 mod platform;
+mod quarantine;
 mod status;
 mod trace;
 
@@ -36,6 +37,10 @@
         cli::Command::Undrain(target) => {
             drain::change(&target, drain::Direction::Undrain, json).await
         }
+        cli::Command::Quarantines { platform } => quarantine::list(platform.platform, json).await,
+        cli::Command::Lift { print, platform } => {
+            quarantine::lift(platform.platform, &print, json).await
+        }
         cli::Command::Status { instances } => status::show(&instances, json).await,
         cli::Command::Explain { service, lookup } => explain::show(&service, lookup, json).await,
         cli::Command::ExplainRequest { id, logs } => trace::explain(&id, &logs, json),
--- /dev/null
+++ b/bin/lhctl/src/quarantine.rs
@@ -0,0 +1,76 @@
+//! `quarantines` and `lift`: requests that entries refuse since servers ended under them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use platform::tables::PlatformClient;
+use store::{Commit, ENTRY_TABLE, QuarantineRow, Row, TableService};
+
+use crate::error::{Error, Result};
+
+/// Longest wait for an answer of the store.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// Prints the requests in quarantine, as the store keeps them.
+pub(crate) async fn list(platform: SocketAddr, json: bool) -> Result<()> {
+    let rows = read(&client(platform)).await?;
+    for (_, row) in &rows {
+        let state = if row.lifted {
+            "lifted"
+        } else {
+            "in quarantine"
+        };
+        let seconds = row.age.as_secs();
+        if json {
+            let line = serde_json::json!({"print": row.print, "state": state, "seconds": seconds});
+            println!("{line}");
+        } else {
+            println!("{} {state} for {seconds} s", row.print);
+        }
+    }
+    if rows.is_empty() && !json {
+        println!("no request is in quarantine");
+    }
+    Ok(())
+}
+
+/// Lifts the quarantine of the request whose print begins with `print`.
+pub(crate) async fn lift(platform: SocketAddr, print: &str, json: bool) -> Result<()> {
+    let client = client(platform);
+    let rows = read(&client).await?;
+    let mut found = rows
+        .iter()
+        .filter(|(_, row)| row.print.starts_with(print) && !row.lifted);
+    let Some((kept, row)) = found.next() else {
+        return Err(Error::Refused(format!(
+            "no request with the print {print} is in quarantine; 'lhctl quarantines' lists them"
+        )));
+    };
+    if found.next().is_some() {
+        return Err(Error::Refused(format!(
+            "more than one print begins with {print}; give more of it"
+        )));
+    }
+    let write = QuarantineRow::lift(&row.print).with_expected(kept.revision);
+    if client.commit(&[write]).await? == Commit::Conflict {
+        return Err(Error::Refused(
+            "the row changed meanwhile; run the same again".to_owned(),
+        ));
+    }
+    if json {
+        println!("{}", serde_json::json!({"lifted": row.print}));
+    } else {
+        println!("{} is served again within 15 s", row.print);
+    }
+    Ok(())
+}
+
+fn client(platform: SocketAddr) -> PlatformClient {
+    PlatformClient::new(platform).with_patience(PATIENCE)
+}
+
+async fn read(client: &PlatformClient) -> Result<Vec<(Row, QuarantineRow)>> {
+    let rows = client.list(ENTRY_TABLE).await?;
+    let read = |row: Row| QuarantineRow::read(&row).map(|read| (row, read));
+    Ok(rows.into_iter().filter_map(read).collect())
+}
--- a/bin/lhctl/tests/program.rs
+++ b/bin/lhctl/tests/program.rs
@@ -39,6 +39,27 @@
     Path::to_str(folder.path()).unwrap()
 }
 
+/// Promise: a quarantine is listed, lifted by the beginning of its print, and only once.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_quarantine_is_listed_and_lifted() {
+    let store = FakeStore::start().await;
+    let address = store.address();
+    let table = "laurelhill-entries";
+    let text = lhctl(address, &["quarantines"]).await;
+    assert_eq!(text, (0, "no request is in quarantine\n".to_owned()));
+    store.put_bytes(table, "quarantine/ab12cd", b"1000");
+    store.put_bytes(table, "quarantine/ab99cd", b"1000");
+    store.put_bytes(table, "leads/north", b"10.0.0.1:7000");
+    let (_, text) = lhctl(address, &["quarantines"]).await;
+    assert_eq!(text.matches("in quarantine for").count(), 2, "{text}");
+    assert_eq!(lhctl(address, &["lift", "ab"]).await.0, 1);
+    assert_eq!(lhctl(address, &["lift", "77"]).await.0, 1);
+    assert_eq!(lhctl(address, &["lift", "ab12"]).await.0, 0);
+    assert_eq!(lhctl(address, &["lift", "ab12"]).await.0, 1);
+    let (_, text) = lhctl(address, &["quarantines"]).await;
+    assert_eq!(text.matches(" lifted for").count(), 1, "{text}");
+}
+
 /// Promise: what is applied is the desired state that entries follow, and a drain
 /// lives on when another folder is applied.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/place/src/crash/word.rs
+++ b/crates/place/src/crash/word.rs
@@ -1,7 +1,20 @@
 //! What entries tell each other of requests under which servers ended.
 
+use std::time::Duration;
+
 use crate::crash::print::RequestPrint;
 
+/// What the store keeps of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KeptQuarantine {
+    /// The request.
+    pub print: RequestPrint,
+    /// How long ago its quarantine began, or was lifted.
+    pub age: Duration,
+    /// Whether an operator has lifted it.
+    pub lifted: bool,
+}
+
 base::common! {
     /// A request that was at a run of a server when it ended.
     #[derive(Copy, Eq, Hash, PartialOrd, Ord)]
--- a/crates/place/src/fleet/member/crashes.rs
+++ b/crates/place/src/fleet/member/crashes.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::crash::print::RequestPrint;
-use crate::crash::word::{CrashReport, CrashWord, PrintStatus};
+use crate::crash::word::{CrashReport, CrashWord, KeptQuarantine, PrintStatus};
 use crate::fleet::member::{BEAT_EVERY, FleetAction, FleetMember, FleetNote};
 use crate::fleet::message::PeerMessage;
 
@@ -85,36 +85,40 @@
         }
     }
 
-    /// Takes in what the store keeps, so that a quarantine outlives all entries; the first
-    /// lead of a region mends rows that are missing or over.
+    /// Takes in what the store keeps, so that a quarantine outlives all entries and an
+    /// operator can lift it; the first lead of a region mends rows that are missing or over.
     pub(super) fn on_kept(
         &mut self,
         now: Instant,
-        rows: &[(RequestPrint, Duration)],
+        rows: &[KeptQuarantine],
         actions: &mut Vec<FleetAction>,
     ) {
-        for (print, age) in rows {
-            let since = now.checked_sub(*age).unwrap_or(now);
-            if self
+        for row in rows {
+            let since = now.checked_sub(row.age).unwrap_or(now);
+            if row.lifted {
+                self.clear(now, row.print, actions);
+            } else if self
                 .quarantine
-                .raise(*print, PrintStatus::Quarantined, since)
+                .raise(row.print, PrintStatus::Quarantined, since)
             {
-                actions.push(FleetAction::Note(FleetNote::Quarantined(*print)));
+                actions.push(FleetAction::Note(FleetNote::Quarantined(row.print)));
                 self.statuses_due = now;
             }
         }
         self.quarantine.forget(now);
-        if self.leading.is_none() || !self.is_first(now) {
-            return;
+        if self.leading.is_some() && self.is_first(now) {
+            self.mend_rows(now, rows, actions);
         }
+    }
+
+    fn mend_rows(&self, now: Instant, rows: &[KeptQuarantine], actions: &mut Vec<FleetAction>) {
+        let prints = rows.iter().map(|row| row.print);
         let is_over = |print: &RequestPrint| self.quarantine_left(now, *print).is_none();
-        let over = rows.iter().map(|(print, _)| *print).filter(is_over);
-        let over: Vec<RequestPrint> = over.collect();
-        let is_kept = |print: RequestPrint| rows.iter().any(|(kept, _)| *kept == print);
+        drop_rows(prints.filter(is_over).collect(), actions);
+        let is_kept = |print| rows.iter().any(|row| row.print == print);
         let quarantines = self.quarantines(now);
-        let missing = quarantines.filter(|(print, _)| !is_kept(*print)).collect();
-        keep(missing, actions);
-        drop_rows(over, actions);
+        let missing = quarantines.filter(|(print, _)| !is_kept(*print));
+        keep(missing.collect(), actions);
     }
 
     /// When something about such requests is to be told or reviewed.
--- a/crates/place/src/fleet/member/mod.rs
+++ b/crates/place/src/fleet/member/mod.rs
@@ -17,7 +17,7 @@
 use crate::crash::outbox::CrashOutbox;
 use crate::crash::print::RequestPrint;
 use crate::crash::quarantine::QuarantineBook;
-use crate::crash::word::CrashReport;
+use crate::crash::word::{CrashReport, KeptQuarantine};
 use crate::fleet::follow::{PullState, PullTarget};
 use crate::fleet::known::KnownStore;
 use crate::fleet::leads::LeadTable;
@@ -92,8 +92,8 @@
     Pulled(SocketAddr, bool),
     /// The store's rows of leads: regions and addresses.
     Rows(Vec<(String, SocketAddr)>),
-    /// The store's rows of requests in quarantine, and how long ago they were put there.
-    Kept(Vec<(RequestPrint, Duration)>),
+    /// The store's rows of requests in quarantine.
+    Kept(Vec<KeptQuarantine>),
     /// Requests of this entry that were at a server when it ended.
     Crashed(Vec<CrashReport>),
     /// A server answered a request well that had been at one that ended.
--- a/crates/place/tests/crashes.rs
+++ b/crates/place/tests/crashes.rs
@@ -141,6 +141,20 @@
     assert_eq!(refusing(&world), 0);
 }
 
+/// Promise: an operator lifts a quarantine by a row, everywhere, and the row goes.
+#[test]
+fn an_operator_lifts_a_quarantine() {
+    let mut world = settled(60);
+    crash(&mut world, &[0, 4, 11], 100);
+    world.run(ms(1500));
+    world.kept.insert(FATAL, (world.now, true));
+    world.run(ms(16_000));
+    assert_eq!(refusing(&world), 0);
+    assert_eq!(world.kept.len(), 0);
+    world.run(ms(16_000));
+    assert_eq!(refusing(&world), 0);
+}
+
 /// Promise: once a request is cleared nobody speaks of it for long.
 #[test]
 fn a_cleared_request_is_soon_forgotten() {
--- a/crates/place/tests/fleet_world/mod.rs
+++ b/crates/place/tests/fleet_world/mod.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use place::crash::print::RequestPrint;
+use place::crash::word::KeptQuarantine;
 use place::fleet::follow::PullTarget;
 use place::fleet::known::KnownStore;
 use place::fleet::member::MemberConfig;
@@ -113,8 +114,8 @@
     pub loses: Option<u64>,
     sent: u64,
     row: Vec<(String, SocketAddr)>,
-    /// The store's rows of requests in quarantine.
-    pub kept: BTreeMap<RequestPrint, Instant>,
+    /// The store's rows of requests in quarantine: since when, and whether lifted.
+    pub kept: BTreeMap<RequestPrint, (Instant, bool)>,
     queue: BinaryHeap<Reverse<Arrival>>,
     number: u64,
     seeds: Vec<usize>,
@@ -267,7 +268,12 @@
             Delivery::WatchEnds => self.end_watch(to),
             Delivery::Rows => {
                 let kept = self.kept.iter();
-                let kept = kept.map(|(print, at)| (*print, self.now - *at)).collect();
+                let kept = kept.map(|(print, (at, lifted))| KeptQuarantine {
+                    print: *print,
+                    age: self.now - *at,
+                    lifted: *lifted,
+                });
+                let kept = kept.collect();
                 self.tell(to, FleetEvent::Kept(kept));
                 let rows = self.row.clone();
                 self.tell(to, FleetEvent::Rows(rows));
@@ -348,7 +354,7 @@
                 self.calls += 1;
                 if self.is_served(entry) {
                     for (print, age) in quarantines {
-                        self.kept.insert(print, self.now - age);
+                        self.kept.insert(print, (self.now - age, false));
                     }
                 }
             }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -7,10 +7,12 @@
 mod config;
 mod error;
 mod platform;
+mod quarantine;
 
 pub use config::{ConfigChange, ConfigHead, ConfigStore, Publication, StoredConfig};
 pub use error::{Error, Result};
 pub use platform::{Commit, ObjectStore, Row, RowWrite, TableService};
+pub use quarantine::QuarantineRow;
 
 /// The product's own table, in which the entries that lead a region are found.
 pub const ENTRY_TABLE: &str = "laurelhill-entries";
