A request is cleared however many others are

Cause: found on reading. A full list of cleared requests, and a full queue of what is to be told, left a later clearing out: an innocent request in quarantine would have stayed there after a good answer. Ruled out: lists without a bound (a failure domain that ends fills them). Change: the oldest clearing makes room for a new one, the oldest report for a clearing. Measured: one_among_many_is_cleared and a_clearing_is_told_among_many_reports fail on the code before, pass now.

--- a/crates/place/src/crash/outbox.rs
+++ b/crates/place/src/crash/outbox.rs
@@ -91,9 +91,17 @@
         word
     }
 
+    /// Adds `item`, if there is room; a clearing takes the place of the oldest report, since
+    /// a request that isn't cleared would be refused.
     fn push(&mut self, item: OutboxItem) {
-        if self.items.len() < WAITING_MOST {
-            self.items.push(item);
+        if self.items.len() >= WAITING_MOST {
+            let is_report = |item: &OutboxItem| matches!(item.news, OutboxNews::Report(_));
+            let oldest = self.items.iter().position(is_report);
+            let Some(oldest) = oldest.filter(|_| !is_report(&item)) else {
+                return;
+            };
+            self.items.remove(oldest);
         }
+        self.items.push(item);
     }
 }
--- a/crates/place/src/crash/quarantine.rs
+++ b/crates/place/src/crash/quarantine.rs
@@ -22,7 +22,7 @@
 /// Requests kept at most: a datagram of 3 kB holds them all. Those in quarantine stay
 /// where suspects make room.
 const STATUSES_MOST: usize = 128;
-/// Clearings kept at most.
+/// Clearings kept at most; the oldest make room.
 const CLEARED_MOST: usize = 256;
 
 #[derive(Debug, Clone, Copy)]
@@ -102,7 +102,7 @@
     pub fn clear(&mut self, print: RequestPrint, at: Instant) -> bool {
         let known = self.cleared.get(&print).copied();
         if known.is_none() && self.cleared.len() >= CLEARED_MOST {
-            return false;
+            self.forget_oldest_cleared();
         }
         let latest = known.map_or(at, |known| known.max(at));
         self.cleared.insert(print, latest);
@@ -121,6 +121,13 @@
             .retain(|_, at| now.saturating_duration_since(*at) < CLEARED_TIME);
     }
 
+    fn forget_oldest_cleared(&mut self) {
+        let oldest = self.cleared.iter().min_by_key(|(_, at)| **at);
+        if let Some(print) = oldest.map(|(print, _)| *print) {
+            self.cleared.remove(&print);
+        }
+    }
+
     /// All requests with their status, for others.
     pub fn words(&self, now: Instant) -> Vec<StatusWord> {
         let word = |(print, record): (&RequestPrint, &StatusRecord)| StatusWord {
--- a/crates/place/tests/crashes.rs
+++ b/crates/place/tests/crashes.rs
@@ -7,6 +7,7 @@
 
 use fleet_world::{FleetWorld, ms};
 use place::crash::ledger::CrashLedger;
+use place::crash::outbox::CrashOutbox;
 use place::crash::print::RequestPrint;
 use place::crash::quarantine::QuarantineBook;
 use place::crash::word::{CrashReport, PrintStatus};
@@ -221,6 +222,34 @@
     assert_eq!(book.quarantined().count(), 2);
 }
 
+/// Promise: a request is cleared however many others were before.
+#[test]
+fn one_among_many_is_cleared() {
+    let mut book = QuarantineBook::default();
+    let now = Instant::now();
+    for print in 100..1000 {
+        book.clear(RequestPrint(print), now);
+    }
+    book.raise(FATAL, PrintStatus::Quarantined, now);
+    assert!(book.clear(FATAL, now + ms(1)));
+    assert_eq!(book.quarantined().count(), 0);
+    assert!(!book.raise(FATAL, PrintStatus::Quarantined, now));
+}
+
+/// Promise: what is cleared is told also where many reports wait.
+#[test]
+fn a_clearing_is_told_among_many_reports() {
+    let mut outbox = CrashOutbox::default();
+    let now = Instant::now();
+    for print in 100..1000 {
+        outbox.on_report(now, report(1, RequestPrint(print)));
+    }
+    outbox.on_cleared(now, FATAL, true);
+    let word = outbox.take(now + ms(1));
+    assert_eq!(word.cleared.len(), 1);
+    assert_eq!(word.cleared[0].print, FATAL);
+}
+
 /// Promise: a request that was caught often beside the cause is not taken for it.
 #[test]
 fn a_constant_companion_is_not_refused() {
