Tickets' tests wait until an entry's own look-up names it

The second entry, just begun to lead, lists the region before it hears the first one's beat. No promise of these tests is about that moment.

--- a/bin/lh-entry/tests/own/mod.rs
+++ b/bin/lh-entry/tests/own/mod.rs
@@ -98,12 +98,19 @@
     found["entries"].as_array().cloned().unwrap_or_default()
 }
 
-/// The ticket for `entry` from a look-up at it.
+/// The ticket for `entry` from a look-up at it. Another entry that has just begun to lead
+/// may list the region before it has heard this one's beat; it is named soon after.
 pub async fn ticket(entry: &EntryProcess, service: &str) -> String {
     let address = entry.callers().to_string();
-    let entries = entries(entry, service).await;
-    let own = entries.iter().find(|found| found["address"] == address);
-    own.unwrap()["ticket"].as_str().unwrap().to_owned()
+    let mut ticket = None;
+    until("the look-up at the entry names it", async || {
+        let entries = entries(entry, service).await;
+        let own = entries.iter().find(|found| found["address"] == address);
+        ticket = own.and_then(|own| own["ticket"].as_str().map(str::to_owned));
+        ticket.is_some()
+    })
+    .await;
+    ticket.expect("it was found")
 }
 
 /// Waits until the look-ups at `entry` name `count` entries.
