--- a/bin/lh-entry/src/attempt.rs
+++ b/bin/lh-entry/src/attempt.rs
@@ -1,7 +1,7 @@
 //! A request at a server, counted until its outcome is known.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use place::desired::RouteSpec;
 use place::request::{Placement, PlacementRequest, ServerOutcome};
@@ -44,15 +44,7 @@
             return;
         }
         self.done = true;
-        let request = PlacementRequest {
-            route: &self.route,
-            part: self.part,
-            object: self.object,
-            remaining: Duration::ZERO,
-            returning: false,
-            body_bytes: 0,
-            tried: &[],
-        };
+        let request = PlacementRequest::new(&self.route, self.part).with_object(self.object);
         if let Some(part) = self.route.parts.get(self.part) {
             self.state
                 .metrics
--- a/bin/lh-entry/src/config.rs
+++ b/bin/lh-entry/src/config.rs
@@ -9,6 +9,7 @@
 use place::fleet::front;
 use place::limits::budget::BudgetBounds;
 use place::placing::choice::ByteCosts;
+use team::access::AccessBounds;
 
 use crate::error::Result;
 
@@ -47,6 +48,8 @@
     pub budget: BudgetBounds,
     /// Largest change of a region's share of requests from one window to the next.
     pub shift_cap: f64,
+    /// How old the knowledge of keys may be.
+    pub access: AccessBounds,
     /// Longest time for which callers keep an answer.
     pub lookup_ttl_most: Duration,
     /// Memory that the process may use, in bytes.
@@ -98,6 +101,10 @@
                 window: bounds.duration("retry_window")?,
             },
             shift_cap: bounds.number("shift_cap")?,
+            access: AccessBounds {
+                revoke: revoke(bounds)?,
+                learn: bounds.duration("config_apply")?,
+            },
             lookup_ttl_most: bounds.duration("lookup_ttl_most")?,
             memory_bytes: bounds.count::<usize>("memory_mb")? << 20,
             descriptors: bounds.count("descriptors")?,
@@ -114,6 +121,14 @@
     }
 }
 
+/// How long a key that was taken away may be served; `None` where an instance that hears
+/// nothing goes on with what it knows.
+fn revoke(bounds: &CheckedSection) -> Result<Option<Duration>> {
+    let binds = bounds.text("revoke_cut_off")? == "true";
+    let bound = bounds.duration("revoke")?;
+    Ok(binds.then_some(bound))
+}
+
 /// Other entries take beats on the same port as this one.
 fn seeds(entry: &CheckedSection, own: SocketAddr) -> Result<Vec<SocketAddr>> {
     let listed = entry.list("peer_seeds")?;
--- a/bin/lh-entry/src/forward.rs
+++ b/bin/lh-entry/src/forward.rs
@@ -13,9 +13,11 @@
 use place::desired::RouteSpec;
 use place::rank::stable_hash;
 use place::routes::RouteTable;
+use platform::headers;
 
 use crate::body::{AnswerBody, CountGuard};
 use crate::caller::{Caller, Interface, TicketHead};
+use crate::door::{self, RequestTerms};
 use crate::handover;
 use crate::intake::{JobBody, read_body};
 use crate::job::{JobProgress, RequestJob};
@@ -76,6 +78,14 @@
         }
         caller.name().clone_into(&mut record.id);
     }
+    let terms = match door::admit(&state, &route, headers::read_key(&parts.headers)) {
+        Ok(terms) => terms,
+        Err(problem) => {
+            record.finish_with(&problem);
+            return problem.into_response(&caller);
+        }
+    };
+    record.team.clone_from(&terms.team);
     let limit = state.limits.get().body_bytes;
     if body.size_hint().lower() > limit as u64 {
         return reject(&mut record, &caller, StatusCode::PAYLOAD_TOO_LARGE);
@@ -87,9 +97,10 @@
         .as_ref()
         .filter(|head| head.ticket.node != state.node);
     if let Some(head) = elsewhere {
-        return handover::pass_on(&state, record, &caller, head, (parts, body), ends).await;
+        return handover::pass_on(&state, record, (&caller, &terms), head, (parts, body), ends)
+            .await;
     }
-    let mut job = new_job(state, record, caller, parts, &route, ends);
+    let mut job = new_job(state, record, caller, (parts, terms), &route, ends);
     let body = match read_body(&job.state, ends, body, limit).await {
         Ok(body) => body,
         Err(status) => return reject(&mut job.record, &job.caller, status),
@@ -129,10 +140,14 @@
     state: Rc<InstanceState>,
     mut record: RequestRecord,
     caller: Caller,
-    parts: Parts,
+    (mut parts, terms): (Parts, RequestTerms),
     route: &RouteSpec,
     ends: Instant,
 ) -> RequestJob {
+    if !state.teams.borrow().is_empty() {
+        // From here on it would be shown to servers.
+        headers::strip_key(&mut parts.headers);
+    }
     let object = caller.object.as_ref();
     let object = object.map(|key| stable_hash(key.as_bytes()));
     let (part, returning) =
@@ -147,6 +162,7 @@
         method: parts.method,
         target: parts.uri,
         headers: parts.headers,
+        terms,
         ends,
         part,
         progress: JobProgress::default(),
@@ -166,10 +182,17 @@
     let caller = job.caller.clone();
     let now = Instant::now();
     let print = fingerprint(&job.method, &job.target, &job.headers, body.whole());
-    let begun = state.tickets.check(now, head).and_then(|(key, end)| {
-        state.tickets.begin(now, &key, print, end)?;
-        Ok(key)
-    });
+    let owner = job
+        .terms
+        .team_name()
+        .map_or(0, |team| stable_hash(team.as_bytes()));
+    let begun = state
+        .tickets
+        .check(now, head, owner)
+        .and_then(|(key, end)| {
+            state.tickets.begin(now, &key, print, end)?;
+            Ok(key)
+        });
     let key = match begun {
         Ok(key) => key,
         Err(problem) => return job.end_with(problem),
--- a/bin/lh-entry/src/handover.rs
+++ b/bin/lh-entry/src/handover.rs
@@ -1,4 +1,7 @@
 //! Passes a request to the run of another entry that its ticket names.
+//!
+//! The caller's key goes with it, since that entry has to see for itself whose request it
+//! is: entries share no secret by which one could vouch to another.
 
 use std::rc::Rc;
 use std::time::Instant;
@@ -11,6 +14,7 @@
 
 use crate::body::{AnswerBody, RequestBody};
 use crate::caller::{Caller, TicketHead};
+use crate::door::RequestTerms;
 use crate::forward::outcome_of;
 use crate::problem::Problem;
 use crate::record::RequestRecord;
@@ -22,12 +26,12 @@
 pub(crate) async fn pass_on(
     state: &Rc<InstanceState>,
     mut record: RequestRecord,
-    caller: &Caller,
+    (caller, terms): (&Caller, &RequestTerms),
     head: &TicketHead,
     request: (Parts, Incoming),
     ends: Instant,
 ) -> Response<AnswerBody> {
-    match exchange(state, &mut record, head, request, ends).await {
+    match exchange(state, &mut record, (head, terms), request, ends).await {
         Ok(response) => {
             record.finish_passed(outcome_of(&response), response.status().as_u16());
             response
@@ -42,18 +46,19 @@
 async fn exchange(
     state: &Rc<InstanceState>,
     record: &mut RequestRecord,
-    head: &TicketHead,
+    (head, terms): (&TicketHead, &RequestTerms),
     (parts, body): (Parts, Incoming),
     ends: Instant,
 ) -> Result<Response<AnswerBody>, Problem> {
     let node = &head.ticket.node;
     let stale = || stale_ticket(head.first_attempt);
     let run = state.fleet.with_regions(|now, regions| {
-        let mut listed = regions.listed(now).map(|(_, entry)| entry);
-        let run = listed.find(|entry| {
+        let mut listed = regions.listed(now);
+        let run = listed.find(|(_, entry)| {
             entry.node == node.instance.as_str() && entry.incarnation == node.incarnation.0
         });
-        run.map(|entry| entry.front)
+        run.filter(|(region, _)| terms.may_pass(&state.config.region, region))
+            .map(|(_, entry)| entry.front)
     });
     let address = run.ok_or_else(stale)?;
     let patience = ends.saturating_duration_since(Instant::now());
--- a/bin/lh-entry/src/job.rs
+++ b/bin/lh-entry/src/job.rs
@@ -20,6 +20,7 @@
 use crate::attempt::AttemptGuard;
 use crate::body::{AnswerBody, RequestBody};
 use crate::caller::{Caller, Interface};
+use crate::door::RequestTerms;
 use crate::intake::JobBody;
 use crate::pool::Lease;
 use crate::problem::{Problem, state_outcome};
@@ -40,6 +41,8 @@
     pub(crate) method: Method,
     pub(crate) target: hyper::Uri,
     pub(crate) headers: HeaderMap,
+    /// Whose it is, and where it may be served.
+    pub(crate) terms: RequestTerms,
     /// When the caller gets its answer at the latest.
     pub(crate) ends: Instant,
     /// The part of the route that the request belongs to.
@@ -175,13 +178,14 @@
     fn place(&mut self, route: &Rc<RouteSpec>, body: &JobBody) -> Result<AttemptGuard, Refusal> {
         let now = Instant::now();
         let request = PlacementRequest {
-            route,
-            part: self.part,
-            object: self.object,
-            remaining: self.ends.saturating_duration_since(now),
+            priority: self.terms.priority,
+            homes: &self.terms.homes,
             returning: self.record.returning,
             body_bytes: body.size(),
             tried: &self.progress.tried,
+            ..PlacementRequest::new(route, self.part)
+                .with_object(self.object)
+                .with_remaining(self.ends.saturating_duration_since(now))
         };
         let placement = self.state.placer.borrow_mut().place(now, &request)?;
         self.progress.tried.push(placement.handle);
@@ -376,6 +380,7 @@
         strip_hop_headers(headers);
         let left = self.ends.saturating_duration_since(Instant::now());
         headers::write_attempt(headers, left, &placement.id);
+        headers::write_team(headers, self.terms.team_name());
         if self.caller.interface == Interface::Own {
             self.caller.write(headers);
         }
--- a/bin/lh-entry/src/lib.rs
+++ b/bin/lh-entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod cli;
 mod config;
 mod crash;
+mod door;
 mod error;
 mod fleet;
 mod forward;
--- a/bin/lh-entry/src/print.rs
+++ b/bin/lh-entry/src/print.rs
@@ -27,9 +27,12 @@
     method: &Method,
     target: &Uri,
     headers: &HeaderMap,
+    team: &str,
     body: &[u8],
 ) -> RequestPrint {
     let mut hasher = Sha256::new();
+    // What one team sends is held against no other.
+    add(&mut hasher, team.as_bytes());
     add(&mut hasher, method.as_str().as_bytes());
     let target = target.path_and_query();
     add(
--- a/bin/lh-entry/src/problem.rs
+++ b/bin/lh-entry/src/problem.rs
@@ -4,7 +4,7 @@
 use base::outcome::OUTCOME_HEADER;
 use base::prelude::*;
 use bytes::Bytes;
-use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
 use hyper::{Response, StatusCode};
 use once::KeptAnswer;
 use platform::headers;
@@ -76,6 +76,12 @@
         if let Some(id) = &caller.request_id {
             headers::write_request_id(headers, id);
         }
+        if self.status == StatusCode::UNAUTHORIZED {
+            headers.insert(
+                WWW_AUTHENTICATE,
+                HeaderValue::from_static(platform::headers::KEY_SCHEME),
+            );
+        }
         match (self.retry_after, caller.interface) {
             (Some(after), Interface::Platform) => headers::write_return(headers, after),
             (Some(after), Interface::Own) => {
--- a/bin/lh-entry/src/record.rs
+++ b/bin/lh-entry/src/record.rs
@@ -10,6 +10,7 @@
 use place::desired::RouteSpec;
 use place::request::{Placement, Refusal};
 use place::server::ServerReport;
+use team::spec::TeamSpec;
 
 use crate::problem::Problem;
 use crate::state::InstanceState;
@@ -21,6 +22,8 @@
     pub(crate) begun: Instant,
     pub(crate) id: String,
     pub(crate) route: Option<Rc<RouteSpec>>,
+    /// The team whose request it is.
+    pub(crate) team: Option<Rc<TeamSpec>>,
     pub(crate) returning: bool,
     /// The request's print, where it was needed.
     pub(crate) print: Option<RequestPrint>,
@@ -67,6 +70,7 @@
             begun: Instant::now(),
             id: id.to_owned(),
             route: None,
+            team: None,
             returning: false,
             print: None,
             attempts: String::new(),
@@ -164,6 +168,8 @@
         }
         let read_at = self.state.placer.borrow().catalog.read_at();
         let servers_age_ms = read_at.map_or(-1, |at| at.elapsed().as_millis() as i64);
+        let state_age = self.state.knowledge_age();
+        let state_age_ms = state_age.map_or(-1, |age| age.as_millis() as i64);
         let refused = self
             .refusal
             .map_or(self.reason, |refusal| refusal.reason.as_str());
@@ -182,6 +188,7 @@
             .is_none_or(|route| route.kind.may_repeat());
         let lost = outcome == RequestOutcome::Unknown && !may_repeat;
         let print = self.print.map(|print| print.to_string());
+        let team = self.team.as_ref().map_or("", |team| &team.name);
         let level = if lost {
             log::Level::Warn
         } else {
@@ -191,6 +198,7 @@
             level,
             request = self.id.as_str(),
             route,
+            team,
             outcome = outcome.as_str(),
             status,
             took_ms = took.as_millis() as u64,
@@ -200,6 +208,7 @@
             returning = self.returning,
             print = print.as_deref().unwrap_or_default(),
             version = self.state.version(),
+            state_age_ms,
             servers_age_ms;
             "request"
         );
--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -17,9 +17,11 @@
 use place::routes::ANY_HOST;
 use platform::client::StoreClient;
 use platform::desired::OperatorChange;
+use team::book::TeamBook;
 
 use crate::config::EntryConfig;
 use crate::crash::CrashDesk;
+use crate::door;
 use crate::fleet::FleetDesk;
 use crate::homes::HomeBook;
 use crate::metrics::EntryMetrics;
@@ -39,6 +41,7 @@
     pub(crate) placer: RefCell<RequestPlacer>,
     pub(crate) routes: RefCell<Rc<RouteTable>>,
     pub(crate) desired: RefCell<Option<Rc<DesiredState>>>,
+    pub(crate) teams: RefCell<Rc<TeamBook>>,
     pub(crate) limits: Cell<RequestLimits>,
     pub(crate) evacuated: RefCell<HashSet<String>>,
     /// The registry's changes, as other entries are told.
@@ -87,6 +90,7 @@
             placer: RefCell::new(placer),
             routes: RefCell::default(),
             desired: RefCell::default(),
+            teams: RefCell::default(),
             limits: Cell::new(RequestLimits::default()),
             evacuated: RefCell::default(),
             servers: RefCell::default(),
@@ -111,7 +115,19 @@
     /// Whether callers should be sent here.
     pub(crate) fn is_ready(&self) -> bool {
         let known = self.version() > 0 && self.placer.borrow().catalog.read_at().is_some();
-        known && self.stop.get() == StopPhase::Serving
+        known && self.serves_keys() && self.stop.get() == StopPhase::Serving
+    }
+
+    /// Whether this entry has heard lately enough which keys hold.
+    pub(crate) fn serves_keys(&self) -> bool {
+        let access = self.config.access;
+        self.teams.borrow().is_empty() || access.may_serve(self.knowledge_age())
+    }
+
+    /// Age of what is known of the operator's rows; `None` before they were heard of.
+    pub(crate) fn knowledge_age(&self) -> Option<Duration> {
+        let heard = self.fleet.known().operator_at;
+        heard.map(|at| at.elapsed())
     }
 
     /// Whether callers on the own interface are expected.
@@ -291,12 +307,22 @@
         self.limits.set(desired.limits);
         self.placer.borrow_mut().set_desired(desired);
         *self.routes.borrow_mut() = Rc::new(RouteTable::new(desired));
+        self.set_teams(desired);
         *self.desired.borrow_mut() = Some(Rc::new(desired.clone()));
         self.metrics.version.set(desired.version as i64);
         log::info!(version = desired.version, before = known, routes = desired.routes.len(); "desired state in force");
         self.fleet.on_known(|known| known.desired = desired.version);
     }
 
+    fn set_teams(&self, desired: &DesiredState) {
+        let teams = TeamBook::new(&desired.teams);
+        for key in teams.shared_keys() {
+            log::error!(key:%, version = desired.version; "key of two teams; it names neither");
+        }
+        door::check_homes(desired);
+        *self.teams.borrow_mut() = Rc::new(teams);
+    }
+
     fn apply_evacuations(&self) {
         let domains = self.evacuated.borrow().clone();
         let mut placer = self.placer.borrow_mut();
--- a/bin/lh-entry/src/ticket.rs
+++ b/bin/lh-entry/src/ticket.rs
@@ -56,7 +56,7 @@
     }
 
     /// Whether the ticket is one of this run's that may still be used: the key of its
-    /// request, and when the ticket ends.
+    /// request, which is `owner`'s, and when the ticket ends.
     ///
     /// # Errors
     /// The answer, where it may not.
@@ -64,8 +64,10 @@
         &self,
         now: Instant,
         head: &TicketHead,
+        owner: u64,
     ) -> Result<(OnceKey, Instant), Problem> {
         let key = OnceKey {
+            owner,
             nonce: head.ticket.nonce,
             number: head.number,
         };
--- a/bin/lh-entry/tests/own/mod.rs
+++ b/bin/lh-entry/tests/own/mod.rs
@@ -11,6 +11,7 @@
 use platform::desired::encode_state;
 use platform_standin::{FakeStore, backend_entry, backend_id, serve_backend};
 use standin::{BackendSim, BackendSpec, REQUEST_ID_HEADER, ServerMode};
+use team::key::KeyDigest;
 use tokio::net::TcpListener;
 
 use crate::world::{EntryProcess, connect, until};
@@ -62,7 +63,21 @@
             "name = test",
             &format!("name = test\nmax_body = {max_body}"),
         );
-        let bundle = ConfigBundle::new().with_file("base.ini", &text);
+        self.apply_text(version, &text);
+    }
+
+    /// Puts the deployment with the teams `red` and `blue`, of one key each, in force.
+    pub fn apply_teams(&self, version: u64, [red, blue]: [&str; 2]) {
+        let team = |name: &str, key: &str| {
+            let digest = KeyDigest::of(key.as_bytes()).to_text();
+            format!("[team {name}]\nkeys = {digest}\n")
+        };
+        let text = format!("{BASE}{}{}", team("red", red), team("blue", blue));
+        self.apply_text(version, &text);
+    }
+
+    fn apply_text(&self, version: u64, text: &str) {
+        let bundle = ConfigBundle::new().with_file("base.ini", text);
         let state = bundle.deployment().unwrap().desired_state(version);
         let text = encode_state(&state, version - 1).unwrap();
         self.store.put_bytes("op", "config", text.as_bytes());
@@ -178,13 +193,29 @@
     ticket: &str,
     number: u64,
     attempt: u32,
+) -> Option<Seen> {
+    book_as(None, address, id, ticket, number, attempt).await
+}
+
+/// The same with the key of a team.
+pub async fn book_as(
+    key: Option<&str>,
+    address: SocketAddr,
+    id: &str,
+    ticket: &str,
+    number: u64,
+    attempt: u32,
 ) -> Option<Seen> {
     let (number, attempt) = (number.to_string(), attempt.to_string());
-    let headers = [
+    let credential = key.map(|key| format!("Token {key}"));
+    let mut headers = vec![
         (REQUEST_ID_HEADER, id),
         ("laurelhill-ticket", ticket),
         ("laurelhill-number", &number),
         ("laurelhill-attempt", &attempt),
     ];
+    if let Some(credential) = &credential {
+        headers.push(("authorization", credential));
+    }
     send(address, "/desk/bookings", &headers, b"one booking").await
 }
--- a/bin/lh-entry/tests/pages.rs
+++ b/bin/lh-entry/tests/pages.rs
@@ -25,16 +25,22 @@
             Some((key @ ("callers" | "ready" | "lookup"), _)) => format!("{key} = 127.0.0.1:1"),
             Some(("peer_ports", _)) => "peer_ports = 1-2".to_owned(),
             Some(("peer_seeds", _)) => "peer_seeds = 127.0.0.1:1,127.0.0.2:1".to_owned(),
-            Some((key @ ("grace" | "drain" | "retry_window" | "lookup_ttl_most"), _)) => {
-                format!("{key} = 2.5s")
-            }
             Some((
-                key @ ("retry_ratio" | "shift_cap" | "processor_share" | "processor_speed"),
+                key @ ("grace" | "drain" | "retry_window" | "lookup_ttl_most" | "config_apply"
+                | "revoke" | "quota_window"),
+                _,
+            )) => format!("{key} = 2.5s"),
+            Some((key @ "revoke_cut_off", _)) => format!("{key} = true"),
+            Some((
+                key @ ("retry_ratio" | "shift_cap" | "processor_share" | "processor_speed"
+                | "quota_excess"),
                 _,
             )) => format!("{key} = 0.2"),
-            Some((key @ ("retry_slack" | "memory_mb" | "descriptors" | "link_megabits"), _)) => {
-                format!("{key} = 56")
-            }
+            Some((
+                key @ ("retry_slack" | "memory_mb" | "descriptors" | "link_megabits"
+                | "quota_slack"),
+                _,
+            )) => format!("{key} = 56"),
             Some(("address", value)) if value.contains("platform") => {
                 "address = 127.0.0.1:1".to_owned()
             }
--- a/bin/lh-entry/tests/tickets.rs
+++ b/bin/lh-entry/tests/tickets.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use own::{OwnWorld, SERVICE_TIME, book, entries, knows, send, ticket};
+use own::{OwnWorld, SERVICE_TIME, book, book_as, entries, knows, send, ticket};
 use standin::{REQUEST_ID_HEADER, ServerMode};
 use world::{EntryProcess, until};
 
@@ -329,3 +329,34 @@
         assert_eq!(entries(&north, "board").await[0]["region"], "south");
     }
 }
+
+/// Promise: what one team has booked under a ticket is told to no other, and refuses nobody
+/// else; a ticket's entry sees for itself whose a passed-on request is.
+#[tokio::test]
+async fn a_teams_bookings_are_its_own() {
+    let world = OwnWorld::new(1, 3, SERVICE_TIME).await;
+    world.apply_teams(2, ["red-key-1", "blue-key-1"]);
+    let first = world.entry("a", &[]).await;
+    let second = world.entry("b", &[&first]).await;
+    knows(&second, 2).await;
+    let ticket = ticket(&first, "desk").await;
+    let (red, blue) = (Some("red-key-1"), Some("blue-key-1"));
+    let here = first.callers();
+    let booked = book_as(red, here, "r1", &ticket, 1, 1).await.unwrap();
+    assert_eq!(booked.outcome, "done");
+    let repeated = book_as(red, here, "r2", &ticket, 1, 2).await.unwrap();
+    assert_eq!(repeated.body, booked.body);
+    assert_eq!(world.runs("r2"), 0);
+    let other = book_as(blue, here, "b1", &ticket, 1, 2).await.unwrap();
+    assert_eq!(other.outcome, "done");
+    assert_eq!(
+        world.runs("b1"),
+        1,
+        "the other team got the first one's answer"
+    );
+    let nobody = book(here, "n1", &ticket, 1, 2).await.unwrap();
+    assert_eq!((nobody.status, world.runs("n1")), (401, 0));
+    let passed_on = book_as(red, second.callers(), "r3", &ticket, 1, 2).await;
+    assert_eq!(passed_on.unwrap().body, booked.body);
+    assert_eq!(world.runs("r3"), 0);
+}
--- a/crates/conf/src/deployment.rs
+++ b/crates/conf/src/deployment.rs
@@ -4,6 +4,7 @@
 
 use base::prelude::*;
 use place::desired::{RequestKind, RequestLimits};
+use team::spec::TeamSpec;
 
 use crate::error::{Error, Result};
 use crate::overlay::MergedSections;
@@ -55,6 +56,8 @@
         pub sticky: bool,
         /// Regions that may serve it; empty allows all.
         pub regions: Vec<RegionId>,
+        /// Whether requests need no key where there are teams.
+        pub is_public: bool,
         /// Pools that share its requests, with weights; at least one.
         pub split: Vec<(String, u32)>,
         /// Its servers.
@@ -95,6 +98,8 @@
         pub regions: BTreeMap<RegionId, Region>,
         /// Services by name.
         pub services: BTreeMap<ServiceId, Service>,
+        /// Teams by name; none where requests need no key.
+        pub teams: BTreeMap<String, TeamSpec>,
         /// Pools, by part and domain.
         pub pools: Vec<Pool>,
     }
@@ -114,9 +119,10 @@
             limits: limits(head)?,
             regions: BTreeMap::new(),
             services: BTreeMap::new(),
+            teams: BTreeMap::new(),
             pools: Vec::new(),
         };
-        // Services refer to regions, pools to services and failure domains.
+        // Services refer to regions, teams to both, pools to services and failure domains.
         let of_kind = |kind: &'static str| sections.values().filter(move |s| s.kind() == kind);
         for section in of_kind("region") {
             let region = region(section)?;
@@ -125,10 +131,14 @@
         for section in of_kind("service") {
             deployment.add_service(section)?;
         }
+        for section in of_kind("team") {
+            deployment.add_team(section)?;
+        }
         for section in of_kind("pool") {
             deployment.add_pool(section)?;
         }
         deployment.check_whole()?;
+        deployment.check_keys()?;
         Ok(deployment)
     }
 
@@ -272,6 +282,7 @@
             .into_iter()
             .map(RegionId::new)
             .collect(),
+        is_public: section.text("public")? == "yes",
         split,
         servers: ServerKind {
             service_time: section.duration("service_time")?,
@@ -289,7 +300,7 @@
     })
 }
 
-fn dangling(section: &CheckedSection, what: &str, name: &str) -> Error {
+pub(crate) fn dangling(section: &CheckedSection, what: &str, name: &str) -> Error {
     Error::Dangling(
         section.file().to_owned(),
         section.header().to_owned(),
--- a/crates/conf/src/desired.rs
+++ b/crates/conf/src/desired.rs
@@ -18,6 +18,7 @@
             version,
             routes: self.services.values().map(route).collect(),
             services,
+            teams: self.teams.values().cloned().collect(),
             limits: self.limits,
         }
     }
@@ -41,6 +42,7 @@
         max_attempts: service.max_attempts,
         sticky: service.sticky,
         home_regions: regions.collect(),
+        is_public: service.is_public,
     }
 }
 
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -22,6 +22,7 @@
 mod process;
 pub mod schema;
 mod section;
+mod teams;
 mod value;
 
 pub use bundle::{BASE_FILE, ConfigBundle};
--- a/crates/conf/src/schema/deployment.rs
+++ b/crates/conf/src/schema/deployment.rs
@@ -109,6 +109,12 @@
                     Some(""),
                     "Regions that may serve it; empty allows all.",
                 ),
+                key(
+                    "public",
+                    ValueKind::Word(&["yes", "no"]),
+                    Some("no"),
+                    "Whether requests need no key where the deployment has teams.",
+                ),
                 key(
                     "split",
                     ValueKind::Weights,
@@ -165,6 +171,44 @@
                 ),
             ],
         },
+        SectionSpec {
+            kind: "team",
+            form: "team NAME",
+            names: 1,
+            doc: "A team whose members ask with keys. Where there is one, a request needs a key, unless its service is public.",
+            keys: &[
+                key(
+                    "keys",
+                    ValueKind::KeyDigests,
+                    Some(""),
+                    "Digests of its keys; `lhctl team rotate` makes a key and writes its digest here.",
+                ),
+                key(
+                    "priority",
+                    count(0, 100),
+                    Some(""),
+                    "Rank of its requests, which goes before that of their services; 0 is the most urgent, empty leaves it to the service.",
+                ),
+                key(
+                    "rate",
+                    number(0.0, 1e9),
+                    Some("0"),
+                    "Requests a second that it may ask for, over all instances together; 0 sets no bound.",
+                ),
+                key(
+                    "burst",
+                    number(0.0, 1e9),
+                    Some("0"),
+                    "Requests on top, at once.",
+                ),
+                key(
+                    "regions",
+                    ValueKind::NamesOrNone,
+                    Some(""),
+                    "Regions that may serve it, together with those of the service; empty allows all.",
+                ),
+            ],
+        },
         SectionSpec {
             kind: "pool",
             form: "pool NAME DOMAIN",
--- a/crates/conf/src/schema/entry.rs
+++ b/crates/conf/src/schema/entry.rs
@@ -145,6 +145,42 @@
                     Some("1"),
                     "Part of a region's requests that may change their region from one window to the next.",
                 ),
+                key(
+                    "config_apply",
+                    duration(1, HOUR_MS),
+                    Some("2500ms"),
+                    "Time within which a desired state must be in force everywhere. An instance that heard of none for so long denies nobody for an unknown key.",
+                ),
+                key(
+                    "revoke",
+                    duration(1, HOUR_MS),
+                    Some("5s"),
+                    "Time after which a key that was taken away must not be served anywhere.",
+                ),
+                key(
+                    "revoke_cut_off",
+                    ValueKind::Word(&["true", "false"]),
+                    Some("false"),
+                    "Whether that holds for instances that hear nothing as well: they refuse requests with keys.",
+                ),
+                key(
+                    "quota_window",
+                    duration(1, HOUR_MS),
+                    Some("5s"),
+                    "Window in which a team's requests are summed up over all instances.",
+                ),
+                key(
+                    "quota_excess",
+                    number(0.0, 10.0),
+                    Some("0.1"),
+                    "Part of its quota by which a team may exceed it in a window.",
+                ),
+                key(
+                    "quota_slack",
+                    number(0.0, 1e9),
+                    Some("20"),
+                    "Requests by which it may exceed it besides.",
+                ),
                 key(
                     "lookup_ttl_most",
                     duration(1, HOUR_MS),
--- a/crates/conf/src/section.rs
+++ b/crates/conf/src/section.rs
@@ -321,7 +321,7 @@
             file.to_owned(),
             section.header.clone(),
             key.to_owned(),
-            value.to_owned(),
+            spec.kind.shown(value).to_owned(),
             spec.kind.allowed(),
         ));
     }
--- a/crates/conf/src/value.rs
+++ b/crates/conf/src/value.rs
@@ -3,6 +3,8 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
+use team::key::KeyDigest;
+
 /// The kind of a value with its bounds, both ends included.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum ValueKind {
@@ -34,6 +36,8 @@
     NamesOrNone,
     /// One name: letters, digits, `.`, `-` and `_`.
     Name,
+    /// Digests of keys, separated by commas; may be empty.
+    KeyDigests,
     /// Any text.
     Text,
 }
@@ -64,10 +68,22 @@
             Self::Names => "names separated by commas".into(),
             Self::NamesOrNone => "names separated by commas, or none".into(),
             Self::Name => "one name of letters, digits, '.', '-' and '_'".into(),
+            Self::KeyDigests => {
+                "digests of keys, `sha256:` and 64 hexadecimal digits each, separated by commas"
+                    .into()
+            }
             Self::Text => "any text".into(),
         }
     }
 
+    /// What a message may show of `text`: not what may be a key in the clear.
+    pub(crate) fn shown<'a>(&self, text: &'a str) -> &'a str {
+        match self {
+            Self::KeyDigests => "(not shown)",
+            _ => text,
+        }
+    }
+
     /// Whether `text` is a value of this kind and inside its bounds.
     pub fn accepts(&self, text: &str) -> bool {
         match *self {
@@ -91,6 +107,7 @@
             Self::Names => !text.is_empty() && split_list(text).all(is_name),
             Self::NamesOrNone => split_list(text).all(is_name),
             Self::Name => is_name(text),
+            Self::KeyDigests => split_list(text).all(|digest| KeyDigest::parse(digest).is_ok()),
             Self::Text => true,
         }
     }
--- a/crates/conf/tests/settings.rs
+++ b/crates/conf/tests/settings.rs
@@ -6,6 +6,7 @@
 use place::desired::RequestKind;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use team::prelude::{KeyDigest, TeamQuota};
 
 const BASE: &str = "[deployment]\nname = demo\n[region north]\ndomains = n-1\n\
                     [service board]\nrepeat = idempotent\n";
@@ -83,6 +84,12 @@
             "[pool board n-1]\nservers = 127.0.0.1:1, 127.0.0.1:1\nslots = 1",
             "stands in two pools, or twice",
         ),
+        (
+            "[team red]\nkeys = hunter2",
+            "keys = '(not shown)' can't be used; allowed: digests of keys",
+        ),
+        ("[team red]\nregions = east", "names the region 'east'"),
+        ("[team red]\nrate = -1", "a number, 0 to"),
         (
             "[region south]\ndomains = s-1\n[region south]\ndomains = s-2",
             "stands twice",
@@ -97,6 +104,43 @@
     assert!(refusal("[region north]\ndomains = n-1", "").contains("[deployment] is missing"));
 }
 
+/// A deployment's teams are read; a key of two teams, and a team without a region in common
+/// with a service, are named.
+#[test]
+fn teams_are_read_and_checked() {
+    let (one, two) = (KeyDigest::of(b"one"), KeyDigest::of(b"two"));
+    let teams = format!(
+        "[region south]\ndomains = s-1\n[team red]\nkeys = {}, {}\nrate = 5\nburst = 2\npriority = 0\nregions = north\n[team bare]\n",
+        one.to_text(),
+        two.to_text()
+    );
+    let bundle = ConfigBundle::new()
+        .with_file("base.ini", BASE)
+        .with_file("teams.ini", &teams);
+    let state = bundle.deployment().unwrap().desired_state(3);
+    let red = state.teams.iter().find(|team| team.name == "red").unwrap();
+    assert_eq!(
+        (red.keys.as_slice(), red.priority),
+        (&[one, two][..], Some(0))
+    );
+    assert_eq!(red.quota, TeamQuota::new(5.0, 2.0));
+    let bare = state.teams.iter().find(|team| team.name == "bare").unwrap();
+    assert_eq!(
+        (bare.keys.len(), bare.priority, bare.quota),
+        (0, None, None)
+    );
+    assert!(!state.routes[0].is_public);
+    let shared = format!("{teams}[team blue]\nkeys = {}\n", two.to_text());
+    let message = refusal(BASE, &shared);
+    assert!(
+        message.contains(&format!("the key {two} stands in")),
+        "{message}"
+    );
+    let at_home = BASE.to_owned() + "regions = south\n";
+    let message = refusal(&at_home, &teams);
+    assert!(message.contains("have no region in common"), "{message}");
+}
+
 /// Two overlays that set one key are told of each other.
 #[test]
 fn overlays_that_clash_are_named() {
--- a/crates/emulate/benches/slopes.rs
+++ b/crates/emulate/benches/slopes.rs
@@ -106,6 +106,7 @@
         max_attempts: 2,
         sticky: true,
         home_regions: Vec::new(),
+        is_public: false,
     }
 }
 
@@ -139,6 +140,7 @@
             warmup: Duration::from_secs(3),
             cold_rate: 5.0,
         }],
+        teams: Vec::new(),
         limits: RequestLimits::default(),
     });
     let reading = CatalogSnapshot {
@@ -166,15 +168,9 @@
                 .wrapping_mul(6_364_136_223_846_793_005)
                 .wrapping_add(1);
             now += Duration::from_millis(5);
-            let request = PlacementRequest {
-                route: &route,
-                part: 0,
-                object: Some(object >> 52),
-                remaining: Duration::from_secs(2),
-                returning: false,
-                body_bytes: 0,
-                tried: &[],
-            };
+            let request = PlacementRequest::new(&route, 0)
+                .with_object(Some(object >> 52))
+                .with_remaining(Duration::from_secs(2));
             let began = Instant::now();
             placer.on_request(now, &route, request.object, Some(request.remaining));
             let placement = placer.place(now, &request).unwrap();
@@ -228,15 +224,9 @@
             placer.on_peer_load(now, entry as u64, list(entry));
         }
         let route = route();
-        let request = PlacementRequest {
-            route: &route,
-            part: 0,
-            object: Some(7),
-            remaining: Duration::from_secs(2),
-            returning: false,
-            body_bytes: 0,
-            tried: &[],
-        };
+        let request = PlacementRequest::new(&route, 0)
+            .with_object(Some(7))
+            .with_remaining(Duration::from_secs(2));
         let word = median(7, 20, || placer.on_peer_load(now, 0, list(0)));
         let place = median(7, 20, || {
             placer.on_peer_load(now, 0, list(0));
--- a/crates/emulate/src/policy.rs
+++ b/crates/emulate/src/policy.rs
@@ -86,13 +86,10 @@
         self.placer
             .on_request(now, &self.route, Some(object), Some(left));
         let request = PlacementRequest {
-            route: &self.route,
-            part: 0,
-            object: Some(object),
-            remaining: left.min(self.route.timeout.unwrap_or(left)),
             returning: !fresh,
-            body_bytes: 0,
-            tried: &[],
+            ..PlacementRequest::new(&self.route, 0)
+                .with_object(Some(object))
+                .with_remaining(left.min(self.route.timeout.unwrap_or(left)))
         };
         match self.placer.place(now, &request) {
             Ok(placement) => PolicyChoice::Send(Box::new(placement)),
@@ -108,15 +105,8 @@
         outcome: ServerOutcome,
         report: Option<&ServerReport>,
     ) {
-        let request = PlacementRequest {
-            route: &self.route,
-            part: 0,
-            object: Some(stable_hash(&object.to_le_bytes())),
-            remaining: Duration::ZERO,
-            returning: false,
-            body_bytes: 0,
-            tried: &[],
-        };
+        let object = stable_hash(&object.to_le_bytes());
+        let request = PlacementRequest::new(&self.route, 0).with_object(Some(object));
         self.placer
             .on_outcome(now, placement, &request, outcome, report);
     }
--- a/crates/emulate/src/setup.rs
+++ b/crates/emulate/src/setup.rs
@@ -90,6 +90,7 @@
             max_attempts: 2,
             sticky: true,
             home_regions: Vec::new(),
+            is_public: false,
         }],
         services: vec![ServiceSpec {
             name: "board".to_owned(),
@@ -98,6 +99,7 @@
             warmup: Duration::from_secs(3),
             cold_rate: 7.6,
         }],
+        teams: Vec::new(),
         limits: RequestLimits::default(),
     }
 }
--- a/crates/once/src/table.rs
+++ b/crates/once/src/table.rs
@@ -16,9 +16,12 @@
 /// Bytes of all kept answers together.
 const MAX_KEPT_TOTAL: usize = 32 << 20;
 
-/// Names a request that must not repeat: a number under a ticket.
+/// Names a request that must not repeat: a number under a ticket, of one owner. Whoever else
+/// comes with the same ticket and number is told nothing of it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct OnceKey {
+    /// Names whose request it is; 0 where nobody is named.
+    pub owner: u64,
     /// The ticket's nonce.
     pub nonce: u64,
     /// The caller's number.
@@ -75,7 +78,7 @@
 /// use once::{OnceKey, OnceState, OnceTable, OnceVerdict};
 ///
 /// let now = Instant::now();
-/// let key = OnceKey { nonce: 7, number: 1 };
+/// let key = OnceKey { owner: 0, nonce: 7, number: 1 };
 /// let mut table = OnceTable::new(1000);
 /// assert_eq!(table.begin(now, &key, 42, now), OnceVerdict::Run);
 /// table.finish(&key, OnceState::Refused);
--- a/crates/once/tests/once.rs
+++ b/crates/once/tests/once.rs
@@ -20,7 +20,11 @@
 }
 
 fn key(number: u64) -> OnceKey {
-    OnceKey { nonce: 1, number }
+    OnceKey {
+        owner: 0,
+        nonce: 1,
+        number,
+    }
 }
 
 fn stamps(run: u64, start: Instant) -> StampKey {
@@ -150,3 +154,18 @@
         })
         .unwrap();
 }
+
+/// Promise: a record is its owner's; another who comes with the same ticket and number is
+/// told nothing of it.
+#[test]
+fn a_record_is_its_owners() {
+    let mut table = OnceTable::new(4);
+    let now = Instant::now();
+    let red = OnceKey { owner: 1, ..key(9) };
+    assert_eq!(table.begin(now, &red, 5, now), OnceVerdict::Run);
+    table.finish(&red, OnceState::Done(None));
+    let blue = OnceKey { owner: 2, ..red };
+    assert_eq!(table.begin(now, &blue, 5, now), OnceVerdict::Run);
+    let again = table.begin(now, &red, 5, now);
+    assert_eq!(again, OnceVerdict::Known(OnceState::Done(None)));
+}
--- a/crates/place/src/desired.rs
+++ b/crates/place/src/desired.rs
@@ -1,7 +1,9 @@
-//! The desired state that the operator sets: routes, services and request limits.
+//! The desired state that the operator sets: routes, services, teams and request limits.
 
 use std::time::Duration;
 
+use team::spec::TeamSpec;
+
 /// Shortest body limit that is taken seriously when none is given, in bytes.
 const DEFAULT_BODY_BYTES: usize = 64 << 20;
 /// Head limit when none is given, in bytes.
@@ -56,6 +58,8 @@
         pub sticky: bool,
         /// Regions that may serve the route; empty allows all.
         pub home_regions: Vec<String>,
+        /// Whether requests need no key where teams are set.
+        pub is_public: bool,
     }
 
     /// A service and how its servers behave.
@@ -93,6 +97,8 @@
         pub routes: Vec<RouteSpec>,
         /// All services.
         pub services: Vec<ServiceSpec>,
+        /// All teams; none where requests need no key.
+        pub teams: Vec<TeamSpec>,
         /// Bounds on what callers send.
         pub limits: RequestLimits,
     }
--- a/crates/place/src/placing/candidates.rs
+++ b/crates/place/src/placing/candidates.rs
@@ -53,7 +53,7 @@
     let object = request
         .object
         .unwrap_or_else(|| stable_hash(request.route.name.as_bytes()));
-    let homes = &request.route.home_regions;
+    let homes = request.homes;
     let mut usable = Vec::new();
     for (handle, record) in catalog.open_servers(service) {
         if request.tried.contains(&handle) || record.is_paused(now) {
--- a/crates/place/src/placing/choice.rs
+++ b/crates/place/src/placing/choice.rs
@@ -206,7 +206,7 @@
         if self.request.returning || self.place.limiter.is_some() {
             return RETURN_FACTOR;
         }
-        let priority = self.request.route.priority.min(LAST_PRIORITY);
+        let priority = self.request.priority.min(LAST_PRIORITY);
         QUEUE_FACTOR - PRIORITY_STEP * f64::from(priority)
     }
 
@@ -294,6 +294,6 @@
     if request.returning {
         return remaining * (long + (short - long) * crowded);
     }
-    let step = OBJECTIVE_STEP * f64::from(request.route.priority.min(LAST_PRIORITY));
+    let step = OBJECTIVE_STEP * f64::from(request.priority.min(LAST_PRIORITY));
     (remaining * long).min((OBJECTIVE_FACTOR - step) * millis(request.route.objective))
 }
--- a/crates/place/src/request.rs
+++ b/crates/place/src/request.rs
@@ -12,6 +12,10 @@
 pub struct PlacementRequest<'a> {
     /// Its route.
     pub route: &'a RouteSpec,
+    /// Its rank; 0 is the most urgent.
+    pub priority: u32,
+    /// Regions that may serve it; empty allows all.
+    pub homes: &'a [String],
     /// Index of the route's part that it belongs to.
     pub part: usize,
     /// Hash of the object that it concerns.
@@ -26,6 +30,38 @@
     pub tried: &'a [ServerHandle],
 }
 
+impl<'a> PlacementRequest<'a> {
+    /// A request on the part `part` of `route`, with that route's rank and homes and no time
+    /// left.
+    pub fn new(route: &'a RouteSpec, part: usize) -> Self {
+        Self {
+            route,
+            priority: route.priority,
+            homes: &route.home_regions,
+            part,
+            object: None,
+            remaining: Duration::ZERO,
+            returning: false,
+            body_bytes: 0,
+            tried: &[],
+        }
+    }
+
+    /// The request concerns the object with the hash `object`.
+    #[must_use]
+    pub fn with_object(mut self, object: Option<u64>) -> Self {
+        self.object = object;
+        self
+    }
+
+    /// An answer is of use for `remaining`.
+    #[must_use]
+    pub fn with_remaining(mut self, remaining: Duration) -> Self {
+        self.remaining = remaining;
+        self
+    }
+}
+
 /// Where a request goes.
 #[derive(Debug, Clone)]
 pub struct Placement {
--- a/crates/place/tests/common/mod.rs
+++ b/crates/place/tests/common/mod.rs
@@ -65,6 +65,7 @@
         max_attempts: 2,
         sticky: true,
         home_regions: Vec::new(),
+        is_public: false,
     }
 }
 
@@ -80,6 +81,7 @@
             warmup: ms(3000),
             cold_rate: 7.6,
         }],
+        teams: Vec::new(),
         limits: RequestLimits::default(),
     }
 }
@@ -121,13 +123,7 @@
 
 /// A request on `route` for `object`, with a second left.
 pub fn request(route: &RouteSpec, object: Option<u64>) -> PlacementRequest<'_> {
-    PlacementRequest {
-        route,
-        part: 0,
-        object,
-        remaining: ms(1000),
-        returning: false,
-        body_bytes: 0,
-        tried: &[],
-    }
+    PlacementRequest::new(route, 0)
+        .with_object(object)
+        .with_remaining(ms(1000))
 }
--- /dev/null
+++ b/crates/team/src/prelude.rs
@@ -0,0 +1,6 @@
+//! The types that almost every user of this crate needs.
+
+pub use crate::access::{Access, AccessBounds, KeyClaim};
+pub use crate::book::TeamBook;
+pub use crate::key::KeyDigest;
+pub use crate::spec::{TeamQuota, TeamSpec};
--- /dev/null
+++ b/crates/team/tests/access.rs
@@ -0,0 +1,192 @@
+//! Whose request it is, and whether it may enter.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use team::error::Error;
+use team::homes::common_homes;
+use team::prelude::{Access, AccessBounds, KeyClaim, KeyDigest, TeamBook, TeamQuota, TeamSpec};
+
+/// Fixed, so that each run gives the same verdict.
+const SEED: u64 = 3;
+
+fn secs(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn team(name: &str, keys: &[&str]) -> TeamSpec {
+    TeamSpec {
+        name: name.to_owned(),
+        keys: keys
+            .iter()
+            .map(|key| KeyDigest::of(key.as_bytes()))
+            .collect(),
+        priority: None,
+        quota: None,
+        home_regions: Vec::new(),
+    }
+}
+
+fn claim(key: &str) -> KeyClaim {
+    KeyClaim::Key(KeyDigest::of(key.as_bytes()))
+}
+
+fn bounds(revoke: Option<Duration>) -> AccessBounds {
+    AccessBounds {
+        revoke,
+        learn: secs(3),
+    }
+}
+
+fn name_of(access: &Access) -> Option<&str> {
+    match access {
+        Access::Team(team) => Some(&team.name),
+        _ => None,
+    }
+}
+
+/// Promise: a request is its key's team's, and nobody else's.
+#[test]
+fn a_key_names_its_team() {
+    let book = TeamBook::new(&[team("red", &["r1", "r2"]), team("blue", &["b1"])]);
+    let decide = |claim| bounds(Some(secs(5))).decide(&book, claim, false, Some(secs(1)));
+    assert_eq!(name_of(&decide(claim("r2"))), Some("red"));
+    assert_eq!(name_of(&decide(claim("b1"))), Some("blue"));
+    assert_eq!(decide(claim("b2")), Access::Denied);
+    assert_eq!(decide(KeyClaim::None), Access::Denied);
+    assert_eq!(decide(KeyClaim::Malformed), Access::Denied);
+}
+
+/// Promise: a key that two teams hold lets nobody in as either, and is named to operators.
+#[test]
+fn a_key_of_two_teams_names_neither() {
+    let teams = [
+        team("red", &["k", "r"]),
+        team("blue", &["k"]),
+        team("grey", &["k"]),
+    ];
+    let book = TeamBook::new(&teams);
+    assert!(book.find(KeyDigest::of(b"k")).is_none());
+    assert!(book.find(KeyDigest::of(b"r")).is_some());
+    assert!(book.shared_keys().contains(&KeyDigest::of(b"k")));
+    let twice = TeamBook::new(&[team("red", &["k", "k"])]);
+    assert!(twice.find(KeyDigest::of(b"k")).is_some());
+    assert!(twice.shared_keys().is_empty());
+}
+
+/// Promise: without teams nobody needs a key; public routes need none either, and a key
+/// there still names its team.
+#[test]
+fn who_needs_no_key() {
+    let nobody = TeamBook::new(&[]);
+    let book = TeamBook::new(&[team("red", &["r1"]), team("empty", &[])]);
+    let at = bounds(Some(secs(5)));
+    assert_eq!(
+        at.decide(&nobody, KeyClaim::None, false, None),
+        Access::Open
+    );
+    assert_eq!(at.decide(&book, KeyClaim::None, true, None), Access::Open);
+    assert_eq!(
+        at.decide(&book, claim("x"), true, Some(secs(1))),
+        Access::Open
+    );
+    let named = at.decide(&book, claim("r1"), true, Some(secs(1)));
+    assert_eq!(name_of(&named), Some("red"));
+    // Who it was can't be told any more.
+    assert_eq!(
+        at.decide(&book, claim("r1"), true, Some(secs(9))),
+        Access::Open
+    );
+}
+
+/// Promise: a key counts only while it is known that it held less than the bound ago.
+#[test]
+fn stale_knowledge_serves_no_key() {
+    let book = TeamBook::new(&[team("red", &["r1"])]);
+    let at = bounds(Some(secs(5)));
+    let decide = |age| at.decide(&book, claim("r1"), false, age);
+    assert_eq!(
+        name_of(&decide(Some(Duration::from_millis(4800)))),
+        Some("red")
+    );
+    assert_eq!(decide(Some(secs(5))), Access::Stale);
+    assert_eq!(decide(None), Access::Stale);
+    let unbound = bounds(None);
+    let served = unbound.decide(&book, claim("r1"), false, Some(secs(3600)));
+    assert_eq!(name_of(&served), Some("red"));
+}
+
+/// Promise: a key that may just have been added is not denied.
+#[test]
+fn an_unknown_key_is_denied_only_on_fresh_knowledge() {
+    let book = TeamBook::new(&[team("red", &["r1"])]);
+    let at = bounds(Some(secs(5)));
+    let decide = |claim, age| at.decide(&book, claim, false, age);
+    assert_eq!(decide(claim("new"), Some(secs(2))), Access::Denied);
+    assert_eq!(decide(claim("new"), Some(secs(3))), Access::Unsure);
+    assert_eq!(decide(KeyClaim::None, Some(secs(3))), Access::Unsure);
+    assert_eq!(decide(claim("new"), None), Access::Unsure);
+    // What can't be read can't have been added.
+    assert_eq!(decide(KeyClaim::Malformed, None), Access::Denied);
+}
+
+/// Promise: regions of route and team bind together.
+#[test]
+fn homes_of_route_and_team_bind() {
+    let regions =
+        |names: &[&str]| -> Vec<String> { names.iter().map(|name| (*name).to_owned()).collect() };
+    let common = |route: &[&str], team: &[&str]| {
+        common_homes(&regions(route), &regions(team)).map(|homes| homes.into_owned())
+    };
+    assert_eq!(common(&[], &[]), Some(Vec::new()));
+    assert_eq!(common(&["a"], &[]), Some(regions(&["a"])));
+    assert_eq!(common(&[], &["b"]), Some(regions(&["b"])));
+    assert_eq!(common(&["a", "b"], &["b", "c"]), Some(regions(&["b"])));
+    assert_eq!(common(&["a"], &["c"]), None);
+}
+
+/// Promise: figures that bound nothing are no quota.
+#[test]
+fn a_rate_of_zero_bounds_nothing() {
+    assert_eq!(TeamQuota::new(0.0, 5.0), None);
+    assert_eq!(TeamQuota::new(-1.0, 5.0), None);
+    assert_eq!(TeamQuota::new(f64::NAN, 5.0), None);
+    assert_eq!(TeamQuota::new(f64::INFINITY, 5.0), None);
+    let quota = TeamQuota::new(0.5, f64::NAN).unwrap();
+    assert!((quota.rate - 0.5).abs() < 1e-9 && quota.burst == 0.0);
+}
+
+/// Promise: what settings write as a digest is read as that, and all else is refused.
+#[test]
+fn digests_in_settings_are_checked() {
+    let digest = KeyDigest::of(b"key");
+    assert_eq!(KeyDigest::parse(&digest.to_text()), Ok(digest));
+    assert_eq!(KeyDigest::parse("key"), Err(Error::Scheme));
+    assert_eq!(KeyDigest::parse("sha256:12"), Err(Error::Digits));
+    let plus = format!("sha256:+{}", "0".repeat(63));
+    assert_eq!(KeyDigest::parse(&plus), Err(Error::Digits));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(SEED), ..ProptestConfig::default() })]
+
+    /// Promise: nothing that is shown or stored of a key contains it, and a digest is not
+    /// itself a key.
+    #[test]
+    fn a_key_is_never_shown(key in "[a-z0-9]{9,40}") {
+        let digest = KeyDigest::of(key.as_bytes());
+        for shown in [format!("{digest}"), format!("{digest:?}"), digest.to_text()] {
+            prop_assert!(!shown.contains(&key));
+        }
+        prop_assert!(KeyDigest::of(digest.to_text().as_bytes()) != digest);
+    }
+
+    /// Promise: no text breaks the reading of digests.
+    #[test]
+    fn any_text_is_read_or_refused(text in any::<String>()) {
+        if let Ok(digest) = KeyDigest::parse(&text) {
+            prop_assert_eq!(digest.to_text(), text.to_ascii_lowercase());
+        }
+    }
+}
