Keys taken away, also in the dark: each entry can show how old the store's word is

Cause: an entry that the operator's changes don't reach went on with the keys that it knew; how old its knowledge was it couldn't show: the time of an answer counted, not that of the call, and ages that others told grow while datagrams wait Ruled out, weighed in virtual time on the same histories: ages carried in digests and counted on by the listener's clock (an entry claimed 0 ms for what had been set 920 ms before; the property fails at once); time of day (steps); leases written by entries (calls grow with the fleet) Change: the store's own clock stamps what it says; entries learn how late that clock can be at most from their own calls, or from another entry's answer; digests carry the stamp. Entries that get requests ask the store themselves before the stamp is too old. A machine that was suspended adds that time (boot clock beside the steady one). Too old: 503, not run, when to come back; not ready, named to nobody but where no entry is better.

--- a/bin/lh-entry/src/fleet.rs
+++ b/bin/lh-entry/src/fleet.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use place::crash::print::RequestPrint;
+use place::fleet::clock::StoreTime;
 use place::fleet::known::KnownStore;
 use place::fleet::member::{BEAT_EVERY, MemberConfig};
 use place::fleet::message::{LoadBeat, PeerMessage};
@@ -85,6 +86,17 @@
         *self.member.borrow().known()
     }
 
+    /// How long ago the store may have shown, at most, that what is known of the operator's
+    /// rows held; `None` where that can't be told.
+    pub(crate) fn proof_age(&self) -> Option<Duration> {
+        self.member.borrow().proof_age(Instant::now())
+    }
+
+    /// The store's time that its clock has not passed.
+    pub(crate) fn latest_store_time(&self) -> StoreTime {
+        self.member.borrow().latest_store_time(Instant::now())
+    }
+
     /// Whether this entry leads its region.
     pub(crate) fn leads(&self) -> bool {
         self.member.borrow().leads()
@@ -198,6 +210,7 @@
         leaving: state.is_stopping(),
         rate: state.told_rate.get(),
         stamp,
+        proof_within: state.proof_within(),
     });
 }
 
--- a/bin/lh-entry/src/lib.rs
+++ b/bin/lh-entry/src/lib.rs
@@ -37,6 +37,7 @@
 mod status;
 mod stop;
 mod suspect;
+mod suspension;
 mod ticket;
 mod view;
 mod watch;
--- a/bin/lh-entry/src/lookup.rs
+++ b/bin/lh-entry/src/lookup.rs
@@ -137,6 +137,9 @@
             });
         }
     });
+    if entries.is_empty() && state.serves_public_only() {
+        entries.push(own_entry(state, Instant::now()));
+    }
     entries
 }
 
--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -27,6 +27,7 @@
 use crate::metrics::EntryMetrics;
 use crate::pool::ServerPool;
 use crate::stop::StopPhase;
+use crate::suspension::SuspensionMeter;
 use crate::ticket::TicketDesk;
 use crate::view::EncodedChanges;
 use crate::watch::Dependency;
@@ -53,6 +54,8 @@
     pub(crate) registry_dependency: RefCell<Dependency>,
     /// The part in the fleet.
     pub(crate) fleet: FleetDesk,
+    /// Times at which the machine stood still.
+    suspensions: RefCell<SuspensionMeter>,
     /// Counts callers' requests.
     pub(crate) meter: RefCell<RateMeter>,
     /// Requests a second that this entry gets, as it told the others last.
@@ -98,6 +101,7 @@
             registry: RefCell::default(),
             registry_dependency: RefCell::new(Dependency::new("server registry")),
             fleet: FleetDesk::new(member_config(&config, incarnation)),
+            suspensions: RefCell::default(),
             meter: RefCell::default(),
             told_rate: Cell::new(0),
             homes: RefCell::default(),
@@ -114,8 +118,19 @@
 
     /// Whether callers should be sent here.
     pub(crate) fn is_ready(&self) -> bool {
+        self.is_complete() && self.serves_keys()
+    }
+
+    /// Whether this entry could take callers, but has not heard lately which keys hold.
+    /// Where no other entry has either, callers of public routes still find it.
+    pub(crate) fn serves_public_only(&self) -> bool {
+        self.is_complete() && !self.serves_keys()
+    }
+
+    /// Whether it knows what it needs to serve callers, and is to.
+    fn is_complete(&self) -> bool {
         let known = self.version() > 0 && self.placer.borrow().catalog.read_at().is_some();
-        known && self.serves_keys() && self.stop.get() == StopPhase::Serving
+        known && self.stop.get() == StopPhase::Serving
     }
 
     /// Whether this entry has heard lately enough which keys hold.
@@ -124,10 +139,25 @@
         self.teams.borrow().is_empty() || access.may_serve(self.knowledge_age())
     }
 
-    /// Age of what is known of the operator's rows; `None` before they were heard of.
+    /// Age of what is known of the operator's rows at most; `None` where it can't be told.
     pub(crate) fn knowledge_age(&self) -> Option<Duration> {
-        let heard = self.fleet.known().operator_at;
-        heard.map(|at| at.elapsed())
+        self.notice_suspension();
+        self.fleet.proof_age()
+    }
+
+    /// How old that may become while teams' requests are served.
+    pub(crate) fn proof_within(&self) -> Option<Duration> {
+        let has_teams = !self.teams.borrow().is_empty();
+        self.config.access.revoke.filter(|_| has_teams)
+    }
+
+    /// Finds out whether the machine stood still.
+    fn notice_suspension(&self) {
+        let Some(span) = self.suspensions.borrow_mut().take() else {
+            return;
+        };
+        log::warn!(span_ms = span.as_millis() as u64; "the machine stood still");
+        self.fleet.on_event(FleetEvent::Suspended(span));
     }
 
     /// Whether callers on the own interface are expected.
--- a/bin/lh-entry/src/view.rs
+++ b/bin/lh-entry/src/view.rs
@@ -13,6 +13,7 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use place::desired::DesiredState;
+use place::fleet::clock::StoreTime;
 use place::fleet::follow::PullTarget;
 use place::fleet::known::{KnownStore, StoreWord};
 use place::fleet::list::{EntryList, ListVersion};
@@ -63,6 +64,8 @@
         /// An encoded [`DesiredState`]; empty where the one that asked has it.
         desired: Vec<u8>,
         lists: Vec<EntryList>,
+        /// The latest time that the store's clock can show.
+        latest: StoreTime,
     }
 }
 
@@ -113,6 +116,7 @@
     let known = state.fleet.known();
     let mut answer = ViewAnswer {
         store: known.word(Instant::now()),
+        latest: state.fleet.latest_store_time(),
         ..ViewAnswer::default()
     };
     if known.registry_at.is_some() && known.registry > query.registry {
@@ -146,10 +150,11 @@
 
 /// Asks a lead for what it knows more, and takes that in.
 pub(crate) async fn pull(state: Rc<InstanceState>, target: PullTarget) {
+    let begun = Instant::now();
     let mut client = state.fleet.client.take();
     let result = client.ask(&state, &target).await;
     state.fleet.client.replace(client);
-    let result = result.and_then(|answer| take_in(&state, &target, &answer));
+    let result = result.and_then(|answer| take_in(&state, begun, &target, &answer));
     if let Err(error) = &result {
         log::info!(lead:% = target.view, error:%; "lead not followed");
     }
@@ -160,6 +165,7 @@
 
 fn take_in(
     state: &InstanceState,
+    begun: Instant,
     target: &PullTarget,
     answer: &ViewAnswer,
 ) -> Result<(), ViewError> {
@@ -176,6 +182,10 @@
         let delta: RegistryDelta = postcard::from_bytes(&answer.registry)?;
         state.on_told_servers(&heard, &delta, target.whole);
     }
+    state
+        .fleet
+        .on_event(FleetEvent::StoreTime(begun, answer.latest));
+    state.fleet.on_known(|known| known.confirm_operator(&heard));
     state
         .fleet
         .on_event(FleetEvent::Lists(answer.lists.clone()));
--- a/bin/lh-entry/src/watch.rs
+++ b/bin/lh-entry/src/watch.rs
@@ -26,6 +26,10 @@
 /// is noticed after this and the patience: within the time in which an entry
 /// must be up to date again after its connections were disturbed.
 const FEED_WAIT: Duration = Duration::from_millis(2000);
+/// Parts of the times within which keys must be known and forgotten for which a feed stays
+/// open at most: the rest is for the way to the other entries, and for a second call.
+const LEARN_SHARE: f64 = 0.6;
+const REVOKE_SHARE: f64 = 0.4;
 /// First pause after a failed call, so that a store in trouble isn't pressed.
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
 /// Longest pause: a store that is back is noticed within it.
@@ -42,15 +46,20 @@
     let mut pause = FIRST_PAUSE;
     // A store that nobody has written to is at version 0, and its rows are none.
     let mut has_read = false;
+    let mut tells_time = true;
     loop {
         if watching.wait_for(|watches| *watches).await.is_err() {
             return;
         }
+        let begun = Instant::now();
         let known = state.fleet.known().operator_read;
         let resume = (known > 0 || has_read).then_some(known);
         let result = match resume {
             None => client.read_operator().await,
-            Some(after) => client.watch_operator(after, FEED_WAIT).await,
+            Some(after) => {
+                let wait = feed_wait(&state, tells_time);
+                client.watch_operator(after, wait).await
+            }
         };
         state
             .metrics
@@ -60,6 +69,10 @@
                 dependency.regained();
                 pause = FIRST_PAUSE;
                 has_read = true;
+                tells_time = rows.time.is_some();
+                state
+                    .fleet
+                    .on_event(FleetEvent::StoreTime(begun, rows.time));
                 on_rows(&state, &rows, resume.is_none());
                 state.fleet.on_event(FleetEvent::Watched(true));
             }
@@ -79,6 +92,23 @@
     }
 }
 
+/// How long the store may hold its answer back: its word must not grow too old meanwhile,
+/// where it can be told how old it is.
+fn feed_wait(state: &InstanceState, tells_time: bool) -> Duration {
+    let longest = match state.proof_within() {
+        None => FEED_WAIT,
+        Some(within) => {
+            let learn = state.config.access.learn.mul_f64(LEARN_SHARE);
+            FEED_WAIT.min(learn).min(within.mul_f64(REVOKE_SHARE))
+        }
+    };
+    match state.fleet.proof_age() {
+        Some(age) => longest.saturating_sub(age),
+        None if tells_time => Duration::ZERO,
+        None => longest,
+    }
+}
+
 /// Rows that vanish from now on may only have lapsed.
 fn on_store_failed(state: &InstanceState) {
     let mut placer = state.placer.borrow_mut();
@@ -106,6 +136,7 @@
         }
         known.operator_read = known.operator_read.max(rows.version);
         known.operator_at = Some(Instant::now());
+        known.proved = known.proved.max(rows.time);
         known.desired = version;
     });
 }
--- a/bin/lh-entry/tests/teams.rs
+++ b/bin/lh-entry/tests/teams.rs
@@ -7,7 +7,8 @@
 use hyper::Request;
 use hyper::header::{AUTHORIZATION, HeaderName, HeaderValue};
 use platform_standin::{
-    FakeBackend, RouteText, SeenRequest, TeamText, desired_state, server_entry_in, with_teams,
+    FakeBackend, FaultPlan, RouteText, SeenRequest, TeamText, desired_state, server_entry_in,
+    with_teams,
 };
 use serde_json::Value;
 use world::{Answer, BOARD, DESK, EntryProcess, World, exchange, request, until};
@@ -205,3 +206,77 @@
         200
     );
 }
+
+/// Promise: an entry that the store no longer answers serves nobody's key for longer than the
+/// bound, says so at once and truly, is told to no caller, and goes on with public routes; it
+/// serves again once it has heard.
+#[tokio::test]
+async fn in_the_dark_no_key_counts() {
+    let world = world(1, &[RED, BLUE]).await;
+    let bounds = "revoke = 2s\nrevoke_cut_off = true\nconfig_apply = 1500ms\n";
+    let entry = EntryProcess::start_within(world.store.address(), "n1", bounds);
+    entry.wait_ready().await;
+    assert_eq!(
+        send(&entry, keyed("/board/x", "a", RED_KEY)).await.status,
+        200
+    );
+    world.store.set_faults(FaultPlan::silence());
+    until("keys are refused", async || {
+        send(&entry, keyed("/board/x", "wait", RED_KEY))
+            .await
+            .status
+            == 503
+    })
+    .await;
+    let dark = send(&entry, keyed("/board/x", "dark", RED_KEY)).await;
+    assert_eq!(
+        (dark.status, dark.header("laurelhill-outcome")),
+        (503, "not-run")
+    );
+    assert!(dark.header("retry-after").parse::<f64>().unwrap() > 0.0);
+    assert!(ran(&world.backends, "dark").is_none());
+    // It can't know whether the key was added meanwhile.
+    assert_eq!(
+        send(&entry, keyed("/board/x", "new", "new-key-1"))
+            .await
+            .status,
+        503
+    );
+    assert_eq!(entry.status("/ready").await, Some(503));
+    assert_eq!(
+        send(&entry, request("GET", "/open/x", "open")).await.status,
+        200
+    );
+    world.store.set_faults(FaultPlan::default());
+    until("keys are served again", async || {
+        send(&entry, keyed("/board/x", "back", RED_KEY))
+            .await
+            .status
+            == 200
+    })
+    .await;
+    entry.wait_ready().await;
+}
+
+/// Promise: where the operators' bound doesn't hold for entries that hear nothing, these go
+/// on with the keys that they know.
+#[tokio::test]
+async fn without_the_bound_known_keys_go_on() {
+    let world = world(1, &[RED, BLUE]).await;
+    let bounds = "revoke = 1s\nrevoke_cut_off = false\nconfig_apply = 1s\n";
+    let entry = EntryProcess::start_within(world.store.address(), "n1", bounds);
+    entry.wait_ready().await;
+    world.store.set_faults(FaultPlan::outage());
+    until("it doesn't know of new keys", async || {
+        send(&entry, keyed("/board/x", "new", "new-key-1"))
+            .await
+            .status
+            == 503
+    })
+    .await;
+    assert_eq!(
+        send(&entry, keyed("/board/x", "a", RED_KEY)).await.status,
+        200
+    );
+    assert_eq!(entry.status("/ready").await, Some(200));
+}
--- a/bin/lh-entry/tests/world/mod.rs
+++ b/bin/lh-entry/tests/world/mod.rs
@@ -87,6 +87,11 @@
         Self::start_in("zone-a", "north", store, name, seeds)
     }
 
+    /// The same with further `bounds`.
+    pub fn start_within(store: SocketAddr, name: &str, bounds: &str) -> Self {
+        Self::start_at(("zone-a", "north"), store, name, &[], bounds)
+    }
+
     /// The same in the failure domain `zone` of `region`.
     pub fn start_in(
         zone: &str,
@@ -94,6 +99,16 @@
         store: SocketAddr,
         name: &str,
         seeds: &[IpAddr],
+    ) -> Self {
+        Self::start_at((zone, region), store, name, seeds, "")
+    }
+
+    fn start_at(
+        (zone, region): (&str, &str),
+        store: SocketAddr,
+        name: &str,
+        seeds: &[IpAddr],
+        bounds: &str,
     ) -> Self {
         let ip = standin::free_address().ip();
         let folder = tempfile::tempdir().unwrap();
@@ -106,7 +121,7 @@
              peer_ports = {PEER_PORT}-{}\npeer_seeds = {}\n[store]\naddress = {store}\n\
              [bounds]\ngrace = 60s\nretry_ratio = 0.2\nretry_slack = 56\n\
              retry_window = 10s\nshift_cap = 0.15\nlookup_ttl_most = 5s\n\
-             memory_mb = 260\ndescriptors = 4100\n\
+             memory_mb = 260\ndescriptors = 4100\n{bounds}\
              [place zone-a]\nregion = north\n[place zone-b]\nregion = south\n",
             PEER_PORT + 1,
             seeds.join(",")
--- a/crates/place/src/fleet/known.rs
+++ b/crates/place/src/fleet/known.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::fleet::clock::StoreTime;
+
 base::common! {
     /// What an entry knows of the store, as it tells others.
     #[derive(Copy, Eq, Default)]
@@ -19,6 +21,8 @@
         pub operator_read: u64,
         /// Milliseconds since that word; `u32::MAX` before the first.
         pub operator_age: u32,
+        /// When the store showed last that nothing newer than that was set.
+        pub proved: StoreTime,
         /// Version of the desired state in force.
         pub desired: u64,
     }
@@ -39,6 +43,9 @@
     pub operator_read: u64,
     /// When that word came.
     pub operator_at: Option<Instant>,
+    /// When the store showed last, to whichever entry, that nothing newer than that was set,
+    /// by the store's own clock.
+    pub proved: StoreTime,
     /// Version of the desired state in force.
     pub desired: u64,
 }
@@ -57,6 +64,7 @@
             operator: word.operator,
             operator_read: word.operator_read,
             operator_at: at(word.operator_age),
+            proved: word.proved,
             desired: word.desired,
         }
     }
@@ -73,10 +81,18 @@
             operator: self.operator,
             operator_read: self.operator_read,
             operator_age: age(self.operator_at),
+            proved: self.proved,
             desired: self.desired,
         }
     }
 
+    /// This entry stood still for `span` without its clock moving.
+    pub fn on_suspended(&mut self, span: Duration) {
+        for at in [&mut self.registry_at, &mut self.operator_at] {
+            *at = at.and_then(|at| at.checked_sub(span));
+        }
+    }
+
     /// Whether everything that the registry and the operator's rows are needed for is
     /// known.
     pub fn is_complete(&self) -> bool {
@@ -94,13 +110,21 @@
         other.desired > self.desired || other.operator > self.operator
     }
 
+    /// Takes from `other` how fresh it is in what both know of the operator's rows: what
+    /// `other` lacks was set later than what it knows.
+    pub fn confirm_operator(&mut self, other: &Self) {
+        if self.is_behind_operator(other) {
+            return;
+        }
+        self.operator_read = self.operator_read.max(other.operator_read);
+        self.operator_at = self.operator_at.max(other.operator_at);
+        self.proved = self.proved.max(other.proved);
+    }
+
     /// Takes from `other` how fresh it is in what both know alike; whether that made
     /// the registry fresher.
     pub fn confirm(&mut self, other: &Self) -> bool {
-        if !self.is_behind_operator(other) {
-            self.operator_read = self.operator_read.max(other.operator_read);
-            self.operator_at = self.operator_at.max(other.operator_at);
-        }
+        self.confirm_operator(other);
         let is_same = !self.is_behind_registry(other) && other.registry_read >= self.registry;
         if !is_same || other.registry_at <= self.registry_at {
             return false;
--- a/crates/place/src/fleet/member/asking.rs
+++ b/crates/place/src/fleet/member/asking.rs
@@ -9,6 +9,11 @@
 
 /// Time without a lead after which an entry asks for the operator's rows itself.
 const LONE_WAIT: Duration = Duration::from_millis(400);
+/// Part of the time within which an entry needs the store's word on the operator's rows
+/// after which it asks itself: the rest is for two calls, one of which may fail.
+const PROOF_SHARE: f64 = 0.64;
+/// Entries spread over this part of it more.
+const PROOF_SPREAD: f64 = 0.06;
 /// Entries that get no requests spread over this time more.
 const LONE_SPREAD: Duration = Duration::from_millis(800);
 
@@ -41,12 +46,24 @@
             ReadRole::Follower { stuck, .. } => stuck,
             ReadRole::Alone { used, first } => self.watches_alone(now, used, first),
         };
+        let watches = watches || self.lacks_proof(now);
         if watches != self.watches {
             self.watches = watches;
             actions.push(FleetAction::WatchOperator(watches));
         }
     }
 
+    /// Whether an entry that gets requests will soon be without the word of the store that
+    /// these need, whoever else could bring it.
+    fn lacks_proof(&self, now: Instant) -> bool {
+        let Some(within) = self.own.proof_within.filter(|_| self.is_listed()) else {
+            return false;
+        };
+        let spread = self.search.spread_over(within.mul_f64(PROOF_SPREAD));
+        let most = within.mul_f64(PROOF_SHARE) + spread;
+        self.proof_age(now).is_none_or(|age| age >= most)
+    }
+
     /// Whether an entry that hears no lead asks for the operator's rows itself: entries
     /// that get requests soon, others after a new lead had time to be found.
     fn watches_alone(&self, now: Instant, used: bool, first: Instant) -> bool {
--- a/crates/place/src/fleet/member/hearing.rs
+++ b/crates/place/src/fleet/member/hearing.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use crate::fleet::clock::StoreTime;
 use crate::fleet::known::KnownStore;
 use crate::fleet::member::telling::YOUNG_ROWS_EVERY;
 use crate::fleet::member::{FleetAction, FleetMember};
@@ -99,7 +100,11 @@
             }
             self.regions.on_word(now, word);
         }
-        let heard = KnownStore::heard(now, &digest.store);
+        let mut heard = KnownStore::heard(now, &digest.store);
+        if self.clock.age(now, heard.proved).is_none() {
+            // Not the store's time, or not to be placed by this entry's clock yet.
+            heard.proved = StoreTime::default();
+        }
         if self.known.confirm(&heard)
             && let Some(at) = self.known.registry_at
         {
--- a/crates/place/src/fleet/member/mod.rs
+++ b/crates/place/src/fleet/member/mod.rs
@@ -18,6 +18,7 @@
 use crate::crash::print::RequestPrint;
 use crate::crash::quarantine::QuarantineBook;
 use crate::crash::word::{CrashReport, KeptQuarantine};
+use crate::fleet::clock::{StoreClock, StoreTime};
 use crate::fleet::follow::{PullState, PullTarget};
 use crate::fleet::known::KnownStore;
 use crate::fleet::leads::LeadTable;
@@ -69,6 +70,9 @@
     pub rate: u32,
     /// Its stamp for tickets; empty where no caller uses tickets.
     pub stamp: String,
+    /// How old the store's word on the operator's rows may become here; `None` where
+    /// nothing depends on that.
+    pub proof_within: Option<Duration>,
 }
 
 /// What an entry hears or does.
@@ -82,6 +86,11 @@
     Own(OwnState),
     /// It knows more of the store, by whatever way.
     Known(KnownStore),
+    /// The store answered a call that began then with its own time; or another entry told
+    /// the latest time that the store's clock can show.
+    StoreTime(Instant, StoreTime),
+    /// The process stood still for so long without its clock moving.
+    Suspended(Duration),
     /// What came of a reading of the registry that this entry was to make.
     Read(ReadOutcome),
     /// The store has answered a watch of the operator's rows, or not.
@@ -160,6 +169,7 @@
     own: OwnState,
     reads: bool,
     known: KnownStore,
+    clock: StoreClock,
     roster: EntryRoster,
     leads: LeadTable,
     regions: RegionBook,
@@ -197,6 +207,7 @@
             own: OwnState::default(),
             reads: true,
             known: KnownStore::default(),
+            clock: StoreClock::default(),
             roster: EntryRoster::default(),
             leads: LeadTable::default(),
             regions: RegionBook::new(&config.region, &config.regions),
@@ -230,6 +241,11 @@
             FleetEvent::Message(message) => self.on_message(now, message, actions),
             FleetEvent::Own(own) => self.on_own(now, own),
             FleetEvent::Known(known) => self.on_known(now, known),
+            FleetEvent::StoreTime(begun, time) => self.on_store_time(now, begun, time),
+            FleetEvent::Suspended(span) => {
+                self.clock.on_suspended(now, span);
+                self.known.on_suspended(span);
+            }
             FleetEvent::Read(outcome) => {
                 self.reads = outcome != ReadOutcome::Failed;
                 self.readings.on_read(now, outcome);
@@ -277,6 +293,17 @@
         &self.known
     }
 
+    /// How long ago the store may have shown, at most, that nothing newer was set than what
+    /// this entry knows of the operator's rows; `None` where that can't be told.
+    pub fn proof_age(&self, now: Instant) -> Option<Duration> {
+        self.clock.age(now, self.known.proved)
+    }
+
+    /// The store's time that its clock has not passed, as far as this entry can tell.
+    pub fn latest_store_time(&self, now: Instant) -> StoreTime {
+        self.clock.latest(now).unwrap_or_default()
+    }
+
     /// Whether it leads its region.
     pub fn leads(&self) -> bool {
         self.leading.is_some()
@@ -313,6 +340,14 @@
         }
     }
 
+    fn on_store_time(&mut self, now: Instant, begun: Instant, time: StoreTime) {
+        self.clock.on_answer(begun, time);
+        if self.proof_age(now).is_none() {
+            // The store's clock has begun anew.
+            self.known.proved = StoreTime::default();
+        }
+    }
+
     fn review(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
         if now >= self.seats_due {
             self.seats_due = now + SEARCH_EVERY;
--- a/crates/place/src/fleet/mod.rs
+++ b/crates/place/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 //! [`member::FleetMember`] decides all of this; the rest of this area are its parts and
 //! the messages.
 
+pub mod clock;
 pub mod follow;
 pub mod front;
 pub mod known;
--- a/crates/place/tests/fleet_world/mod.rs
+++ b/crates/place/tests/fleet_world/mod.rs
@@ -9,8 +9,8 @@
 
 use place::crash::print::RequestPrint;
 use place::crash::word::KeptQuarantine;
+use place::fleet::clock::StoreTime;
 use place::fleet::follow::PullTarget;
-use place::fleet::known::KnownStore;
 use place::fleet::member::MemberConfig;
 use place::fleet::message::PeerMessage;
 use place::fleet::reading::ReadOutcome;
@@ -44,9 +44,25 @@
 enum Delivery {
     Datagram(PeerMessage),
     Clock,
-    ReadEnds { begun: Instant, wait: Duration },
-    PullEnds { from: usize, whole: bool },
+    ReadEnds {
+        begun: Instant,
+        wait: Duration,
+    },
+    PullEnds {
+        from: usize,
+        whole: bool,
+        begun: Instant,
+    },
     WatchEnds,
+    /// An answer of a watch that waited at the process: the rows' version then, and when.
+    WatchTold {
+        operator: u64,
+        time: StoreTime,
+    },
+    Wakes {
+        span: Duration,
+        suspended: bool,
+    },
     Rows,
 }
 
@@ -98,6 +114,11 @@
     clock: Option<Instant>,
     watches: bool,
     watching: bool,
+    watch_begun: Instant,
+    /// Stands still until then.
+    still_until: Option<Instant>,
+    /// What its clock lacks of the world's.
+    behind: Duration,
 }
 
 pub struct FleetWorld {
@@ -112,6 +133,12 @@
     pub calls: u64,
     /// One datagram in so many is lost.
     pub loses: Option<u64>,
+    /// One datagram in so many comes so late.
+    pub delays: Option<(u64, Duration)>,
+    /// How old the store's word may become at entries that get requests.
+    pub proof_within: Option<Duration>,
+    /// When the operator's rows changed, with their versions.
+    pub changes: Vec<(Instant, u64)>,
     sent: u64,
     row: Vec<(String, SocketAddr)>,
     /// The store's rows of requests in quarantine: since when, and whether lifted.
@@ -159,6 +186,9 @@
             store_down: false,
             calls: 0,
             loses: None,
+            delays: None,
+            proof_within: None,
+            changes: Vec::new(),
             sent: 0,
             row: Vec::new(),
             kept: BTreeMap::new(),
@@ -184,6 +214,9 @@
                 clock: None,
                 watches: false,
                 watching: false,
+                watch_begun: at,
+                still_until: None,
+                behind: Duration::ZERO,
             });
             world.push(at, entry, Delivery::Clock);
         }
@@ -211,6 +244,11 @@
         }
     }
 
+    /// `entry` as one that may lead.
+    pub fn seat(&self, entry: usize) -> LeadSeat {
+        self.config(entry, 1).seat
+    }
+
     fn push(&mut self, at: Instant, to: usize, delivery: Delivery) {
         let waiting = self.queue.len();
         assert!(
@@ -249,6 +287,21 @@
         if !self.entries[to].alive || self.entries[to].run != arrival.run {
             return;
         }
+        if let Some(until) = self.entries[to]
+            .still_until
+            .filter(|until| *until > self.now)
+        {
+            // It waits in the process's queues.
+            let waits = match arrival.delivery {
+                Delivery::WatchEnds if self.is_served(to) => Delivery::WatchTold {
+                    operator: self.operator,
+                    time: self.store_time(),
+                },
+                other => other,
+            };
+            self.push(until, to, waits);
+            return;
+        }
         match arrival.delivery {
             Delivery::Datagram(message) => {
                 self.entries[to].datagrams += 1;
@@ -264,8 +317,18 @@
                 self.tell(to, FleetEvent::Clock);
             }
             Delivery::ReadEnds { begun, wait } => self.end_read(to, begun, wait),
-            Delivery::PullEnds { from, whole } => self.end_pull(to, from, whole),
-            Delivery::WatchEnds => self.end_watch(to),
+            Delivery::PullEnds { from, whole, begun } => self.end_pull(to, from, whole, begun),
+            Delivery::Wakes { span, suspended } => {
+                if suspended {
+                    self.entries[to].behind += span;
+                    self.tell(to, FleetEvent::Suspended(span));
+                }
+            }
+            Delivery::WatchEnds => {
+                let (operator, time) = (self.operator, self.store_time());
+                self.end_watch(to, self.is_served(to).then_some((operator, time)));
+            }
+            Delivery::WatchTold { operator, time } => self.end_watch(to, Some((operator, time))),
             Delivery::Rows => {
                 let kept = self.kept.iter();
                 let kept = kept.map(|(print, (at, lifted))| KeptQuarantine {
@@ -284,21 +347,24 @@
     /// Gives `event` to an entry and does what it wants done.
     pub fn tell(&mut self, entry: usize, event: FleetEvent) {
         let mut actions = Vec::new();
+        let now = self.local(entry, self.now);
         self.entries[entry]
             .member
-            .on_event(self.now, event, &mut actions);
+            .on_event(now, event, &mut actions);
         for action in actions {
             self.act(entry, action);
         }
         let known = *self.entries[entry].member.known();
         let own = OwnState {
             ready: known.is_complete() && !self.entries[entry].own.leaving,
+            proof_within: self.proof_within,
             ..self.entries[entry].own.clone()
         };
         if own != self.entries[entry].own {
             self.set_own(entry, own);
         }
-        let due = self.entries[entry].member.due(self.now);
+        let behind = self.entries[entry].behind;
+        let due = self.entries[entry].member.due(now) + behind;
         if self.entries[entry].clock.is_none_or(|clock| clock > due) {
             self.entries[entry].clock = Some(due);
             self.push(due, entry, Delivery::Clock);
@@ -320,11 +386,13 @@
             FleetAction::Pull(PullTarget { view, whole }) => {
                 let from = entry_at(view);
                 let delay = 2 * self.delay(entry, from);
-                self.push(self.now + delay, entry, Delivery::PullEnds { from, whole });
+                let begun = self.local(entry, self.now);
+                let ends = Delivery::PullEnds { from, whole, begun };
+                self.push(self.now + delay, entry, ends);
             }
             FleetAction::ReadRegistry(wait) => {
                 self.calls += 1;
-                let begun = self.now;
+                let begun = self.local(entry, self.now);
                 let span = if self.is_served(entry) {
                     wait
                 } else if self.entries[entry].silent {
@@ -333,7 +401,7 @@
                     Duration::ZERO
                 };
                 self.push(
-                    begun + span + STORE,
+                    self.now + span + STORE,
                     entry,
                     Delivery::ReadEnds { begun, wait },
                 );
@@ -385,7 +453,11 @@
             .loses
             .is_some_and(|each| self.sent.is_multiple_of(each));
         if to < self.entries.len() && self.reaches(from, to) && !is_lost {
-            let at = self.now + self.delay(from, to);
+            let late = self
+                .delays
+                .filter(|(each, _)| self.sent.is_multiple_of(*each))
+                .map_or(Duration::ZERO, |(_, late)| late);
+            let at = self.now + self.delay(from, to) + late;
             self.push(at, to, Delivery::Datagram(message));
         }
     }
@@ -425,12 +497,15 @@
         self.tell(entry, FleetEvent::Read(outcome));
     }
 
-    fn end_pull(&mut self, entry: usize, from: usize, whole: bool) {
+    fn end_pull(&mut self, entry: usize, from: usize, whole: bool, begun: Instant) {
         if !self.reaches(entry, from) || self.entries[entry].deaf {
             self.tell(entry, FleetEvent::Pulled(address(from), false));
             return;
         }
         let told = *self.entries[from].member.known();
+        let answered = self.local(from, self.now) - self.delay(entry, from);
+        let latest = self.entries[from].member.latest_store_time(answered);
+        self.tell(entry, FleetEvent::StoreTime(begun, latest));
         let mut known = *self.entries[entry].member.known();
         if whole || known.is_behind_registry(&told) {
             known.registry = told.registry;
@@ -443,6 +518,7 @@
             known.operator_at = told.operator_at;
             known.desired = told.desired;
         }
+        known.confirm_operator(&told);
         let versions = self.entries[entry].member.regions().versions();
         let lists = self.entries[from].member.regions().lists_since(&versions);
         self.tell(entry, FleetEvent::Known(known));
@@ -453,28 +529,69 @@
     fn begin_watch(&mut self, entry: usize, wait: Duration) {
         self.calls += 1;
         self.entries[entry].watching = true;
+        self.entries[entry].watch_begun = self.local(entry, self.now);
         self.push(self.now + wait + STORE, entry, Delivery::WatchEnds);
     }
 
-    fn end_watch(&mut self, entry: usize) {
+    fn end_watch(&mut self, entry: usize, told: Option<(u64, StoreTime)>) {
         self.entries[entry].watching = false;
-        let served = self.is_served(entry);
-        if served {
-            let mut known = *self.entries[entry].member.known();
-            self.learn_operator(&mut known);
-            self.tell(entry, FleetEvent::Known(known));
+        if let Some((operator, time)) = told {
+            self.learn_operator(entry, operator, time);
         }
-        self.tell(entry, FleetEvent::Watched(served));
+        self.tell(entry, FleetEvent::Watched(told.is_some()));
         if self.entries[entry].watches && !self.entries[entry].watching {
-            self.begin_watch(entry, if served { WATCH } else { ms(1200) });
+            let age = self.proof_age(entry).unwrap_or_default();
+            let wait = WATCH.saturating_sub(age);
+            self.begin_watch(entry, if told.is_some() { wait } else { ms(1200) });
         }
     }
 
-    fn learn_operator(&self, known: &mut KnownStore) {
-        known.operator = known.operator.max(self.operator);
+    fn learn_operator(&mut self, entry: usize, operator: u64, time: StoreTime) {
+        let begun = self.entries[entry].watch_begun;
+        self.tell(entry, FleetEvent::StoreTime(begun, time));
+        let mut known = *self.entries[entry].member.known();
+        known.operator = known.operator.max(operator);
         known.operator_read = self.version;
-        known.operator_at = Some(self.now);
-        known.desired = known.desired.max(self.operator);
+        known.operator_at = Some(self.local(entry, self.now));
+        known.desired = known.desired.max(operator);
+        known.proved = known.proved.max(time);
+        self.tell(entry, FleetEvent::Known(known));
+    }
+
+    /// The store's own clock, which has run for a while.
+    pub fn store_time(&self) -> StoreTime {
+        StoreTime(50_000 + (self.now - self.start).as_millis() as u64)
+    }
+
+    /// The time `at` by the clock of `entry`.
+    pub fn local(&self, entry: usize, at: Instant) -> Instant {
+        at - self.entries[entry].behind
+    }
+
+    /// `entry` stands still for `span`; its clock does too where `suspended`.
+    pub fn stand_still(&mut self, entry: usize, span: Duration, suspended: bool) {
+        let until = self.now + span;
+        self.entries[entry].still_until = Some(until);
+        self.push(until, entry, Delivery::Wakes { span, suspended });
+    }
+
+    /// Whether it stands still now.
+    pub fn is_still(&self, entry: usize) -> bool {
+        let until = self.entries[entry].still_until;
+        until.is_some_and(|until| until > self.now)
+    }
+
+    /// How long ago the operator changed what `entry` doesn't know, where there is such.
+    pub fn lacks_since(&self, entry: usize) -> Option<Duration> {
+        let known = self.entries[entry].member.known().operator;
+        let missed = self.changes.iter().find(|(_, version)| *version > known);
+        missed.map(|(at, _)| self.now - *at)
+    }
+
+    /// Age of the store's word on the operator's rows at `entry`, by its own reckoning.
+    pub fn proof_age(&self, entry: usize) -> Option<Duration> {
+        let now = self.local(entry, self.now);
+        self.entries[entry].member.proof_age(now)
     }
 
     /// The registry and the operator's rows change; open watches are told.
@@ -482,11 +599,12 @@
         self.version += 1;
         self.registry = self.version;
         self.operator = self.version;
+        self.changes.push((self.now, self.version));
         for entry in 0..self.entries.len() {
-            if self.entries[entry].alive && self.entries[entry].watching && self.is_served(entry) {
-                let mut known = *self.entries[entry].member.known();
-                self.learn_operator(&mut known);
-                self.tell(entry, FleetEvent::Known(known));
+            let entry_is_told = self.entries[entry].alive && !self.is_still(entry);
+            if entry_is_told && self.entries[entry].watching && self.is_served(entry) {
+                let (operator, time) = (self.operator, self.store_time());
+                self.learn_operator(entry, operator, time);
             }
         }
     }
@@ -509,6 +627,8 @@
         known.clock = None;
         known.watches = false;
         known.watching = false;
+        known.still_until = None;
+        known.behind = Duration::ZERO;
         self.push(self.now, entry, Delivery::Clock);
     }
 
