Quotas of teams: one bucket for the whole fleet, from counts that entries tell each other

Entries that aren't heard have their part set aside for a minute, those that hear nobody keep to it; one that starts begins with little; what has not run is given back; 429 with a time to come back, one caller after the other. An entry that gets requests unlisted speaks and is spoken to.

--- a/bin/lh-entry/src/config.rs
+++ b/bin/lh-entry/src/config.rs
@@ -10,6 +10,7 @@
 use place::limits::budget::BudgetBounds;
 use place::placing::choice::ByteCosts;
 use team::access::AccessBounds;
+use team::bucket::QuotaBounds;
 
 use crate::error::Result;
 
@@ -48,6 +49,8 @@
     pub budget: BudgetBounds,
     /// Largest change of a region's share of requests from one window to the next.
     pub shift_cap: f64,
+    /// How exactly teams' quotas are to be kept.
+    pub quota: QuotaBounds,
     /// How old the knowledge of keys may be.
     pub access: AccessBounds,
     /// Longest time for which callers keep an answer.
@@ -101,6 +104,11 @@
                 window: bounds.duration("retry_window")?,
             },
             shift_cap: bounds.number("shift_cap")?,
+            quota: QuotaBounds {
+                window: bounds.duration("quota_window")?,
+                excess: bounds.number("quota_excess")?,
+                slack: bounds.number("quota_slack")?,
+            },
             access: AccessBounds {
                 revoke: revoke(bounds)?,
                 learn: bounds.duration("config_apply")?,
--- a/bin/lh-entry/src/door.rs
+++ b/bin/lh-entry/src/door.rs
@@ -1,7 +1,7 @@
 //! The door: whose request it is, and on which terms it enters.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::StatusCode;
 use place::desired::{DesiredState, RouteSpec};
@@ -79,7 +79,27 @@
         Access::Unsure => return Err(unheard("key-unheard")),
         Access::Stale => return Err(unheard("keys-stale")),
     };
-    RequestTerms::new(route, team).ok_or_else(no_home)
+    let terms = RequestTerms::new(route, team).ok_or_else(no_home)?;
+    if let Some(team) = terms.team_name() {
+        admit_team(state, team)?;
+    }
+    Ok(terms)
+}
+
+/// Lets a request of `team` in, if that doesn't ask for too much.
+fn admit_team(state: &InstanceState, team: &str) -> Result<(), Problem> {
+    let now = Instant::now();
+    let mut quota = state.quota.borrow_mut();
+    let was_used = quota.is_used();
+    let admitted = quota.admit(now, team);
+    if !was_used && !state.fleet.is_listed() {
+        state.words.wake.notify_one();
+    }
+    state.metrics.on_limit("quota", admitted.is_ok());
+    admitted.map_err(|after| {
+        let detail = "the team asks for more than its quota";
+        Problem::new(StatusCode::TOO_MANY_REQUESTS, "quota", detail).with_return(after)
+    })
 }
 
 fn denied(claim: KeyClaim) -> Problem {
@@ -101,8 +121,9 @@
     Problem::new(StatusCode::SERVICE_UNAVAILABLE, "no-home", detail).with_return(NO_HOME_RETURN)
 }
 
-/// Tells operators which teams and routes of `desired` no region may serve together.
-pub(crate) fn check_homes(desired: &DesiredState) {
+/// Tells operators which teams and routes of `desired` no region may serve together, unless
+/// `told` says that they were told; returns what to know as told from now on.
+pub(crate) fn check_homes(desired: &DesiredState, told: &str) -> String {
     let mut apart = Vec::new();
     for team in &desired.teams {
         for route in &desired.routes {
@@ -111,10 +132,11 @@
             }
         }
     }
-    if apart.is_empty() {
-        return;
-    }
     let count = apart.len();
     apart.truncate(APART_SHOWN);
-    log::error!(version = desired.version, count, pairs = apart.join(", "); "teams and routes without a common home region; their requests are refused");
+    let pairs = apart.join(", ");
+    if count > 0 && pairs != told {
+        log::error!(version = desired.version, count, pairs = pairs.as_str(); "teams and routes without a common home region; their requests are refused");
+    }
+    pairs
 }
--- a/bin/lh-entry/src/fleet.rs
+++ b/bin/lh-entry/src/fleet.rs
@@ -9,25 +9,21 @@
 use place::fleet::clock::StoreTime;
 use place::fleet::known::KnownStore;
 use place::fleet::member::{BEAT_EVERY, MemberConfig};
-use place::fleet::message::{LoadBeat, PeerMessage};
+use place::fleet::message::PeerMessage;
 use place::fleet::regions::RegionBook;
-use place::placing::load::{LoadWord, is_told_far, load_pause};
 use place::prelude::*;
-use place::rank::stable_hash;
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, watch};
 
 use crate::error::{Error, Result};
 use crate::state::InstanceState;
 use crate::view::ViewClient;
-use crate::{quarantine, view, watch as store_watch};
+use crate::{quarantine, view, watch as store_watch, words};
 
 /// Largest datagram that is read, in bytes: a digest of a lead with sixteen regions.
 const DATAGRAM_BYTES: usize = 16 << 10;
 /// Datagrams taken in at once before timers get their turn.
 const DATAGRAMS_AT_ONCE: usize = 64;
-/// Time between two looks at whether this entry has become one that gets requests.
-const IDLE_LOOK: Duration = Duration::from_millis(600);
 
 /// What the fleet is to this entry: the decisions, and what they want done.
 #[derive(Debug)]
@@ -170,15 +166,14 @@
     measure.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut buffer = vec![0; DATAGRAM_BYTES];
     let mut load_at = Instant::now();
-    let mut round = 0;
     loop {
         tell_own(&state);
         perform(&state, &socket).await;
         tokio::select! {
             () = tokio::time::sleep_until(load_at.into()) => {
-                load_at = Instant::now() + send_load(&state, &socket, round).await;
-                round += 1;
+                load_at = Instant::now() + words::speak(&state, &socket).await;
             }
+            () = state.words.wake.notified() => load_at = Instant::now(),
             () = tokio::time::sleep_until(state.fleet.due().into()) => {
                 state.fleet.on_event(FleetEvent::Clock);
             }
@@ -227,8 +222,13 @@
 fn on_datagram(state: &InstanceState, from: SocketAddr, bytes: &[u8]) {
     match postcard::from_bytes::<PeerMessage>(bytes) {
         Ok(PeerMessage::Load(beat)) => {
+            let now = Instant::now();
+            if let Some(quota) = &beat.quota {
+                state.words.on_word(now, from);
+                state.quota.borrow_mut().on_word(now, beat.entry, quota);
+            }
             let mut placer = state.placer.borrow_mut();
-            placer.on_peer_load(Instant::now(), beat.entry, beat.word);
+            placer.on_peer_load(now, beat.entry, beat.word);
         }
         Ok(message) => state.fleet.on_event(FleetEvent::Message(message)),
         Err(error) => {
@@ -277,7 +277,7 @@
     }
 }
 
-async fn send(socket: &UdpSocket, targets: &[SocketAddr], message: &PeerMessage) {
+pub(crate) async fn send(socket: &UdpSocket, targets: &[SocketAddr], message: &PeerMessage) {
     if targets.is_empty() {
         return;
     }
@@ -295,42 +295,6 @@
     }
 }
 
-/// Tells the entries that get requests where this one's are, those of other regions now
-/// and then; returns the time until the next word. An entry that gets none tells none.
-async fn send_load(state: &InstanceState, socket: &UdpSocket, round: u32) -> Duration {
-    if !state.fleet.is_listed() {
-        return IDLE_LOOK;
-    }
-    let (mut near, mut far) = (Vec::new(), Vec::new());
-    state.fleet.with_regions(|now, regions| {
-        for (region, entry) in regions.listed(now) {
-            if entry.node == state.config.instance {
-                continue;
-            }
-            if region == state.config.region {
-                near.push(entry.beat);
-            } else {
-                far.push(entry.beat);
-            }
-        }
-    });
-    let count = near.len() as u32;
-    if !is_told_far(round, count, far.len() as u32) {
-        far.clear();
-    }
-    let word = state.placer.borrow_mut().own_load(Instant::now());
-    send(socket, &near, &load_message(state, word.clone())).await;
-    send(socket, &far, &load_message(state, word.for_others())).await;
-    load_pause(count)
-}
-
-fn load_message(state: &InstanceState, word: LoadWord) -> PeerMessage {
-    PeerMessage::Load(LoadBeat {
-        entry: stable_hash(state.config.instance.as_bytes()),
-        word,
-    })
-}
-
 fn log_note(state: &InstanceState, note: &FleetNote) {
     let known = state.fleet.known();
     let age = |at: Option<Instant>| at.map_or(-1, |at| at.elapsed().as_millis() as i64);
--- a/bin/lh-entry/src/lib.rs
+++ b/bin/lh-entry/src/lib.rs
@@ -41,6 +41,7 @@
 mod ticket;
 mod view;
 mod watch;
+mod words;
 
 pub use app::run;
 pub use config::EntryConfig;
--- a/bin/lh-entry/src/problem.rs
+++ b/bin/lh-entry/src/problem.rs
@@ -22,7 +22,7 @@
     pub(crate) kind: &'static str,
     detail: String,
     pub(crate) outcome: Outcome,
-    retry_after: Option<Duration>,
+    pub(crate) retry_after: Option<Duration>,
     replay: Option<Box<KeptAnswer>>,
 }
 
--- a/bin/lh-entry/src/record.rs
+++ b/bin/lh-entry/src/record.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write as _;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use base::prelude::Outcome;
 use hyper::StatusCode;
@@ -30,6 +30,8 @@
     attempts: String,
     count: u32,
     refusal: Option<Refusal>,
+    /// When the caller is asked to come back.
+    back_in: Duration,
     /// Why the entry answered itself, where no server refused.
     reason: &'static str,
     done: bool,
@@ -76,6 +78,7 @@
             attempts: String::new(),
             count: 0,
             refusal: None,
+            back_in: Duration::ZERO,
             reason: "",
             done: false,
         }
@@ -125,17 +128,19 @@
     /// Notes that no server should get the request.
     pub(crate) fn on_refused(&mut self, refusal: Refusal) {
         self.refusal = Some(refusal);
+        self.back_in = refusal.retry_after;
     }
 
     /// Ends the record with an answer of the entry's own.
     pub(crate) fn finish_with(&mut self, problem: &Problem) {
         if self.refusal.is_none() {
             self.reason = problem.kind;
+            self.back_in = problem.retry_after.unwrap_or_default();
         }
         let outcome = match problem.outcome {
             Outcome::Done => RequestOutcome::Answered,
             Outcome::Unknown => RequestOutcome::Unknown,
-            Outcome::NotRun if problem.status.is_client_error() => RequestOutcome::Rejected,
+            Outcome::NotRun if problem.retry_after.is_none() => RequestOutcome::Rejected,
             Outcome::NotRun => RequestOutcome::NotRun,
         };
         self.finish(outcome, problem.status.as_u16());
@@ -173,12 +178,11 @@
         let refused = self
             .refusal
             .map_or(self.reason, |refusal| refusal.reason.as_str());
-        let back_in_ms = self
-            .refusal
-            .map_or(0, |refusal| refusal.retry_after.as_millis() as u64);
+        let back_in_ms = self.back_in.as_millis() as u64;
         if outcome == RequestOutcome::NotRun {
             self.state.metrics.on_refusal(refused);
         }
+        self.give_back(outcome);
         if matches!(refused, "cold" | "shift-cap") {
             self.state.metrics.on_limit(refused, false);
         }
@@ -215,6 +219,17 @@
     }
 }
 
+impl RequestRecord {
+    /// What a team asked for that hasn't run here doesn't count against it.
+    fn give_back(&self, outcome: RequestOutcome) {
+        let has_run = outcome != RequestOutcome::NotRun && self.count > 0;
+        if let Some(team) = self.team.as_ref().filter(|_| !has_run) {
+            let mut quota = self.state.quota.borrow_mut();
+            quota.give_back(Instant::now(), &team.name);
+        }
+    }
+}
+
 impl Drop for RequestRecord {
     fn drop(&mut self) {
         self.finish(RequestOutcome::CallerLeft, 0);
--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -12,12 +12,14 @@
 use place::fleet::log::{ReadScope, RegistryDelta, RegistryLog};
 use place::fleet::member::MemberConfig;
 use place::fleet::seat::LeadSeat;
+use place::placing::load::load_pause;
 use place::prelude::*;
 use place::rank::stable_hash;
 use place::routes::ANY_HOST;
 use platform::client::StoreClient;
 use platform::desired::OperatorChange;
 use team::book::TeamBook;
+use team::quota::QuotaLimiter;
 
 use crate::config::EntryConfig;
 use crate::crash::CrashDesk;
@@ -31,6 +33,7 @@
 use crate::ticket::TicketDesk;
 use crate::view::EncodedChanges;
 use crate::watch::Dependency;
+use crate::words::WordDesk;
 
 /// The entry's state.
 #[derive(Debug)]
@@ -43,6 +46,8 @@
     pub(crate) routes: RefCell<Rc<RouteTable>>,
     pub(crate) desired: RefCell<Option<Rc<DesiredState>>>,
     pub(crate) teams: RefCell<Rc<TeamBook>>,
+    /// Teams and routes without a common home, as logged last.
+    apart: RefCell<String>,
     pub(crate) limits: Cell<RequestLimits>,
     pub(crate) evacuated: RefCell<HashSet<String>>,
     /// The registry's changes, as other entries are told.
@@ -56,6 +61,10 @@
     pub(crate) fleet: FleetDesk,
     /// Times at which the machine stood still.
     suspensions: RefCell<SuspensionMeter>,
+    /// What each team asks for.
+    pub(crate) quota: RefCell<QuotaLimiter>,
+    /// What is said and heard of load.
+    pub(crate) words: WordDesk,
     /// Counts callers' requests.
     pub(crate) meter: RefCell<RateMeter>,
     /// Requests a second that this entry gets, as it told the others last.
@@ -94,6 +103,7 @@
             routes: RefCell::default(),
             desired: RefCell::default(),
             teams: RefCell::default(),
+            apart: RefCell::default(),
             limits: Cell::new(RequestLimits::default()),
             evacuated: RefCell::default(),
             servers: RefCell::default(),
@@ -102,6 +112,8 @@
             registry_dependency: RefCell::new(Dependency::new("server registry")),
             fleet: FleetDesk::new(member_config(&config, incarnation)),
             suspensions: RefCell::default(),
+            quota: RefCell::new(quota_limiter(&config, incarnation)),
+            words: WordDesk::default(),
             meter: RefCell::default(),
             told_rate: Cell::new(0),
             homes: RefCell::default(),
@@ -319,6 +331,9 @@
                 }
             }
         });
+        let pause = load_pause(near as u32);
+        let now = Instant::now();
+        self.quota.borrow_mut().set_entries(now, &hashes, pause);
         let mut placer = self.placer.borrow_mut();
         placer.set_entries(hashes, near);
         let gets_requests = self.fleet.is_listed() || self.fleet.is_lone();
@@ -349,7 +364,10 @@
         for key in teams.shared_keys() {
             log::error!(key:%, version = desired.version; "key of two teams; it names neither");
         }
-        door::check_homes(desired);
+        let apart = door::check_homes(desired, &self.apart.borrow());
+        *self.apart.borrow_mut() = apart;
+        let mut quota = self.quota.borrow_mut();
+        quota.set_teams(Instant::now(), &desired.teams);
         *self.teams.borrow_mut() = Rc::new(teams);
     }
 
@@ -363,6 +381,15 @@
     }
 }
 
+fn quota_limiter(config: &EntryConfig, incarnation: u64) -> QuotaLimiter {
+    QuotaLimiter::new(
+        Instant::now(),
+        config.quota,
+        incarnation,
+        !config.seeds.is_empty(),
+    )
+}
+
 fn member_config(config: &EntryConfig, incarnation: u64) -> MemberConfig {
     MemberConfig {
         incarnation,
--- a/bin/lh-entry/tests/teams.rs
+++ b/bin/lh-entry/tests/teams.rs
@@ -280,3 +280,44 @@
     );
     assert_eq!(entry.status("/ready").await, Some(200));
 }
+
+/// Promise: a team's quota holds over all entries together, and who is over it is told truly
+/// when to come back; another team isn't harmed.
+#[tokio::test]
+async fn a_quota_holds_over_entries() {
+    let slow = TeamText {
+        rate: 0.2,
+        burst: 12.0,
+        ..RED
+    };
+    let world = world(2, &[slow, BLUE]).await;
+    let bounds = "quota_slack = 4\nquota_excess = 0\n";
+    let first = EntryProcess::start_within(world.store.address(), "n1", bounds);
+    first.wait_ready().await;
+    let second = EntryProcess::start_beside(&first, world.store.address(), "n2", bounds);
+    second.wait_ready().await;
+    until("both are named", async || {
+        first.lookup().await.matches(':').count() >= 4
+    })
+    .await;
+    let mut statuses = Vec::new();
+    for turn in 0..40 {
+        let entry = if turn % 2 == 0 { &first } else { &second };
+        let id = format!("r{turn}");
+        let answer = send(entry, keyed("/board/x", &id, RED_KEY)).await;
+        if answer.status == 429 {
+            assert!(answer.header("retry-after").parse::<f64>().unwrap() > 0.0);
+            assert!(ran(&world.backends, &id).is_none());
+        }
+        statuses.push(answer.status);
+    }
+    let served = statuses.iter().filter(|status| **status == 200).count();
+    let refused = statuses.iter().filter(|status| **status == 429).count();
+    assert_eq!(served + refused, 40, "{statuses:?}");
+    assert!(served <= 12 + 4, "{served} of 12 were served");
+    assert!(refused >= 20, "{statuses:?}");
+    assert_eq!(
+        send(&first, keyed("/board/x", "b", BLUE_KEY)).await.status,
+        200
+    );
+}
--- a/bin/lh-entry/tests/world/mod.rs
+++ b/bin/lh-entry/tests/world/mod.rs
@@ -92,6 +92,11 @@
         Self::start_at(("zone-a", "north"), store, name, &[], bounds)
     }
 
+    /// The same beside `other`.
+    pub fn start_beside(other: &Self, store: SocketAddr, name: &str, bounds: &str) -> Self {
+        Self::start_at(("zone-a", "north"), store, name, &[other.ip], bounds)
+    }
+
     /// The same in the failure domain `zone` of `region`.
     pub fn start_in(
         zone: &str,
--- a/crates/emulate/src/lib.rs
+++ b/crates/emulate/src/lib.rs
@@ -8,6 +8,7 @@
 mod experiment;
 mod model;
 mod policy;
+pub mod quota;
 mod regions;
 mod report;
 mod run;
--- a/crates/place/src/fleet/message.rs
+++ b/crates/place/src/fleet/message.rs
@@ -8,6 +8,7 @@
 use crate::fleet::list::ListVersion;
 use crate::fleet::seat::LeadSeat;
 use crate::placing::load::LoadWord;
+use team::quota::QuotaWord;
 
 base::common! {
     /// One datagram between entries.
@@ -33,6 +34,8 @@
         pub entry: u64,
         /// What it has sent.
         pub word: LoadWord,
+        /// What it let in of teams that have quotas, where there are such.
+        pub quota: Option<QuotaWord>,
     }
 
     /// What an entry says of itself.
--- a/crates/place/src/limits/shift.rs
+++ b/crates/place/src/limits/shift.rs
@@ -9,6 +9,8 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
+use tally::{CountWord, PeerTally};
+
 /// Part of the platform's cap that is used: the rest covers requests that end up
 /// elsewhere than they were sent to, and what others sent and is not heard yet, as far
 /// as it isn't what this entry sent.
@@ -55,23 +57,15 @@
     /// Requests of the present window, and of the one before.
     present: RegionCounts,
     before: RegionCounts,
-    /// Requests that this entry sent since its start.
-    sent: RegionCounts,
-    /// The same of the other entries, as last heard.
-    heard: HashMap<u64, HeardCount>,
+    /// Requests that this entry sent, and what the others told of theirs, by the places of
+    /// the regions.
+    tally: PeerTally<usize>,
+    /// The newest counts of the others, and how often each began anew.
+    heard: HashMap<u64, (RegionCounts, u64)>,
     /// What the others likely sent since they were heard.
     unheard: RegionCounts,
 }
 
-/// The newest word of another entry.
-#[derive(Debug)]
-struct HeardCount {
-    at: Instant,
-    sent: RegionCounts,
-    /// What this entry had sent by then.
-    own: RegionCounts,
-}
-
 /// Finds the first window of traffic, in which requests may go anywhere: there is
 /// nothing before it that they could have moved from.
 #[derive(Debug, Default)]
@@ -97,8 +91,8 @@
             slots: VecDeque::new(),
             present: none.clone(),
             before: none.clone(),
-            sent: none.clone(),
             unheard: none,
+            tally: PeerTally::new(UNHEARD_FOR),
             heard: HashMap::new(),
             regions: all,
         }
@@ -126,11 +120,8 @@
             };
             add(window, counts);
         }
-        self.unheard.fill(0);
-        for peer in self.heard.values() {
-            if age(peer.at) < UNHEARD_FOR {
-                add(&mut self.unheard, &news(&self.sent, &peer.own));
-            }
+        for (region, unheard) in self.unheard.iter_mut().enumerate() {
+            *unheard = self.tally.unheard(now, region);
         }
     }
 
@@ -175,7 +166,7 @@
         let Some(index) = self.index(region) else {
             return;
         };
-        self.sent[index] = self.sent[index].wrapping_add(1);
+        self.tally.add(now, index);
         let mut counts = vec![0; self.regions.len()];
         counts[index] = 1;
         self.count(now, &counts);
@@ -183,8 +174,9 @@
 
     /// What this entry sent to each region since its start, for the other entries of
     /// its region.
-    pub fn sent(&self) -> &[u32] {
-        &self.sent
+    pub fn sent(&self) -> Vec<u32> {
+        let regions = 0..self.regions.len();
+        regions.map(|region| self.tally.own(region)).collect()
     }
 
     /// Takes in what the entry `peer` of the own region sent since its start. The first
@@ -193,26 +185,33 @@
         if sent.len() != self.regions.len() {
             return;
         }
-        let word = HeardCount {
-            at: now,
-            sent: sent.to_vec(),
-            own: self.sent.clone(),
-        };
-        let Some(known) = self.heard.insert(peer, word) else {
-            return;
-        };
-        let is_later = sent
+        let (known, run) = self.heard.entry(peer).or_default();
+        if sent
             .iter()
-            .zip(&known.sent)
-            .all(|(sent, known)| sent >= known);
-        if is_later {
-            self.count(now, &news(sent, &known.sent));
+            .zip(known.iter())
+            .any(|(sent, known)| sent < known)
+        {
+            *run += 1;
+        }
+        known.clear();
+        known.extend_from_slice(sent);
+        let word = CountWord {
+            run: *run,
+            // What was sent before this entry heard of it is in no window of its own.
+            age: Duration::MAX,
+            counts: sent.iter().copied().enumerate().collect(),
+        };
+        let mut news = vec![0; self.regions.len()];
+        for (region, added) in self.tally.on_word(now, peer, &word) {
+            news[region] = u32::try_from(added).unwrap_or_default();
         }
+        self.count(now, &news);
     }
 
     /// Forgets entries that aren't in `live`.
     pub fn keep_peers(&mut self, live: &[u64]) {
         self.heard.retain(|peer, _| live.contains(peer));
+        self.tally.retain(|peer, _| live.contains(&peer));
     }
 
     fn count(&mut self, now: Instant, counts: &[u32]) {
@@ -269,11 +268,3 @@
         *sum = sum.saturating_add(*count);
     }
 }
-
-/// What was sent between two counts.
-fn news(sent: &[u32], known: &[u32]) -> RegionCounts {
-    let pairs = sent.iter().zip(known);
-    pairs
-        .map(|(sent, known)| sent.wrapping_sub(*known))
-        .collect()
-}
--- a/crates/place/src/placing/placer.rs
+++ b/crates/place/src/placing/placer.rs
@@ -143,7 +143,7 @@
         self.loads.apply(now, &mut self.catalog);
         LoadWord {
             load: own_load(&self.catalog),
-            sent: self.shift.sent().to_vec(),
+            sent: self.shift.sent(),
             handled: self.warmth.take_news(),
         }
     }
--- a/crates/team/src/lib.rs
+++ b/crates/team/src/lib.rs
@@ -5,8 +5,10 @@
 
 pub mod access;
 pub mod book;
+pub mod bucket;
 pub mod error;
 pub mod homes;
 pub mod key;
 pub mod prelude;
+pub mod quota;
 pub mod spec;
--- a/crates/team/src/prelude.rs
+++ b/crates/team/src/prelude.rs
@@ -2,5 +2,7 @@
 
 pub use crate::access::{Access, AccessBounds, KeyClaim};
 pub use crate::book::TeamBook;
+pub use crate::bucket::QuotaBounds;
 pub use crate::key::KeyDigest;
+pub use crate::quota::{QuotaLimiter, QuotaWord};
 pub use crate::spec::{TeamQuota, TeamSpec};
--- /dev/null
+++ b/crates/team/tests/quota.rs
@@ -0,0 +1,198 @@
+//! One entry's part in a team's quota.
+
+use std::time::{Duration, Instant};
+
+use team::prelude::{QuotaBounds, QuotaLimiter, QuotaWord, TeamQuota, TeamSpec};
+
+const PAUSE: Duration = Duration::from_millis(80);
+const BOUNDS: QuotaBounds = QuotaBounds {
+    window: Duration::from_secs(5),
+    excess: 0.1,
+    slack: 20.0,
+};
+
+fn team(name: &str, rate: f64, burst: f64) -> TeamSpec {
+    TeamSpec {
+        name: name.to_owned(),
+        keys: Vec::new(),
+        priority: None,
+        quota: TeamQuota::new(rate, burst),
+        home_regions: Vec::new(),
+    }
+}
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// A limiter that knows the team `red` and has run alone for a while.
+fn alone(rate: f64, burst: f64) -> (Instant, QuotaLimiter) {
+    let start = Instant::now();
+    let mut limiter = QuotaLimiter::new(start, BOUNDS, 1, false);
+    limiter.set_teams(start, &[team("red", rate, burst)]);
+    (start + Duration::from_secs(60), limiter)
+}
+
+fn admitted(limiter: &mut QuotaLimiter, now: Instant, tries: u32) -> u32 {
+    let tries = (0..tries).filter(|_| limiter.admit(now, "red").is_ok());
+    tries.count() as u32
+}
+
+fn hears(limiter: &mut QuotaLimiter, now: Instant, peer: u64, run: u64, age: u64) {
+    let word = QuotaWord {
+        run,
+        age,
+        ..QuotaWord::default()
+    };
+    limiter.on_word(now, peer, &word);
+}
+
+/// Promise: a team gets its burst and its rate, no more; teams without a quota get all.
+#[test]
+fn a_quota_is_a_rate_and_a_burst() {
+    let (now, mut limiter) = alone(10.0, 30.0);
+    assert_eq!(admitted(&mut limiter, now, 100), 30);
+    assert_eq!(admitted(&mut limiter, now + ms(2000), 100), 20);
+    assert!((0..1000).all(|_| limiter.admit(now, "free").is_ok()));
+}
+
+/// Promise: a rate far below one request a second, and no burst, still let one in now and
+/// then.
+#[test]
+fn a_small_quota_is_not_none() {
+    let (now, mut limiter) = alone(0.1, 0.0);
+    assert_eq!(admitted(&mut limiter, now, 5), 1);
+    assert_eq!(admitted(&mut limiter, now + ms(9000), 5), 0);
+    assert_eq!(admitted(&mut limiter, now + ms(10_100), 5), 1);
+}
+
+/// Promise: what hasn't run doesn't count.
+#[test]
+fn what_has_not_run_is_given_back() {
+    let (now, mut limiter) = alone(1.0, 2.0);
+    assert_eq!(admitted(&mut limiter, now, 5), 2);
+    limiter.give_back(now, "red");
+    assert_eq!(admitted(&mut limiter, now, 5), 1);
+}
+
+/// Promise: callers are told to come back when there is room, one after the other.
+#[test]
+fn refused_callers_come_back_one_after_the_other() {
+    let (now, mut limiter) = alone(4.0, 4.0);
+    assert_eq!(admitted(&mut limiter, now, 4), 4);
+    let waits: Vec<Duration> = (0..4)
+        .map(|_| limiter.admit(now, "red").unwrap_err())
+        .collect();
+    for (turn, wait) in (1..).zip(&waits) {
+        let room = ms(250 * turn);
+        assert!(*wait >= room && *wait < room + ms(100), "{waits:?}");
+    }
+    for wait in waits {
+        assert!(
+            limiter.admit(now + wait + ms(5), "red").is_ok(),
+            "after {wait:?}"
+        );
+    }
+}
+
+/// Promise: an entry that starts among others doesn't take what they may have let in before
+/// for free.
+#[test]
+fn an_entry_that_starts_begins_with_little() {
+    let start = Instant::now();
+    let mut limiter = QuotaLimiter::new(start, BOUNDS, 2, true);
+    for peer in 1..=8 {
+        hears(&mut limiter, start, peer, 1, 60_000);
+    }
+    limiter.set_entries(start, &[1, 2, 3, 4, 5, 6, 7, 8], PAUSE);
+    let now = start + ms(100);
+    limiter.set_teams(now, &[team("red", 100.0, 100.0)]);
+    let first = admitted(&mut limiter, now, 1000);
+    assert!((1..=20).contains(&first), "{first}");
+}
+
+/// Promise: an entry that nobody hears keeps to its part; once it hears the others again it
+/// has all of the quota, less what they let in.
+#[test]
+fn a_silent_fleet_leaves_each_its_part() {
+    let start = Instant::now();
+    let mut limiter = QuotaLimiter::new(start, BOUNDS, 1, true);
+    limiter.set_teams(start, &[team("red", 90.0, 90.0)]);
+    let peers: Vec<u64> = (1..=8).collect();
+    limiter.set_entries(start, &peers, PAUSE);
+    let mut now = start;
+    for _ in 0..50 {
+        now += ms(100);
+        for peer in &peers {
+            hears(&mut limiter, now, *peer, 1, 1000);
+        }
+    }
+    now += ms(20_000);
+    let alone = admitted(&mut limiter, now, 1000);
+    // A ninth of the burst, and a little for what it can't know.
+    assert!((10..=14).contains(&alone), "{alone}");
+    now += ms(5000);
+    for _ in 0..12 {
+        now += ms(100);
+        for peer in &peers {
+            hears(&mut limiter, now, *peer, 1, 30_000);
+        }
+        limiter.word(now);
+    }
+    let together = admitted(&mut limiter, now, 1000);
+    assert!(together >= 90, "{together}");
+}
+
+/// Promise: an entry that says that it lets nothing in any more has no part set aside.
+#[test]
+fn who_stands_by_takes_no_part() {
+    let (mut now, mut limiter) = alone(100.0, 100.0);
+    hears(&mut limiter, now, 1, 1, 1000);
+    let last = QuotaWord {
+        run: 1,
+        age: 1080,
+        ends: true,
+        ..QuotaWord::default()
+    };
+    limiter.on_word(now + PAUSE, 1, &last);
+    now += ms(10_000);
+    assert_eq!(admitted(&mut limiter, now, 1000), 100);
+}
+
+/// Promise: places among other teams are not taken for this entry's, and nothing is lost once
+/// both know the same teams.
+#[test]
+fn counts_of_other_sets_of_teams_wait() {
+    let start = Instant::now();
+    let both = [team("blue", 10.0, 10.0), team("red", 10.0, 10.0)];
+    let mut ahead = QuotaLimiter::new(start, BOUNDS, 1, false);
+    ahead.set_teams(start, &both);
+    let mut behind = QuotaLimiter::new(start, BOUNDS, 1, false);
+    behind.set_teams(start, &[team("red", 10.0, 10.0)]);
+    let now = start + ms(4000);
+    hears(&mut behind, now, 7, 1, 4000);
+    assert_eq!(admitted(&mut ahead, now, 9), 9);
+    let word = ahead.word(now);
+    behind.on_word(now, 7, &word);
+    behind.set_teams(now, &both);
+    behind.on_word(now + PAUSE, 7, &ahead.word(now + PAUSE));
+    assert!(admitted(&mut behind, now + PAUSE, 100) <= 2);
+}
+
+/// Promise: a hundred thousand teams cost a request no more than one does, and a word tells
+/// only of those that asked lately.
+#[test]
+fn many_teams_cost_only_those_that_ask() {
+    let start = Instant::now();
+    let teams: Vec<TeamSpec> = (0..100_000)
+        .map(|index| team(&format!("team-{index}"), 5.0, 5.0))
+        .collect();
+    let mut limiter = QuotaLimiter::new(start, BOUNDS, 1, false);
+    limiter.set_teams(start, &teams);
+    let now = start + ms(10_000);
+    for index in 0..40 {
+        assert!(limiter.admit(now, &format!("team-{}", index * 7)).is_ok());
+    }
+    assert_eq!(limiter.word(now).counts.len(), 40);
+    assert_eq!(limiter.word(now + ms(1500)).counts.len(), 0);
+}
