--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -92,6 +92,7 @@
             budget: config.budget,
             shift_cap: config.shift_cap,
             costs: config.costs,
+            drain: config.drain,
             own,
         });
         let (stopping, _) = tokio::sync::watch::channel(StopPhase::Serving);
--- a/bin/lh-entry/src/watch.rs
+++ b/bin/lh-entry/src/watch.rs
@@ -191,6 +191,8 @@
             ReadOutcome::Failed
         }
     };
+    let settles_at = state.placer.borrow().catalog.settles_at();
+    state.fleet.on_event(FleetEvent::Settles(settles_at));
     state.fleet.on_event(FleetEvent::Read(outcome));
 }
 
--- a/crates/emulate/benches/slopes.rs
+++ b/crates/emulate/benches/slopes.rs
@@ -128,6 +128,7 @@
             domain: 3.0,
             region: 6.0,
         },
+        drain: Duration::from_millis(2500),
         own: 1,
     });
     placer.set_desired(&DesiredState {
--- a/crates/emulate/src/setup.rs
+++ b/crates/emulate/src/setup.rs
@@ -67,6 +67,7 @@
             domain: 3.0,
             region: 6.0,
         },
+        drain: Duration::from_millis(2500),
         own: entry_hash(entry),
     }
 }
--- a/crates/place/src/catalog.rs
+++ b/crates/place/src/catalog.rs
@@ -11,8 +11,18 @@
 use crate::placing::trip::TripBook;
 use crate::server::{EntryState, ServerEntry, ServerRecord};
 
-/// After the registry's return, live servers are listed again within about 2 s.
-const RELIST_TIME: Duration = Duration::from_millis(2200);
+/// After the registry's return, live servers are listed again within about 2 s; they are
+/// waited for a little longer.
+const RELIST_TIME: Duration = Duration::from_millis(2400);
+/// What is left of the time in which a leaving server must get no more requests, so that all
+/// entries hear in time that one isn't back.
+const RELIST_MARGIN: Duration = Duration::from_millis(600);
+/// The registry is taken to have returned this long before its first answer at most: half
+/// the time between two tries.
+const RETURN_MOST: Duration = Duration::from_millis(400);
+/// While another entry's reading is no older than this, the registry is there, though it
+/// doesn't answer this entry. An outage this short makes no entry lapse.
+const OTHERS_FRESH: Duration = Duration::from_millis(1500);
 
 /// Names a record for as long as the server is known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -104,6 +114,10 @@
     /// When the registry failed to answer last, until it does again.
     failed_at: Option<Instant>,
     settled_at: Option<Instant>,
+    /// As of when another entry's reading was told last.
+    told_at: Option<Instant>,
+    /// Time after the registry's return in which live servers are listed again.
+    relist: Duration,
 }
 
 impl ServerCatalog {
@@ -111,10 +125,18 @@
     pub fn new(domains: HashMap<String, String>) -> Self {
         Self {
             domains,
+            relist: RELIST_TIME,
             ..Self::default()
         }
     }
 
+    /// Sets the time within which a leaving server must get no more requests.
+    #[must_use]
+    pub fn with_drain(mut self, drain: Duration) -> Self {
+        self.relist = RELIST_TIME.min(drain.saturating_sub(RELIST_MARGIN));
+        self
+    }
+
     /// Sets where the entry stands that uses this catalog.
     #[must_use]
     pub fn with_place(mut self, domain: &str, region: &str) -> Self {
@@ -143,8 +165,13 @@
         self.read_at
     }
 
-    /// The registry did not answer a reading.
+    /// The registry did not answer a reading. Where it answers others nothing has lapsed: a
+    /// lead that waited for what may have lapsed kept a server that had left.
     pub fn on_read_failed(&mut self, now: Instant) {
+        let is_answered = |at| now.saturating_duration_since(at) < OTHERS_FRESH;
+        if self.told_at.is_some_and(is_answered) {
+            return;
+        }
         self.failed_at = Some(now);
         self.settled_at = None;
     }
@@ -154,8 +181,8 @@
         if self.read_at.is_some_and(|at| at > snapshot.begun) {
             return Vec::new();
         }
-        if self.failed_at.take().is_some() {
-            self.settled_at = Some(now + RELIST_TIME);
+        if let Some(failed_at) = self.failed_at.take() {
+            self.settled_at = Some(self.settled_after(failed_at, now));
         }
         let settled = self.settled_at.is_none_or(|at| now >= at);
         let mut changes = Vec::new();
@@ -209,12 +236,19 @@
     /// after 12 s kept a server that had left for 3.5 s.
     pub fn confirm(&mut self, begun: Instant) {
         self.read_at = self.read_at.max(Some(begun));
+        self.told_at = self.told_at.max(Some(begun));
         if let Some(failed_at) = self.failed_at.filter(|failed_at| *failed_at <= begun) {
             self.failed_at = None;
-            self.settled_at = Some(failed_at + RELIST_TIME);
+            self.settled_at = Some(self.settled_after(failed_at, begun));
         }
     }
 
+    /// When servers that are still missing are gone, where any may be.
+    pub fn settles_at(&self) -> Option<Instant> {
+        let has_missing = self.missing().next().is_some();
+        self.settled_at.filter(|_| has_missing)
+    }
+
     /// Servers whose rows vanished and that are kept for now.
     pub fn missing(&self) -> impl Iterator<Item = &str> {
         let missing = self.iter().filter(|record| record.missing_since.is_some());
@@ -296,6 +330,13 @@
         self.records.iter_mut().flatten()
     }
 
+    /// When all live servers are listed again, where the registry returned at some time
+    /// between a call that failed and one that it answered.
+    fn settled_after(&self, failed_at: Instant, answered_at: Instant) -> Instant {
+        let between = answered_at.saturating_duration_since(failed_at);
+        answered_at - (between / 2).min(RETURN_MOST) + self.relist
+    }
+
     /// Takes in one entry. Runs of a server are told apart by their start, words of
     /// one run by `seq`: a late word of a former run changes nothing.
     fn update(&mut self, begun: Instant, entry: &ServerEntry, changes: &mut Vec<CatalogChange>) {
--- a/crates/place/src/fleet/member/mod.rs
+++ b/crates/place/src/fleet/member/mod.rs
@@ -93,6 +93,8 @@
     Suspended(Duration),
     /// What came of a reading of the registry that this entry was to make.
     Read(ReadOutcome),
+    /// Servers that are missing in the registry are gone at this time, where there are such.
+    Settles(Option<Instant>),
     /// The store has answered a watch of the operator's rows, or not.
     Watched(bool),
     /// Lists of entries were told.
@@ -250,6 +252,7 @@
                 self.reads = outcome != ReadOutcome::Failed;
                 self.readings.on_read(now, outcome);
             }
+            FleetEvent::Settles(at) => self.readings.set_settles(at),
             FleetEvent::Watched(done) => self.reads = done,
             FleetEvent::Lists(lists) => {
                 let newer = lists
--- a/crates/place/src/fleet/reading.rs
+++ b/crates/place/src/fleet/reading.rs
@@ -6,8 +6,9 @@
 
 /// First pause after a failed reading, so that a store in trouble isn't pressed.
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
-/// Longest pause: a store that is back is noticed within it.
-const LONGEST_PAUSE: Duration = Duration::from_millis(1200);
+/// Longest pause: a store that is back is noticed within it, early enough to tell servers
+/// that have left from those that are not back yet.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 /// A reader that was told a change asks on after this part of its usual time: many
 /// servers that change one after the other are told in a few calls.
 const NEWS_SHARE: f64 = 0.33;
@@ -67,6 +68,8 @@
     is_reading: bool,
     pause: Duration,
     not_before: Option<Instant>,
+    /// When servers that are missing in the registry will be gone.
+    settles_at: Option<Instant>,
 }
 
 impl ReadingPlan {
@@ -82,9 +85,16 @@
             is_reading: false,
             pause: FIRST_PAUSE,
             not_before: None,
+            settles_at: None,
         }
     }
 
+    /// Servers that are missing in the registry are gone at `at`, where there are such: a
+    /// reader looks then.
+    pub fn set_settles(&mut self, at: Option<Instant>) {
+        self.settles_at = at;
+    }
+
     /// The reading that was begun has ended.
     pub fn on_read(&mut self, now: Instant, outcome: ReadOutcome) {
         self.is_reading = false;
@@ -115,7 +125,7 @@
         }
         let age = known_at.map(|at| now.saturating_duration_since(at));
         let is_due = match role {
-            ReadRole::Reader => self.next.is_none_or(|next| now >= next),
+            ReadRole::Reader => self.next.is_none_or(|next| now >= next) || self.settles_now(now),
             ReadRole::Deputy => age.is_none_or(|age| age >= self.pace.deputy),
             // What is lacked may not be the registry: no more often than a reader.
             ReadRole::Follower { stuck: true, .. } => age.is_none_or(|age| age >= self.pace.reader),
@@ -131,7 +141,7 @@
             return None;
         }
         let wait = match role {
-            ReadRole::Reader => self.pace.reader,
+            ReadRole::Reader => self.reader_wait(now),
             _ => Duration::ZERO,
         };
         self.begun = Some(now);
@@ -155,6 +165,24 @@
         self.pace
     }
 
+    /// Whether servers that are missing are gone by now, and nobody has looked since.
+    fn settles_now(&self, now: Instant) -> bool {
+        let at = self.settles_at.filter(|at| now >= *at);
+        at.is_some_and(|at| self.begun.is_none_or(|begun| begun < at))
+    }
+
+    /// How long a reader lets the store wait for changes: it must be back to look whether
+    /// servers that are missing are gone. Waiting on took these beyond the time within which
+    /// a leaving server must get no more requests.
+    fn reader_wait(&self, now: Instant) -> Duration {
+        let settles_in = self.settles_at.map(|at| at.saturating_duration_since(now));
+        match settles_in {
+            Some(Duration::ZERO) if self.settles_now(now) => Duration::ZERO,
+            Some(span) if !span.is_zero() => span.min(self.pace.reader),
+            _ => self.pace.reader,
+        }
+    }
+
     fn lone_age(&self, used: bool) -> Duration {
         let spread = if used {
             Duration::ZERO
--- a/crates/place/src/placing/placer.rs
+++ b/crates/place/src/placing/placer.rs
@@ -50,6 +50,8 @@
     pub shift_cap: f64,
     /// What it costs to send bytes elsewhere.
     pub costs: ByteCosts,
+    /// Time within which a leaving server must get no more requests.
+    pub drain: Duration,
     /// Own hash in the division of shared rates.
     pub own: u64,
 }
@@ -85,7 +87,8 @@
         let regions: Vec<String> = config.domains.values().cloned().collect();
         Self {
             catalog: ServerCatalog::new(config.domains.clone())
-                .with_place(&config.domain, &config.region),
+                .with_place(&config.domain, &config.region)
+                .with_drain(config.drain),
             services: HashMap::new(),
             splitter: TrafficSplitter::default(),
             budget: RetryBudget::new(config.budget),
--- a/crates/place/tests/common/mod.rs
+++ b/crates/place/tests/common/mod.rs
@@ -109,6 +109,7 @@
             domain: 3.0,
             region: 6.0,
         },
+        drain: Duration::from_millis(2500),
         own: 77,
     }
 }
--- /dev/null
+++ b/crates/place/tests/relisting.rs
@@ -0,0 +1,95 @@
+//! Servers whose rows vanish around an outage of the store: kept while they may only have
+//! lapsed, and no longer.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{ms, placer_config, reading, server};
+use place::catalog::ServerCatalog;
+use place::fleet::pace::ReadPace;
+use place::fleet::reading::{ReadOutcome, ReadRole, ReadingPlan};
+
+/// Within this time a leaving server must get no more requests.
+const DRAIN: Duration = Duration::from_millis(3000);
+/// An answer of the store.
+const ANSWER: Duration = Duration::from_millis(5);
+/// The way to the entries that follow the reader.
+const TELLING: Duration = Duration::from_millis(150);
+
+/// Promise: a server whose row is dropped just after the store's return is used by nobody
+/// any more in time, whenever its reader happened to ask.
+#[test]
+fn a_row_dropped_after_an_outage_counts_in_time() {
+    for offset in 0..20 {
+        let start = Instant::now();
+        let mut catalog = ServerCatalog::new(placer_config().domains).with_drain(DRAIN);
+        let mut plan = ReadingPlan::new(start, ReadPace::new(DRAIN), 1);
+        let both = [server("x", "a1"), server("y", "a1")];
+        catalog.on_read(start, &reading(start, &both));
+        let back = start + ms(4000 + 55 * offset);
+        let dropped = back + ms(200);
+        let mut now = start;
+        while catalog.iter().count() == 2 {
+            assert!(
+                now <= dropped + DRAIN - TELLING,
+                "offset {offset}: used too long"
+            );
+            now += ms(10);
+            plan.set_settles(catalog.settles_at());
+            let Some(wait) = plan.take(now, ReadRole::Reader, catalog.read_at()) else {
+                continue;
+            };
+            if now < back {
+                catalog.on_read_failed(now);
+                plan.on_read(now, ReadOutcome::Failed);
+                continue;
+            }
+            let begun = now;
+            // The store answers at once what has changed, else after the wait.
+            let is_news = catalog.missing().next().is_none() && dropped < begun + wait;
+            now = if is_news {
+                dropped.max(begun)
+            } else {
+                begun + wait
+            } + ANSWER;
+            let rows = if now > dropped { &both[..1] } else { &both[..] };
+            catalog.on_read(now, &reading(begun, rows));
+            let outcome = if is_news {
+                ReadOutcome::Changed
+            } else {
+                ReadOutcome::Same
+            };
+            plan.on_read(now, outcome);
+        }
+        assert!(
+            now >= back + ms(2000),
+            "offset {offset}: dropped before it could be back"
+        );
+    }
+}
+
+/// Promise: a server whose row vanishes is gone at once for an entry that the store alone
+/// turned away, as others' readings show: nothing has lapsed.
+#[test]
+fn a_store_that_turns_one_away_lapses_nothing() {
+    let start = Instant::now();
+    let mut catalog = ServerCatalog::new(placer_config().domains);
+    let both = [server("x", "a1"), server("y", "a1")];
+    catalog.on_read(start, &reading(start, &both));
+    for turn in 1..=20 {
+        let now = start + ms(300 * turn);
+        catalog.confirm(now - ms(40));
+        catalog.on_read_failed(now);
+    }
+    let now = start + ms(6200);
+    catalog.on_read(now, &reading(now, &both[..1]));
+    assert_eq!(catalog.iter().count(), 1);
+    // Nobody was answered: it may only have lapsed.
+    for turn in 1..=20 {
+        catalog.on_read_failed(now + ms(300 * turn));
+    }
+    let now = now + ms(6200);
+    catalog.on_read(now, &reading(now, &[]));
+    assert_eq!(catalog.iter().count(), 1);
+}
