A change of the registry isn't hidden by what only one entry noticed

A log's version was the store's own or one more than the last: a step of an entry's own (a row given up, somebody else's row) took the number of the store's next change.

--- a/crates/place/src/fleet/follow.rs
+++ b/crates/place/src/fleet/follow.rs
@@ -6,6 +6,7 @@
 
 use crate::fleet::known::KnownStore;
 use crate::fleet::leads::{HeardLead, LeadTable};
+use crate::fleet::log::log_version;
 use crate::fleet::regions::RegionBook;
 
 /// Half of a region's entries ask the reader first, half the deputy; who has waited
@@ -170,7 +171,7 @@
 fn is_ahead(now: Instant, known: &KnownStore, lead: &HeardLead) -> bool {
     let read_at = lead.known.registry_at;
     read_at.is_some_and(|at| now.saturating_duration_since(at) < READ_LIFE)
-        && known.registry > lead.known.registry_read
+        && known.registry >= log_version(lead.known.registry_read.saturating_add(1))
 }
 
 /// Whether a lead of another region tells something that this region's leads can't hear
--- a/crates/place/src/fleet/known.rs
+++ b/crates/place/src/fleet/known.rs
@@ -3,13 +3,13 @@
 use std::time::{Duration, Instant};
 
 use crate::fleet::clock::StoreTime;
+use crate::fleet::log::log_version;
 
 base::common! {
     /// What an entry knows of the store, as it tells others.
     #[derive(Copy, Eq, Default)]
     pub struct StoreWord {
-        /// The store's version at the reading that last changed something in the
-        /// registry.
+        /// The log's version of what is known of the registry.
         pub registry: u64,
         /// The store's version at the newest reading of the registry.
         pub registry_read: u64,
@@ -31,7 +31,7 @@
 /// The same as this entry keeps it, with times of its own clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct KnownStore {
-    /// The store's version at the reading that last changed something in the registry.
+    /// The log's version of what is known of the registry.
     pub registry: u64,
     /// The store's version at the newest reading of the registry.
     pub registry_read: u64,
@@ -125,7 +125,8 @@
     /// the registry fresher.
     pub fn confirm(&mut self, other: &Self) -> bool {
         self.confirm_operator(other);
-        let is_same = !self.is_behind_registry(other) && other.registry_read >= self.registry;
+        let covers = log_version(other.registry_read.saturating_add(1)) > self.registry;
+        let is_same = !self.is_behind_registry(other) && covers;
         if !is_same || other.registry_at <= self.registry_at {
             return false;
         }
--- a/crates/place/src/fleet/log.rs
+++ b/crates/place/src/fleet/log.rs
@@ -1,8 +1,8 @@
 //! The servers' registry as it is told from entry to entry: what changed since a
 //! version of the store.
 //!
-//! Versions are the store's own, so that an entry may ask any other for what it lacks,
-//! whichever of them read it. What is told twice does no harm.
+//! Versions are made of the store's own, so that an entry may ask any other for what it
+//! lacks, whichever of them read it. What is told twice does no harm.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -12,6 +12,10 @@
 /// Servers that are gone stay in the log for this many changes: a third of the largest
 /// fleet may be replaced while an entry hears nothing.
 const GONE_KEPT: usize = 1024;
+/// Steps of an entry's own between two versions of the store: it may notice something that
+/// is no change there, as that a server is not back in time. Without room for them such a
+/// step took the number of the store's next change, which others then took as known.
+const OWN_STEPS: u64 = 1024;
 /// A log so far ahead of the store holds what no reading gave, as after a damaged
 /// message, and is read anew.
 const AHEAD_MOST: u64 = 1000;
@@ -20,7 +24,7 @@
     /// What changed in the registry.
     #[derive(Eq, Default)]
     pub struct RegistryDelta {
-        /// The store's version up to which this tells all.
+        /// The log's version up to which this tells all.
         pub version: u64,
         /// Whether `entries` are all there are.
         pub whole: bool,
@@ -49,10 +53,15 @@
     pub missing: Vec<String>,
 }
 
+/// The log's version of a reading as of the store's version `store`.
+pub fn log_version(store: u64) -> u64 {
+    store.saturating_mul(OWN_STEPS)
+}
+
 /// The registry with the versions at which its entries changed.
 #[derive(Debug, Default)]
 pub struct RegistryLog {
-    /// The store's version at the newest change; 0 before the first reading.
+    /// The version of the newest change; 0 before the first reading.
     version: u64,
     /// Changes after this version are all known.
     oldest: u64,
@@ -63,7 +72,7 @@
 }
 
 impl RegistryLog {
-    /// The store's version at the newest change; 0 where nothing is known.
+    /// The version of the newest change; 0 where nothing is known.
     pub fn version(&self) -> u64 {
         self.version
     }
@@ -81,11 +90,11 @@
 
     /// Takes in a reading of the registry.
     pub fn on_read(&mut self, snapshot: &CatalogSnapshot, scope: ReadScope) {
-        if scope.version.saturating_add(AHEAD_MOST) < self.version {
+        if log_version(scope.version.saturating_add(AHEAD_MOST)) < self.version {
             *self = Self::default();
         }
         let is_first = self.version == 0;
-        let stamp = scope.version.max(self.version.saturating_add(1));
+        let stamp = log_version(scope.version).max(self.version.saturating_add(1));
         let mut is_changed = self.foreign != snapshot.foreign || self.missing != scope.missing;
         let was_out = |id: &String| self.foreign.contains(id) || self.missing.contains(id);
         let mut left = std::mem::take(&mut self.entries);
--- a/crates/place/tests/fleet.rs
+++ b/crates/place/tests/fleet.rs
@@ -6,6 +6,7 @@
 
 use fleet_world::{DRAIN, FleetWorld, REGIONS, domain_of, ms, region_of};
 use place::fleet::known::StoreWord;
+use place::fleet::log::log_version;
 use place::fleet::message::{PeerMessage, RegionDigest, RegionWord};
 use place::prelude::*;
 
@@ -417,7 +418,11 @@
     world.run(ms(3000));
     for victim in victims {
         let known = world.entries[victim].member.known();
-        assert_eq!(known.registry, world.registry, "entry {victim}");
+        assert_eq!(
+            known.registry,
+            log_version(world.registry),
+            "entry {victim}"
+        );
     }
 }
 
--- a/crates/place/tests/fleet_world/mod.rs
+++ b/crates/place/tests/fleet_world/mod.rs
@@ -11,6 +11,7 @@
 use place::crash::word::KeptQuarantine;
 use place::fleet::clock::StoreTime;
 use place::fleet::follow::PullTarget;
+use place::fleet::log::log_version;
 use place::fleet::member::MemberConfig;
 use place::fleet::message::PeerMessage;
 use place::fleet::reading::ReadOutcome;
@@ -484,8 +485,8 @@
             return;
         }
         let mut known = *self.entries[entry].member.known();
-        let is_news = known.registry_at.is_none() || known.registry != self.registry;
-        known.registry = self.registry;
+        let is_news = known.registry_at.is_none() || known.registry != log_version(self.registry);
+        known.registry = log_version(self.registry);
         known.registry_read = self.version;
         known.registry_at = Some(begun + wait);
         self.tell(entry, FleetEvent::Known(known));
@@ -658,7 +659,9 @@
         let mut live = self.live();
         live.retain(|entry| {
             let known = self.entries[*entry].member.known();
-            !known.is_complete() || known.registry < self.registry || known.operator < self.operator
+            !known.is_complete()
+                || known.registry < log_version(self.registry)
+                || known.operator < self.operator
         });
         live
     }
--- a/crates/place/tests/log.rs
+++ b/crates/place/tests/log.rs
@@ -6,7 +6,8 @@
 use std::time::Instant;
 
 use common::{changes, domains, ms, reading, server};
-use place::fleet::log::{ReadScope, RegistryLog};
+use place::fleet::known::KnownStore;
+use place::fleet::log::{ReadScope, RegistryLog, log_version};
 use place::prelude::*;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -26,10 +27,10 @@
     cold.seq = 9;
     cold.cold_remaining = ms(1500);
     log.on_read(&reading(now, &[cold.clone()]), changes(2));
-    assert_eq!(log.version(), 1);
+    assert_eq!(log.version(), log_version(1));
     cold.cold_remaining = ms(0);
     log.on_read(&reading(now, &[cold]), changes(3));
-    assert_eq!(log.since(1).entries.len(), 1);
+    assert_eq!(log.since(log_version(1)).entries.len(), 1);
 }
 
 /// Promise: a server whose row vanished while the registry was in trouble is kept by
@@ -66,7 +67,7 @@
     let mut log = RegistryLog::default();
     log.on_read(&reading(now, &[server("x", "a1")]), changes(u64::MAX - 3));
     log.on_read(&reading(now, &[server("y", "a1")]), changes(40));
-    assert_eq!(log.version(), 40);
+    assert_eq!(log.version(), log_version(40));
     let told = log.since(0);
     assert!(told.whole && told.entries.len() == 1 && told.gone.is_empty());
 }
@@ -143,3 +144,41 @@
         }
     }
 }
+
+/// Promise: what one entry reads is not taken as known by another whose own log moved on for
+/// a reason of its own, though no change of the store's was in it.
+#[test]
+fn a_change_is_not_hidden_by_what_only_one_entry_noticed() {
+    let now = Instant::now();
+    let (mut here, mut there) = (RegistryLog::default(), RegistryLog::default());
+    let both = [server("x", "a1"), server("y", "a1")];
+    here.on_read(&reading(now, &both), changes(100));
+    there.on_read(&reading(now, &both), changes(100));
+    // Only here somebody else's row is met; the store's version is the same.
+    let mut odd = reading(now, &both);
+    odd.foreign.push("z".to_owned());
+    here.on_read(&odd, changes(100));
+    let mut known = KnownStore {
+        registry: here.version(),
+        registry_read: 100,
+        registry_at: Some(now),
+        ..KnownStore::default()
+    };
+    // There it is read that a server leaves.
+    let mut leaving = both.clone();
+    leaving[0].state = EntryState::Draining;
+    there.on_read(&reading(now + ms(10), &leaving), changes(101));
+    there.on_read(&reading(now + ms(20), &leaving), changes(102));
+    let heard = KnownStore {
+        registry: there.version(),
+        registry_read: 102,
+        registry_at: Some(now + ms(20)),
+        ..KnownStore::default()
+    };
+    assert!(known.is_behind_registry(&heard));
+    assert!(!known.confirm(&heard));
+    assert_eq!(
+        known.registry_read, 100,
+        "it would ask for later changes only"
+    );
+}
