--- a/bin/lh-entry/src/fleet.rs
+++ b/bin/lh-entry/src/fleet.rs
@@ -325,6 +325,12 @@
         FleetNote::Listed(listed, named) => {
             log::info!(listed, named; "entries of the region listed");
         }
+        FleetNote::Contradicted(lead) => {
+            state.metrics.contradictions.inc();
+            let (registry, read) = (known.registry, known.registry_read);
+            let content = known.content.to_string();
+            log::warn!(lead = lead.as_str(), registry, read, content = content.as_str(), servers_age_ms; "a lead knows other servers");
+        }
         FleetNote::Ahead => {
             log::warn!(servers_age_ms; "what is known is ahead of the store; asking for all");
         }
--- a/bin/lh-entry/src/inner.rs
+++ b/bin/lh-entry/src/inner.rs
@@ -88,6 +88,8 @@
             let placer = state.placer.borrow();
             let heard = state.fleet.known().operator_at;
             state.metrics.show_operator(heard.map(|at| at.elapsed()));
+            let content = state.servers.borrow().content();
+            state.metrics.registry_content.set(content.short());
             state.metrics.leads.set(i64::from(state.fleet.leads()));
             let region = &state.config.region;
             state
--- a/bin/lh-entry/src/job.rs
+++ b/bin/lh-entry/src/job.rs
@@ -206,6 +206,7 @@
         body: &mut JobBody,
     ) -> AttemptEnd {
         let careful = !route.kind.may_repeat();
+        let placed = Instant::now();
         let mut lease = match self.connection(&guard.placement, careful).await {
             Ok(lease) => lease,
             Err(reason) => {
@@ -226,6 +227,7 @@
             guard.finish(ServerOutcome::Unreachable, None);
             return AttemptEnd::Unreachable;
         };
+        self.record.on_sent(placed.elapsed());
         let sending = sender.try_send_request(request);
         let answer = match timeout_at(self.ends.into(), sending).await {
             Err(_) => {
--- a/bin/lh-entry/src/metrics.rs
+++ b/bin/lh-entry/src/metrics.rs
@@ -37,6 +37,9 @@
     pub(crate) leads: IntGauge,
     pulls: IntCounterVec,
     told: IntCounterVec,
+    readings: IntCounterVec,
+    pub(crate) registry_content: IntGauge,
+    pub(crate) contradictions: IntCounter,
     bad_datagrams: IntCounter,
     broken_off: IntCounterVec,
     pub(crate) connections: IntGauge,
@@ -147,6 +150,21 @@
             ),
             &["copy"],
         )?;
+        let readings = IntCounterVec::new(
+            Opts::new(
+                "laurelhill_registry_readings_total",
+                "Answers of the store about the servers' registry, by what they brought",
+            ),
+            &["result"],
+        )?;
+        let registry_content = IntGauge::new(
+            "laurelhill_registry_content",
+            "Mark of what is known of the servers' registry; equal at entries that know the same",
+        )?;
+        let contradictions = IntCounter::new(
+            "laurelhill_contradictions_total",
+            "Digests of leads that know other things of the registry though both have read it",
+        )?;
         // Shown from the start, so that a rate can be told before the first one.
         for copy in ["whole", "changes"] {
             told.with_label_values(&[copy]);
@@ -185,6 +203,9 @@
         registry.register(Box::new(leads.clone()))?;
         registry.register(Box::new(pulls.clone()))?;
         registry.register(Box::new(told.clone()))?;
+        registry.register(Box::new(readings.clone()))?;
+        registry.register(Box::new(registry_content.clone()))?;
+        registry.register(Box::new(contradictions.clone()))?;
         registry.register(Box::new(bad_datagrams.clone()))?;
         registry.register(Box::new(broken_off.clone()))?;
         registry.register(Box::new(connections.clone()))?;
@@ -209,6 +230,9 @@
             leads,
             pulls,
             told,
+            readings,
+            registry_content,
+            contradictions,
             bad_datagrams,
             broken_off,
             connections,
@@ -250,6 +274,17 @@
         self.told.with_label_values(&[copy]).inc();
     }
 
+    /// The store has answered a reading of the registry: it was taken in or left out, and
+    /// brought something new or not.
+    pub(crate) fn on_reading(&self, is_taken: bool, is_same: bool) {
+        let result = match (is_taken, is_same) {
+            (false, _) => "left-out",
+            (true, true) => "same",
+            (true, false) => "changed",
+        };
+        self.readings.with_label_values(&[result]).inc();
+    }
+
     /// A datagram was not understood; returns how many so far.
     pub(crate) fn on_bad_datagram(&self) -> u64 {
         self.bad_datagrams.inc();
--- a/bin/lh-entry/src/record.rs
+++ b/bin/lh-entry/src/record.rs
@@ -94,9 +94,11 @@
         if reason.away {
             self.state.metrics.on_limit("shift-cap", true);
         }
+        let age = self.registry_age();
+        let at = self.begun.elapsed().as_millis();
         let _ = write!(
             self.attempts,
-            "{}{}(expected {:.0}ms occupancy {:.1} warmth {:.2} rank {}{}{})",
+            "{}{}(expected {:.0}ms occupancy {:.1} warmth {:.2} rank {}{}{} at {at}ms by registry of {age}ms)",
             if self.count > 1 { "; " } else { "" },
             placement.id,
             reason.expected,
@@ -108,6 +110,20 @@
         );
     }
 
+    /// Notes that the newest attempt leaves for its server, where it was held up.
+    pub(crate) fn on_sent(&mut self, waited: Duration) {
+        let waited = waited.as_millis();
+        if waited > 0 {
+            let _ = write!(self.attempts, " sent after {waited}ms");
+        }
+    }
+
+    /// Milliseconds since the newest reading of the registry; -1 before the first.
+    fn registry_age(&self) -> i64 {
+        let read_at = self.state.placer.borrow().catalog.read_at();
+        read_at.map_or(-1, |at| at.elapsed().as_millis() as i64)
+    }
+
     /// Notes what came of the newest attempt.
     pub(crate) fn on_result(&mut self, result: &str) {
         let at = self.begun.elapsed().as_millis();
@@ -171,8 +187,7 @@
         if outcome == RequestOutcome::Answered && objective.is_some_and(|most| took <= most) {
             metrics.on_good(route);
         }
-        let read_at = self.state.placer.borrow().catalog.read_at();
-        let servers_age_ms = read_at.map_or(-1, |at| at.elapsed().as_millis() as i64);
+        let servers_age_ms = self.registry_age();
         let state_age = self.state.knowledge_age();
         let state_age_ms = state_age.map_or(-1, |age| age.as_millis() as i64);
         let refused = self
--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -257,11 +258,11 @@
         }
     }
 
-    /// Takes in a reading of the registry, unless a newer one is known.
-    pub(crate) fn on_servers(&self, snapshot: &CatalogSnapshot, mut scope: ReadScope) {
+    /// Takes in a reading of the registry, unless a newer one is known; whether it was.
+    pub(crate) fn on_servers(&self, snapshot: &CatalogSnapshot, mut scope: ReadScope) -> bool {
         let read_at = self.placer.borrow().catalog.read_at();
         if read_at.is_some_and(|at| at > snapshot.begun) {
-            return;
+            return false;
         }
         let mut placer = self.placer.borrow_mut();
         let changes = placer.catalog.on_read(Instant::now(), snapshot);
@@ -270,20 +271,27 @@
         let version = scope.version;
         let mut servers = self.servers.borrow_mut();
         servers.on_read(snapshot, scope);
-        let changed_at = servers.version();
+        let (changed_at, content) = (servers.version(), servers.content());
         drop(servers);
-        self.on_catalog_changes(&changes, snapshot.foreign.len());
+        let source = ChangeSource {
+            by: "store",
+            age: snapshot.begun.elapsed(),
+        };
+        self.on_catalog_changes(&changes, snapshot.foreign.len(), &source);
         self.fleet.on_known(|known| {
             known.registry = changed_at;
+            known.content = content;
             known.registry_read = version;
             known.registry_at = Some(snapshot.begun);
         });
+        true
     }
 
     /// Takes in what a lead told of the registry with what it knows, `heard`, unless it is
     /// known. Where all was asked for it counts also if it seems older.
     pub(crate) fn on_told_servers(
         &self,
+        lead: SocketAddr,
         heard: &KnownStore,
         delta: &RegistryDelta,
         is_whole: bool,
@@ -296,26 +304,37 @@
             return;
         }
         servers.on_told(delta);
+        let content = servers.content();
         drop(servers);
         let mut placer = self.placer.borrow_mut();
         let changes = placer.catalog.on_told(Instant::now(), begun, delta);
         drop(placer);
-        self.on_catalog_changes(&changes, delta.foreign.len());
+        let source = ChangeSource {
+            by: &lead.to_string(),
+            age: begun.elapsed(),
+        };
+        self.on_catalog_changes(&changes, delta.foreign.len(), &source);
         self.fleet.on_known(|known| {
             known.registry = delta.version;
+            known.content = content;
             known.registry_read = heard.registry_read;
             known.registry_at = Some(begun);
         });
     }
 
-    fn on_catalog_changes(&self, changes: &[CatalogChange], foreign: usize) {
+    fn on_catalog_changes(
+        &self,
+        changes: &[CatalogChange],
+        foreign: usize,
+        source: &ChangeSource<'_>,
+    ) {
         self.metrics.foreign_rows.set(foreign as i64);
         for change in changes {
             if let CatalogChange::Restarted(id) = change {
                 // Its connections ended with the former run.
                 self.pool.forget(id);
             }
-            log_change(change);
+            log_change(change, source);
         }
     }
 
@@ -411,10 +430,18 @@
     }
 }
 
-fn log_change(change: &CatalogChange) {
+/// Who told of a change in the registry, and how old that word was.
+#[derive(Debug, Clone, Copy)]
+struct ChangeSource<'a> {
+    by: &'a str,
+    age: Duration,
+}
+
+fn log_change(change: &CatalogChange, source: &ChangeSource<'_>) {
+    let (by, age_ms) = (source.by, source.age.as_millis() as u64);
     let (id, event) = match change {
         CatalogChange::Joined(id, domain) => {
-            log::info!(server = id.as_str(), domain = domain.as_str(); "server joined");
+            log::info!(server = id.as_str(), domain = domain.as_str(), by, age_ms; "server joined");
             return;
         }
         CatalogChange::Draining(id) => (id, "server is leaving"),
@@ -425,5 +452,5 @@
         CatalogChange::Overwritten(id) => (id, "server's entry overwritten by another writer"),
         CatalogChange::Reclaimed(id) => (id, "server's own entry is back"),
     };
-    log::info!(server = id.as_str(); "{event}");
+    log::info!(server = id.as_str(), by, age_ms; "{event}");
 }
--- a/bin/lh-entry/src/view.rs
+++ b/bin/lh-entry/src/view.rs
@@ -180,7 +180,7 @@
     }
     if !answer.registry.is_empty() {
         let delta: RegistryDelta = postcard::from_bytes(&answer.registry)?;
-        state.on_told_servers(&heard, &delta, target.whole);
+        state.on_told_servers(target.view, &heard, &delta, target.whole);
     }
     state
         .fleet
--- a/bin/lh-entry/src/watch.rs
+++ b/bin/lh-entry/src/watch.rs
@@ -179,8 +179,10 @@
                 dropped: rows.dropped,
                 missing: Vec::new(),
             };
-            state.on_servers(&snapshot, scope);
-            if state.servers.borrow().version() == before {
+            let is_taken = state.on_servers(&snapshot, scope);
+            let is_same = state.servers.borrow().version() == before;
+            state.metrics.on_reading(is_taken, is_same);
+            if is_same {
                 ReadOutcome::Same
             } else {
                 ReadOutcome::Changed
--- a/crates/place/src/fleet/known.rs
+++ b/crates/place/src/fleet/known.rs
@@ -4,6 +4,7 @@
 
 use crate::fleet::clock::StoreTime;
 use crate::fleet::log::log_version;
+use crate::fleet::mark::ContentMark;
 
 base::common! {
     /// What an entry knows of the store, as it tells others.
@@ -11,6 +12,8 @@
     pub struct StoreWord {
         /// The log's version of what is known of the registry.
         pub registry: u64,
+        /// The mark of that.
+        pub content: ContentMark,
         /// The store's version at the newest reading of the registry.
         pub registry_read: u64,
         /// Milliseconds since that reading began; `u32::MAX` before the first.
@@ -33,6 +36,8 @@
 pub struct KnownStore {
     /// The log's version of what is known of the registry.
     pub registry: u64,
+    /// The mark of that.
+    pub content: ContentMark,
     /// The store's version at the newest reading of the registry.
     pub registry_read: u64,
     /// When that reading began.
@@ -59,6 +64,7 @@
         };
         Self {
             registry: word.registry,
+            content: word.content,
             registry_read: word.registry_read,
             registry_at: at(word.registry_age),
             operator: word.operator,
@@ -76,6 +82,7 @@
         };
         StoreWord {
             registry: self.registry,
+            content: self.content,
             registry_read: self.registry_read,
             registry_age: age(self.registry_at),
             operator: self.operator,
@@ -105,6 +112,21 @@
             && (self.registry_at.is_none() || other.registry > self.registry)
     }
 
+    /// Whether one of both is wrong: each has read the store beyond what the other knows,
+    /// and they know different things.
+    pub fn contradicts(&self, other: &Self) -> bool {
+        self.registry_at.is_some()
+            && other.registry_at.is_some()
+            && self.content != other.content
+            && self.has_read(other.registry)
+            && other.has_read(self.registry)
+    }
+
+    /// Whether the store was read here as of the log's version `version` or later.
+    fn has_read(&self, version: u64) -> bool {
+        log_version(self.registry_read.saturating_add(1)) > version
+    }
+
     /// Whether `other` knows more of the operator's rows.
     pub fn is_behind_operator(&self, other: &Self) -> bool {
         other.desired > self.desired || other.operator > self.operator
@@ -125,8 +147,7 @@
     /// the registry fresher.
     pub fn confirm(&mut self, other: &Self) -> bool {
         self.confirm_operator(other);
-        let covers = log_version(other.registry_read.saturating_add(1)) > self.registry;
-        let is_same = !self.is_behind_registry(other) && covers;
+        let is_same = !self.is_behind_registry(other) && other.has_read(self.registry);
         if !is_same || other.registry_at <= self.registry_at {
             return false;
         }
--- a/crates/place/src/fleet/log.rs
+++ b/crates/place/src/fleet/log.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::catalog::CatalogSnapshot;
+use crate::fleet::mark::ContentMark;
 use crate::server::ServerEntry;
 
 /// Servers that are gone stay in the log for this many changes: a third of the largest
@@ -58,6 +59,15 @@
     store.saturating_mul(OWN_STEPS)
 }
 
+/// One server's row.
+#[derive(Debug)]
+struct LogRecord {
+    /// The version at which it changed.
+    changed: u64,
+    mark: ContentMark,
+    entry: ServerEntry,
+}
+
 /// The registry with the versions at which its entries changed.
 #[derive(Debug, Default)]
 pub struct RegistryLog {
@@ -65,7 +75,8 @@
     version: u64,
     /// Changes after this version are all known.
     oldest: u64,
-    entries: BTreeMap<String, (u64, ServerEntry)>,
+    entries: BTreeMap<String, LogRecord>,
+    content: ContentMark,
     gone: VecDeque<(u64, String)>,
     foreign: Vec<String>,
     missing: Vec<String>,
@@ -79,7 +90,7 @@
 
     /// The servers whose rows stand in the registry.
     pub fn entries(&self) -> impl Iterator<Item = &ServerEntry> {
-        let entries = self.entries.values().map(|(_, entry)| entry);
+        let entries = self.entries.values().map(|record| &record.entry);
         entries.filter(|entry| !self.missing.contains(&entry.id))
     }
 
@@ -100,14 +111,17 @@
         let mut left = std::mem::take(&mut self.entries);
         for entry in &snapshot.entries {
             let is_back = was_out(&entry.id) || scope.dropped.contains(&entry.id);
-            let changed = match left.remove(&entry.id) {
-                Some((changed, known)) if !is_back && is_same(&known, entry) => changed,
+            let known = left.remove(&entry.id);
+            let record = match known {
+                Some(known) if !is_back && is_same(&known.entry, entry) => LogRecord {
+                    entry: entry.clone(),
+                    ..known
+                },
                 _ => {
                     is_changed = true;
-                    stamp
+                    LogRecord::new(stamp, entry.clone())
                 }
             };
-            let record = (changed, entry.clone());
             self.entries.insert(entry.id.clone(), record);
         }
         for (id, record) in left {
@@ -129,6 +143,7 @@
         self.missing = scope.missing;
         if is_changed || is_first {
             self.version = stamp;
+            self.sum_up();
         }
         if is_first || scope.whole {
             // What was dropped since the reading before it isn't known.
@@ -140,12 +155,13 @@
     pub fn since(&self, version: u64) -> RegistryDelta {
         let whole = version < self.oldest || version == 0;
         let is_news = |changed: u64| whole || changed > version;
-        let changed = self.entries.values().filter(|(at, _)| is_news(*at));
+        let records = self.entries.values();
+        let changed = records.filter(|record| is_news(record.changed));
         let gone = self.gone.iter().filter(|(at, _)| is_news(*at) && !whole);
         RegistryDelta {
             version: self.version,
             whole,
-            entries: changed.map(|(_, entry)| entry.clone()).collect(),
+            entries: changed.map(|record| record.entry.clone()).collect(),
             gone: gone.map(|(_, id)| id.clone()).collect(),
             foreign: self.foreign.clone(),
             missing: self.missing.clone(),
@@ -164,12 +180,31 @@
             self.forget(delta.version, id.clone());
         }
         for entry in &delta.entries {
-            let record = (delta.version, entry.clone());
+            let record = LogRecord::new(delta.version, entry.clone());
             self.entries.insert(entry.id.clone(), record);
         }
         self.foreign.clone_from(&delta.foreign);
         self.missing.clone_from(&delta.missing);
         self.version = delta.version;
+        self.sum_up();
+    }
+
+    /// The mark of what is known, with rows that aren't their server's own word and rows
+    /// that may have lapsed.
+    pub fn content(&self) -> ContentMark {
+        self.content
+    }
+
+    fn sum_up(&mut self) {
+        let none = ContentMark::default();
+        let own = self.entries.values().filter(|record| {
+            // What stood before somebody else's row is known to some entries only.
+            !self.foreign.contains(&record.entry.id)
+        });
+        let own = own.fold(none, |sum, record| sum.with(record.mark));
+        let foreign = self.foreign.iter().map(|id| ContentMark::of_foreign(id));
+        let missing = self.missing.iter().map(|id| ContentMark::of_missing(id));
+        self.content = foreign.chain(missing).fold(own, ContentMark::with);
     }
 
     fn forget(&mut self, stamp: u64, id: String) {
@@ -182,6 +217,16 @@
     }
 }
 
+impl LogRecord {
+    fn new(changed: u64, entry: ServerEntry) -> Self {
+        Self {
+            changed,
+            mark: ContentMark::of_entry(&entry),
+            entry,
+        }
+    }
+}
+
 /// Whether nothing differs but the heartbeat and the rest of a warm-up that was told.
 fn is_same(known: &ServerEntry, entry: &ServerEntry) -> bool {
     let is_warming =
--- a/crates/place/src/fleet/member/mod.rs
+++ b/crates/place/src/fleet/member/mod.rs
@@ -158,6 +158,9 @@
     LeadsLost,
     /// This entry told a new list with so many entries, so many of them named.
     Listed(usize, usize),
+    /// The lead that is named knows other things of the registry than this entry, though
+    /// both have read it.
+    Contradicted(String),
     /// What was known of the store was ahead of it and is asked for anew.
     Ahead,
 }
--- a/crates/place/src/fleet/mod.rs
+++ b/crates/place/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 pub mod leads;
 pub mod list;
 pub mod log;
+pub mod mark;
 pub mod member;
 pub mod message;
 pub mod pace;
