--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -262,6 +262,8 @@
     pub(crate) fn on_servers(&self, snapshot: &CatalogSnapshot, mut scope: ReadScope) -> bool {
         let read_at = self.placer.borrow().catalog.read_at();
         if read_at.is_some_and(|at| at > snapshot.begun) {
+            let (version, known) = (scope.version, self.fleet.known().registry_read);
+            log::info!(version, known; "reading of the registry left out");
             return false;
         }
         let mut placer = self.placer.borrow_mut();
--- a/crates/place/tests/catalog.rs
+++ b/crates/place/tests/catalog.rs
@@ -104,6 +104,23 @@
     assert_eq!(open(&catalog), ["x"]);
 }
 
+/// Promise: an answer that the store held back until something changed counts, though another
+/// entry's reading began and ended while it waited.
+#[test]
+fn an_answer_that_waited_counts_for_what_it_holds() {
+    let now = Instant::now();
+    let mut catalog = ServerCatalog::new(domains());
+    let both = [server("x", "a1"), server("y", "a1")];
+    catalog.on_read(now, &reading(now, &both));
+    let begun = now + ms(100);
+    catalog.confirm(now + ms(400));
+    let mut leaving = both.clone();
+    leaving[1].state = EntryState::Draining;
+    leaving[1].seq = 2;
+    catalog.on_read(now + ms(600), &reading(begun, &leaving));
+    assert_eq!(open(&catalog), ["x"]);
+}
+
 /// Promise: nothing goes to an evacuated failure domain, and its servers count as
 /// cold for a warm-up after it is taken back.
 #[test]
--- a/crates/place/tests/fleet.rs
+++ b/crates/place/tests/fleet.rs
@@ -10,6 +10,10 @@
 use place::fleet::message::{PeerMessage, RegionDigest, RegionWord};
 use place::prelude::*;
 
+/// Until a request that was placed is at a server of another region, over a connection that
+/// is made for it.
+const FAR_SEND: Duration = ms(3 * 35);
+
 /// A fleet of `count` that has run for a while.
 fn settled(count: usize) -> FleetWorld {
     let mut world = FleetWorld::new(count);
@@ -471,3 +475,41 @@
     world.change();
     assert!(world.until_known(Duration::from_secs(6)) <= ms(1100));
 }
+
+/// Promise: a change of the registry that an entry or a whole region has missed, though they
+/// hold its version, is known before a request could reach a server that left with it.
+#[test]
+fn a_missed_change_is_found_whatever_hid_it() {
+    for count in [12, 300] {
+        for who in ["follower", "reader", "deputy", "leads", "region"] {
+            let mut world = settled(count);
+            world.run(ms(300));
+            let leads = world.leads(1);
+            let first = |entry: &usize| world.entries[*entry].member.known().registry_at;
+            let reader = *leads.iter().max_by_key(|entry| first(entry)).unwrap();
+            let near = |entry: &usize| region_of(*entry) == 1;
+            let region: Vec<usize> = (0..count).filter(near).collect();
+            let missing: Vec<usize> = match who {
+                "follower" => region
+                    .into_iter()
+                    .filter(|e| !leads.contains(e))
+                    .take(1)
+                    .collect(),
+                "reader" => vec![reader],
+                "deputy" => leads.into_iter().filter(|lead| *lead != reader).collect(),
+                "leads" => leads,
+                _ => region,
+            };
+            world.change();
+            for entry in missing {
+                world.miss(entry);
+            }
+            let begun = world.now;
+            while !world.lacking().is_empty() && world.now < begun + ms(9000) {
+                world.run(ms(10));
+            }
+            let took = world.now - begun;
+            assert!(took <= DRAIN - FAR_SEND, "{count} entries, {who}: {took:?}");
+        }
+    }
+}
--- a/crates/place/tests/fleet_world/mod.rs
+++ b/crates/place/tests/fleet_world/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, unreachable_pub, missing_docs)]
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -12,6 +12,7 @@
 use place::fleet::clock::StoreTime;
 use place::fleet::follow::PullTarget;
 use place::fleet::log::log_version;
+use place::fleet::mark::ContentMark;
 use place::fleet::member::MemberConfig;
 use place::fleet::message::PeerMessage;
 use place::fleet::reading::ReadOutcome;
@@ -36,7 +37,7 @@
 /// One entry in so many is able.
 const ABLE_EACH: usize = 11;
 
-pub fn ms(millis: u64) -> Duration {
+pub const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
@@ -112,6 +113,8 @@
     pub crash_datagrams: u64,
     pub own: OwnState,
     pub notes: Vec<FleetNote>,
+    /// The changes of the registry that it knows, by the store's version.
+    pub servers: BTreeSet<u64>,
     clock: Option<Instant>,
     watches: bool,
     watching: bool,
@@ -129,6 +132,8 @@
     /// The store's version, and those at which registry and operator's rows changed.
     pub version: u64,
     pub registry: u64,
+    /// All changes of the registry.
+    pub servers: BTreeSet<u64>,
     pub operator: u64,
     pub store_down: bool,
     pub calls: u64,
@@ -183,6 +188,7 @@
             entries: Vec::new(),
             version: 10,
             registry: 10,
+            servers: [10].into(),
             operator: 10,
             store_down: false,
             calls: 0,
@@ -212,6 +218,7 @@
                 crash_datagrams: 0,
                 own: OwnState::default(),
                 notes: Vec::new(),
+                servers: BTreeSet::new(),
                 clock: None,
                 watches: false,
                 watching: false,
@@ -486,7 +493,11 @@
         }
         let mut known = *self.entries[entry].member.known();
         let is_news = known.registry_at.is_none() || known.registry != log_version(self.registry);
+        // What changed after the reading that it goes on from.
+        let news = self.servers.range(known.registry_read + 1..);
+        self.entries[entry].servers.extend(news);
         known.registry = log_version(self.registry);
+        known.content = self.content(entry);
         known.registry_read = self.version;
         known.registry_at = Some(begun + wait);
         self.tell(entry, FleetEvent::Known(known));
@@ -509,7 +520,15 @@
         self.tell(entry, FleetEvent::StoreTime(begun, latest));
         let mut known = *self.entries[entry].member.known();
         if whole || known.is_behind_registry(&told) {
+            let teller = self.entries[from].servers.clone();
+            let servers = &mut self.entries[entry].servers;
+            if whole {
+                servers.clear();
+            }
+            let news = teller.into_iter();
+            servers.extend(news.filter(|at| whole || log_version(*at) > known.registry));
             known.registry = told.registry;
+            known.content = self.content(entry);
             known.registry_read = told.registry_read;
             known.registry_at = told.registry_at;
         }
@@ -595,10 +614,34 @@
         self.entries[entry].member.proof_age(now)
     }
 
+    /// The mark of what `entry` knows of the registry.
+    fn content(&self, entry: usize) -> ContentMark {
+        let marks = self.entries[entry].servers.iter();
+        let marks = marks.map(|change| ContentMark::of_foreign(&change.to_string()));
+        marks.fold(ContentMark::default(), ContentMark::with)
+    }
+
+    /// The registry changes, and `entry` takes the version of the change without the change.
+    pub fn miss(&mut self, entry: usize) {
+        let mut known = *self.entries[entry].member.known();
+        known.registry = log_version(self.registry);
+        known.registry_read = self.version;
+        known.registry_at = Some(self.local(entry, self.now));
+        self.tell(entry, FleetEvent::Known(known));
+    }
+
+    /// Live entries that don't know all of the registry, whatever they think.
+    pub fn lacking(&self) -> Vec<usize> {
+        let mut live = self.live();
+        live.retain(|entry| self.entries[*entry].servers != self.servers);
+        live
+    }
+
     /// The registry and the operator's rows change; open watches are told.
     pub fn change(&mut self) {
         self.version += 1;
         self.registry = self.version;
+        self.servers.insert(self.version);
         self.operator = self.version;
         self.changes.push((self.now, self.version));
         for entry in 0..self.entries.len() {
@@ -625,6 +668,7 @@
         known.alive = true;
         known.own = OwnState::default();
         known.notes.clear();
+        known.servers.clear();
         known.clock = None;
         known.watches = false;
         known.watching = false;
--- a/crates/place/tests/log.rs
+++ b/crates/place/tests/log.rs
@@ -145,6 +145,47 @@
     }
 }
 
+/// What an entry with this log knows, which has read the store as of `read`.
+fn known_of(log: &RegistryLog, read: u64, at: Instant) -> KnownStore {
+    KnownStore {
+        registry: log.version(),
+        content: log.content(),
+        registry_read: read,
+        registry_at: Some(at),
+        ..KnownStore::default()
+    }
+}
+
+/// Promise: two entries that each noticed something of their own, at the same version of the
+/// store, are not taken to know the same.
+#[test]
+fn steps_of_the_same_number_do_not_hide_each_other() {
+    let now = Instant::now();
+    let (mut here, mut there) = (RegistryLog::default(), RegistryLog::default());
+    let both = [server("x", "a1"), server("y", "a1")];
+    let kept = ReadScope {
+        missing: vec!["y".to_owned()],
+        ..changes(100)
+    };
+    here.on_read(&reading(now, &both[..1]), kept.clone());
+    there.on_read(&reading(now, &both[..1]), kept);
+    // Here somebody else's row is met; there a server that is not back is given up.
+    let mut odd = reading(now, &both[..1]);
+    odd.foreign.push("z".to_owned());
+    let kept = ReadScope {
+        missing: vec!["y".to_owned()],
+        ..changes(100)
+    };
+    here.on_read(&odd, kept);
+    there.on_read(&reading(now, &both[..1]), changes(100));
+    let mut known = known_of(&here, 100, now);
+    let heard = known_of(&there, 100, now + ms(20));
+    assert!(
+        !known.confirm(&heard),
+        "what is known is not what was confirmed"
+    );
+}
+
 /// Promise: what one entry reads is not taken as known by another whose own log moved on for
 /// a reason of its own, though no change of the store's was in it.
 #[test]
