An answer of the store counts by what it holds, not by when it was asked for

Callers saw: requests at servers that had left, up to one and a half seconds longer than need be Cause: a reader's question waits at the store until something changes.

--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -260,9 +260,8 @@
 
     /// Takes in a reading of the registry, unless a newer one is known; whether it was.
     pub(crate) fn on_servers(&self, snapshot: &CatalogSnapshot, mut scope: ReadScope) -> bool {
-        let read_at = self.placer.borrow().catalog.read_at();
-        if read_at.is_some_and(|at| at > snapshot.begun) {
-            let (version, known) = (scope.version, self.fleet.known().registry_read);
+        if self.placer.borrow().catalog.is_outdated(snapshot) {
+            let (version, known) = (snapshot.version, self.fleet.known().registry_read);
             log::info!(version, known; "reading of the registry left out");
             return false;
         }
@@ -270,7 +269,6 @@
         let changes = placer.catalog.on_read(Instant::now(), snapshot);
         scope.missing = placer.catalog.missing().map(str::to_owned).collect();
         drop(placer);
-        let version = scope.version;
         let mut servers = self.servers.borrow_mut();
         servers.on_read(snapshot, scope);
         let (changed_at, content) = (servers.version(), servers.content());
@@ -283,8 +281,8 @@
         self.fleet.on_known(|known| {
             known.registry = changed_at;
             known.content = content;
-            known.registry_read = version;
-            known.registry_at = Some(snapshot.begun);
+            known.registry_read = snapshot.version;
+            known.registry_at = known.registry_at.max(Some(snapshot.begun));
         });
         true
     }
--- a/bin/lh-entry/src/watch.rs
+++ b/bin/lh-entry/src/watch.rs
@@ -171,10 +171,10 @@
                 entries: rows.entries,
                 foreign: rows.foreign,
                 begun: as_of,
+                version: rows.version,
             };
             let before = state.servers.borrow().version();
             let scope = ReadScope {
-                version: rows.version,
                 whole: rows.whole,
                 dropped: rows.dropped,
                 missing: Vec::new(),
--- a/crates/emulate/benches/slopes.rs
+++ b/crates/emulate/benches/slopes.rs
@@ -148,6 +148,7 @@
         entries: servers.to_vec(),
         foreign: Vec::new(),
         begun: now,
+        version: 1,
     };
     placer.catalog.on_read(now, &reading);
     placer
@@ -189,6 +190,7 @@
                 entries: servers.clone(),
                 foreign: Vec::new(),
                 begun: now,
+                version: 1,
             };
             drop(black_box(placer.catalog.on_read(now, &reading)));
         });
@@ -321,12 +323,9 @@
             entries: servers,
             foreign: Vec::new(),
             begun: Instant::now(),
-        };
-        let scope = ReadScope {
             version: 1,
-            ..ReadScope::default()
         };
-        log.on_read(&snapshot, scope);
+        log.on_read(&snapshot, ReadScope::default());
         let follow = median(7, 20, || drop(black_box(log.since(1))));
         println!("{count:>13} {answer:>18.1?} {follow:>22.1?}");
     }
--- a/crates/emulate/src/run.rs
+++ b/crates/emulate/src/run.rs
@@ -69,6 +69,7 @@
         entries: server_entries(experiment),
         foreign: Vec::new(),
         begun: origin,
+        version: 1,
     };
     let count = experiment.regions * experiment.entries;
     let hashes: Vec<u64> = (0..count).map(entry_hash).collect();
--- a/crates/place/src/catalog.rs
+++ b/crates/place/src/catalog.rs
@@ -7,7 +7,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
-use crate::fleet::log::RegistryDelta;
+use crate::fleet::log::{RegistryDelta, is_outdated, store_version};
 use crate::placing::trip::TripBook;
 use crate::server::{EntryState, ServerEntry, ServerRecord};
 
@@ -47,6 +47,17 @@
     pub foreign: Vec<String>,
     /// When the reading began: nothing in it is older than this.
     pub begun: Instant,
+    /// The store's version as of which it is.
+    pub version: u64,
+}
+
+impl CatalogSnapshot {
+    /// The same as of the store's version `version`.
+    #[must_use]
+    pub fn with_version(mut self, version: u64) -> Self {
+        self.version = version;
+        self
+    }
 }
 
 /// What a reading changed, for the log.
@@ -110,6 +121,8 @@
     by_service: HashMap<String, Vec<usize>>,
     evacuated: HashSet<String>,
     read_at: Option<Instant>,
+    /// The store's version as of which the newest reading was.
+    version: u64,
     trips: TripBook,
     /// When the registry failed to answer last, until it does again.
     failed_at: Option<Instant>,
@@ -176,9 +189,16 @@
         self.settled_at = None;
     }
 
+    /// Whether something newer than `snapshot` is known. What it holds decides, not when it
+    /// was asked for: an answer that the store held back until something changed may hold
+    /// more than one to a later question.
+    pub fn is_outdated(&self, snapshot: &CatalogSnapshot) -> bool {
+        is_outdated(snapshot.version, self.version)
+    }
+
     /// Takes in a complete reading, and returns what changed.
     pub fn on_read(&mut self, now: Instant, snapshot: &CatalogSnapshot) -> Vec<CatalogChange> {
-        if self.read_at.is_some_and(|at| at > snapshot.begun) {
+        if self.is_outdated(snapshot) {
             return Vec::new();
         }
         if let Some(failed_at) = self.failed_at.take() {
@@ -196,7 +216,8 @@
         let foreign = snapshot.foreign.iter().map(String::as_str);
         let listed: HashSet<&str> = own.chain(foreign).collect();
         self.sweep(now, &listed, settled, &mut changes);
-        self.read_at = Some(snapshot.begun);
+        self.read_at = self.read_at.max(Some(snapshot.begun));
+        self.version = snapshot.version;
         changes
     }
 
@@ -227,6 +248,7 @@
             let listed: HashSet<&str> = kept.map(String::as_str).collect();
             self.sweep(now, &listed, true, &mut changes);
         }
+        self.version = store_version(delta.version);
         self.confirm(begun);
         changes
     }
--- a/crates/place/src/fleet/log.rs
+++ b/crates/place/src/fleet/log.rs
@@ -43,8 +43,6 @@
 /// What a reading of the registry covers.
 #[derive(Debug, Clone, Default)]
 pub struct ReadScope {
-    /// The store's version as of which it is.
-    pub version: u64,
     /// Whether it was made from all rows; else from those that changed since the reading
     /// before it.
     pub whole: bool,
@@ -59,6 +57,17 @@
     store.saturating_mul(OWN_STEPS)
 }
 
+/// The store's version at the log's version `version`.
+pub fn store_version(version: u64) -> u64 {
+    version / OWN_STEPS
+}
+
+/// Whether a reading as of the store's version `version` is older than one as of `known`. A
+/// version far behind is no older one: what is known can't have been read from the store.
+pub fn is_outdated(version: u64, known: u64) -> bool {
+    version < known && known - version <= AHEAD_MOST
+}
+
 /// One server's row.
 #[derive(Debug)]
 struct LogRecord {
@@ -101,11 +110,11 @@
 
     /// Takes in a reading of the registry.
     pub fn on_read(&mut self, snapshot: &CatalogSnapshot, scope: ReadScope) {
-        if log_version(scope.version.saturating_add(AHEAD_MOST)) < self.version {
+        if log_version(snapshot.version.saturating_add(AHEAD_MOST)) < self.version {
             *self = Self::default();
         }
         let is_first = self.version == 0;
-        let stamp = log_version(scope.version).max(self.version.saturating_add(1));
+        let stamp = log_version(snapshot.version).max(self.version.saturating_add(1));
         let mut is_changed = self.foreign != snapshot.foreign || self.missing != scope.missing;
         let was_out = |id: &String| self.foreign.contains(id) || self.missing.contains(id);
         let mut left = std::mem::take(&mut self.entries);
--- a/crates/place/tests/common/mod.rs
+++ b/crates/place/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::LazyLock;
 use std::time::{Duration, Instant};
 
 use place::desired::{ServiceSpec, SplitPart};
@@ -31,21 +32,23 @@
     }
 }
 
-/// A reading that began at `begun`.
+/// When the store was at version 0.
+static STORE_BEGUN: LazyLock<Instant> =
+    LazyLock::new(|| Instant::now() - Duration::from_secs(3600));
+
+/// A reading that began at `begun`; the store's version rises each millisecond.
 pub fn reading(begun: Instant, entries: &[ServerEntry]) -> CatalogSnapshot {
     CatalogSnapshot {
         entries: entries.to_vec(),
         foreign: Vec::new(),
         begun,
+        version: (begun - *STORE_BEGUN).as_millis() as u64,
     }
 }
 
-/// A reading as of `version` that was made from what had changed.
-pub fn changes(version: u64) -> ReadScope {
-    ReadScope {
-        version,
-        ..ReadScope::default()
-    }
+/// A reading that was made from what had changed.
+pub fn changes() -> ReadScope {
+    ReadScope::default()
 }
 
 /// A route to `board` under `prefix`.
--- a/crates/place/tests/log.rs
+++ b/crates/place/tests/log.rs
@@ -23,13 +23,13 @@
     let mut log = RegistryLog::default();
     let mut cold = server("x", "a1");
     cold.cold_remaining = ms(3000);
-    log.on_read(&reading(now, &[cold.clone()]), changes(1));
+    log.on_read(&reading(now, &[cold.clone()]).with_version(1), changes());
     cold.seq = 9;
     cold.cold_remaining = ms(1500);
-    log.on_read(&reading(now, &[cold.clone()]), changes(2));
+    log.on_read(&reading(now, &[cold.clone()]).with_version(2), changes());
     assert_eq!(log.version(), log_version(1));
     cold.cold_remaining = ms(0);
-    log.on_read(&reading(now, &[cold]), changes(3));
+    log.on_read(&reading(now, &[cold]).with_version(3), changes());
     assert_eq!(log.since(log_version(1)).entries.len(), 1);
 }
 
@@ -41,20 +41,20 @@
     let (mut reader, mut follower) = (RegistryLog::default(), RegistryLog::default());
     let mut catalog = ServerCatalog::new(domains());
     let both = [server("x", "a1"), server("y", "a1")];
-    reader.on_read(&reading(now, &both), changes(1));
+    reader.on_read(&reading(now, &both).with_version(1), changes());
     let kept = ReadScope {
         dropped: vec!["y".to_owned()],
         missing: vec!["y".to_owned()],
-        ..changes(2)
+        ..changes()
     };
-    reader.on_read(&reading(now, &both[..1]), kept);
+    reader.on_read(&reading(now, &both[..1]).with_version(2), kept);
     let delta = reader.since(0);
     follower.on_told(&delta);
     catalog.on_told(now, now, &delta);
     assert_eq!(catalog.iter().count(), 2);
     // What it would go on from if it read itself has no row of the missing server.
     assert_eq!(follower.entries().count(), 1);
-    reader.on_read(&reading(now, &both[..1]), changes(3));
+    reader.on_read(&reading(now, &both[..1]).with_version(3), changes());
     let delta = reader.since(follower.version());
     catalog.on_told(now, now, &delta);
     assert_eq!(catalog.iter().count(), 1);
@@ -65,8 +65,14 @@
 fn a_log_ahead_of_the_store_is_made_anew() {
     let now = Instant::now();
     let mut log = RegistryLog::default();
-    log.on_read(&reading(now, &[server("x", "a1")]), changes(u64::MAX - 3));
-    log.on_read(&reading(now, &[server("y", "a1")]), changes(40));
+    log.on_read(
+        &reading(now, &[server("x", "a1")]).with_version(u64::MAX - 3),
+        changes(),
+    );
+    log.on_read(
+        &reading(now, &[server("y", "a1")]).with_version(40),
+        changes(),
+    );
     assert_eq!(log.version(), log_version(40));
     let told = log.since(0);
     assert!(told.whole && told.entries.len() == 1 && told.gone.is_empty());
@@ -122,9 +128,9 @@
             let scope = ReadScope {
                 whole: since.is_none(),
                 dropped: since.unwrap_or_default(),
-                ..changes(version)
+                ..changes()
             };
-            reader.on_read(&reading(now, &entries), scope);
+            reader.on_read(&reading(now, &entries).with_version(version), scope);
             let source = match heard {
                 0 => continue,
                 1 => {
@@ -165,19 +171,19 @@
     let both = [server("x", "a1"), server("y", "a1")];
     let kept = ReadScope {
         missing: vec!["y".to_owned()],
-        ..changes(100)
+        ..changes()
     };
-    here.on_read(&reading(now, &both[..1]), kept.clone());
-    there.on_read(&reading(now, &both[..1]), kept);
+    here.on_read(&reading(now, &both[..1]).with_version(100), kept.clone());
+    there.on_read(&reading(now, &both[..1]).with_version(100), kept);
     // Here somebody else's row is met; there a server that is not back is given up.
     let mut odd = reading(now, &both[..1]);
     odd.foreign.push("z".to_owned());
     let kept = ReadScope {
         missing: vec!["y".to_owned()],
-        ..changes(100)
+        ..changes()
     };
-    here.on_read(&odd, kept);
-    there.on_read(&reading(now, &both[..1]), changes(100));
+    here.on_read(&odd.with_version(100), kept);
+    there.on_read(&reading(now, &both[..1]).with_version(100), changes());
     let mut known = known_of(&here, 100, now);
     let heard = known_of(&there, 100, now + ms(20));
     assert!(
@@ -193,12 +199,12 @@
     let now = Instant::now();
     let (mut here, mut there) = (RegistryLog::default(), RegistryLog::default());
     let both = [server("x", "a1"), server("y", "a1")];
-    here.on_read(&reading(now, &both), changes(100));
-    there.on_read(&reading(now, &both), changes(100));
+    here.on_read(&reading(now, &both).with_version(100), changes());
+    there.on_read(&reading(now, &both).with_version(100), changes());
     // Only here somebody else's row is met; the store's version is the same.
     let mut odd = reading(now, &both);
     odd.foreign.push("z".to_owned());
-    here.on_read(&odd, changes(100));
+    here.on_read(&odd.with_version(100), changes());
     let mut known = KnownStore {
         registry: here.version(),
         registry_read: 100,
@@ -208,8 +214,14 @@
     // There it is read that a server leaves.
     let mut leaving = both.clone();
     leaving[0].state = EntryState::Draining;
-    there.on_read(&reading(now + ms(10), &leaving), changes(101));
-    there.on_read(&reading(now + ms(20), &leaving), changes(102));
+    there.on_read(
+        &reading(now + ms(10), &leaving).with_version(101),
+        changes(),
+    );
+    there.on_read(
+        &reading(now + ms(20), &leaving).with_version(102),
+        changes(),
+    );
     let heard = KnownStore {
         registry: there.version(),
         registry_read: 102,
--- a/crates/place/tests/runs.rs
+++ b/crates/place/tests/runs.rs
@@ -124,7 +124,10 @@
     fresh.cold_remaining = ms(3000);
     for (step, entry) in [run("x", 1000, 9), fresh].into_iter().enumerate() {
         let at = now + ms(1000 * (step as u64 + 1));
-        log.on_read(&reading(at, &[entry]), changes(step as u64 + 1));
+        log.on_read(
+            &reading(at, &[entry]).with_version(step as u64 + 1),
+            changes(),
+        );
         let delta = log.since(known);
         known = delta.version;
         placer.catalog.on_told(at + ms(300), at, &delta);
@@ -158,9 +161,10 @@
             entries,
             foreign,
             begun: at,
+            version: step as u64 + 1,
         };
         own.on_read(at, &snapshot);
-        log.on_read(&snapshot, changes(step as u64 + 1));
+        log.on_read(&snapshot, changes());
         let delta = log.since(known);
         known = delta.version;
         follower.on_told(at, at, &delta);
