What two entries know of the registry is compared by content, not by version

An entry that noticed something of its own bore the number of a change that it didn't know; each digest then confirmed it, a lead asked the store for later changes only, and nothing ever asked for that change again. Where a lead knows other things although both have read the store beyond what the other knows, for over 0.4 s, one of both is wrong: a lead reads all rows anew, at most once in the drain time; a follower that all its leads contradict, or a lead that the store doesn't answer, asks a lead for everything. A follower that nobody confirms for three quarters of the drain time, while its leads know newer readings, reads the store. Encoded changes are kept by content too Why it works: whatever hid a change, the contents differ, and the first digest after both have read shows it: found within the drain time less the way to a server, where it was never found before Ruled out: rows that may have lapsed aren't compared: entries miss them at different times in an outage.

--- a/bin/lh-entry/src/fleet.rs
+++ b/bin/lh-entry/src/fleet.rs
@@ -251,8 +251,8 @@
                 FleetAction::Pull(target) => {
                     tokio::task::spawn_local(view::pull(Rc::clone(state), target));
                 }
-                FleetAction::ReadRegistry(wait) => {
-                    tokio::task::spawn_local(store_watch::read_registry(Rc::clone(state), wait));
+                FleetAction::ReadRegistry(call) => {
+                    tokio::task::spawn_local(store_watch::read_registry(Rc::clone(state), call));
                 }
                 FleetAction::WatchOperator(watches) => {
                     state.fleet.watching.send_replace(watches);
@@ -331,6 +331,9 @@
             let content = known.content.to_string();
             log::warn!(lead = lead.as_str(), registry, read, content = content.as_str(), servers_age_ms; "a lead knows other servers");
         }
+        FleetNote::Doubted => {
+            log::warn!(servers_age_ms; "what is known of servers is in doubt; asking for all");
+        }
         FleetNote::Ahead => {
             log::warn!(servers_age_ms; "what is known is ahead of the store; asking for all");
         }
--- a/bin/lh-entry/src/metrics.rs
+++ b/bin/lh-entry/src/metrics.rs
@@ -163,7 +163,7 @@
         )?;
         let contradictions = IntCounter::new(
             "laurelhill_contradictions_total",
-            "Digests of leads that know other things of the registry though both have read it",
+            "Times that leads began to know other things of the registry though both have read it",
         )?;
         // Shown from the start, so that a rate can be told before the first one.
         for copy in ["whole", "changes"] {
--- a/bin/lh-entry/src/view.rs
+++ b/bin/lh-entry/src/view.rs
@@ -18,6 +18,7 @@
 use place::fleet::known::{KnownStore, StoreWord};
 use place::fleet::list::{EntryList, ListVersion};
 use place::fleet::log::{RegistryDelta, RegistryLog};
+use place::fleet::mark::ContentMark;
 use place::prelude::FleetEvent;
 use quick_error::quick_error;
 use serde::Serialize;
@@ -94,15 +95,17 @@
 /// whole copies for a region's entries are made once.
 #[derive(Debug, Default)]
 pub(crate) struct EncodedChanges {
-    version: u64,
+    /// The log that they are of. Its version alone may stand for other content before.
+    of: (u64, ContentMark),
     by_mark: HashMap<u64, Rc<Vec<u8>>>,
 }
 
 impl EncodedChanges {
     fn since(&mut self, log: &RegistryLog, mark: u64) -> Rc<Vec<u8>> {
-        if self.version != log.version() || self.by_mark.len() >= ENCODED_KEPT {
+        let of = (log.version(), log.content());
+        if self.of != of || self.by_mark.len() >= ENCODED_KEPT {
             self.by_mark.clear();
-            self.version = log.version();
+            self.of = of;
         }
         let encoded = self.by_mark.entry(mark);
         Rc::clone(encoded.or_insert_with(|| Rc::new(encode(&log.since(mark)))))
--- a/bin/lh-entry/src/watch.rs
+++ b/bin/lh-entry/src/watch.rs
@@ -9,7 +9,7 @@
 
 use place::catalog::CatalogSnapshot;
 use place::fleet::log::ReadScope;
-use place::fleet::reading::ReadOutcome;
+use place::fleet::reading::{ReadOutcome, RegistryCall};
 use place::prelude::FleetEvent;
 use platform::Error;
 use platform::client::{OperatorRows, StoreClient};
@@ -141,16 +141,21 @@
     });
 }
 
-/// Reads the registry once; the store may wait up to `wait` for changes.
-pub(crate) async fn read_registry(state: Rc<InstanceState>, wait: Duration) {
+/// Reads the registry once.
+pub(crate) async fn read_registry(state: Rc<InstanceState>, call: RegistryCall) {
     let mut client = state
         .registry
         .take()
         .unwrap_or_else(|| StoreClient::new(state.config.store, PATIENCE));
     resume(&state, &mut client);
-    let is_whole = client.servers_version().is_none();
+    let RegistryCall { wait, whole } = call;
+    let is_whole = whole || client.servers_version().is_none();
     let begun = Instant::now();
-    let result = client.update_servers(wait).await;
+    let result = if whole {
+        client.read_servers().await
+    } else {
+        client.update_servers(wait).await
+    };
     state.registry.replace(Some(client));
     let error = result.as_ref().err();
     state
--- a/crates/place/src/fleet/follow.rs
+++ b/crates/place/src/fleet/follow.rs
@@ -81,7 +81,7 @@
         self.behind_since.is_some()
     }
 
-    /// Whom to ask now, if anybody.
+    /// Whom to ask now, if anybody; `doubted` is asked for everything.
     pub fn next(
         &mut self,
         now: Instant,
@@ -89,9 +89,10 @@
         known: &KnownStore,
         leads: &LeadTable,
         regions: &RegionBook,
+        doubted: Option<SocketAddr>,
     ) -> Option<PullTarget> {
         let near = near_leads(now, place, leads);
-        let whole = self.is_ahead_for_long(now, known, &near);
+        let whole = doubted.is_some() || self.is_ahead_for_long(now, known, &near);
         let ahead = leads_ahead(now, place, known, leads, regions, &near);
         if ahead.is_empty() && !whole {
             self.behind_since = None;
@@ -105,21 +106,18 @@
         let first = near.first().copied();
         let avoided = self.avoided.filter(|(_, at)| is_recent(*at, AVOIDED_FOR));
         let is_avoided = |lead: &&HeardLead| avoided.is_none_or(|(view, _)| lead.view() != view);
-        let chosen = if whole {
-            first
-        } else {
-            ahead.into_iter().find(is_avoided)
-        }?;
-        let is_other = first.is_some_and(|first| first.view() != chosen.view());
+        let view = match doubted {
+            Some(view) => view,
+            None if whole => first?.view(),
+            None => ahead.into_iter().find(is_avoided)?.view(),
+        };
+        let is_other = !whole && first.is_some_and(|first| first.view() != view);
         if is_other && !place.leads && avoided.is_none() && is_recent(since, OTHER_AFTER) {
             return None;
         }
-        self.asked = Some(chosen.view());
+        self.asked = Some(view);
         self.asked_at = Some(now);
-        Some(PullTarget {
-            view: chosen.view(),
-            whole,
-        })
+        Some(PullTarget { view, whole })
     }
 
     /// Whether what is known has been ahead of the store's word at all leads for too long.
--- a/crates/place/src/fleet/known.rs
+++ b/crates/place/src/fleet/known.rs
@@ -144,10 +144,13 @@
     }
 
     /// Takes from `other` how fresh it is in what both know alike; whether that made
-    /// the registry fresher.
+    /// the registry fresher. Versions alone don't tell that: what each noticed by itself may
+    /// bear the same one.
     pub fn confirm(&mut self, other: &Self) -> bool {
         self.confirm_operator(other);
-        let is_same = !self.is_behind_registry(other) && other.has_read(self.registry);
+        let is_same = self.content == other.content
+            && !self.is_behind_registry(other)
+            && other.has_read(self.registry);
         if !is_same || other.registry_at <= self.registry_at {
             return false;
         }
--- a/crates/place/src/fleet/leads.rs
+++ b/crates/place/src/fleet/leads.rs
@@ -102,6 +102,16 @@
         self.fresh(now).filter(move |lead| lead.region == region)
     }
 
+    /// The leads that contradict what is `known`.
+    pub fn contradicting<'a>(
+        &'a self,
+        now: Instant,
+        known: &'a KnownStore,
+    ) -> impl Iterator<Item = &'a HeardLead> {
+        self.fresh(now)
+            .filter(|lead| known.contradicts(&lead.known))
+    }
+
     /// When the last lead of `region` will have been silent for too long.
     pub fn silent_at(&self, region: &str) -> Option<Instant> {
         let near = self.leads.values().filter(|lead| lead.region == region);
--- a/crates/place/src/fleet/log.rs
+++ b/crates/place/src/fleet/log.rs
@@ -198,8 +198,9 @@
         self.sum_up();
     }
 
-    /// The mark of what is known, with rows that aren't their server's own word and rows
-    /// that may have lapsed.
+    /// The mark of which servers there are, and which rows aren't their server's own word. A
+    /// row that may have lapsed counts until it is given up: entries differ in when they
+    /// miss it.
     pub fn content(&self) -> ContentMark {
         self.content
     }
@@ -212,8 +213,7 @@
         });
         let own = own.fold(none, |sum, record| sum.with(record.mark));
         let foreign = self.foreign.iter().map(|id| ContentMark::of_foreign(id));
-        let missing = self.missing.iter().map(|id| ContentMark::of_missing(id));
-        self.content = foreign.chain(missing).fold(own, ContentMark::with);
+        self.content = foreign.fold(own, ContentMark::with);
     }
 
     fn forget(&mut self, stamp: u64, id: String) {
--- a/crates/place/src/fleet/mark.rs
+++ b/crates/place/src/fleet/mark.rs
@@ -4,9 +4,8 @@
 use crate::rank::{pair_weight, stable_hash};
 use crate::server::ServerEntry;
 
-const READY: u64 = 1;
+const OWN: u64 = 1;
 const FOREIGN: u64 = 2;
-const MISSING: u64 = 3;
 
 base::common! {
     /// The mark of a set of rows, whose order doesn't matter. Heartbeats and the rest of a
@@ -28,7 +27,7 @@
             entry.slots,
             entry.state,
         );
-        Self(pair_weight(stable_hash(text.as_bytes()), READY))
+        Self(pair_weight(stable_hash(text.as_bytes()), OWN))
     }
 
     /// Of a row that is no server's own word.
@@ -36,11 +35,6 @@
         Self(pair_weight(stable_hash(id.as_bytes()), FOREIGN))
     }
 
-    /// Of a server whose row vanished but may have lapsed, beside its last word.
-    pub fn of_missing(id: &str) -> Self {
-        Self(pair_weight(stable_hash(id.as_bytes()), MISSING))
-    }
-
     /// The mark with `other` added.
     #[must_use]
     pub fn with(self, other: Self) -> Self {
--- a/crates/place/src/fleet/member/asking.rs
+++ b/crates/place/src/fleet/member/asking.rs
@@ -1,8 +1,10 @@
 //! Whom an entry asks for what it lacks: leads, or the store.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use crate::fleet::follow::FollowerPlace;
+use crate::fleet::leads::HeardLead;
 use crate::fleet::member::{FleetAction, FleetMember, FleetNote};
 use crate::fleet::reading::ReadRole;
 use crate::fleet::seat::LEADS;
@@ -17,7 +19,65 @@
 /// Entries that get no requests spread over this time more.
 const LONE_SPREAD: Duration = Duration::from_millis(800);
 
+/// Time between two questions of a follower for everything, while it is in doubt.
+const DOUBT_PAUSE: Duration = Duration::from_millis(500);
+
 impl FleetMember {
+    /// Compares what is known of the registry with what leads know. A lead believes nobody
+    /// and reads anew; a follower that all its leads contradict takes their word.
+    pub(super) fn review_doubt(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
+        let mut contradicting = self.leads.contradicting(now, &self.known);
+        let first = if self.leading.is_some() {
+            contradicting.next()
+        } else {
+            let near = self.leads.fresh_of(now, &self.config.region);
+            let all = near.count();
+            let region = &self.config.region;
+            let near = contradicting.filter(|lead| lead.region == *region);
+            let near: Vec<&HeardLead> = near.collect();
+            near.first().copied().filter(|_| near.len() == all)
+        };
+        let lead = first.map(|lead| lead.seat.node.clone());
+        if self.doubt.on_review(now, lead.is_some())
+            && let Some(lead) = lead
+        {
+            actions.push(FleetAction::Note(FleetNote::Contradicted(lead)));
+        }
+    }
+
+    /// Whether everything is to be read anew from the store.
+    fn reads_all(&self, now: Instant) -> bool {
+        if self.leading.is_some() {
+            return self.reads && self.doubt.is_due(now, self.config.drain);
+        }
+        self.lags(now)
+    }
+
+    /// Whether a follower's knowledge was confirmed by nobody for too long, though its leads
+    /// know newer readings: whatever the reason, it asks the store itself.
+    fn lags(&self, now: Instant) -> bool {
+        let most = self.readings.pace().member;
+        let is_old =
+            |at: Option<Instant>| at.is_some_and(|at| now.saturating_duration_since(at) >= most);
+        let mut near = self.leads.fresh_of(now, &self.config.region);
+        is_old(self.known.registry_at)
+            && near.any(|lead| lead.known.registry_at.is_some() && !is_old(lead.known.registry_at))
+    }
+
+    /// The lead that is asked for everything, where what is known is in doubt and can't be
+    /// read from the store.
+    fn doubted_lead(&self, now: Instant) -> Option<SocketAddr> {
+        if !self.doubt.is_due(now, DOUBT_PAUSE) || (self.leading.is_some() && self.reads) {
+            return None;
+        }
+        let contradicting = self.leads.contradicting(now, &self.known);
+        let is_asked =
+            |lead: &&HeardLead| self.leading.is_some() || lead.region == self.config.region;
+        let asked = contradicting.filter(is_asked);
+        let newest = asked.max_by_key(|lead| (lead.known.registry_at, lead.order()));
+        newest.map(HeardLead::view)
+    }
+
     pub(super) fn review_pull(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
         let place = FollowerPlace {
             region: &self.config.region,
@@ -25,11 +85,15 @@
             leads: self.leading.is_some(),
             far_after: self.readings.pace().deputy,
         };
+        let doubted = self.doubted_lead(now);
         let next = self
             .pulls
-            .next(now, place, &self.known, &self.leads, &self.regions);
+            .next(now, place, &self.known, &self.leads, &self.regions, doubted);
         if let Some(target) = next {
-            if target.whole {
+            if doubted.is_some() {
+                self.doubt.on_acted(now);
+                actions.push(FleetAction::Note(FleetNote::Doubted));
+            } else if target.whole {
                 actions.push(FleetAction::Note(FleetNote::Ahead));
             }
             actions.push(FleetAction::Pull(target));
@@ -38,8 +102,14 @@
 
     pub(super) fn review_reading(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
         let role = self.read_role(now);
-        if let Some(wait) = self.readings.take(now, role, self.known.registry_at) {
-            actions.push(FleetAction::ReadRegistry(wait));
+        let reads_all = self.reads_all(now);
+        let known_at = self.known.registry_at;
+        if let Some(call) = self.readings.take(now, role, known_at, reads_all) {
+            if call.whole {
+                self.doubt.on_acted(now);
+                actions.push(FleetAction::Note(FleetNote::Doubted));
+            }
+            actions.push(FleetAction::ReadRegistry(call));
         }
         let watches = match role {
             ReadRole::Reader | ReadRole::Deputy => true,
--- a/crates/place/src/fleet/member/hearing.rs
+++ b/crates/place/src/fleet/member/hearing.rs
@@ -7,7 +7,7 @@
 use crate::fleet::clock::StoreTime;
 use crate::fleet::known::KnownStore;
 use crate::fleet::member::telling::YOUNG_ROWS_EVERY;
-use crate::fleet::member::{FleetAction, FleetMember, FleetNote};
+use crate::fleet::member::{FleetAction, FleetMember};
 use crate::fleet::message::{EntryBeat, LeadHint, PeerMessage, RegionDigest};
 use crate::fleet::roster::BeatNews;
 use crate::fleet::seat::{LEADS, LeadSeat};
@@ -105,10 +105,6 @@
             // Not the store's time, or not to be placed by this entry's clock yet.
             heard.proved = StoreTime::default();
         }
-        if self.known.contradicts(&heard) {
-            let lead = digest.seat.node.clone();
-            actions.push(FleetAction::Note(FleetNote::Contradicted(lead)));
-        }
         if self.known.confirm(&heard)
             && let Some(at) = self.known.registry_at
         {
--- a/crates/place/src/fleet/member/mod.rs
+++ b/crates/place/src/fleet/member/mod.rs
@@ -19,13 +19,14 @@
 use crate::crash::quarantine::QuarantineBook;
 use crate::crash::word::{CrashReport, KeptQuarantine};
 use crate::fleet::clock::{StoreClock, StoreTime};
+use crate::fleet::doubt::ContentDoubt;
 use crate::fleet::follow::{PullState, PullTarget};
 use crate::fleet::known::KnownStore;
 use crate::fleet::leads::LeadTable;
 use crate::fleet::list::EntryList;
 use crate::fleet::message::PeerMessage;
 use crate::fleet::pace::ReadPace;
-use crate::fleet::reading::{ReadOutcome, ReadingPlan};
+use crate::fleet::reading::{ReadOutcome, ReadingPlan, RegistryCall};
 use crate::fleet::regions::RegionBook;
 use crate::fleet::roster::EntryRoster;
 use crate::fleet::seat::LeadSeat;
@@ -118,9 +119,8 @@
     Send(Vec<SocketAddr>, PeerMessage),
     /// Ask a lead for what it knows more.
     Pull(PullTarget),
-    /// Read the registry, and tell the outcome; the store may hold its answer back for
-    /// this long until something changes.
-    ReadRegistry(Duration),
+    /// Read the registry, and tell the outcome.
+    ReadRegistry(RegistryCall),
     /// Watch the operator's rows from now on, or no longer.
     WatchOperator(bool),
     /// Look at the store's rows of leads.
@@ -161,6 +161,8 @@
     /// The lead that is named knows other things of the registry than this entry, though
     /// both have read it.
     Contradicted(String),
+    /// What is known of the registry is in doubt and is asked for anew.
+    Doubted,
     /// What was known of the store was ahead of it and is asked for anew.
     Ahead,
 }
@@ -180,6 +182,7 @@
     regions: RegionBook,
     search: LeadSearch,
     pulls: PullState,
+    doubt: ContentDoubt,
     readings: ReadingPlan,
     /// Since when it leads its region.
     leading: Option<Instant>,
@@ -218,6 +221,7 @@
             regions: RegionBook::new(&config.region, &config.regions),
             search: LeadSearch::new(&config.seeds, hash),
             pulls: PullState::default(),
+            doubt: ContentDoubt::default(),
             readings: ReadingPlan::new(now, ReadPace::new(config.drain), hash),
             leading: None,
             seats: Vec::new(),
@@ -285,8 +289,9 @@
             None if self.leading.is_none() => now + SEARCH_EVERY,
             None => now + LOOK_EVERY,
         };
-        let crashes = self.crashes_due().map(|at| at.max(now));
-        crashes.map_or(due, |crashes| crashes.min(due))
+        let others = [self.crashes_due(), self.doubt.due().filter(|at| *at > now)];
+        let others = others.into_iter().flatten().map(|at| at.max(now));
+        others.fold(due, Instant::min)
     }
 
     /// What is known of all regions.
@@ -365,6 +370,7 @@
         self.review_beat(now, actions);
         self.review_digest(now, actions);
         self.review_rows(now, actions);
+        self.review_doubt(now, actions);
         self.review_pull(now, actions);
         self.review_reading(now, actions);
         self.review_crashes(now, actions);
--- a/crates/place/src/fleet/reading.rs
+++ b/crates/place/src/fleet/reading.rs
@@ -31,6 +31,15 @@
     Failed,
 }
 
+/// A call to the store for the registry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RegistryCall {
+    /// How long the store may hold its answer back until something changes.
+    pub wait: Duration,
+    /// Whether all rows are asked for, whatever is known.
+    pub whole: bool,
+}
+
 /// What an entry is when it decides whether to ask the store.
 #[derive(Debug, Clone, Copy)]
 pub enum ReadRole {
@@ -112,14 +121,15 @@
         };
     }
 
-    /// Whether to begin a reading now, where what is known is of `known_at`: how long the
-    /// store may wait for changes.
+    /// Whether to begin a reading now, where what is known is of `known_at`; `whole` where
+    /// that is in doubt.
     pub fn take(
         &mut self,
         now: Instant,
         role: ReadRole,
         known_at: Option<Instant>,
-    ) -> Option<Duration> {
+        whole: bool,
+    ) -> Option<RegistryCall> {
         if self.is_reading || self.not_before.is_some_and(|at| now < at) {
             return None;
         }
@@ -137,17 +147,18 @@
                 Some(age) => age >= self.lone_age(used),
             },
         };
-        if !is_due {
+        if !is_due && !whole {
             return None;
         }
         let wait = match role {
+            _ if whole => Duration::ZERO,
             ReadRole::Reader => self.reader_wait(now),
             _ => Duration::ZERO,
         };
         self.begun = Some(now);
         self.is_reading = true;
         self.overdue_at = now + wait + OVERDUE_AFTER;
-        Some(wait)
+        Some(RegistryCall { wait, whole })
     }
 
     /// Whether the present reading takes too long.
--- a/crates/place/tests/fleet.rs
+++ b/crates/place/tests/fleet.rs
@@ -217,9 +217,7 @@
         let mut world = settled(count);
         world.store_down = true;
         seen.push(world.calls_in(ms(10_000)));
-        world.version += 1;
-        world.registry = world.version;
-        world.operator = world.version;
+        world.change_unseen();
         world.store_down = false;
         let took = world.until_known(ms(6000));
         assert!(took <= ms(2500), "{count} entries took {took:?}");
--- a/crates/place/tests/fleet_world/mod.rs
+++ b/crates/place/tests/fleet_world/mod.rs
@@ -15,7 +15,7 @@
 use place::fleet::mark::ContentMark;
 use place::fleet::member::MemberConfig;
 use place::fleet::message::PeerMessage;
-use place::fleet::reading::ReadOutcome;
+use place::fleet::reading::{ReadOutcome, RegistryCall};
 use place::fleet::seat::LeadSeat;
 use place::prelude::*;
 
@@ -48,7 +48,7 @@
     Clock,
     ReadEnds {
         begun: Instant,
-        wait: Duration,
+        call: RegistryCall,
     },
     PullEnds {
         from: usize,
@@ -324,7 +324,7 @@
                 self.entries[to].clock = None;
                 self.tell(to, FleetEvent::Clock);
             }
-            Delivery::ReadEnds { begun, wait } => self.end_read(to, begun, wait),
+            Delivery::ReadEnds { begun, call } => self.end_read(to, begun, call),
             Delivery::PullEnds { from, whole, begun } => self.end_pull(to, from, whole, begun),
             Delivery::Wakes { span, suspended } => {
                 if suspended {
@@ -398,8 +398,9 @@
                 let ends = Delivery::PullEnds { from, whole, begun };
                 self.push(self.now + delay, entry, ends);
             }
-            FleetAction::ReadRegistry(wait) => {
+            FleetAction::ReadRegistry(call) => {
                 self.calls += 1;
+                let wait = call.wait;
                 let begun = self.local(entry, self.now);
                 let span = if self.is_served(entry) {
                     wait
@@ -411,7 +412,7 @@
                 self.push(
                     self.now + span + STORE,
                     entry,
-                    Delivery::ReadEnds { begun, wait },
+                    Delivery::ReadEnds { begun, call },
                 );
             }
             FleetAction::WatchOperator(watches) => {
@@ -486,20 +487,28 @@
         !self.store_down && !self.entries[entry].refused && !self.entries[entry].silent
     }
 
-    fn end_read(&mut self, entry: usize, begun: Instant, wait: Duration) {
+    fn end_read(&mut self, entry: usize, begun: Instant, call: RegistryCall) {
         if !self.is_served(entry) {
             self.tell(entry, FleetEvent::Read(ReadOutcome::Failed));
             return;
         }
         let mut known = *self.entries[entry].member.known();
-        let is_news = known.registry_at.is_none() || known.registry != log_version(self.registry);
+        let before = known.content;
+        let first = if call.whole {
+            0
+        } else {
+            known.registry_read + 1
+        };
         // What changed after the reading that it goes on from.
-        let news = self.servers.range(known.registry_read + 1..);
+        let news = self.servers.range(first..);
         self.entries[entry].servers.extend(news);
-        known.registry = log_version(self.registry);
         known.content = self.content(entry);
+        let is_news = known.registry_at.is_none() || known.content != before;
+        if is_news {
+            known.registry = log_version(self.registry).max(known.registry + 1);
+        }
         known.registry_read = self.version;
-        known.registry_at = Some(begun + wait);
+        known.registry_at = Some(begun + call.wait);
         self.tell(entry, FleetEvent::Known(known));
         let outcome = if is_news {
             ReadOutcome::Changed
@@ -637,12 +646,17 @@
         live
     }
 
-    /// The registry and the operator's rows change; open watches are told.
-    pub fn change(&mut self) {
+    /// The registry and the operator's rows change, and no open watch is told.
+    pub fn change_unseen(&mut self) {
         self.version += 1;
         self.registry = self.version;
         self.servers.insert(self.version);
         self.operator = self.version;
+    }
+
+    /// The registry and the operator's rows change; open watches are told.
+    pub fn change(&mut self) {
+        self.change_unseen();
         self.changes.push((self.now, self.version));
         for entry in 0..self.entries.len() {
             let entry_is_told = self.entries[entry].alive && !self.is_still(entry);
--- a/crates/place/tests/relisting.rs
+++ b/crates/place/tests/relisting.rs
@@ -8,7 +8,7 @@
 use common::{ms, placer_config, reading, server};
 use place::catalog::ServerCatalog;
 use place::fleet::pace::ReadPace;
-use place::fleet::reading::{ReadOutcome, ReadRole, ReadingPlan};
+use place::fleet::reading::{ReadOutcome, ReadRole, ReadingPlan, RegistryCall};
 
 /// Within this time a leaving server must get no more requests.
 const DRAIN: Duration = Duration::from_millis(3000);
@@ -37,7 +37,8 @@
             );
             now += ms(10);
             plan.set_settles(catalog.settles_at());
-            let Some(wait) = plan.take(now, ReadRole::Reader, catalog.read_at()) else {
+            let call = plan.take(now, ReadRole::Reader, catalog.read_at(), false);
+            let Some(RegistryCall { wait, .. }) = call else {
                 continue;
             };
             if now < back {
