A request isn't sent to a server that was closed while the connection to it was made

Callers saw: a request at a server 2504 ms after it said that it leaves: of the 121 ms from the entry to the server 70 were a handshake across regions. The choice was in time, the sending wasn't Cause: a choice was used without another look after the time that a connection takes, up to 0.4 s. Class: checked, then used. The same wait let a request through whose quarantine, evacuation or foreign row came meanwhile Evidence: a_server_that_leaves_while_it_is_connected_to_gets_nothing (a real entry, a server whose queue of connections is full until the entry has heard that it leaves) failed before: the leaving server was sent 64 bytes Change: once a connection is there the choice is looked at again, and the quarantine too; a request that may not be sent is placed anew, as after a server that can't be reached: nothing was sent, so nothing counts as a repeat. How long a connection may take is a setting, connect, 400 ms as before Why it works: between the second look and the first byte nothing is waited for Ruled out: other waits between choosing and sending. Bodies are read before the choice, a kept connection is used at once, a hand-over chooses no server, the rest of a long body follows a head that was sent Measured: the tests; a_choice_stands_until_its_server_is_closed for what closes a server Conclusion: kept. The way itself, 35 ms, is left

--- a/bin/lh-entry/src/config.rs
+++ b/bin/lh-entry/src/config.rs
@@ -45,6 +45,8 @@
     pub grace: Duration,
     /// Time within which a leaving server must get no more requests.
     pub drain: Duration,
+    /// Longest time in which a server accepts a connection.
+    pub connect: Duration,
     /// Bounds on repeats.
     pub budget: BudgetBounds,
     /// Largest change of a region's share of requests from one window to the next.
@@ -98,6 +100,7 @@
             store: file.section("store")?.address("address")?,
             grace: bounds.duration("grace")?,
             drain: bounds.duration("drain")?,
+            connect: bounds.duration("connect")?,
             budget: BudgetBounds {
                 ratio: bounds.number("retry_ratio")?,
                 slack: bounds.number("retry_slack")?,
--- a/bin/lh-entry/src/job.rs
+++ b/bin/lh-entry/src/job.rs
@@ -28,8 +28,8 @@
 use crate::reply::{broken, fail, is_sound, read_answer, refuse, strip_hop_headers};
 use crate::state::InstanceState;
 
-/// Servers that can't be reached are passed over this many times a request.
-const UNREACHABLE_MOST: u32 = 4;
+/// Servers to which a request can't be sent are passed over this many times.
+const UNSENT_MOST: u32 = 4;
 
 /// A request on its way.
 pub(crate) struct RequestJob {
@@ -55,7 +55,7 @@
 pub(crate) struct JobProgress {
     tried: Vec<ServerHandle>,
     runs: u32,
-    unreachable: u32,
+    unsent: u32,
     may_have_run: bool,
     /// The request's print, once it was needed.
     pub(crate) print: Option<RequestPrint>,
@@ -65,7 +65,8 @@
 enum AttemptEnd {
     Answer(Response<AnswerBody>),
     NotRun,
-    Unreachable,
+    /// Nothing was sent: no connection could be had, or not in time.
+    Unsent,
     Failed(Response<AnswerBody>),
     Broken,
     OutOfTime,
@@ -97,9 +98,9 @@
                 AttemptEnd::OutOfTime => {
                     return fail(&mut self.record, &self.caller, StatusCode::GATEWAY_TIMEOUT);
                 }
-                AttemptEnd::Unreachable => {
-                    self.progress.unreachable += 1;
-                    if self.progress.unreachable < UNREACHABLE_MOST {
+                AttemptEnd::Unsent => {
+                    self.progress.unsent += 1;
+                    if self.progress.unsent < UNSENT_MOST {
                         continue;
                     }
                 }
@@ -212,9 +213,14 @@
             Err(reason) => {
                 guard.finish(ServerOutcome::Unreachable, None);
                 self.record.on_result(&reason);
-                return AttemptEnd::Unreachable;
+                return AttemptEnd::Unsent;
             }
         };
+        if !self.may_send(&guard.placement, body) {
+            guard.finish(ServerOutcome::Withdrawn, None);
+            self.record.on_result("not sent, closed meanwhile");
+            return AttemptEnd::Unsent;
+        }
         if matches!(body, JobBody::Streamed(_)) {
             // Its beginning is gone once it is sent.
             self.print(body);
@@ -225,7 +231,7 @@
         };
         let Some(sender) = lease.sender() else {
             guard.finish(ServerOutcome::Unreachable, None);
-            return AttemptEnd::Unreachable;
+            return AttemptEnd::Unsent;
         };
         self.record.on_sent(placed.elapsed());
         let sending = sender.try_send_request(request);
@@ -245,7 +251,7 @@
                 self.record.on_result(&broken(error.error()));
                 guard.finish(outcome, None);
                 if unsent {
-                    return AttemptEnd::Unreachable;
+                    return AttemptEnd::Unsent;
                 }
                 self.on_broken_off(route, &guard.placement, body);
                 return AttemptEnd::Broken;
@@ -255,6 +261,17 @@
         self.take_answer(route, guard, lease, (answer, body)).await
     }
 
+    /// Whether the choice still stands once a connection is there.
+    fn may_send(&mut self, placement: &Placement, body: &JobBody) -> bool {
+        let stands = self
+            .state
+            .placer
+            .borrow()
+            .catalog
+            .may_send(placement.handle);
+        stands && self.quarantine(body).is_none()
+    }
+
     async fn take_answer(
         &mut self,
         route: &RouteSpec,
--- a/bin/lh-entry/src/pool.rs
+++ b/bin/lh-entry/src/pool.rs
@@ -17,9 +17,6 @@
 
 use crate::body::RequestBody;
 
-/// A server that accepts no connection in this time is taken as unreachable:
-/// several round trips between regions.
-const CONNECT_TIME: Duration = Duration::from_millis(400);
 /// Bytes that stay unacknowledged for this long break the connection: a server
 /// that lost power is noticed before most deadlines.
 const SILENCE: Duration = Duration::from_millis(1200);
@@ -49,12 +46,22 @@
 }
 
 /// Idle connections by server.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct ServerPool {
+    /// Longest time in which a server accepts a connection.
+    connect: Duration,
     idle: RefCell<HashMap<String, Vec<IdleConnection>>>,
 }
 
 impl ServerPool {
+    /// A pool without connections; each may take `connect` to be made.
+    pub(crate) fn new(connect: Duration) -> Self {
+        Self {
+            connect,
+            idle: RefCell::default(),
+        }
+    }
+
     /// An idle connection to `server`, the one used last. `careful` leaves out
     /// those that the server might be closing at this moment.
     pub(crate) fn take(&self, server: &str, careful: bool) -> Option<Lease> {
@@ -90,7 +97,7 @@
         patience: Duration,
     ) -> Result<Lease, String> {
         let opening = TcpStream::connect(address);
-        let stream = match timeout(patience.min(CONNECT_TIME), opening).await {
+        let stream = match timeout(patience.min(self.connect), opening).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => return Err(error.to_string()),
             Err(_) => return Err("no connection in time".to_owned()),
--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -119,7 +119,7 @@
             meter: RefCell::default(),
             told_rate: Cell::new(0),
             homes: RefCell::default(),
-            pool: ServerPool::default(),
+            pool: ServerPool::new(config.connect),
             crashes: CrashDesk::default(),
             metrics,
             stop: Cell::new(StopPhase::Serving),
--- /dev/null
+++ b/bin/lh-entry/tests/leaving.rs
@@ -0,0 +1,88 @@
+//! What a request meets whose server begins to leave while it is on its way.
+
+mod world;
+
+use std::net::SocketAddr;
+
+use platform_standin::{FakeBackend, server_entry};
+use socket2::{Domain, Socket, Type};
+use tokio::io::AsyncReadExt as _;
+use tokio::net::{TcpListener, TcpStream};
+use world::{EntryProcess, World, exchange, request, until};
+
+/// A server that accepts no further connection until it is asked to: the queue of its
+/// connections is full.
+struct BusyListener {
+    listener: TcpListener,
+    _waiting: TcpStream,
+}
+
+impl BusyListener {
+    async fn start() -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        let address: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        socket.bind(&address.into()).unwrap();
+        socket.listen(0).unwrap();
+        socket.set_nonblocking(true).unwrap();
+        let listener = TcpListener::from_std(socket.into()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let waiting = TcpStream::connect(address).await.unwrap();
+        Self {
+            listener,
+            _waiting: waiting,
+        }
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.listener.local_addr().unwrap()
+    }
+
+    /// Accepts the connection that waits, then the next one; what that one brings until it
+    /// ends or something came.
+    async fn next(self) -> usize {
+        drop(self.listener.accept().await.unwrap());
+        let (mut stream, _) = self.listener.accept().await.unwrap();
+        let mut bytes = [0; 64];
+        stream.read(&mut bytes).await.unwrap_or(0)
+    }
+}
+
+/// Promise: a request whose server begins to leave while the connection to it is made goes to
+/// another server.
+#[tokio::test]
+async fn a_server_that_leaves_while_it_is_connected_to_gets_nothing() {
+    let world = World::new(0).await;
+    let busy = BusyListener::start().await;
+    let entry = |state| server_entry("board", busy.address(), state, 1);
+    world.store.put("servers", "i-busy", &entry("ready"));
+    let process = EntryProcess::start_within(world.store.address(), "n1", "connect = 30s\n");
+    process.wait_ready().await;
+    let mut sender = process.connect().await;
+    let sent = tokio::spawn(async move {
+        let request = request("POST", "/desk/x", "held-up");
+        exchange(&mut sender, request).await
+    });
+    until("the request waits for a connection", async || {
+        let status = process.document("/v1/status?service=board").await;
+        status["servers"][0]["in_flight"] == 1
+    })
+    .await;
+    let backend = FakeBackend::start("i-other").await;
+    let other = server_entry("board", backend.address(), "ready", 1);
+    world.store.put("servers", "i-other", &other);
+    world.store.put("servers", "i-busy", &entry("draining"));
+    until("the entry knows both", async || {
+        let leaving = process.logged("server is leaving");
+        let joined = process.logged("server joined");
+        leaving.len() == 1 && joined.len() == 2
+    })
+    .await;
+    assert_eq!(
+        busy.next().await,
+        0,
+        "the leaving server was sent something"
+    );
+    let answer = sent.await.unwrap().expect("an answer");
+    assert_eq!(answer.status, 200);
+    assert_eq!(backend.runs("held-up"), 1);
+}
--- a/crates/conf/src/schema/entry.rs
+++ b/crates/conf/src/schema/entry.rs
@@ -121,6 +121,12 @@
                     Some("2500ms"),
                     "Time within which a server that leaves must get no more requests: how often the registry is read follows from it.",
                 ),
+                key(
+                    "connect",
+                    duration(1, HOUR_MS),
+                    Some("400ms"),
+                    "Longest time in which a server accepts a connection: several round trips between regions. One that takes longer is unreachable.",
+                ),
                 key(
                     "retry_ratio",
                     number(0.0, 100.0),
--- a/crates/place/src/catalog.rs
+++ b/crates/place/src/catalog.rs
@@ -325,14 +325,17 @@
         })
     }
 
+    /// Whether a request that was placed at the server may still be sent there. Making a
+    /// connection takes time, in which the server may have begun to leave.
+    pub fn may_send(&self, handle: ServerHandle) -> bool {
+        let record = self.get(handle);
+        record.is_some_and(|record| self.closed_by(record).is_none())
+    }
+
     /// Whether the server of `record` may get requests.
     pub fn condition(&self, now: Instant, record: &ServerRecord) -> ServerCondition {
-        if record.entry.state == EntryState::Draining {
-            ServerCondition::Leaving
-        } else if record.overwritten {
-            ServerCondition::Overwritten
-        } else if self.evacuated.contains(&record.entry.domain) {
-            ServerCondition::Evacuated
+        if let Some(condition) = self.closed_by(record) {
+            condition
         } else if record.is_paused(now) {
             ServerCondition::Unreachable
         } else if record.is_cold(now) {
@@ -342,6 +345,19 @@
         }
     }
 
+    /// Whose word keeps all requests from the server of `record`, where there is such.
+    fn closed_by(&self, record: &ServerRecord) -> Option<ServerCondition> {
+        if record.entry.state == EntryState::Draining {
+            Some(ServerCondition::Leaving)
+        } else if record.overwritten {
+            Some(ServerCondition::Overwritten)
+        } else if self.evacuated.contains(&record.entry.domain) {
+            Some(ServerCondition::Evacuated)
+        } else {
+            None
+        }
+    }
+
     /// All known servers.
     pub fn iter(&self) -> impl Iterator<Item = &ServerRecord> {
         self.records.iter().flatten()
--- a/crates/place/src/placing/placer.rs
+++ b/crates/place/src/placing/placer.rs
@@ -339,7 +339,7 @@
                     record.on_speed(now, ratio * record.speed(now));
                 }
             }
-            ServerOutcome::Abandoned => {}
+            ServerOutcome::Withdrawn | ServerOutcome::Abandoned => {}
         }
         record.in_flight = record.in_flight.saturating_sub(1);
         if outcome == ServerOutcome::Unreachable {
--- a/crates/place/src/request.rs
+++ b/crates/place/src/request.rs
@@ -166,6 +166,9 @@
     Misdirected,
     /// No connection could be had; the request was not sent.
     Unreachable,
+    /// It could be sent at last, but the server or the request was closed meanwhile; the
+    /// request was not sent.
+    Withdrawn,
     /// The connection broke, or the answer was not one.
     Broken,
     /// The time ran out before the answer came.
@@ -183,6 +186,7 @@
             Self::Full => "full",
             Self::Misdirected => "misdirected",
             Self::Unreachable => "unreachable",
+            Self::Withdrawn => "withdrawn",
             Self::Broken => "broken",
             Self::OutOfTime => "out-of-time",
             Self::Abandoned => "abandoned",
--- a/crates/place/tests/catalog.rs
+++ b/crates/place/tests/catalog.rs
@@ -104,6 +104,41 @@
     assert_eq!(open(&catalog), ["x"]);
 }
 
+/// Promise: a choice stands until the server leaves, is gone, starts again, or is closed by a
+/// foreign row or an evacuation; that others can't reach it changes nothing.
+#[test]
+fn a_choice_stands_until_its_server_is_closed() {
+    let now = Instant::now();
+    let later = now + ms(100);
+    let ready = server("x", "a1");
+    let row = |change: fn(&mut ServerEntry)| {
+        let mut row = server("x", "a1");
+        row.seq = 2;
+        change(&mut row);
+        reading(later, &[row])
+    };
+    let mut foreign = reading(later, &[]);
+    foreign.foreign.push("x".to_owned());
+    let cases = [
+        ("heartbeat", row(|_| {}), true),
+        ("leaves", row(|row| row.state = EntryState::Draining), false),
+        ("starts again", row(|row| row.started = Some(9)), false),
+        ("is gone", reading(later, &[]), false),
+        ("foreign row", foreign, false),
+    ];
+    for (what, snapshot, stands) in cases {
+        let mut catalog = ServerCatalog::new(domains());
+        catalog.on_read(now, &reading(now, std::slice::from_ref(&ready)));
+        let (handle, _) = catalog.open_servers("board").next().unwrap();
+        catalog.get_mut(handle).unwrap().on_unreachable(now);
+        assert!(catalog.may_send(handle), "{what}");
+        catalog.on_read(later, &snapshot);
+        assert_eq!(catalog.may_send(handle), stands, "{what}");
+        catalog.set_evacuated(later, HashSet::from(["a1".to_owned()]), ms(3000));
+        assert!(!catalog.may_send(handle), "{what}, evacuated");
+    }
+}
+
 /// Promise: an answer that the store held back until something changed counts, though another
 /// entry's reading began and ended while it waited.
 #[test]
