A doubt that a reading doesn't settle isn't asked again at once; a later answer of the store counts

The log begins anew wherever a reading doesn't reach its version, not only 1,000 versions below. Readings of everything are a reader's time apart.

--- a/crates/place/src/catalog.rs
+++ b/crates/place/src/catalog.rs
@@ -7,7 +7,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
-use crate::fleet::log::{RegistryDelta, is_outdated, store_version};
+use crate::fleet::log::{RegistryDelta, store_version};
 use crate::placing::trip::TripBook;
 use crate::server::{EntryState, ServerEntry, ServerRecord};
 
@@ -121,8 +121,10 @@
     by_service: HashMap<String, Vec<usize>>,
     evacuated: HashSet<String>,
     read_at: Option<Instant>,
-    /// The store's version as of which the newest reading was.
+    /// The store's version as of which what is known was read, by whomever.
     version: u64,
+    /// When that was taken in.
+    taken_at: Option<Instant>,
     trips: TripBook,
     /// When the registry failed to answer last, until it does again.
     failed_at: Option<Instant>,
@@ -191,9 +193,11 @@
 
     /// Whether something newer than `snapshot` is known. What it holds decides, not when it
     /// was asked for: an answer that the store held back until something changed may hold
-    /// more than one to a later question.
+    /// more than one to a later question. A version that a later answer of the store doesn't
+    /// reach was never the store's.
     pub fn is_outdated(&self, snapshot: &CatalogSnapshot) -> bool {
-        is_outdated(snapshot.version, self.version)
+        let is_later = self.taken_at.is_none_or(|at| snapshot.begun >= at);
+        snapshot.version < self.version && !is_later
     }
 
     /// Takes in a complete reading, and returns what changed.
@@ -218,6 +222,7 @@
         self.sweep(now, &listed, settled, &mut changes);
         self.read_at = self.read_at.max(Some(snapshot.begun));
         self.version = snapshot.version;
+        self.taken_at = Some(now);
         changes
     }
 
@@ -249,6 +254,7 @@
             self.sweep(now, &listed, true, &mut changes);
         }
         self.version = store_version(delta.version);
+        self.taken_at = Some(now);
         self.confirm(begun);
         changes
     }
--- a/crates/place/src/fleet/known.rs
+++ b/crates/place/src/fleet/known.rs
@@ -148,9 +148,7 @@
     /// bear the same one.
     pub fn confirm(&mut self, other: &Self) -> bool {
         self.confirm_operator(other);
-        let is_same = self.content == other.content
-            && !self.is_behind_registry(other)
-            && other.has_read(self.registry);
+        let is_same = self.content == other.content && !self.is_behind_registry(other);
         if !is_same || other.registry_at <= self.registry_at {
             return false;
         }
--- a/crates/place/src/fleet/log.rs
+++ b/crates/place/src/fleet/log.rs
@@ -17,9 +17,6 @@
 /// is no change there, as that a server is not back in time. Without room for them such a
 /// step took the number of the store's next change, which others then took as known.
 const OWN_STEPS: u64 = 1024;
-/// A log so far ahead of the store holds what no reading gave, as after a damaged
-/// message, and is read anew.
-const AHEAD_MOST: u64 = 1000;
 
 base::common! {
     /// What changed in the registry.
@@ -62,12 +59,6 @@
     version / OWN_STEPS
 }
 
-/// Whether a reading as of the store's version `version` is older than one as of `known`. A
-/// version far behind is no older one: what is known can't have been read from the store.
-pub fn is_outdated(version: u64, known: u64) -> bool {
-    version < known && known - version <= AHEAD_MOST
-}
-
 /// One server's row.
 #[derive(Debug)]
 struct LogRecord {
@@ -110,7 +101,8 @@
 
     /// Takes in a reading of the registry.
     pub fn on_read(&mut self, snapshot: &CatalogSnapshot, scope: ReadScope) {
-        if log_version(snapshot.version.saturating_add(AHEAD_MOST)) < self.version {
+        if self.version >= log_version(snapshot.version.saturating_add(1)) {
+            // No reading gave that, as after a damaged message.
             *self = Self::default();
         }
         let is_first = self.version == 0;
--- a/crates/place/src/fleet/reading.rs
+++ b/crates/place/src/fleet/reading.rs
@@ -133,6 +133,9 @@
         if self.is_reading || self.not_before.is_some_and(|at| now < at) {
             return None;
         }
+        // What doesn't help isn't done again at once.
+        let is_paced = |begun| now.saturating_duration_since(begun) >= self.pace.reader;
+        let whole = whole && self.begun.is_none_or(is_paced);
         let age = known_at.map(|at| now.saturating_duration_since(at));
         let is_due = match role {
             ReadRole::Reader => self.next.is_none_or(|next| now >= next) || self.settles_now(now),
--- a/crates/place/tests/catalog.rs
+++ b/crates/place/tests/catalog.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use common::{domains, ms, reading, server};
+use place::fleet::log::{RegistryDelta, log_version};
 use place::prelude::*;
 
 fn open(catalog: &ServerCatalog) -> Vec<String> {
@@ -139,6 +140,25 @@
     }
 }
 
+/// Promise: a version that the store never had, as after a damaged message, keeps no answer
+/// of the store out.
+#[test]
+fn a_version_that_the_store_never_had_keeps_nothing_out() {
+    let now = Instant::now();
+    let mut catalog = ServerCatalog::new(domains());
+    let both = [server("x", "a1"), server("y", "a1")];
+    let first = reading(now, &both);
+    let told = RegistryDelta {
+        version: log_version(first.version + 700),
+        whole: true,
+        entries: both.to_vec(),
+        ..RegistryDelta::default()
+    };
+    catalog.on_told(now + ms(10), now, &told);
+    catalog.on_read(now + ms(30), &reading(now + ms(20), &both[..1]));
+    assert_eq!(open(&catalog), ["x"]);
+}
+
 /// Promise: an answer that the store held back until something changed counts, though another
 /// entry's reading began and ended while it waited.
 #[test]
