--- a/crates/place/tests/fleet.rs
+++ b/crates/place/tests/fleet.rs
@@ -511,3 +511,36 @@
         }
     }
 }
+
+/// Promise: an entry that holds a version which the store hasn't reached yet knows what changes
+/// in time all the same, and asks the store no more often than a reader.
+#[test]
+fn a_version_ahead_of_the_store_hides_nothing() {
+    for count in [12, 300] {
+        for leads in [false, true] {
+            let mut world = settled(count);
+            let ahead = (0..count).find(|entry| {
+                region_of(*entry) == 1 && world.entries[*entry].member.leads() == leads
+            });
+            let calm = world.calls_in(ms(3000));
+            world.claim(ahead.unwrap(), world.version + 6);
+            world.change();
+            let begun = world.now;
+            let calls = world.calls;
+            while !world.lacking().is_empty() && world.now < begun + ms(9000) {
+                world.run(ms(10));
+            }
+            let took = world.now - begun;
+            assert!(
+                took <= DRAIN - FAR_SEND,
+                "{count} entries, {leads}: {took:?}"
+            );
+            world.run(begun + ms(3000) - world.now);
+            let more = world.calls - calls;
+            assert!(
+                more <= calm + 6,
+                "{count}, {leads}: {more} calls, {calm} before"
+            );
+        }
+    }
+}
--- a/crates/place/tests/fleet_world/mod.rs
+++ b/crates/place/tests/fleet_world/mod.rs
@@ -113,8 +113,9 @@
     pub crash_datagrams: u64,
     pub own: OwnState,
     pub notes: Vec<FleetNote>,
-    /// The changes of the registry that it knows, by the store's version.
-    pub servers: BTreeSet<u64>,
+    /// The changes of the registry that it knows, by the store's version, with the version of
+    /// its log at which it learned of each.
+    pub servers: BTreeMap<u64, u64>,
     clock: Option<Instant>,
     watches: bool,
     watching: bool,
@@ -218,7 +219,7 @@
                 crash_datagrams: 0,
                 own: OwnState::default(),
                 notes: Vec::new(),
-                servers: BTreeSet::new(),
+                servers: BTreeMap::new(),
                 clock: None,
                 watches: false,
                 watching: false,
@@ -494,18 +495,26 @@
         }
         let mut known = *self.entries[entry].member.known();
         let before = known.content;
-        let first = if call.whole {
+        if known.registry >= log_version(self.version + 1) {
+            // No reading gave that: the log begins anew.
+            self.entries[entry].servers.clear();
+            known.registry = 0;
+        }
+        let first = if call.whole || known.registry_read > self.version {
             0
         } else {
             known.registry_read + 1
         };
         // What changed after the reading that it goes on from.
-        let news = self.servers.range(first..);
-        self.entries[entry].servers.extend(news);
+        let news: Vec<u64> = self.servers.range(first..).copied().collect();
+        let stamp = log_version(self.registry).max(known.registry + 1);
+        for change in news {
+            self.entries[entry].servers.entry(change).or_insert(stamp);
+        }
         known.content = self.content(entry);
         let is_news = known.registry_at.is_none() || known.content != before;
         if is_news {
-            known.registry = log_version(self.registry).max(known.registry + 1);
+            known.registry = stamp;
         }
         known.registry_read = self.version;
         known.registry_at = Some(begun + call.wait);
@@ -534,8 +543,9 @@
             if whole {
                 servers.clear();
             }
-            let news = teller.into_iter();
-            servers.extend(news.filter(|at| whole || log_version(*at) > known.registry));
+            let is_news = |stamp: u64| whole || stamp > known.registry;
+            let news = teller.into_iter().filter(|(_, stamp)| is_news(*stamp));
+            servers.extend(news.map(|(change, _)| (change, told.registry)));
             known.registry = told.registry;
             known.content = self.content(entry);
             known.registry_read = told.registry_read;
@@ -625,16 +635,21 @@
 
     /// The mark of what `entry` knows of the registry.
     fn content(&self, entry: usize) -> ContentMark {
-        let marks = self.entries[entry].servers.iter();
+        let marks = self.entries[entry].servers.keys();
         let marks = marks.map(|change| ContentMark::of_foreign(&change.to_string()));
         marks.fold(ContentMark::default(), ContentMark::with)
     }
 
     /// The registry changes, and `entry` takes the version of the change without the change.
     pub fn miss(&mut self, entry: usize) {
+        self.claim(entry, self.version);
+    }
+
+    /// `entry` is sure to know the registry as of `version`, and learns nothing.
+    pub fn claim(&mut self, entry: usize, version: u64) {
         let mut known = *self.entries[entry].member.known();
-        known.registry = log_version(self.registry);
-        known.registry_read = self.version;
+        known.registry = log_version(version);
+        known.registry_read = version;
         known.registry_at = Some(self.local(entry, self.now));
         self.tell(entry, FleetEvent::Known(known));
     }
@@ -642,7 +657,7 @@
     /// Live entries that don't know all of the registry, whatever they think.
     pub fn lacking(&self) -> Vec<usize> {
         let mut live = self.live();
-        live.retain(|entry| self.entries[*entry].servers != self.servers);
+        live.retain(|entry| !self.entries[*entry].servers.keys().eq(&self.servers));
         live
     }
 
