--- a/bin/lh-entry/src/view.rs
+++ b/bin/lh-entry/src/view.rs
@@ -14,7 +14,7 @@
 use hyper_util::rt::TokioIo;
 use place::desired::DesiredState;
 use place::fleet::clock::StoreTime;
-use place::fleet::follow::PullTarget;
+use place::fleet::follow::{PullScope, PullTarget};
 use place::fleet::known::{KnownStore, StoreWord};
 use place::fleet::list::{EntryList, ListVersion};
 use place::fleet::log::{RegistryDelta, RegistryLog};
@@ -161,7 +161,8 @@
     if let Err(error) = &result {
         log::info!(lead:% = target.view, error:%; "lead not followed");
     }
-    state.metrics.on_pull(target.whole, result.is_ok());
+    let is_whole = target.scope != PullScope::News;
+    state.metrics.on_pull(is_whole, result.is_ok());
     let done = result.is_ok();
     state.fleet.on_event(FleetEvent::Pulled(target.view, done));
 }
@@ -179,11 +180,13 @@
         state.on_desired(&desired);
     }
     if let Some(evacuated) = &answer.evacuated {
-        state.on_told_operator(&heard, evacuated, target.whole);
+        let is_whole = target.scope == PullScope::All;
+        state.on_told_operator(&heard, evacuated, is_whole);
     }
     if !answer.registry.is_empty() {
         let delta: RegistryDelta = postcard::from_bytes(&answer.registry)?;
-        state.on_told_servers(target.view, &heard, &delta, target.whole);
+        let is_whole = target.scope != PullScope::News;
+        state.on_told_servers(target.view, &heard, &delta, is_whole);
     }
     state
         .fleet
@@ -213,10 +216,14 @@
             self.sender = None;
         }
         let known = state.fleet.known();
-        let of = |version: u64| if target.whole { 0 } else { version };
+        let (registry, operator) = match target.scope {
+            PullScope::News => (known.registry, known.operator),
+            PullScope::Registry => (0, known.operator),
+            PullScope::All => (0, 0),
+        };
         let query = encode(&ViewQuery {
-            registry: of(known.registry),
-            operator: of(known.operator),
+            registry,
+            operator,
             desired: known.desired,
             lists: state.fleet.with_regions(|_, regions| regions.versions()),
         });
--- a/crates/place/src/fleet/follow.rs
+++ b/crates/place/src/fleet/follow.rs
@@ -30,13 +30,24 @@
 /// a second apart.
 const AHEAD_MOST: Duration = Duration::from_millis(3000);
 
+/// What a lead is asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PullScope {
+    /// What it knows beyond the one that asks.
+    News,
+    /// All of the servers' registry, besides news: what is known of it is in doubt.
+    Registry,
+    /// Everything, also what is thought known.
+    All,
+}
+
 /// A question to a lead.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PullTarget {
     /// Where the lead tells what it knows.
     pub view: SocketAddr,
-    /// Whether all is asked for, also what is thought known.
-    pub whole: bool,
+    /// What it is asked for.
+    pub scope: PullScope,
 }
 
 /// Who asks.
@@ -81,7 +92,7 @@
         self.behind_since.is_some()
     }
 
-    /// Whom to ask now, if anybody; `doubted` is asked for everything.
+    /// Whom to ask now, if anybody; `doubted` is asked for all of the registry.
     pub fn next(
         &mut self,
         now: Instant,
@@ -92,9 +103,14 @@
         doubted: Option<SocketAddr>,
     ) -> Option<PullTarget> {
         let near = near_leads(now, place, leads);
-        let whole = doubted.is_some() || self.is_ahead_for_long(now, known, &near);
+        let is_ahead = self.is_ahead_for_long(now, known, &near);
+        let scope = match doubted {
+            Some(_) => PullScope::Registry,
+            None if is_ahead => PullScope::All,
+            None => PullScope::News,
+        };
         let ahead = leads_ahead(now, place, known, leads, regions, &near);
-        if ahead.is_empty() && !whole {
+        if ahead.is_empty() && scope == PullScope::News {
             self.behind_since = None;
             return None;
         }
@@ -108,16 +124,16 @@
         let is_avoided = |lead: &&HeardLead| avoided.is_none_or(|(view, _)| lead.view() != view);
         let view = match doubted {
             Some(view) => view,
-            None if whole => first?.view(),
+            None if is_ahead => first?.view(),
             None => ahead.into_iter().find(is_avoided)?.view(),
         };
-        let is_other = !whole && first.is_some_and(|first| first.view() != view);
+        let is_other = scope == PullScope::News && first.is_some_and(|first| first.view() != view);
         if is_other && !place.leads && avoided.is_none() && is_recent(since, OTHER_AFTER) {
             return None;
         }
         self.asked = Some(view);
         self.asked_at = Some(now);
-        Some(PullTarget { view, whole })
+        Some(PullTarget { view, scope })
     }
 
     /// Whether what is known has been ahead of the store's word at all leads for too long.
--- a/crates/place/src/fleet/member/asking.rs
+++ b/crates/place/src/fleet/member/asking.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use crate::fleet::follow::FollowerPlace;
+use crate::fleet::follow::{FollowerPlace, PullScope};
 use crate::fleet::leads::HeardLead;
 use crate::fleet::member::{FleetAction, FleetMember, FleetNote};
 use crate::fleet::reading::ReadRole;
@@ -90,11 +90,13 @@
             .pulls
             .next(now, place, &self.known, &self.leads, &self.regions, doubted);
         if let Some(target) = next {
-            if doubted.is_some() {
-                self.doubt.on_acted(now);
-                actions.push(FleetAction::Note(FleetNote::Doubted));
-            } else if target.whole {
-                actions.push(FleetAction::Note(FleetNote::Ahead));
+            match target.scope {
+                PullScope::News => {}
+                PullScope::Registry => {
+                    self.doubt.on_acted(now);
+                    actions.push(FleetAction::Note(FleetNote::Doubted));
+                }
+                PullScope::All => actions.push(FleetAction::Note(FleetNote::Ahead)),
             }
             actions.push(FleetAction::Pull(target));
         }
--- a/crates/place/tests/fleet.rs
+++ b/crates/place/tests/fleet.rs
@@ -544,3 +544,23 @@
         }
     }
 }
+
+/// Promise: an entry that asks a lead for all servers, since it is in doubt about them, keeps the
+/// newer rows of the operator that it knows.
+#[test]
+fn a_doubt_about_servers_costs_no_newer_state() {
+    let mut world = settled(12);
+    let follower = (0..12).find(|entry| !world.entries[*entry].member.leads());
+    let follower = follower.unwrap();
+    world.change();
+    world.miss(follower);
+    let mut known = *world.entries[follower].member.known();
+    known.operator = world.operator + 5;
+    known.desired = known.operator;
+    world.tell(follower, FleetEvent::Known(known));
+    while world.lacking().contains(&follower) {
+        world.run(ms(10));
+        let now_known = world.entries[follower].member.known().operator;
+        assert_eq!(now_known, known.operator);
+    }
+}
--- a/crates/place/tests/fleet_world/mod.rs
+++ b/crates/place/tests/fleet_world/mod.rs
@@ -10,7 +10,7 @@
 use place::crash::print::RequestPrint;
 use place::crash::word::KeptQuarantine;
 use place::fleet::clock::StoreTime;
-use place::fleet::follow::PullTarget;
+use place::fleet::follow::{PullScope, PullTarget};
 use place::fleet::log::log_version;
 use place::fleet::mark::ContentMark;
 use place::fleet::member::MemberConfig;
@@ -52,7 +52,7 @@
     },
     PullEnds {
         from: usize,
-        whole: bool,
+        scope: PullScope,
         begun: Instant,
     },
     WatchEnds,
@@ -326,7 +326,7 @@
                 self.tell(to, FleetEvent::Clock);
             }
             Delivery::ReadEnds { begun, call } => self.end_read(to, begun, call),
-            Delivery::PullEnds { from, whole, begun } => self.end_pull(to, from, whole, begun),
+            Delivery::PullEnds { from, scope, begun } => self.end_pull(to, from, scope, begun),
             Delivery::Wakes { span, suspended } => {
                 if suspended {
                     self.entries[to].behind += span;
@@ -392,11 +392,11 @@
                     self.send(entry, entry_at(target), message.clone());
                 }
             }
-            FleetAction::Pull(PullTarget { view, whole }) => {
+            FleetAction::Pull(PullTarget { view, scope }) => {
                 let from = entry_at(view);
                 let delay = 2 * self.delay(entry, from);
                 let begun = self.local(entry, self.now);
-                let ends = Delivery::PullEnds { from, whole, begun };
+                let ends = Delivery::PullEnds { from, scope, begun };
                 self.push(self.now + delay, entry, ends);
             }
             FleetAction::ReadRegistry(call) => {
@@ -527,7 +527,7 @@
         self.tell(entry, FleetEvent::Read(outcome));
     }
 
-    fn end_pull(&mut self, entry: usize, from: usize, whole: bool, begun: Instant) {
+    fn end_pull(&mut self, entry: usize, from: usize, scope: PullScope, begun: Instant) {
         if !self.reaches(entry, from) || self.entries[entry].deaf {
             self.tell(entry, FleetEvent::Pulled(address(from), false));
             return;
@@ -537,6 +537,7 @@
         let latest = self.entries[from].member.latest_store_time(answered);
         self.tell(entry, FleetEvent::StoreTime(begun, latest));
         let mut known = *self.entries[entry].member.known();
+        let whole = scope != PullScope::News;
         if whole || known.is_behind_registry(&told) {
             let teller = self.entries[from].servers.clone();
             let servers = &mut self.entries[entry].servers;
@@ -551,7 +552,7 @@
             known.registry_read = told.registry_read;
             known.registry_at = told.registry_at;
         }
-        if whole || known.is_behind_operator(&told) {
+        if scope == PullScope::All || known.is_behind_operator(&told) {
             known.operator = told.operator;
             known.operator_read = told.operator_read;
             known.operator_at = told.operator_at;
