--- a/bin/lh-entry/src/inner.rs
+++ b/bin/lh-entry/src/inner.rs
@@ -85,12 +85,15 @@
             None => text(StatusCode::BAD_REQUEST, String::new()),
         },
         METRICS_PATH => {
-            let placer = state.placer.borrow();
             let heard = state.fleet.known().operator_at;
-            state.metrics.show_operator(heard.map(|at| at.elapsed()));
             let content = state.servers.borrow().content();
             state.metrics.registry_content.set(content.short());
+            let proof = state.knowledge_age();
+            state
+                .metrics
+                .show_operator(heard.map(|at| at.elapsed()), proof);
             state.metrics.leads.set(i64::from(state.fleet.leads()));
+            let placer = state.placer.borrow();
             let region = &state.config.region;
             state
                 .metrics
--- a/bin/lh-entry/src/lib.rs
+++ b/bin/lh-entry/src/lib.rs
@@ -38,6 +38,7 @@
 mod stop;
 mod suspect;
 mod suspension;
+mod team_metrics;
 mod ticket;
 mod view;
 mod watch;
--- a/bin/lh-entry/src/logs.rs
+++ b/bin/lh-entry/src/logs.rs
@@ -5,11 +5,12 @@
 //! of one of them. Lines of level warning, as of a request that must not repeat and
 //! whose outcome is unknown, have room of their own.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::io::Write;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use log::kv::{self, Key, Value, VisitSource};
 use log::{Level, LevelFilter, Record};
@@ -23,6 +24,31 @@
 /// Lines of any level that are kept between two writes.
 const ALL_LINES: usize = 2000;
 
+/// Lines a second of requests that were turned away: a flood of wrong keys must not leave
+/// out the lines of others. All are counted in the metrics.
+const LIMITED_LINES: u32 = 40;
+const LIMITED_SPAN: Duration = Duration::from_secs(1);
+
+/// Bounds how many lines of one kind are written.
+#[derive(Debug, Default)]
+pub(crate) struct LineLimit {
+    begun: Cell<Option<Instant>>,
+    lines: Cell<u32>,
+}
+
+impl LineLimit {
+    /// Whether one more line may be written.
+    pub(crate) fn take(&self, now: Instant) -> bool {
+        let begun = self.begun.get();
+        if begun.is_none_or(|at| now.saturating_duration_since(at) >= LIMITED_SPAN) {
+            self.begun.set(Some(now));
+            self.lines.set(0);
+        }
+        self.lines.set(self.lines.get() + 1);
+        self.lines.get() <= LIMITED_LINES
+    }
+}
+
 #[derive(Debug, Default)]
 struct LineBuffer {
     bytes: Vec<u8>,
--- a/bin/lh-entry/src/metrics.rs
+++ b/bin/lh-entry/src/metrics.rs
@@ -10,6 +10,7 @@
 use place::catalog::ServerCatalog;
 
 use crate::error::Result;
+use crate::team_metrics::TeamMetrics;
 
 /// Upper bounds of the latency buckets, in seconds: around the usual objectives.
 const LATENCY_BUCKETS: [f64; 11] = [0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1.2, 2.0, 4.0];
@@ -29,6 +30,8 @@
     refusals: IntCounterVec,
     limits: IntCounterVec,
     operator_age: Gauge,
+    proof_age: Gauge,
+    pub(crate) teams: TeamMetrics,
     servers: GaugeVec,
     server_requests: GaugeVec,
     registry_age: Gauge,
@@ -112,6 +115,10 @@
             "laurelhill_desired_age_seconds",
             "Time since the store or a lead last told the operator's rows",
         )?;
+        let proof_age = Gauge::new(
+            "laurelhill_proof_age_seconds",
+            "How old the store's word on the operator's rows is at most; keys count while it is young",
+        )?;
         let servers = GaugeVec::new(
             Opts::new("laurelhill_servers", "Known servers by service and state"),
             &["service", "state"],
@@ -195,6 +202,8 @@
         registry.register(Box::new(refusals.clone()))?;
         registry.register(Box::new(limits.clone()))?;
         registry.register(Box::new(operator_age.clone()))?;
+        registry.register(Box::new(proof_age.clone()))?;
+        let teams = TeamMetrics::new(&registry)?;
         registry.register(Box::new(servers.clone()))?;
         registry.register(Box::new(server_requests.clone()))?;
         registry.register(Box::new(registry_age.clone()))?;
@@ -222,6 +231,8 @@
             refusals,
             limits,
             operator_age,
+            proof_age,
+            teams,
             servers,
             server_requests,
             registry_age,
@@ -318,10 +329,11 @@
         self.draining.set(age.as_secs_f64());
     }
 
-    /// Shows how long ago the operator's rows were told.
-    pub(crate) fn show_operator(&self, age: Option<Duration>) {
-        let seconds = age.map_or(f64::NAN, |age| age.as_secs_f64());
-        self.operator_age.set(seconds);
+    /// Shows how long ago the operator's rows were told, and how old that word is at most.
+    pub(crate) fn show_operator(&self, told: Option<Duration>, proof: Option<Duration>) {
+        let seconds = |age: Option<Duration>| age.map_or(f64::NAN, |age| age.as_secs_f64());
+        self.operator_age.set(seconds(told));
+        self.proof_age.set(seconds(proof));
     }
 
     /// Shows the servers as they are known now; those that are gone leave.
--- a/bin/lh-entry/src/record.rs
+++ b/bin/lh-entry/src/record.rs
@@ -194,10 +194,17 @@
             .refusal
             .map_or(self.reason, |refusal| refusal.reason.as_str());
         let back_in_ms = self.back_in.as_millis() as u64;
-        if outcome == RequestOutcome::NotRun {
-            self.state.metrics.on_refusal(refused);
+        if matches!(outcome, RequestOutcome::NotRun | RequestOutcome::Rejected) {
+            metrics.on_refusal(refused);
+        }
+        let team = self.team.as_ref().map(|team| team.name.as_str());
+        if team.is_some() || !self.state.teams.borrow().is_empty() {
+            metrics.teams.on_request(team, outcome.as_str());
         }
         self.give_back(outcome);
+        if outcome == RequestOutcome::Rejected && !self.state.denials.take(Instant::now()) {
+            return;
+        }
         if matches!(refused, "cold" | "shift-cap") {
             self.state.metrics.on_limit(refused, false);
         }
@@ -207,7 +214,7 @@
             .is_none_or(|route| route.kind.may_repeat());
         let lost = outcome == RequestOutcome::Unknown && !may_repeat;
         let print = self.print.map(|print| print.to_string());
-        let team = self.team.as_ref().map_or("", |team| &team.name);
+        let team = team.unwrap_or_default();
         let level = if lost {
             log::Level::Warn
         } else {
--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -27,6 +27,7 @@
 use crate::door;
 use crate::fleet::FleetDesk;
 use crate::homes::HomeBook;
+use crate::logs::LineLimit;
 use crate::metrics::EntryMetrics;
 use crate::pool::ServerPool;
 use crate::stop::StopPhase;
@@ -47,6 +48,8 @@
     pub(crate) routes: RefCell<Rc<RouteTable>>,
     pub(crate) desired: RefCell<Option<Rc<DesiredState>>>,
     pub(crate) teams: RefCell<Rc<TeamBook>>,
+    /// Lines of requests that were turned away at the door.
+    pub(crate) denials: LineLimit,
     /// Teams and routes without a common home, as logged last.
     apart: RefCell<String>,
     pub(crate) limits: Cell<RequestLimits>,
@@ -105,6 +108,7 @@
             routes: RefCell::default(),
             desired: RefCell::default(),
             teams: RefCell::default(),
+            denials: LineLimit::default(),
             apart: RefCell::default(),
             limits: Cell::new(RequestLimits::default()),
             evacuated: RefCell::default(),
--- a/bin/lh-entry/src/status.rs
+++ b/bin/lh-entry/src/status.rs
@@ -30,6 +30,14 @@
     quarantined: Vec<String>,
     /// Age of the newest reading of the servers' registry; -1 before the first.
     registry_age_ms: i64,
+    /// How old the store's word on keys is at most; -1 where that can't be told.
+    keys_age_ms: i64,
+    /// How old it may become while keys are served; absent where nothing bounds it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    revoke_ms: Option<u64>,
+    /// Whether keys are served here now.
+    serves_keys: bool,
+    teams: usize,
     services: Vec<ServiceStatus>,
     /// The servers of the service that was asked for.
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -105,6 +113,12 @@
         registry_age_ms: catalog
             .read_at()
             .map_or(-1, |at| at.elapsed().as_millis() as i64),
+        keys_age_ms: state
+            .knowledge_age()
+            .map_or(-1, |age| age.as_millis() as i64),
+        revoke_ms: state.proof_within().map(|span| span.as_millis() as u64),
+        serves_keys: state.serves_keys(),
+        teams: state.teams.borrow().teams().len(),
         services: services.collect(),
         servers,
     };
--- a/bin/lh-entry/tests/pages.rs
+++ b/bin/lh-entry/tests/pages.rs
@@ -5,9 +5,9 @@
 use std::collections::BTreeSet;
 use std::path::PathBuf;
 
-use platform_standin::Behavior;
+use platform_standin::{Behavior, TeamText, desired_state, with_teams};
 use serde_json::Value;
-use world::{EntryProcess, World, until};
+use world::{BOARD, DESK, EntryProcess, World, until};
 
 fn page(path: &str) -> String {
     let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../..");
@@ -63,6 +63,16 @@
 #[tokio::test]
 async fn each_metric_has_its_row() {
     let world = World::new(1).await;
+    let team = TeamText {
+        name: "red",
+        keys: &["red-key"],
+        priority: 1,
+        rate: 0.0,
+        burst: 0.0,
+        regions: &[],
+    };
+    let state = with_teams(desired_state(6, &[BOARD, DESK]), &[team], &["board"]);
+    world.store.put("op", "config", &state);
     let entry = EntryProcess::ready(&world, "n1").await;
     entry.send("GET", "/board/x", "a").await;
     world.backends[0].set_behavior(Behavior::Break);
--- a/bin/lh-entry/tests/teams.rs
+++ b/bin/lh-entry/tests/teams.rs
@@ -321,3 +321,41 @@
         200
     );
 }
+
+/// Promise: a flood of wrong keys leaves nothing behind: memory stays, and the lines of others
+/// are still written.
+#[tokio::test]
+async fn a_flood_of_wrong_keys_leaves_nothing() {
+    let world = world(1, &[RED, BLUE]).await;
+    let entry = EntryProcess::ready(&world, "n1").await;
+    let mut sender = entry.connect().await;
+    let mut flood = async |count: u32, turn: &str| {
+        for number in 0..count {
+            let key = format!("{turn}-{number}-{}", "x".repeat(200));
+            let answer = exchange(&mut sender, keyed("/board/x", "flood", &key)).await;
+            assert_eq!(answer.unwrap().status, 401);
+        }
+    };
+    flood(1000, "first").await;
+    let before = entry.peak_memory();
+    flood(8_000, "second").await;
+    let grown = entry.peak_memory() - before;
+    assert!(grown < 4 << 10, "{grown} KiB more");
+    assert_eq!(
+        send(&entry, keyed("/board/x", "good", RED_KEY))
+            .await
+            .status,
+        200
+    );
+    until("the good request's line is written", async || {
+        !entry.logged("\"good\"").is_empty()
+    })
+    .await;
+    let denied = entry.logged("key-unknown").len();
+    assert!(denied < 4_000, "{denied} lines");
+    let metrics = entry.metrics().await;
+    assert!(
+        metrics.contains("laurelhill_refusals_total{reason=\"key-unknown\"} 9000"),
+        "{metrics}"
+    );
+}
--- a/bin/lh-load/src/cli.rs
+++ b/bin/lh-load/src/cli.rs
@@ -23,7 +23,7 @@
 }
 
 /// Load patterns that the decisions answer.
-#[derive(Debug, Clone, Copy, ValueEnum)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
 pub(crate) enum LoadPattern {
     /// The same load all the time, all caches empty at first.
     Steady,
@@ -37,4 +37,7 @@
     Slow,
     /// A fifth of the servers reject half of their requests.
     Shed,
+    /// Teams within quotas over all entries, one of which asks for many times its usual:
+    /// ways to keep quotas, at several sizes.
+    Quota,
 }
--- a/bin/lh-load/src/lib.rs
+++ b/bin/lh-load/src/lib.rs
@@ -4,6 +4,7 @@
 mod cli;
 mod error;
 mod plot;
+mod quota;
 
 use clap::{Parser, ValueEnum};
 use cli::{Arguments, LoadPattern};
@@ -19,6 +20,10 @@
 /// Where the plot can't be written.
 pub fn run() -> Result<()> {
     let arguments = Arguments::parse();
+    if let Some(LoadPattern::Quota) = arguments.pattern {
+        quota::play(arguments.seeds);
+        return Ok(());
+    }
     println!(
         "{:<10} {:>4} {:<8} {:>6} {:>7} {:>6} {:>7} {:>7} {:>6} {:>6}",
         "pattern",
@@ -34,7 +39,11 @@
     );
     let patterns = match arguments.pattern {
         Some(pattern) => vec![pattern],
-        None => LoadPattern::value_variants().to_vec(),
+        None => {
+            let all = LoadPattern::value_variants().iter().copied();
+            all.filter(|pattern| *pattern != LoadPattern::Quota)
+                .collect()
+        }
     };
     for pattern in patterns {
         play(&arguments, pattern)?;
@@ -72,7 +81,7 @@
         kind,
     };
     match pattern {
-        LoadPattern::Steady => experiment,
+        LoadPattern::Steady | LoadPattern::Quota => experiment,
         LoadPattern::Burst => experiment.with_load(10.0, 2.0 * load).with_load(14.0, load),
         LoadPattern::Overload => Experiment::new(seed, 1.3),
         LoadPattern::Crash => experiment.with_fault(fault(5, FaultKind::Down)),
--- a/bin/lh-standin/src/callers.rs
+++ b/bin/lh-standin/src/callers.rs
@@ -75,7 +75,9 @@
         for number in 1..=CALLERS_PER_REGION {
             let [a, b, c, _] = network.octets();
             let source = IpAddr::from([a, b, c, number]);
+            let key = callers.len() % arguments.keys.len().max(1);
             callers.push(Arc::new(CallerSim::new(CallerSpec {
+                key: arguments.keys.get(key).cloned(),
                 source,
                 lookups: arguments.lookups.clone(),
             })));
--- a/bin/lh-standin/src/cli.rs
+++ b/bin/lh-standin/src/cli.rs
@@ -47,6 +47,12 @@
         /// The body, JSON.
         #[arg(default_value = "")]
         body: String,
+        /// Key of the team in whose name it is sent.
+        #[arg(long)]
+        key: Option<String>,
+        /// The status that is expected; without one, any of success.
+        #[arg(long)]
+        expect: Option<u16>,
     },
     /// Wait until a backend server runs nothing, and print how long that took.
     Drained {
@@ -78,6 +84,9 @@
     /// Where the backend servers are judged.
     #[arg(long, value_name = "ADDRESS")]
     pub(crate) control: SocketAddr,
+    /// Keys of the callers' teams, in turn; without one they have none.
+    #[arg(long, value_name = "KEY", value_delimiter = ',')]
+    pub(crate) keys: Vec<String>,
     /// Name of the phase.
     #[arg(long, default_value = "load")]
     pub(crate) phase: String,
--- a/bin/lh-standin/src/client.rs
+++ b/bin/lh-standin/src/client.rs
@@ -19,10 +19,24 @@
 
 /// Sends one request; gives status and body.
 pub(crate) async fn exchange(method: &str, url: &str, body: &str) -> Result<(u16, Bytes)> {
-    let request = Request::builder()
+    exchange_as(None, method, url, body).await
+}
+
+/// The same with the key of a team.
+async fn exchange_as(
+    key: Option<&str>,
+    method: &str,
+    url: &str,
+    body: &str,
+) -> Result<(u16, Bytes)> {
+    let mut request = Request::builder()
         .method(method)
         .uri(url)
-        .header("content-type", "application/json")
+        .header("content-type", "application/json");
+    if let Some(key) = key {
+        request = request.header("authorization", format!("Token {key}"));
+    }
+    let request = request
         .body(Full::new(Bytes::from(body.to_owned())))
         .map_err(|_| Error::Url(url.to_owned()))?;
     let client = Client::builder(TokioExecutor::new()).build_http();
@@ -42,11 +56,20 @@
         .unwrap_or_else(|_| Err(failed("no answer in time".to_owned())))
 }
 
-/// Sends one request and prints the answer.
-pub(crate) async fn send(method: &str, url: &str, body: &str) -> Result<()> {
-    let (status, answer) = exchange(method, url, body).await?;
+/// Sends one request and prints the answer; fails where its status isn't what is expected.
+pub(crate) async fn send(
+    method: &str,
+    url: &str,
+    (body, key): (&str, Option<&str>),
+    expect: Option<u16>,
+) -> Result<()> {
+    let (status, answer) = exchange_as(key, method, url, body).await?;
     println!("{}", String::from_utf8_lossy(&answer));
-    if (200..300).contains(&status) {
+    let is_expected = match expect {
+        Some(expected) => status == expected,
+        None => (200..300).contains(&status),
+    };
+    if is_expected {
         return Ok(());
     }
     Err(Error::Exchange(format!("{url}: status {status}")))
--- a/bin/lh-standin/src/lib.rs
+++ b/bin/lh-standin/src/lib.rs
@@ -36,7 +36,13 @@
                 platform,
             } => servers::backends(&deploy, control, platform).await,
             cli::Command::Callers(load) => callers::run(&load).await,
-            cli::Command::Send { method, url, body } => client::send(&method, &url, &body).await,
+            cli::Command::Send {
+                method,
+                url,
+                body,
+                key,
+                expect,
+            } => client::send(&method, &url, (&body, key.as_deref()), expect).await,
             cli::Command::Drained { server, control } => client::drained(server, control).await,
             cli::Command::Wait { urls, seconds } => client::wait(&urls, seconds).await,
         }
--- a/bin/lhctl/src/apply.rs
+++ b/bin/lhctl/src/apply.rs
@@ -21,12 +21,17 @@
             "hash": bundle.hash(),
             "regions": deployment.regions.len(),
             "services": deployment.services.len(),
+            "teams": deployment.teams.len(),
             "pools": deployment.pools.len(),
         });
         println!("{summary}");
         return Ok(());
     }
-    println!("{}: valid", deployment.name);
+    println!(
+        "{}: valid, {} teams",
+        deployment.name,
+        deployment.teams.len()
+    );
     for service in deployment.services.keys() {
         let slots = |region: &base::id::RegionId| {
             let slots = deployment.capacity(region.as_str(), service.as_str());
@@ -65,8 +70,21 @@
     Ok(())
 }
 
-/// Makes a folder the next version.
+/// Makes a folder the next version, and waits where that is asked for.
 pub(crate) async fn apply(arguments: &ApplyArguments, json: bool) -> Result<()> {
+    let head = publish(arguments).await?;
+    let wait = &arguments.wait;
+    let took = if wait.wait {
+        Some(status::wait_for(&wait.instances.instances, head.version, wait.seconds).await?)
+    } else {
+        None
+    };
+    show(&head, took, json);
+    Ok(())
+}
+
+/// Makes a folder the next version.
+pub(crate) async fn publish(arguments: &ApplyArguments) -> Result<ConfigHead> {
     let bundle = ConfigBundle::from_folder(&arguments.folder)?;
     let desk = ConfigDesk::new(arguments.platform.platform);
     let present = desk.present().await?;
@@ -81,17 +99,8 @@
             "nothing differs from what is in force".to_owned(),
         ));
     }
-    let head = desk
-        .publish(edited, before, &bundle, &arguments.author)
-        .await?;
-    let wait = &arguments.wait;
-    let took = if wait.wait {
-        Some(status::wait_for(&wait.instances.instances, head.version, wait.seconds).await?)
-    } else {
-        None
-    };
-    show(&head, took, json);
-    Ok(())
+    desk.publish(edited, before, &bundle, &arguments.author)
+        .await
 }
 
 fn show(head: &ConfigHead, took: Option<Duration>, json: bool) {
--- a/bin/lhctl/src/cli.rs
+++ b/bin/lhctl/src/cli.rs
@@ -54,6 +54,11 @@
         #[command(flatten)]
         platform: PlatformArguments,
     },
+    /// Show teams, and change their keys.
+    Team {
+        #[command(subcommand)]
+        command: TeamCommand,
+    },
     /// Show what instances have in force.
     Status {
         #[command(flatten)]
@@ -85,6 +90,42 @@
     Manual,
 }
 
+#[derive(Debug, Subcommand)]
+pub(crate) enum TeamCommand {
+    /// List the teams of a folder.
+    List {
+        /// Folder with the base and the overlays.
+        folder: PathBuf,
+    },
+    /// Show a team.
+    Show {
+        /// Folder with the base and the overlays.
+        folder: PathBuf,
+        /// The team.
+        team: String,
+    },
+    /// Make a further key of a team: it is shown once, its digest is written into the folder.
+    Rotate {
+        /// Folder with the base and the overlays.
+        folder: PathBuf,
+        /// The team.
+        team: String,
+    },
+    /// Take a key away: write that into the folder, apply it, and tell which instances have
+    /// heard and until when others may serve the key.
+    Revoke(RevokeArguments),
+}
+
+#[derive(Debug, Clone, Args)]
+pub(crate) struct RevokeArguments {
+    /// The team.
+    pub(crate) team: String,
+    /// How the key's digest begins, as `team show` lists it.
+    pub(crate) key: String,
+    #[command(flatten)]
+    pub(crate) change: ApplyArguments,
+}
+
 #[derive(Debug, Clone, Args)]
 pub(crate) struct PlatformArguments {
     /// The platform's address.
--- a/bin/lhctl/src/lib.rs
+++ b/bin/lhctl/src/lib.rs
@@ -8,7 +8,9 @@
 mod explain;
 mod platform;
 mod quarantine;
+mod revoke;
 mod status;
+mod team;
 mod trace;
 
 use clap::Parser;
@@ -41,6 +43,7 @@
         cli::Command::Lift { print, platform } => {
             quarantine::lift(platform.platform, &print, json).await
         }
+        cli::Command::Team { command } => run_team(&command, json).await,
         cli::Command::Status { instances } => status::show(&instances, json).await,
         cli::Command::Explain { service, lookup } => explain::show(&service, lookup, json).await,
         cli::Command::ExplainRequest { id, logs } => trace::explain(&id, &logs, json),
@@ -55,3 +58,12 @@
         cli::Command::Manual => cli::manual(),
     }
 }
+
+async fn run_team(command: &cli::TeamCommand, json: bool) -> Result<()> {
+    match command {
+        cli::TeamCommand::List { folder } => team::list(folder, json),
+        cli::TeamCommand::Show { folder, team } => team::show(folder, team, json),
+        cli::TeamCommand::Rotate { folder, team } => team::rotate(folder, team, json),
+        cli::TeamCommand::Revoke(arguments) => team::revoke(arguments, json).await,
+    }
+}
--- /dev/null
+++ b/bin/lhctl/src/team.rs
@@ -0,0 +1,187 @@
+//! `team`: teams, and their keys in a folder of settings. A key is shown once, when it is
+//! made; what is written and compared is its digest.
+
+use std::path::Path;
+
+use conf::{ConfigBundle, edit};
+use rand::RngCore;
+use serde_json::json;
+use team::key::KeyDigest;
+use team::spec::TeamSpec;
+
+use crate::apply;
+use crate::cli::{ApplyArguments, RevokeArguments};
+use crate::error::{Error, Result};
+use crate::revoke;
+
+/// Random bytes of a key.
+const KEY_BYTES: usize = 24;
+/// Keys that a team has at most: the one in use, and the one that takes its place.
+const KEYS_MOST: usize = 2;
+
+/// Lists the teams of `folder`.
+pub(crate) fn list(folder: &Path, json: bool) -> Result<()> {
+    let deployment = ConfigBundle::from_folder(folder)?.deployment()?;
+    for team in deployment.teams.values() {
+        print_team(team, json);
+    }
+    if deployment.teams.is_empty() && !json {
+        println!("no teams; requests need no key");
+    }
+    Ok(())
+}
+
+/// Shows the team `name` of `folder`.
+pub(crate) fn show(folder: &Path, name: &str, json: bool) -> Result<()> {
+    let bundle = ConfigBundle::from_folder(folder)?;
+    print_team(&find(&bundle, name)?, json);
+    Ok(())
+}
+
+/// Makes a further key of the team `name`, writes its digest into `folder` and shows the key.
+pub(crate) fn rotate(folder: &Path, name: &str, json: bool) -> Result<()> {
+    let bundle = ConfigBundle::from_folder(folder)?;
+    let team = find(&bundle, name)?;
+    if team.keys.len() >= KEYS_MOST {
+        return Err(Error::Refused(format!(
+            "team {name} has {} keys; revoke one that is no longer in use first",
+            team.keys.len()
+        )));
+    }
+    let key = new_key();
+    let digest = KeyDigest::of(key.as_bytes());
+    let text = digest.to_text();
+    change_keys(folder, &bundle, name, |keys| edit::with_item(keys, &text))?;
+    if json {
+        println!(
+            "{}",
+            json!({"team": name, "key": key, "digest": digest.to_string()})
+        );
+        return Ok(());
+    }
+    println!("{key}");
+    eprintln!(
+        "This is the new key of team {name}, shown this once; its digest {digest} is in the folder. \
+         Run `lhctl apply`, hand the key out, then `lhctl team revoke` the former one."
+    );
+    Ok(())
+}
+
+/// Takes the key whose digest begins with `key` away from the team, applies the folder and
+/// tells which entries have heard.
+pub(crate) async fn revoke(arguments: &RevokeArguments, json: bool) -> Result<()> {
+    let change: &ApplyArguments = &arguments.change;
+    let bundle = ConfigBundle::from_folder(&change.folder)?;
+    let team = find(&bundle, &arguments.team)?;
+    let digest = find_key(&team, &arguments.key)?;
+    let text = digest.to_text();
+    change_keys(&change.folder, &bundle, &team.name, |keys| {
+        edit::without_item(keys, &text)
+    })?;
+    let head = apply::publish(change).await?;
+    if !json {
+        println!(
+            "version {} takes the key {digest} away from team {}",
+            head.version, team.name
+        );
+    }
+    revoke::follow(&change.wait, head.version, json).await
+}
+
+fn find(bundle: &ConfigBundle, name: &str) -> Result<TeamSpec> {
+    let deployment = bundle.deployment()?;
+    let team = deployment.teams.get(name).cloned();
+    team.ok_or_else(|| {
+        Error::Usage(format!(
+            "there is no section [team {name}]; `lhctl team list` names all"
+        ))
+    })
+}
+
+fn find_key(team: &TeamSpec, key: &str) -> Result<KeyDigest> {
+    let begins = |digest: &&KeyDigest| {
+        digest
+            .to_text()
+            .trim_start_matches("sha256:")
+            .starts_with(key)
+    };
+    let mut found = team.keys.iter().filter(begins);
+    match (found.next(), found.next()) {
+        (Some(digest), None) => Ok(*digest),
+        (None, _) => Err(Error::Usage(format!(
+            "team {} has no key whose digest begins with {key}; `lhctl team show` lists them",
+            team.name
+        ))),
+        (Some(_), Some(_)) => Err(Error::Usage(format!(
+            "more than one key of team {} begins with {key}; give more of it",
+            team.name
+        ))),
+    }
+}
+
+/// Changes the list of keys where the folder's files write it.
+fn change_keys(
+    folder: &Path,
+    bundle: &ConfigBundle,
+    team: &str,
+    change: impl Fn(&str) -> String,
+) -> Result<()> {
+    let header = format!("team {team}");
+    let place = bundle.place(&header, "keys")?;
+    let Some((file, keys)) = place else {
+        return Err(Error::Usage(format!("no file has the section [{header}]")));
+    };
+    let text = bundle.files.get(&file).map_or("", String::as_str);
+    let Some(text) = edit::set_key(text, &header, "keys", &change(&keys)) else {
+        return Err(Error::Usage(format!(
+            "{file}: no section [{header}] to write in"
+        )));
+    };
+    bundle.clone().with_file(&file, &text).deployment()?;
+    std::fs::write(folder.join(&file), text)?;
+    Ok(())
+}
+
+fn new_key() -> String {
+    let mut bytes = [0; KEY_BYTES];
+    rand::rng().fill_bytes(&mut bytes);
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn print_team(team: &TeamSpec, json: bool) {
+    let keys: Vec<String> = team.keys.iter().map(ToString::to_string).collect();
+    if json {
+        let quota = team
+            .quota
+            .map(|quota| json!({"rate": quota.rate, "burst": quota.burst}));
+        let line = json!({
+            "team": team.name, "keys": keys, "priority": team.priority, "quota": quota,
+            "regions": team.home_regions,
+        });
+        println!("{line}");
+        return;
+    }
+    let quota = team.quota.map_or("no bound".to_owned(), |quota| {
+        format!(
+            "{} requests a second and {} on top",
+            quota.rate, quota.burst
+        )
+    });
+    let priority = team
+        .priority
+        .map_or("of its services".to_owned(), |rank| rank.to_string());
+    let regions = if team.home_regions.is_empty() {
+        "all".to_owned()
+    } else {
+        team.home_regions.join(" ")
+    };
+    println!(
+        "{}: {quota}, rank {priority}, regions {regions}, keys {}",
+        team.name,
+        if keys.is_empty() {
+            "none".to_owned()
+        } else {
+            keys.join(" ")
+        },
+    );
+}
--- a/bin/lhctl/src/trace.rs
+++ b/bin/lhctl/src/trace.rs
@@ -132,20 +132,25 @@
     let begun = request.time() - request.number("took_ms");
     let _ = writeln!(
         story,
-        "request {} at entry {}, route {}",
+        "request {} at entry {}, route {}{}",
         request.text("request"),
         request.text("node"),
-        request.text("route")
+        request.text("route"),
+        match request.text("team") {
+            "" => String::new(),
+            team => format!(", of team {team}"),
+        }
     );
     let _ = writeln!(
         story,
-        "  {begun} read{}; desired state {}, servers as read {} ms before the answer",
+        "  {begun} read{}; desired state {} as shown {} ms before the answer, servers as read {} ms before",
         if request.0["returning"] == true {
             ", after an earlier refusal"
         } else {
             ""
         },
         request.number("version"),
+        request.number("state_age_ms"),
         request.number("servers_age_ms")
     );
     for attempt in request
@@ -156,11 +161,15 @@
         let _ = writeln!(story, "  sent to {attempt}");
     }
     if !request.text("reason").is_empty() {
+        let reason = request.text("reason");
         let _ = writeln!(
             story,
-            "  refused ({}), asked to come back in {} ms",
-            request.text("reason"),
-            request.number("back_in_ms")
+            "  refused ({reason}{}), {}",
+            meaning(reason),
+            match request.number("back_in_ms") {
+                0 => "not asked to come back".to_owned(),
+                wait => format!("asked to come back in {wait} ms"),
+            }
         );
     }
     let _ = writeln!(
@@ -186,6 +195,22 @@
     story
 }
 
+/// What a refusal at the door means.
+fn meaning(reason: &str) -> &'static str {
+    match reason {
+        "key-missing" => ": the request has no key, and its route isn't public",
+        "key-malformed" => ": the credential isn't one key in the platform's scheme",
+        "key-unknown" => ": no team held this key in the desired state named above",
+        "key-unheard" => {
+            ": no team held this key as far as the entry knew, which was too long ago to deny it"
+        }
+        "keys-stale" => ": the entry had heard too long ago which keys hold",
+        "quota" => ": the team asked for more than its quota, over all entries",
+        "no-home" => ": the homes of team and route have no region in common",
+        _ => "",
+    }
+}
+
 fn fields(event: &LogLine) -> String {
     let mut fields = String::new();
     let Some(map) = event.0.as_object() else {
--- a/bin/lhctl/tests/program.rs
+++ b/bin/lhctl/tests/program.rs
@@ -1,44 +1,12 @@
 //! The operators' tool from outside, against the platform's stand-in.
 
-use std::net::SocketAddr;
-use std::path::Path;
-use std::process::{Command, Output};
+mod tool;
 
 use platform_standin::{FakeStore, FaultPlan};
-use tempfile::TempDir;
+use tool::{folder, lhctl, path};
 
-const BASE: &str = "[deployment]\nname = demo\n[region north]\ndomains = n-1\n\
-                    [service board]\nrepeat = idempotent\n";
 const SITE: &str = "[pool board n-1]\nservers = 127.0.0.1:1, 127.0.0.1:2\nslots = 3\n";
 
-fn folder(site: &str) -> TempDir {
-    let folder = tempfile::tempdir().unwrap();
-    std::fs::write(folder.path().join("base.ini"), BASE).unwrap();
-    std::fs::write(folder.path().join("north.ini"), site).unwrap();
-    folder
-}
-
-async fn lhctl(platform: SocketAddr, words: &[&str]) -> (i32, String) {
-    let words: Vec<String> = words.iter().map(|word| (*word).to_owned()).collect();
-    let run = move || -> Output {
-        Command::new(env!("CARGO_BIN_EXE_lhctl"))
-            .args(&words)
-            .env("LAURELHILL_PLATFORM", platform.to_string())
-            .output()
-            .unwrap()
-    };
-    let output = tokio::task::spawn_blocking(run).await.unwrap();
-    let text = [output.stdout, output.stderr].concat();
-    (
-        output.status.code().unwrap(),
-        String::from_utf8_lossy(&text).into_owned(),
-    )
-}
-
-fn path(folder: &TempDir) -> &str {
-    Path::to_str(folder.path()).unwrap()
-}
-
 /// Promise: a quarantine is listed, lifted by the beginning of its print, and only once.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_quarantine_is_listed_and_lifted() {
--- /dev/null
+++ b/bin/lhctl/tests/tool/mod.rs
@@ -0,0 +1,38 @@
+//! Runs the operators' tool on a folder of settings.
+#![allow(dead_code, unreachable_pub, missing_docs)]
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Command, Output};
+
+use tempfile::TempDir;
+
+pub const BASE: &str = "[deployment]\nname = demo\n[region north]\ndomains = n-1\n\
+                    [service board]\nrepeat = idempotent\n";
+pub fn folder(site: &str) -> TempDir {
+    let folder = tempfile::tempdir().unwrap();
+    std::fs::write(folder.path().join("base.ini"), BASE).unwrap();
+    std::fs::write(folder.path().join("north.ini"), site).unwrap();
+    folder
+}
+
+pub async fn lhctl(platform: SocketAddr, words: &[&str]) -> (i32, String) {
+    let words: Vec<String> = words.iter().map(|word| (*word).to_owned()).collect();
+    let run = move || -> Output {
+        Command::new(env!("CARGO_BIN_EXE_lhctl"))
+            .args(&words)
+            .env("LAURELHILL_PLATFORM", platform.to_string())
+            .output()
+            .unwrap()
+    };
+    let output = tokio::task::spawn_blocking(run).await.unwrap();
+    let text = [output.stdout, output.stderr].concat();
+    (
+        output.status.code().unwrap(),
+        String::from_utf8_lossy(&text).into_owned(),
+    )
+}
+
+pub fn path(folder: &TempDir) -> &str {
+    Path::to_str(folder.path()).unwrap()
+}
--- a/crates/conf/src/bundle.rs
+++ b/crates/conf/src/bundle.rs
@@ -6,6 +6,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::deployment::Deployment;
+use crate::edit;
 use crate::error::{Error, Result};
 use crate::overlay::{MergedSections, merge};
 use crate::schema;
@@ -36,6 +37,25 @@
         self
     }
 
+    /// The file that writes `key` of the section `[header]`, with the value; the first that
+    /// has the section and an empty value where none does. `None` where no file has the
+    /// section.
+    ///
+    /// # Errors
+    /// Where the files are not valid.
+    pub fn place(&self, header: &str, key: &str) -> Result<Option<(String, String)>> {
+        let sections = self.merged()?;
+        let Some(section) = sections.get(header) else {
+            return Ok(None);
+        };
+        if let Some((file, value)) = section.get(key) {
+            return Ok(Some((file.to_owned(), value.to_owned())));
+        }
+        let mut files = self.files.iter();
+        let found = files.find(|(_, text)| edit::has_section(text, header));
+        Ok(found.map(|(file, _)| (file.clone(), String::new())))
+    }
+
     /// Reads every `.ini` file of `folder`.
     ///
     /// # Errors
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -17,6 +17,7 @@
 mod bundle;
 mod deployment;
 mod desired;
+pub mod edit;
 mod error;
 mod overlay;
 mod process;
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -31,6 +31,8 @@
     pub source: IpAddr,
     /// Where it may look up.
     pub lookups: Vec<SocketAddr>,
+    /// The key of its team.
+    pub key: Option<String>,
 }
 
 /// One request to make.
@@ -254,6 +256,9 @@
                 "laurelhill-deadline-ms",
                 call.deadline.as_millis().to_string(),
             );
+        if let Some(key) = &self.spec.key {
+            request = request.header("authorization", format!("Token {key}"));
+        }
         if call.at_most_once {
             request = request
                 .header("laurelhill-ticket", ticket)
