--- a/bin/lh-entry/src/door.rs
+++ b/bin/lh-entry/src/door.rs
@@ -79,9 +79,11 @@
         Access::Unsure => return Err(unheard("key-unheard")),
         Access::Stale => return Err(unheard("keys-stale")),
     };
-    let terms = RequestTerms::new(route, team).ok_or_else(no_home)?;
+    let mut terms = RequestTerms::new(route, team).ok_or_else(no_home)?;
     if let Some(team) = terms.team_name() {
         admit_team(state, team)?;
+        let steps = state.shares.borrow_mut().on_request(Instant::now(), team);
+        terms.priority += steps;
     }
     Ok(terms)
 }
--- a/bin/lh-entry/src/job.rs
+++ b/bin/lh-entry/src/job.rs
@@ -13,7 +13,7 @@
 use place::crash::print::RequestPrint;
 use place::desired::RouteSpec;
 use place::placing::timing::millis;
-use place::request::{Placement, PlacementRequest, Refusal, ServerOutcome};
+use place::request::{Placement, PlacementRequest, Refusal, RefusalReason, ServerOutcome};
 use platform::headers::{self, ServerHead};
 use tokio::time::timeout_at;
 
@@ -156,6 +156,9 @@
             return fail(&mut self.record, &self.caller, StatusCode::BAD_GATEWAY);
         }
         self.record.on_refused(refusal);
+        if matches!(refusal.reason, RefusalReason::Full | RefusalReason::Late) {
+            self.state.shares.borrow_mut().on_refused(Instant::now());
+        }
         let reason = refusal.reason.as_str();
         refuse(&mut self.record, &self.caller, reason, refusal.retry_after)
     }
--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -20,6 +20,7 @@
 use platform::client::StoreClient;
 use platform::desired::OperatorChange;
 use team::book::TeamBook;
+use team::fairness::FairShares;
 use team::quota::QuotaLimiter;
 
 use crate::config::EntryConfig;
@@ -67,6 +68,8 @@
     suspensions: RefCell<SuspensionMeter>,
     /// What each team asks for.
     pub(crate) quota: RefCell<QuotaLimiter>,
+    /// Which teams ask for more than their part.
+    pub(crate) shares: RefCell<FairShares>,
     /// What is said and heard of load.
     pub(crate) words: WordDesk,
     /// Counts callers' requests.
@@ -119,6 +122,7 @@
             fleet: FleetDesk::new(member_config(&config, incarnation)),
             suspensions: RefCell::default(),
             quota: RefCell::new(quota_limiter(&config, incarnation)),
+            shares: RefCell::default(),
             words: WordDesk::default(),
             meter: RefCell::default(),
             told_rate: Cell::new(0),
@@ -392,6 +396,7 @@
         *self.apart.borrow_mut() = apart;
         let mut quota = self.quota.borrow_mut();
         quota.set_teams(Instant::now(), &desired.teams);
+        self.shares.borrow_mut().set_teams(&desired.teams);
         *self.teams.borrow_mut() = Rc::new(teams);
     }
 
--- a/crates/emulate/src/experiment.rs
+++ b/crates/emulate/src/experiment.rs
@@ -75,6 +75,8 @@
         pub deadline: Duration,
         /// Time between an entry's words on load.
         pub load_every: Duration,
+        /// Teams, by what each asks for against the others; one where there are none.
+        pub teams: Vec<f64>,
         /// The load.
         pub traffic: Vec<TrafficStep>,
         /// The faults.
@@ -102,6 +104,7 @@
             timeout: Duration::from_millis(1200),
             deadline: Duration::from_millis(3000),
             load_every: LOAD_EVERY,
+            teams: vec![1.0],
             traffic: Vec::new(),
             faults: Vec::new(),
         };
@@ -130,6 +133,13 @@
         self
     }
 
+    /// Lets teams ask, by what each asks for against the others.
+    #[must_use]
+    pub fn with_teams(mut self, teams: &[f64]) -> Self {
+        self.teams = teams.to_vec();
+        self
+    }
+
     /// Adds a fault.
     pub fn with_fault(mut self, fault: ServerFault) -> Self {
         self.faults.push(fault);
--- a/crates/emulate/src/lib.rs
+++ b/crates/emulate/src/lib.rs
@@ -16,6 +16,6 @@
 mod timeline;
 
 pub use experiment::{Experiment, FaultKind, ServerFault, TrafficStep};
-pub use policy::{EntryPolicy, NaivePolicy, PlacerPolicy, PolicyChoice};
+pub use policy::{EntryPolicy, NaivePolicy, PlacerPolicy, PolicyChoice, PolicyRequest};
 pub use report::{TrialReport, WindowReport};
 pub use run::run_trial;
--- a/crates/emulate/src/policy.rs
+++ b/crates/emulate/src/policy.rs
@@ -7,6 +7,8 @@
 use place::placing::load::LoadWord;
 use place::prelude::*;
 use place::rank::stable_hash;
+use team::fairness::FairShares;
+use team::spec::TeamSpec;
 
 /// Servers busier than this multiple of their slots get nothing from the naive way.
 const NAIVE_QUEUE: f64 = 1.0;
@@ -22,10 +24,23 @@
     Refuse(Duration),
 }
 
+/// A request that comes to an entry.
+#[derive(Debug, Clone, Copy)]
+pub struct PolicyRequest<'a> {
+    /// The object that it concerns.
+    pub object: u64,
+    /// How long its caller waits.
+    pub left: Duration,
+    /// Whether it was not refused before.
+    pub fresh: bool,
+    /// The team whose it is.
+    pub team: &'a str,
+}
+
 /// Placing as an entry does it.
 pub trait EntryPolicy {
-    /// Places a request for `object`.
-    fn place(&mut self, now: Instant, object: u64, left: Duration, fresh: bool) -> PolicyChoice;
+    /// Places a request.
+    fn place(&mut self, now: Instant, request: &PolicyRequest<'_>) -> PolicyChoice;
 
     /// Takes in what became of a placement.
     fn on_outcome(
@@ -49,6 +64,8 @@
 pub struct PlacerPolicy {
     placer: RequestPlacer,
     route: RouteSpec,
+    /// Ranks teams; `None` where all rank alike.
+    shares: Option<FairShares>,
 }
 
 /// The naive way: the least busy server by own count, never beyond its slots,
@@ -76,24 +93,43 @@
         Self {
             placer,
             route: desired.routes[0].clone(),
+            shares: None,
         }
     }
+
+    /// Ranks teams that ask for more than their part behind others.
+    #[must_use]
+    pub fn with_shares(mut self, teams: &[TeamSpec]) -> Self {
+        let mut shares = FairShares::default();
+        shares.set_teams(teams);
+        self.shares = Some(shares);
+        self
+    }
 }
 
 impl EntryPolicy for PlacerPolicy {
-    fn place(&mut self, now: Instant, object: u64, left: Duration, fresh: bool) -> PolicyChoice {
-        let object = stable_hash(&object.to_le_bytes());
+    fn place(&mut self, now: Instant, asked: &PolicyRequest<'_>) -> PolicyChoice {
+        let object = stable_hash(&asked.object.to_le_bytes());
+        let left = asked.left;
         self.placer
             .on_request(now, &self.route, Some(object), Some(left));
+        let shares = self.shares.as_mut();
+        let steps = shares.map_or(0, |shares| shares.on_request(now, asked.team));
         let request = PlacementRequest {
-            returning: !fresh,
+            priority: self.route.priority + steps,
+            returning: !asked.fresh,
             ..PlacementRequest::new(&self.route, 0)
                 .with_object(Some(object))
                 .with_remaining(left.min(self.route.timeout.unwrap_or(left)))
         };
         match self.placer.place(now, &request) {
             Ok(placement) => PolicyChoice::Send(Box::new(placement)),
-            Err(refusal) => PolicyChoice::Refuse(refusal.retry_after),
+            Err(refusal) => {
+                if let Some(shares) = &mut self.shares {
+                    shares.on_refused(now);
+                }
+                PolicyChoice::Refuse(refusal.retry_after)
+            }
         }
     }
 
@@ -148,7 +184,7 @@
 }
 
 impl EntryPolicy for NaivePolicy {
-    fn place(&mut self, now: Instant, _: u64, _: Duration, _: bool) -> PolicyChoice {
+    fn place(&mut self, now: Instant, _: &PolicyRequest<'_>) -> PolicyChoice {
         let near = self.least_busy(now, true);
         let Some(handle) = near.or_else(|| self.least_busy(now, false)) else {
             return PolicyChoice::Refuse(NAIVE_RETURN);
--- a/crates/emulate/src/report.rs
+++ b/crates/emulate/src/report.rs
@@ -26,6 +26,8 @@
     pub struct TrialReport {
         /// By windows of two seconds.
         pub windows: Vec<WindowReport>,
+        /// By teams; of these only what was asked and answered counts.
+        pub teams: Vec<WindowReport>,
         /// Runs at servers.
         pub runs: u32,
         /// Runs whose object was not held.
@@ -53,6 +55,14 @@
 }
 
 impl TrialReport {
+    /// What became of the requests of the team with the number `team`.
+    pub(crate) fn team(&mut self, team: usize) -> &mut WindowReport {
+        if self.teams.len() <= team {
+            self.teams.resize(team + 1, WindowReport::default());
+        }
+        &mut self.teams[team]
+    }
+
     /// All windows together.
     pub fn total(&self) -> WindowReport {
         self.between(0.0, f64::MAX)
--- a/crates/emulate/src/run.rs
+++ b/crates/emulate/src/run.rs
@@ -11,7 +11,7 @@
 
 use crate::experiment::{Experiment, FaultKind};
 use crate::model::{Job, ModelServer};
-use crate::policy::{EntryPolicy, PolicyChoice};
+use crate::policy::{EntryPolicy, PolicyChoice, PolicyRequest};
 use crate::regions::RegionCounts;
 use crate::report::TrialReport;
 use crate::setup::{desired_state, entry_hash, placer_config, server_entries};
@@ -31,6 +31,7 @@
 struct CallerRequest {
     entry: usize,
     object: u64,
+    team: usize,
     begun: Micros,
     refusals: u32,
 }
@@ -56,6 +57,8 @@
     attempts: Vec<Attempt>,
     report: TrialReport,
     regions: RegionCounts,
+    /// Names of the teams.
+    teams: Vec<String>,
 }
 
 /// Plays `experiment` with the policy that `make` builds for each entry.
@@ -99,6 +102,7 @@
         attempts: Vec::new(),
         report: TrialReport::default(),
         regions: RegionCounts::new(experiment.regions),
+        teams: (0..experiment.teams.len()).map(team_name).collect(),
     };
     trial.run();
     trial.report
@@ -161,26 +165,48 @@
         };
         let member = self.rng.random_range(0..self.experiment.entries);
         let object = self.rng.random_range(0..self.experiment.objects) as u64;
+        let team = self.draw_team();
         self.requests.push(CallerRequest {
             entry: region * self.experiment.entries + member,
             object,
+            team,
             begun: self.now,
             refusals: 0,
         });
         self.report.window(at).asked += 1;
+        self.report.team(team).asked += 1;
         self.ask(self.requests.len() - 1);
         let pause = -(1.0 - self.rng.random::<f64>()).ln() / rate.max(0.001);
         self.schedule(self.now + micros(pause), Event::Arrive);
     }
 
+    fn draw_team(&mut self) -> usize {
+        if self.experiment.teams.len() < 2 {
+            return 0;
+        }
+        let whole: f64 = self.experiment.teams.iter().sum();
+        let mut left = self.rng.random::<f64>() * whole;
+        for (team, weight) in self.experiment.teams.iter().enumerate() {
+            left -= weight;
+            if left <= 0.0 {
+                return team;
+            }
+        }
+        0
+    }
+
     fn ask(&mut self, index: usize) {
         let now = self.instant();
         let request = &self.requests[index];
-        let (entry, object) = (request.entry, request.object);
-        let fresh = request.refusals == 0;
         let spent = Duration::from_micros(self.now - request.begun);
         let left = self.experiment.deadline.saturating_sub(spent);
-        match self.policies[entry].place(now, object, left, fresh) {
+        let asked = PolicyRequest {
+            object: request.object,
+            left,
+            fresh: request.refusals == 0,
+            team: &self.teams[request.team],
+        };
+        match self.policies[request.entry].place(now, &asked) {
             PolicyChoice::Send(placement) => self.send(index, *placement, left),
             PolicyChoice::Refuse(after) => self.refuse(index, after, left),
         }
@@ -297,6 +323,12 @@
             return;
         }
         let in_time = took <= self.experiment.objective;
+        let team = self.requests[request].team;
+        if in_time {
+            self.report.team(team).in_time += 1;
+        } else {
+            self.report.team(team).late += 1;
+        }
         let window = self.report.window(begun as f64 / 1e6);
         if in_time {
             window.in_time += 1;
@@ -369,6 +401,11 @@
     }
 }
 
+/// The name of the team with the number `team`.
+pub(crate) fn team_name(team: usize) -> String {
+    format!("team-{team}")
+}
+
 fn micros(seconds: f64) -> Micros {
     (seconds * 1e6) as Micros
 }
--- a/crates/emulate/tests/patterns.rs
+++ b/crates/emulate/tests/patterns.rs
@@ -1,11 +1,11 @@
 //! Load patterns played against the placing decisions, beside the naive way.
 //! The bounds leave room below what was measured when they were set.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use emulate::{
-    EntryPolicy, Experiment, FaultKind, NaivePolicy, PlacerPolicy, PolicyChoice, ServerFault,
-    TrialReport, run_trial,
+    EntryPolicy, Experiment, FaultKind, NaivePolicy, PlacerPolicy, PolicyChoice, PolicyRequest,
+    ServerFault, TrialReport, run_trial,
 };
 use place::placing::load::LoadWord;
 use place::request::{Placement, ServerOutcome};
@@ -175,8 +175,8 @@
 struct UntoldPolicy(PlacerPolicy);
 
 impl EntryPolicy for UntoldPolicy {
-    fn place(&mut self, now: Instant, object: u64, left: Duration, fresh: bool) -> PolicyChoice {
-        self.0.place(now, object, left, fresh)
+    fn place(&mut self, now: Instant, request: &PolicyRequest<'_>) -> PolicyChoice {
+        self.0.place(now, request)
     }
 
     fn on_outcome(
--- a/crates/team/src/lib.rs
+++ b/crates/team/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod book;
 pub mod bucket;
 pub mod error;
+pub mod fairness;
 pub mod homes;
 pub mod key;
 pub mod prelude;
