Soak of real entries (lh-soak), and lines that tell the incident's hypotheses apart

No run of ours had real processes, clocks and signals under faults; 'server joined' was one line for a start and for a return, and 150 lines of one kind pushed out the line that names the reader. 'server joined' tells state and seq; 20 lines of each kind are kept whatever others do; laurelhill_kept_servers.

--- a/bin/lh-entry/src/logs.rs
+++ b/bin/lh-entry/src/logs.rs
@@ -23,6 +23,9 @@
 const INFO_LINES: usize = 150;
 /// Lines of any level that are kept between two writes.
 const ALL_LINES: usize = 2000;
+/// Lines of one kind that are kept also where others have filled the room for lines of level
+/// info: hundreds of servers that join at once must not push out the line that says who leads.
+const KIND_LINES: usize = 20;
 
 /// Lines a second of requests that were turned away: a flood of wrong keys must not leave
 /// out the lines of others. All are counted in the metrics.
@@ -53,9 +56,33 @@
 struct LineBuffer {
     bytes: Vec<u8>,
     lines: usize,
+    /// Number of the lines of each kind.
+    kinds: BTreeMap<String, usize>,
     left_out: BTreeMap<String, LeftOut>,
 }
 
+impl LineBuffer {
+    /// Whether one more line of the kind `event` is kept.
+    fn takes(&mut self, level: Level, event: &str) -> bool {
+        let kept = match self.kinds.get_mut(event) {
+            Some(kept) => kept,
+            None => self.kinds.entry(event.to_owned()).or_default(),
+        };
+        let is_rare = *kept < KIND_LINES;
+        let most = if level >= Level::Info && !is_rare {
+            INFO_LINES
+        } else {
+            ALL_LINES
+        };
+        let takes = self.lines < most;
+        if takes {
+            *kept += 1;
+            self.lines += 1;
+        }
+        takes
+    }
+}
+
 /// Lines of one kind that were left out.
 #[derive(Debug, Default)]
 struct LeftOut {
@@ -100,6 +127,7 @@
         let (bytes, left_out) = {
             let mut buffer = self.lock();
             buffer.lines = 0;
+            buffer.kinds.clear();
             let left_out = std::mem::take(&mut buffer.left_out);
             (std::mem::take(&mut buffer.bytes), left_out)
         };
@@ -135,20 +163,15 @@
 
     fn push(&self, record: &Record<'_>) {
         let mut buffer = self.lock();
-        let most = if record.level() >= Level::Info {
-            INFO_LINES
-        } else {
-            ALL_LINES
-        };
-        if buffer.lines >= most {
+        let event = record.args().to_string();
+        if !buffer.takes(record.level(), &event) {
             let kind = RecordKind::of(record);
             let left_out = buffer.left_out.entry(kind.name).or_default();
             left_out.count += 1;
             left_out.example = kind.request;
             return;
         }
-        buffer.lines += 1;
-        let mut line = self.line_start(record.level(), &record.args().to_string());
+        let mut line = self.line_start(record.level(), &event);
         let _ = record.key_values().visit(&mut JsonFields(&mut line));
         line.push_str("}\n");
         buffer.bytes.extend_from_slice(line.as_bytes());
--- a/bin/lh-entry/src/metrics.rs
+++ b/bin/lh-entry/src/metrics.rs
@@ -38,6 +38,8 @@
     registry_age: Gauge,
     pub(crate) version: IntGauge,
     pub(crate) foreign_rows: IntGauge,
+    /// Servers whose rows vanished and that are kept for now.
+    pub(crate) kept_servers: IntGauge,
     pub(crate) leads: IntGauge,
     pulls: IntCounterVec,
     told: IntCounterVec,
@@ -179,6 +181,10 @@
             "laurelhill_registry_content",
             "Mark of what is known of the servers' registry; equal at entries that know the same",
         )?;
+        let kept_servers = IntGauge::new(
+            "laurelhill_kept_servers",
+            "Servers whose rows vanished and that are kept until the registry has settled",
+        )?;
         let contradictions = IntCounter::new(
             "laurelhill_contradictions_total",
             "Times that leads began to know other things of the registry though both have read it",
@@ -221,6 +227,7 @@
         registry.register(Box::new(registry_age.clone()))?;
         registry.register(Box::new(version.clone()))?;
         registry.register(Box::new(foreign_rows.clone()))?;
+        registry.register(Box::new(kept_servers.clone()))?;
         registry.register(Box::new(leads.clone()))?;
         registry.register(Box::new(pulls.clone()))?;
         registry.register(Box::new(told.clone()))?;
@@ -251,6 +258,7 @@
             registry_age,
             version,
             foreign_rows,
+            kept_servers,
             leads,
             pulls,
             told,
--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -349,8 +349,10 @@
     fn note_versions(&self, changes: &[CatalogChange], is_first: bool) {
         let placer = self.placer.borrow();
         for change in changes {
-            let (CatalogChange::Joined(id, _) | CatalogChange::Restarted(id)) = change else {
-                continue;
+            let id = match change {
+                CatalogChange::Joined(entry) => &entry.id,
+                CatalogChange::Restarted(id) => id,
+                _ => continue,
             };
             if let Some(entry) = placer.catalog.entry(id) {
                 self.rollouts
@@ -366,6 +368,8 @@
         source: &ChangeSource<'_>,
     ) {
         self.metrics.foreign_rows.set(foreign as i64);
+        let kept = self.placer.borrow().catalog.missing().count();
+        self.metrics.kept_servers.set(kept as i64);
         for change in changes {
             if let CatalogChange::Restarted(id) = change {
                 // Its connections ended with the former run.
@@ -482,8 +486,10 @@
 fn log_change(change: &CatalogChange, source: &ChangeSource<'_>) {
     let (by, age_ms) = (source.by, source.age.as_millis() as u64);
     let (id, event) = match change {
-        CatalogChange::Joined(id, domain) => {
-            log::info!(server = id.as_str(), domain = domain.as_str(), by, age_ms; "server joined");
+        CatalogChange::Joined(entry) => {
+            let (server, domain) = (entry.id.as_str(), entry.domain.as_str());
+            let (state, seq) = (entry.state.as_str(), entry.seq);
+            log::info!(server, domain, state, seq, by, age_ms; "server joined");
             return;
         }
         CatalogChange::Draining(id) => (id, "server is leaving"),
--- /dev/null
+++ b/bin/lh-soak/src/fleet.rs
@@ -0,0 +1,239 @@
+//! The entries' processes. Each is ended by its own id.
+
+use std::fs::File;
+use std::io::{BufRead as _, BufReader, Write as _};
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
+
+use crate::config::{DRAIN, REGIONS, place};
+use crate::error::{Error, Result};
+use crate::history::{RunEvent, RunRecorder, ServerChange};
+use crate::proxy::StoreProxy;
+
+const CALLER_PORT: u16 = 20_001;
+const READY_PORT: u16 = 20_002;
+const LOOKUP_PORT: u16 = 20_003;
+const METRICS_PORT: u16 = 20_004;
+const PEER_PORT: u16 = 20_005;
+/// Entries that others are told of at their start.
+const SEEDS: usize = 3;
+
+/// One entry with its way to the store.
+#[derive(Debug)]
+pub(crate) struct SoakEntry {
+    index: usize,
+    program: PathBuf,
+    folder: PathBuf,
+    ip: IpAddr,
+    proxy: StoreProxy,
+    run: u32,
+    child: Option<Child>,
+    /// Whether its present run leads its region, by its lines.
+    leads: Arc<AtomicBool>,
+    recorder: RunRecorder,
+}
+
+impl SoakEntry {
+    /// The entry with the number `index`, not started; its settings and lines go to `folder`.
+    pub(crate) fn new(
+        index: usize,
+        (program, folder): (&Path, &Path),
+        proxy: StoreProxy,
+        seeds: &[IpAddr],
+        recorder: RunRecorder,
+    ) -> Result<Self> {
+        let entry = Self {
+            index,
+            program: program.to_owned(),
+            folder: folder.to_owned(),
+            ip: address_of(index),
+            proxy,
+            run: 0,
+            child: None,
+            leads: Arc::default(),
+            recorder,
+        };
+        std::fs::write(entry.settings_path(), entry.settings(seeds))?;
+        Ok(entry)
+    }
+
+    /// Where it takes callers.
+    pub(crate) fn callers(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, CALLER_PORT)
+    }
+
+    /// Where it says that it is ready.
+    pub(crate) fn ready(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, READY_PORT)
+    }
+
+    /// Its way to the store.
+    pub(crate) fn proxy(&self) -> &StoreProxy {
+        &self.proxy
+    }
+
+    /// Whether it leads its region.
+    pub(crate) fn leads(&self) -> bool {
+        self.leads.load(Ordering::Relaxed)
+    }
+
+    /// Starts its process, unless it runs.
+    pub(crate) fn start(&mut self) -> Result<()> {
+        if self.is_running() {
+            return Ok(());
+        }
+        self.run += 1;
+        let mut command = Command::new(&self.program);
+        command.arg("--settings").arg(self.settings_path());
+        let mut child = command
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()?;
+        let output = child.stdout.take();
+        let output = output.ok_or_else(|| Error::Start("no output of an entry".to_owned()))?;
+        let file = File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("entry-{:03}.log", self.index)))?;
+        self.leads = Arc::default();
+        let reader = LineReader {
+            entry: self.index,
+            run: self.run,
+            leads: Arc::clone(&self.leads),
+            recorder: self.recorder.clone(),
+        };
+        std::thread::spawn(move || reader.read(BufReader::new(output), file));
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Whether its process runs.
+    pub(crate) fn is_running(&mut self) -> bool {
+        let child = self.child.as_mut();
+        child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
+    /// Sends a signal to its process, if it runs.
+    pub(crate) fn signal(&mut self, signal: Signal) -> Result<()> {
+        if !self.is_running() {
+            return Ok(());
+        }
+        let child = self.child.as_ref();
+        let raw = child.and_then(|child| i32::try_from(child.id()).ok());
+        if let Some(pid) = raw.and_then(Pid::from_raw) {
+            kill_process(pid, signal).map_err(std::io::Error::from)?;
+        }
+        Ok(())
+    }
+
+    /// Ends its process at once.
+    pub(crate) fn kill(&mut self) -> Result<()> {
+        if let Some(mut child) = self.child.take() {
+            child.kill()?;
+            child.wait()?;
+        }
+        Ok(())
+    }
+
+    fn settings_path(&self) -> PathBuf {
+        self.folder.join(format!("entry-{:03}.ini", self.index))
+    }
+
+    fn settings(&self, seeds: &[IpAddr]) -> String {
+        let (ip, (region, domain)) = (self.ip, place(self.index));
+        let seeds: Vec<String> = seeds.iter().map(|seed| format!("{seed}:1")).collect();
+        let mut text = format!(
+            "[instance]\nname = entry-{:03}\nregion = {region}\ndomain = {domain}\n\
+             address = {ip}\n[entry]\ncallers = {ip}:{CALLER_PORT}\nready = {ip}:{READY_PORT}\n\
+             lookup = {ip}:{LOOKUP_PORT}\nmetrics_port = {METRICS_PORT}\n\
+             peer_ports = {PEER_PORT}-{}\npeer_seeds = {}\n[store]\naddress = {}\n\
+             [bounds]\ngrace = 6s\ndrain = {}ms\nretry_ratio = 0.2\nretry_slack = 56\n\
+             retry_window = 10s\nshift_cap = 0.15\nlookup_ttl_most = 5s\n\
+             memory_mb = 260\ndescriptors = 4100\n",
+            self.index,
+            PEER_PORT + 1,
+            seeds.join(","),
+            self.proxy.address(),
+            DRAIN.as_millis(),
+        );
+        for region in REGIONS {
+            for side in ["a", "b"] {
+                text += &format!("[place {region}-{side}]\nregion = {region}\n");
+            }
+        }
+        text
+    }
+}
+
+impl Drop for SoakEntry {
+    fn drop(&mut self) {
+        if let Err(error) = self.kill() {
+            eprintln!("entry {} may still run: {error}", self.index);
+        }
+    }
+}
+
+/// The loopback address of an entry; runs beside each other have different ones.
+fn address_of(index: usize) -> IpAddr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let last = u8::try_from(index % 250 + 1).unwrap_or(u8::MAX);
+    IpAddr::from([127, 32 + high % 64, low, last])
+}
+
+/// The entries that others are told of at their start.
+pub(crate) fn seeds(entries: usize) -> Vec<IpAddr> {
+    (0..entries.min(SEEDS)).map(address_of).collect()
+}
+
+/// Reads the lines of one run of an entry.
+struct LineReader {
+    entry: usize,
+    run: u32,
+    leads: Arc<AtomicBool>,
+    recorder: RunRecorder,
+}
+
+impl LineReader {
+    fn read(&self, lines: BufReader<std::process::ChildStdout>, mut file: File) {
+        for line in lines.lines().map_while(std::result::Result::ok) {
+            // Lines are kept for whoever traces a finding; the judge needs none of the files.
+            let _ = writeln!(file, "{line}");
+            let Ok(line) = serde_json::from_str::<Value>(&line) else {
+                continue;
+            };
+            match line["event"].as_str() {
+                Some("leads its region") => self.leads.store(true, Ordering::Relaxed),
+                Some("leads no longer") => self.leads.store(false, Ordering::Relaxed),
+                _ => {}
+            }
+            let Some((server, change)) = server_change(&line) else {
+                continue;
+            };
+            self.recorder.record(RunEvent::Line {
+                entry: self.entry,
+                run: self.run,
+                server,
+                change,
+            });
+        }
+    }
+}
+
+/// What a line says of a server.
+fn server_change(line: &Value) -> Option<(String, ServerChange)> {
+    let change = match line["event"].as_str()? {
+        // A server may be listed anew as leaving.
+        "server joined" if line["state"] == "draining" => ServerChange::Left,
+        "server joined" => ServerChange::Joined,
+        "server is leaving" | "server is gone" => ServerChange::Left,
+        _ => return None,
+    };
+    Some((line["server"].as_str()?.to_owned(), change))
+}
--- /dev/null
+++ b/bin/lh-soak/src/history.rs
@@ -0,0 +1,150 @@
+//! Everything that a run's judge needs, with times since its start.
+
+use std::fs;
+use std::path::Path;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use crate::error::Result;
+
+base::common! {
+    /// What happened.
+    #[derive(Eq)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum RunEvent {
+        /// The store acknowledged that the server is leaving or dropped its row.
+        Left {
+            /// The server.
+            server: String,
+        },
+        /// An older word of a server that has left was written to the store.
+        LateWord {
+            /// The server.
+            server: String,
+        },
+        /// A request reached a server.
+        Arrived {
+            /// The server.
+            server: String,
+            /// The entry that sent it.
+            entry: usize,
+        },
+        /// An entry wrote a line on a server.
+        Line {
+            /// The entry.
+            entry: usize,
+            /// The entry's run.
+            run: u32,
+            /// The server.
+            server: String,
+            /// What became of it.
+            change: ServerChange,
+        },
+        /// A fault began or was renewed.
+        Fault {
+            /// What it is.
+            name: String,
+            /// The entry that it concerns; none where it is the store's.
+            entry: Option<usize>,
+        },
+        /// A fault ended.
+        Calm {
+            /// The entry that it concerned; none where it was the store's.
+            entry: Option<usize>,
+        },
+        /// The run's own threads were late by so many milliseconds.
+        Lag {
+            /// Milliseconds.
+            ms: u64,
+        },
+        /// Callers have got an answer of this status; 0 where none came.
+        Answered {
+            /// The status.
+            status: u16,
+        },
+    }
+
+    /// What an entry wrote of a server.
+    #[derive(Copy, Eq)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum ServerChange {
+        /// It takes requests from now on.
+        Joined,
+        /// It leaves or is gone.
+        Left,
+    }
+
+    /// An event and when it happened.
+    #[derive(Eq)]
+    pub struct TimedEvent {
+        /// Milliseconds since the start of the run.
+        pub at: u64,
+        /// What happened.
+        pub event: RunEvent,
+    }
+
+    /// What happened in a run, in the order of time.
+    pub struct RunHistory {
+        /// Seed of the faults.
+        pub seed: u64,
+        /// What happened.
+        pub events: Vec<TimedEvent>,
+    }
+}
+
+impl RunHistory {
+    /// Reads a history that was kept.
+    ///
+    /// # Errors
+    /// Where the file can't be read or isn't a history.
+    pub fn read(path: &Path) -> Result<Self> {
+        Ok(serde_json::from_slice(&fs::read(path)?)?)
+    }
+
+    /// Keeps the history in the file `path`.
+    ///
+    /// # Errors
+    /// Where the file can't be written.
+    pub fn write(&self, path: &Path) -> Result<()> {
+        Ok(fs::write(path, serde_json::to_vec(self)?)?)
+    }
+}
+
+/// Takes down the events of a run.
+#[derive(Debug, Clone)]
+pub(crate) struct RunRecorder {
+    begun: Instant,
+    events: Arc<Mutex<Vec<TimedEvent>>>,
+}
+
+impl RunRecorder {
+    /// A recorder of a run that begins now.
+    pub(crate) fn new() -> Self {
+        Self {
+            begun: Instant::now(),
+            events: Arc::default(),
+        }
+    }
+
+    /// Takes down `event`.
+    pub(crate) fn record(&self, event: RunEvent) {
+        let mut events = self.lock();
+        let at = millis(self.begun.elapsed());
+        events.push(TimedEvent { at, event });
+    }
+
+    /// The history so far.
+    pub(crate) fn history(&self, seed: u64) -> RunHistory {
+        let events = self.lock().clone();
+        RunHistory { seed, events }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<TimedEvent>> {
+        self.events.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Whole milliseconds.
+pub(crate) fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/bin/lh-soak/src/judge.rs
@@ -0,0 +1,227 @@
+//! Which promises a run has broken.
+//!
+//! - **Drain.** No request reaches a server later than [`DRAIN`] after the store acknowledged
+//!   its leaving, from an entry without faults for [`STABLE_WINDOW`] and of a store without
+//!   faults for as long.
+//! - **Return.** An entry that has written that a server left doesn't take it in again in the
+//!   same run, and sends it nothing [`DRAIN`] later; this holds under all faults.
+
+use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+
+use crate::config::{DRAIN, STABLE_WINDOW};
+use crate::history::{RunEvent, RunHistory, ServerChange, millis};
+
+/// Broken promises that are told one by one.
+const TOLD_MOST: usize = 12;
+
+/// What came of a run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunVerdict {
+    /// Seed of the faults.
+    pub seed: u64,
+    /// Requests that reached servers.
+    pub arrivals: usize,
+    /// Servers that have left.
+    pub left: usize,
+    /// Faults by name.
+    pub faults: BTreeMap<String, usize>,
+    /// Late requests by entries without faults.
+    pub drain: Vec<String>,
+    /// Servers that were taken in again by entries that had written of their leaving.
+    pub returned: Vec<String>,
+    /// Late requests by entries or of a store with faults, and the latest of them in
+    /// milliseconds; no promise binds there.
+    pub excused: (usize, u64),
+    /// Answers of status 200 and others.
+    pub answers: (usize, usize),
+}
+
+impl RunVerdict {
+    /// Number of broken promises.
+    pub fn broken(&self) -> usize {
+        self.drain.len() + self.returned.len()
+    }
+}
+
+impl fmt::Display for RunVerdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let faults: Vec<String> = self
+            .faults
+            .iter()
+            .map(|(k, v)| format!("{k} {v}"))
+            .collect();
+        write!(
+            f,
+            "seed {}: {} arrivals, {} servers left, answers {} good {} other, faults [{}]; \
+             drain {}, returned {}, late under faults {} (latest {} ms)",
+            self.seed,
+            self.arrivals,
+            self.left,
+            self.answers.0,
+            self.answers.1,
+            faults.join(", "),
+            self.drain.len(),
+            self.returned.len(),
+            self.excused.0,
+            self.excused.1,
+        )?;
+        for breach in self.drain.iter().chain(&self.returned).take(TOLD_MOST) {
+            write!(f, "\n  {breach}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Times without faults of an entry or of the store.
+#[derive(Debug, Default, Clone, Copy)]
+struct FaultClock {
+    faulty: u32,
+    calm_since: u64,
+}
+
+impl FaultClock {
+    fn begin(&mut self) {
+        self.faulty += 1;
+    }
+
+    fn end(&mut self, at: u64) {
+        self.faulty = self.faulty.saturating_sub(1);
+        self.calm_since = at;
+    }
+
+    /// Whether there was no fault for the stable window at `at`.
+    fn is_stable(&self, at: u64) -> bool {
+        self.faulty == 0 && at >= self.calm_since + millis(STABLE_WINDOW)
+    }
+}
+
+#[derive(Debug, Default)]
+struct RunJudge {
+    store: FaultClock,
+    entries: HashMap<usize, FaultClock>,
+    /// When each leaving was acknowledged.
+    left: HashMap<String, u64>,
+    /// When each run of an entry wrote that a server left.
+    known: HashMap<(usize, u32, String), u64>,
+    runs: HashMap<usize, u32>,
+    lag: u64,
+    late_words: HashMap<String, u64>,
+}
+
+/// Judges `history`.
+pub fn judge(history: &RunHistory) -> RunVerdict {
+    let mut verdict = RunVerdict {
+        seed: history.seed,
+        arrivals: 0,
+        left: 0,
+        faults: BTreeMap::new(),
+        drain: Vec::new(),
+        returned: Vec::new(),
+        excused: (0, 0),
+        answers: (0, 0),
+    };
+    let mut judge = RunJudge::default();
+    for timed in &history.events {
+        judge.on_event(timed.at, &timed.event, &mut verdict);
+    }
+    verdict.left = judge.left.len();
+    verdict
+}
+
+impl RunJudge {
+    fn on_event(&mut self, at: u64, event: &RunEvent, verdict: &mut RunVerdict) {
+        match event {
+            RunEvent::Left { server } => {
+                self.left.entry(server.clone()).or_insert(at);
+            }
+            RunEvent::LateWord { server } => {
+                self.late_words.insert(server.clone(), at);
+            }
+            RunEvent::Arrived { server, entry } => {
+                verdict.arrivals += 1;
+                self.on_arrived(at, server, *entry, verdict);
+            }
+            RunEvent::Line {
+                entry,
+                run,
+                server,
+                change,
+            } => {
+                self.runs.insert(*entry, *run);
+                self.on_line(at, (*entry, *run, server), *change, verdict);
+            }
+            RunEvent::Fault { name, entry } => {
+                *verdict.faults.entry(name.clone()).or_default() += 1;
+                self.clock(*entry).begin();
+            }
+            RunEvent::Calm { entry } => self.clock(*entry).end(at),
+            RunEvent::Lag { ms } => self.lag = self.lag.max(*ms),
+            RunEvent::Answered { status: 200 } => verdict.answers.0 += 1,
+            RunEvent::Answered { .. } => verdict.answers.1 += 1,
+        }
+    }
+
+    fn clock(&mut self, entry: Option<usize>) -> &mut FaultClock {
+        match entry {
+            None => &mut self.store,
+            Some(entry) => self.entries.entry(entry).or_default(),
+        }
+    }
+
+    fn on_arrived(&mut self, at: u64, server: &str, entry: usize, verdict: &mut RunVerdict) {
+        let Some(left) = self.left.get(server).copied() else {
+            return;
+        };
+        let bound = millis(DRAIN) + self.lag;
+        let run = self.runs.get(&entry).copied().unwrap_or_default();
+        let known = self.known.get(&(entry, run, server.to_owned()));
+        if known.is_some_and(|known| at > known + bound) {
+            let text = format!(
+                "returned: {server} got a request at {at} ms from entry {entry}, which knew of its leaving; left {left} ms"
+            );
+            verdict.returned.push(text);
+            return;
+        }
+        if at <= left + bound {
+            return;
+        }
+        let late = at - left;
+        let is_stable = self.clock(Some(entry)).is_stable(at) && self.store.is_stable(at);
+        // A leaving in a disturbance counts from the time when the store was stable again.
+        let counted = left.max(self.store.calm_since + millis(STABLE_WINDOW));
+        if is_stable && at > counted + bound {
+            let late_word = self.late_words.get(server);
+            let text = format!(
+                "drain: {server} got a request at {at} ms from entry {entry}, {late} ms after its leaving; older word written at {late_word:?}"
+            );
+            verdict.drain.push(text);
+        } else {
+            verdict.excused.0 += 1;
+            verdict.excused.1 = verdict.excused.1.max(late);
+        }
+    }
+
+    fn on_line(
+        &mut self,
+        at: u64,
+        (entry, run, server): (usize, u32, &str),
+        change: ServerChange,
+        verdict: &mut RunVerdict,
+    ) {
+        let has_left = self.left.contains_key(server);
+        let key = (entry, run, server.to_owned());
+        match change {
+            ServerChange::Left if has_left => {
+                self.known.entry(key).or_insert(at);
+            }
+            ServerChange::Joined if self.known.contains_key(&key) => {
+                let text = format!(
+                    "returned: entry {entry} took {server} in again at {at} ms, having written that it left"
+                );
+                verdict.returned.push(text);
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/bin/lh-soak/src/servers.rs
@@ -0,0 +1,220 @@
+//! Backend servers that come and leave, and what reaches them.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use platform_standin::{FakeStore, server_entry_in};
+use serde_json::Value;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::config::place;
+use crate::error::Result;
+use crate::history::{RunEvent, RunRecorder};
+
+/// Name of the service.
+pub(crate) const SERVICE: &str = "board";
+/// Table of the servers' rows.
+const TABLE: &str = "servers";
+/// How long a request takes.
+const WORK_TIME: Duration = Duration::from_millis(30);
+/// Path of the health check.
+const HEALTH_PATH: &str = "/health";
+
+/// How a server leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Leaving {
+    /// It says so, and its row is dropped later.
+    Announced,
+    /// Its row is dropped.
+    Silent,
+}
+
+/// One server.
+#[derive(Debug, Clone)]
+pub(crate) struct SoakServer {
+    id: String,
+    address: SocketAddr,
+    domain: String,
+    /// Number of its newest word.
+    seq: u64,
+}
+
+impl SoakServer {
+    fn word(&self, state: &str, seq: u64) -> Value {
+        server_entry_in(&self.domain, SERVICE, self.address, state, seq)
+    }
+}
+
+/// All servers and the store that they register at.
+#[derive(Debug, Clone)]
+pub(crate) struct ServerPark {
+    store: FakeStore,
+    recorder: RunRecorder,
+    live: Arc<Mutex<Vec<SoakServer>>>,
+    started: Arc<Mutex<usize>>,
+}
+
+impl ServerPark {
+    /// A park without servers.
+    pub(crate) fn new(store: FakeStore, recorder: RunRecorder) -> Self {
+        Self {
+            store,
+            recorder,
+            live: Arc::default(),
+            started: Arc::default(),
+        }
+    }
+
+    /// Starts a server, which registers at once.
+    pub(crate) async fn start_one(&self) -> Result<()> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let index = {
+            let mut started = self.started.lock().unwrap_or_else(PoisonError::into_inner);
+            *started += 1;
+            *started - 1
+        };
+        let server = SoakServer {
+            id: format!("i-{index:04}"),
+            address: listener.local_addr()?,
+            domain: place(index).1,
+            seq: 1,
+        };
+        tokio::spawn(accept(listener, server.id.clone(), self.recorder.clone()));
+        self.store.put(TABLE, &server.id, &server.word("ready", 1));
+        self.live().push(server);
+        Ok(())
+    }
+
+    /// Number of servers that live.
+    pub(crate) fn live_count(&self) -> usize {
+        self.live().len()
+    }
+
+    /// The server at `index` begins to leave; it serves on.
+    pub(crate) fn leave(&self, index: usize, leaving: Leaving) -> SoakServer {
+        let mut server = self.live().swap_remove(index);
+        let server_id = server.id.clone();
+        self.recorder.record(RunEvent::Left { server: server_id });
+        server.seq += 1;
+        match leaving {
+            Leaving::Announced => {
+                let word = server.word("draining", server.seq);
+                self.store.put(TABLE, &server.id, &word);
+            }
+            Leaving::Silent => self.store.drop_row(TABLE, &server.id),
+        }
+        server
+    }
+
+    /// The row of a server that has left is dropped.
+    pub(crate) fn drop_row(&self, server: &SoakServer) {
+        self.store.drop_row(TABLE, &server.id);
+    }
+
+    /// The store performs a heartbeat late that `server` sent before it left.
+    pub(crate) fn write_late(&self, server: &SoakServer) {
+        let id = server.id.clone();
+        self.recorder.record(RunEvent::LateWord { server: id });
+        let word = server.word("ready", server.seq - 1);
+        self.store.put(TABLE, &server.id, &word);
+    }
+
+    /// The rows of the share `share` of the servers lapse; they are listed again by
+    /// [`ServerPark::relist`].
+    pub(crate) fn lapse(&self, share: f64) -> Vec<String> {
+        let live = self.live();
+        let count = (live.len() as f64 * share) as usize;
+        let lapsed = live.iter().take(count);
+        let lapsed: Vec<String> = lapsed.map(|server| server.id.clone()).collect();
+        for id in &lapsed {
+            self.store.drop_row(TABLE, id);
+        }
+        lapsed
+    }
+
+    /// The servers `lapsed` that live are listed again.
+    pub(crate) fn relist(&self, lapsed: &[String]) {
+        let mut live = self.live();
+        for server in live.iter_mut() {
+            if lapsed.contains(&server.id) {
+                server.seq += 1;
+                let word = server.word("ready", server.seq);
+                self.store.put(TABLE, &server.id, &word);
+            }
+        }
+    }
+
+    fn live(&self) -> MutexGuard<'_, Vec<SoakServer>> {
+        self.live.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn accept(listener: TcpListener, id: String, recorder: RunRecorder) {
+    while let Ok((stream, _)) = listener.accept().await {
+        tokio::spawn(serve(stream, id.clone(), recorder.clone()));
+    }
+}
+
+async fn serve(stream: TcpStream, id: String, recorder: RunRecorder) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let (id, recorder) = (id.clone(), recorder.clone());
+        async move { Ok::<_, Infallible>(answer(&id, &recorder, request).await) }
+    });
+    // A connection that breaks is its entry's matter.
+    let _ = http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+async fn answer(
+    id: &str,
+    recorder: &RunRecorder,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let request_id = text(request.headers(), "request-id").to_owned();
+    let expected = text(request.headers(), "expect-instance");
+    let mut answer = Response::builder()
+        .header("request-id", &request_id)
+        .header("instance-id", id)
+        .header("server-load", "0,0,8");
+    if request.uri().path() == HEALTH_PATH {
+        return whole(answer, "");
+    }
+    if !expected.is_empty() && expected != id {
+        answer = answer.status(StatusCode::MISDIRECTED_REQUEST);
+        return whole(answer, "");
+    }
+    if let Some(entry) = entry_of(&request_id) {
+        let server = id.to_owned();
+        recorder.record(RunEvent::Arrived { server, entry });
+    }
+    let _ = request.into_body().collect().await;
+    tokio::time::sleep(WORK_TIME).await;
+    whole(answer.header("server-stamp", "soak"), id)
+}
+
+fn whole(answer: hyper::http::response::Builder, body: &str) -> Response<Full<Bytes>> {
+    let body = Bytes::copy_from_slice(body.as_bytes());
+    let answer = answer.body(Full::new(body));
+    answer.unwrap_or_else(|_| Response::new(Full::new(Bytes::new())))
+}
+
+/// The entry that a caller sent the request to, by the request's id.
+fn entry_of(request_id: &str) -> Option<usize> {
+    request_id.split('-').next()?.parse().ok()
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or("")
+}
--- a/crates/place/src/catalog/change.rs
+++ b/crates/place/src/catalog/change.rs
@@ -1,10 +1,12 @@
 //! What a reading changes of a server, and whether a server may get requests.
 
+use crate::server::ServerEntry;
+
 /// What a reading changed, for the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CatalogChange {
-    /// A server appeared; its id and failure domain.
-    Joined(String, String),
+    /// A server appeared, by this word.
+    Joined(Box<ServerEntry>),
     /// A server is about to leave.
     Draining(String),
     /// A server is gone.
--- a/crates/place/src/catalog/mod.rs
+++ b/crates/place/src/catalog/mod.rs
@@ -315,10 +315,7 @@
         }
         let Some(record) = self.table.by_id_mut(&entry.id) else {
             self.insert(begun, entry);
-            changes.push(CatalogChange::Joined(
-                entry.id.clone(),
-                entry.domain.clone(),
-            ));
+            changes.push(CatalogChange::Joined(Box::new(entry.clone())));
             return;
         };
         if entry.is_of_earlier_run(&record.entry) {
--- a/crates/place/src/server.rs
+++ b/crates/place/src/server.rs
@@ -72,6 +72,16 @@
     }
 }
 
+impl EntryState {
+    /// The state in one word, for lines and operators.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Ready => "ready",
+            Self::Draining => "draining",
+        }
+    }
+}
+
 impl ServerEntry {
     /// Names this run among all runs of all servers: a later run under the same id
     /// holds nothing of what the former one held.
