--- /dev/null
+++ b/crates/place/tests/departed.rs
@@ -0,0 +1,303 @@
+//! Servers that have left and what could bring them back: older words, copies of entries that
+//! are behind, a grace without end.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{changes, domains, ms, reading, server};
+use place::fleet::log::{ReadScope, RegistryDelta, RegistryLog};
+use place::fleet::pace::ReadPace;
+use place::fleet::reading::{ReadOutcome, ReadRole, ReadingPlan};
+use place::prelude::*;
+
+const DRAIN: Duration = Duration::from_millis(3000);
+
+fn catalog() -> ServerCatalog {
+    ServerCatalog::new(domains()).with_drain(DRAIN)
+}
+
+fn word(id: &str, seq: u64, state: EntryState) -> ServerEntry {
+    let mut entry = server(id, "a1");
+    (entry.started, entry.seq, entry.state) = (Some(5), seq, state);
+    entry
+}
+
+fn ready(id: &str, seq: u64) -> ServerEntry {
+    word(id, seq, EntryState::Ready)
+}
+
+fn leaving(id: &str, seq: u64) -> ServerEntry {
+    word(id, seq, EntryState::Draining)
+}
+
+fn is_open(catalog: &ServerCatalog, id: &str) -> bool {
+    let mut servers = catalog.open_servers("board");
+    servers.any(|(_, record)| record.entry.id == id)
+}
+
+/// Takes in a reading of `rows` at `at`.
+fn read(catalog: &mut ServerCatalog, at: Instant, rows: &[ServerEntry]) {
+    catalog.on_read(at, &reading(at, rows));
+}
+
+/// Promise: a word that is no newer than the last one of a server that is gone brings it back
+/// nowhere, and no word does where it said that it leaves.
+#[test]
+fn a_heartbeat_that_the_store_performs_late_brings_no_server_back() {
+    let cases = [
+        (
+            "said so, older word",
+            leaving("x", 11),
+            ready("x", 10),
+            false,
+        ),
+        (
+            "said so, newer word",
+            leaving("x", 11),
+            ready("x", 12),
+            false,
+        ),
+        ("silent, older word", ready("x", 11), ready("x", 10), false),
+        ("silent, same word", ready("x", 11), ready("x", 11), false),
+        ("silent, newer word", ready("x", 11), ready("x", 12), true),
+    ];
+    for (what, last, late, is_back) in cases {
+        let start = Instant::now();
+        let other = ready("y", 3);
+        let mut catalog = catalog();
+        let rows = [
+            vec![ready("x", 10), other.clone()],
+            vec![last, other.clone()],
+            vec![other.clone()],
+            vec![late, other.clone()],
+        ];
+        for (at, rows) in (0..).step_by(1000).zip(&rows) {
+            read(&mut catalog, start + ms(at), rows);
+        }
+        assert_eq!(is_open(&catalog, "x"), is_back, "{what}");
+        assert!(is_open(&catalog, "y"), "{what}");
+    }
+}
+
+/// Promise: a later run of a server is another server, whatever its number.
+#[test]
+fn a_later_run_of_a_server_that_left_is_taken_in() {
+    let start = Instant::now();
+    let mut catalog = catalog();
+    read(&mut catalog, start, &[leaving("x", 11)]);
+    read(&mut catalog, start + ms(1000), &[]);
+    let mut later = ready("x", 1);
+    later.started = Some(6);
+    read(&mut catalog, start + ms(2000), &[later]);
+    assert!(is_open(&catalog, "x"));
+}
+
+/// Promise: an entry that is behind tells everything that it knows, and brings no server back
+/// that its hearer has seen leave.
+#[test]
+fn a_copy_of_an_entry_that_is_behind_brings_no_server_back() {
+    for last in [leaving("x", 11), ready("x", 11)] {
+        let start = Instant::now();
+        let other = ready("y", 3);
+        let mut behind = RegistryLog::default();
+        let scope = ReadScope {
+            whole: true,
+            ..changes()
+        };
+        behind.on_read(&reading(start, &[ready("x", 10), other.clone()]), scope);
+        let mut catalog = catalog();
+        read(&mut catalog, start + ms(1000), &[last, other.clone()]);
+        read(&mut catalog, start + ms(2000), &[other]);
+        catalog.on_told(start + ms(2100), start, &behind.since(0));
+        assert!(!is_open(&catalog, "x"));
+        assert!(is_open(&catalog, "y"));
+    }
+}
+
+/// Promise: a live server that a copy from behind lacks is known again with the next reading,
+/// though its word hasn't changed.
+#[test]
+fn a_copy_that_lacks_a_live_server_keeps_it_out_no_longer_than_until_the_next_reading() {
+    let start = Instant::now();
+    let both = [ready("x", 10), ready("y", 3)];
+    let mut behind = RegistryLog::default();
+    behind.on_read(&reading(start, &both[1..]), changes());
+    let mut catalog = catalog();
+    read(&mut catalog, start + ms(1000), &both);
+    catalog.on_told(start + ms(1100), start, &behind.since(0));
+    assert!(!is_open(&catalog, "x"));
+    read(&mut catalog, start + ms(2000), &both);
+    assert!(is_open(&catalog, "x"));
+}
+
+/// Promise: what an entry tells of a leaving server isn't taken back by an older word, neither
+/// of the store nor of another entry.
+#[test]
+fn an_older_word_is_not_told_on() {
+    let start = Instant::now();
+    let all = |log: &RegistryLog| -> Vec<EntryState> {
+        let told = log.since(0);
+        told.entries.iter().map(|entry| entry.state).collect()
+    };
+    let mut log = RegistryLog::default();
+    log.on_read(&reading(start, &[ready("x", 10)]), changes());
+    let before = log.since(0);
+    let later = start + ms(1000);
+    log.on_read(&reading(later, &[leaving("x", 11)]), changes());
+    let late = start + ms(2000);
+    log.on_read(&reading(late, &[ready("x", 10)]), changes());
+    assert_eq!(all(&log), [EntryState::Draining]);
+    log.on_told(&before);
+    assert_eq!(all(&log), [EntryState::Draining]);
+}
+
+/// Promise: an entry that starts is told of servers that left, so that an older word in its
+/// own reading brings none back.
+#[test]
+fn an_entry_that_starts_hears_which_servers_have_left() {
+    let start = Instant::now();
+    let other = ready("y", 3);
+    let mut lead = RegistryLog::default();
+    let rows = [
+        vec![ready("x", 10), ready("z", 7), other.clone()],
+        vec![leaving("x", 11), ready("z", 8), other.clone()],
+        vec![other.clone()],
+    ];
+    for (at, rows) in (0..).step_by(1000).zip(&rows) {
+        lead.on_read(&reading(start + ms(at), rows), changes());
+    }
+    let mut catalog = catalog();
+    catalog.on_told(start + ms(2100), start + ms(2000), &lead.since(0));
+    let late = [ready("x", 10), ready("z", 8), other];
+    read(&mut catalog, start + ms(3000), &late);
+    assert!(!is_open(&catalog, "x") && !is_open(&catalog, "z"));
+    assert!(is_open(&catalog, "y"));
+}
+
+/// Promise: a row that vanished while calls fail now and then is kept no longer than a leaving
+/// server may get requests: the registry answers between, so that nothing lapses.
+#[test]
+fn calls_that_fail_now_and_then_keep_no_server_that_is_gone() {
+    for gap in [300, 700, 1100, 1500, 1900, 2300, 2700, 3100, 4100] {
+        let start = Instant::now();
+        let mut catalog = catalog();
+        let both = [ready("x", 1), ready("y", 1)];
+        let mut gone_after = None;
+        for at in (0..60_000).step_by(100) {
+            let now = start + ms(at);
+            if at > 0 && at % gap == 0 {
+                catalog.on_read_failed(now);
+            }
+            if at % 1000 == 0 {
+                let rows = if at >= 5000 { &both[1..] } else { &both[..] };
+                read(&mut catalog, now, rows);
+            }
+            if at >= 5000 && !is_open(&catalog, "x") {
+                gone_after = Some(ms(at - 5000));
+                break;
+            }
+        }
+        let is_in_time = gone_after.is_some_and(|after| after <= DRAIN);
+        assert!(is_in_time, "a failed call each {gap} ms: {gone_after:?}");
+    }
+}
+
+/// Promise: the same where the registry answers seldom: each failure begins a new wait for
+/// live servers, but no wait is begun twice for one row.
+#[test]
+fn a_registry_that_answers_seldom_keeps_no_server_without_end() {
+    const MOST: Duration = Duration::from_millis(8000);
+    let start = Instant::now();
+    let mut catalog = catalog();
+    let both = [ready("x", 1), ready("y", 1)];
+    let mut gone_after = None;
+    for at in (0..60_000).step_by(500) {
+        let now = start + ms(at);
+        let rows = if at >= 5000 { &both[1..] } else { &both[..] };
+        match at % 2500 {
+            0 => read(&mut catalog, now, rows),
+            _ => {
+                catalog.on_read_failed(now);
+            }
+        }
+        if at >= 5000 && !is_open(&catalog, "x") {
+            gone_after = Some(ms(at - 5000));
+            break;
+        }
+    }
+    assert!(
+        gone_after.is_some_and(|after| after <= MOST),
+        "{gone_after:?}"
+    );
+}
+
+/// Promise: rows that lapsed in a real outage are kept until live servers had time to be
+/// listed again, though calls fail once more meanwhile.
+#[test]
+fn a_row_that_lapsed_in_an_outage_is_kept_for_its_server() {
+    let start = Instant::now();
+    let both = [ready("x", 1), ready("y", 1)];
+    let mut catalog = catalog();
+    read(&mut catalog, start, &both);
+    for at in (500..8000).step_by(500) {
+        catalog.on_read_failed(start + ms(at));
+    }
+    read(&mut catalog, start + ms(8000), &[]);
+    catalog.on_read_failed(start + ms(8500));
+    read(&mut catalog, start + ms(9000), &both[..1]);
+    assert!(is_open(&catalog, "x") && is_open(&catalog, "y"));
+    read(&mut catalog, start + ms(10_500), &both[..1]);
+    assert!(!is_open(&catalog, "y"), "not listed again in time");
+}
+
+/// Promise: an entry that read for itself in an outage, keeps what vanished and follows a lead
+/// again asks the registry once more when the wait is over; it asks again where that fails.
+#[test]
+fn a_follower_ends_the_wait_that_it_began() {
+    let start = Instant::now();
+    let mut plan = ReadingPlan::new(start, ReadPace::new(DRAIN), 1);
+    let follower = ReadRole::Follower {
+        substitute: false,
+        stuck: false,
+    };
+    let alone = ReadRole::Alone {
+        used: true,
+        first: start,
+    };
+    assert!(plan.take(start, alone, None, false).is_some());
+    let at = start + ms(2000);
+    plan.set_settles(Some(at));
+    plan.on_read(start + ms(10), ReadOutcome::Changed);
+    let before = at - ms(100);
+    assert_eq!(plan.take(before, follower, Some(before), false), None);
+    assert!(plan.take(at, follower, Some(at), false).is_some());
+    plan.on_read(at + ms(10), ReadOutcome::Failed);
+    let again = at + ms(500);
+    assert!(plan.take(again, follower, Some(again), false).is_some());
+    plan.on_read(again + ms(10), ReadOutcome::Same);
+    let later = at + ms(1500);
+    assert_eq!(plan.take(later, follower, Some(later), false), None);
+}
+
+/// Promise: a server that is told as gone and as listed again in one change keeps what is known
+/// of it: it is the same run.
+#[test]
+fn a_server_that_is_back_in_the_same_change_is_not_forgotten() {
+    let start = Instant::now();
+    let mut lead = RegistryLog::default();
+    lead.on_read(&reading(start, &[ready("x", 1)]), changes());
+    let mut catalog = catalog();
+    let first = lead.since(0);
+    catalog.on_told(start, start, &first);
+    let scope = ReadScope {
+        dropped: vec!["x".to_owned()],
+        ..changes()
+    };
+    let later = start + ms(1000);
+    lead.on_read(&reading(later, &[ready("x", 4)]), scope);
+    let told: RegistryDelta = lead.since(first.version);
+    let changed = catalog.on_told(later, later, &told);
+    assert!(is_open(&catalog, "x"));
+    assert_eq!(changed, []);
+}
