A server that left isn't brought back by an older word of its own

Callers' requests reached servers that had left: memory of a leaving went with the server's record, so that a heartbeat performed late, or a whole copy told by an entry that is behind, made it a new server. Cause: words were compared with the record only. The log that others are told from took each row as it stood, so that an older word there took a leaving back for whoever starts. Ruled out: a longer life of records (they would count as servers); versions (a copy from behind has none that its hearer could trust). Change: place::departure: what a run said last, remembered by run for 4,096 departures, told with what is gone and with whole copies. A word refused is one line. Of one run the log keeps the newest word. A server told as gone and listed again in one change is the same run; nothing of it is forgotten.

--- a/crates/place/src/catalog/change.rs
+++ b/crates/place/src/catalog/change.rs
@@ -11,6 +11,8 @@
     Draining(String),
     /// A server is gone.
     Gone(String),
+    /// An older word of a server that left was met; it brings the server back nowhere.
+    Outdated(String),
     /// A server turned cold.
     Cold(String),
     /// A server's entry vanished, but may have lapsed in a disturbance.
--- a/crates/place/src/catalog/mod.rs
+++ b/crates/place/src/catalog/mod.rs
@@ -15,6 +15,7 @@
 use crate::catalog::index::{NearPlaces, ServiceIndex};
 use crate::catalog::outage::RegistryOutage;
 use crate::catalog::table::RecordTable;
+use crate::departure::{Departure, DepartureBook};
 use crate::fleet::log::{RegistryDelta, store_version};
 use crate::placing::candidates::RankScope;
 use crate::placing::trip::TripBook;
@@ -37,6 +38,7 @@
     taken_at: Option<Instant>,
     trips: TripBook,
     outage: RegistryOutage,
+    departures: DepartureBook,
 }
 
 impl ServerCatalog {
@@ -130,11 +132,7 @@
         delta: &RegistryDelta,
     ) -> Vec<CatalogChange> {
         let mut changes = Vec::new();
-        for id in &delta.gone {
-            if self.table.remove(id) {
-                changes.push(CatalogChange::Gone(id.clone()));
-            }
-        }
+        self.on_told_gone(delta, &mut changes);
         for entry in &delta.entries {
             self.update(begun, entry, &mut changes);
         }
@@ -145,7 +143,7 @@
             let entries = delta.entries.iter().map(|entry| &entry.id);
             let kept = entries.chain(&delta.foreign).chain(&delta.missing);
             let listed: HashSet<&str> = kept.map(String::as_str).collect();
-            self.sweep(now, &listed, true, &mut changes);
+            self.drop_others(&listed, &mut changes);
         }
         self.version = store_version(delta.version);
         self.taken_at = Some(now);
@@ -314,6 +312,12 @@
             return;
         }
         let Some(record) = self.table.by_id_mut(&entry.id) else {
+            if self.departures.refuses(entry) {
+                if self.departures.on_refused(&entry.id) {
+                    changes.push(CatalogChange::Outdated(entry.id.clone()));
+                }
+                return;
+            }
             self.insert(begun, entry);
             changes.push(CatalogChange::Joined(Box::new(entry.clone())));
             return;
@@ -377,10 +381,55 @@
             }
         }
         for id in gone {
+            self.remove(&id, changes);
+        }
+    }
+
+    /// Takes in which servers another entry knows to be gone. One that is listed again in the
+    /// same change is the same run, of which nothing is forgotten.
+    fn on_told_gone(&mut self, delta: &RegistryDelta, changes: &mut Vec<CatalogChange>) {
+        if delta.gone.is_empty() {
+            return;
+        }
+        let listed = delta.entries.iter();
+        let listed: HashMap<&str, &ServerEntry> =
+            listed.map(|entry| (entry.id.as_str(), entry)).collect();
+        for departure in &delta.gone {
+            self.departures.note(departure);
+            let Some(record) = self.table.by_id(&departure.id) else {
+                continue;
+            };
+            let again = listed.get(departure.id.as_str());
+            let is_back = again.is_some_and(|entry| {
+                entry.is_same_run(&record.entry) && !self.departures.refuses(entry)
+            });
+            if !is_back {
+                self.remove(&departure.id, changes);
+            }
+        }
+    }
+
+    /// Drops the servers that a whole copy doesn't list. The copy may be older than what was
+    /// known, so that it tells nothing of their end.
+    fn drop_others(&mut self, listed: &HashSet<&str>, changes: &mut Vec<CatalogChange>) {
+        let known = self.table.iter().map(|record| &record.entry.id);
+        let others = known.filter(|id| !listed.contains(id.as_str()));
+        let others: Vec<String> = others.cloned().collect();
+        for id in others {
             self.table.remove(&id);
             changes.push(CatalogChange::Gone(id));
         }
     }
+
+    /// Removes the server `id`, which is gone by the registry's word.
+    fn remove(&mut self, id: &str, changes: &mut Vec<CatalogChange>) {
+        let Some(record) = self.table.by_id(id) else {
+            return;
+        };
+        self.departures.note(&Departure::of(&record.entry));
+        self.table.remove(id);
+        changes.push(CatalogChange::Gone(id.to_owned()));
+    }
 }
 
 /// Takes in a word of the run that is known.
--- /dev/null
+++ b/crates/place/src/departure.rs
@@ -0,0 +1,150 @@
+//! Servers that have left, remembered so that no older word of theirs brings them back.
+//!
+//! The registry lists a server anew where a heartbeat is performed late, and an entry that is
+//! behind tells what was true before. Both carry words that are no newer than the last one
+//! that was known. A live server whose row only lapsed comes back with a newer one.
+
+use std::collections::{HashMap, VecDeque};
+
+use crate::rank::{pair_weight, stable_hash};
+use crate::server::{EntryState, ServerEntry};
+
+/// Departures that are remembered: more than a fleet of 10,000 servers has in the time in
+/// which calls are performed late, at under 1 MB.
+const KEPT: usize = 4096;
+
+base::common! {
+    /// The end of one run of a server, as far as it is known.
+    #[derive(Eq, Default)]
+    pub struct Departure {
+        /// The server.
+        pub id: String,
+        /// When the run began, where its registry says so.
+        pub started: Option<u64>,
+        /// Names the run; 0 where no word of it is known.
+        pub run: u64,
+        /// The run's last word.
+        pub seq: u64,
+        /// Whether it had said that it leaves.
+        pub announced: bool,
+    }
+}
+
+impl Departure {
+    /// The end of the run whose last word is `entry`.
+    pub fn of(entry: &ServerEntry) -> Self {
+        Self {
+            id: entry.id.clone(),
+            started: entry.started,
+            run: run_name(entry),
+            seq: entry.seq,
+            announced: entry.state == EntryState::Draining,
+        }
+    }
+
+    /// The end of a run of the server `id` of which nothing else is known.
+    pub fn unknown(id: &str) -> Self {
+        Self {
+            id: id.to_owned(),
+            ..Self::default()
+        }
+    }
+
+    /// Whether any word of the run is known.
+    pub fn is_known(&self) -> bool {
+        self.run != 0
+    }
+
+    /// Whether `entry` was written before the run ended: by an earlier run, or by this one no
+    /// later than its last word. A run that said that it leaves says nothing else later.
+    pub fn refuses(&self, entry: &ServerEntry) -> bool {
+        if !self.is_known() || entry.id != self.id {
+            return false;
+        }
+        let is_late = self.announced || entry.seq <= self.seq;
+        entry.started < self.started || (is_late && run_name(entry) == self.run)
+    }
+
+    /// Adds what `other` knows of the same run; a later run takes the place of an earlier one.
+    fn merge(&mut self, other: &Self) {
+        if other.run == self.run {
+            self.seq = self.seq.max(other.seq);
+            self.announced |= other.announced;
+        } else if other.started >= self.started {
+            self.clone_from(other);
+        }
+    }
+}
+
+/// The departures that an entry knows.
+#[derive(Debug, Default)]
+pub(crate) struct DepartureBook {
+    by_id: HashMap<String, BookEntry>,
+    /// Ids in the order in which they were noted, with the turn of each.
+    order: VecDeque<(u64, String)>,
+    turn: u64,
+}
+
+#[derive(Debug)]
+struct BookEntry {
+    departure: Departure,
+    turn: u64,
+    /// Whether a word was refused for it.
+    has_refused: bool,
+}
+
+impl DepartureBook {
+    /// Remembers `departure`, for as long as not too many others come after it.
+    pub(crate) fn note(&mut self, departure: &Departure) {
+        if !departure.is_known() {
+            return;
+        }
+        self.turn += 1;
+        let turn = self.turn;
+        let known = self.by_id.get_mut(&departure.id);
+        if let Some(known) = known {
+            known.departure.merge(departure);
+            (known.turn, known.has_refused) = (turn, false);
+        } else {
+            let entry = BookEntry {
+                departure: departure.clone(),
+                turn,
+                has_refused: false,
+            };
+            self.by_id.insert(departure.id.clone(), entry);
+        }
+        self.order.push_back((turn, departure.id.clone()));
+        while self.order.len() > KEPT {
+            self.forget_oldest();
+        }
+    }
+
+    /// Whether `entry` is an older word of a server that left.
+    pub(crate) fn refuses(&self, entry: &ServerEntry) -> bool {
+        let known = self.by_id.get(&entry.id);
+        known.is_some_and(|known| known.departure.refuses(entry))
+    }
+
+    /// Takes down that a word of the server `id` was refused; whether it is the first one.
+    pub(crate) fn on_refused(&mut self, id: &str) -> bool {
+        let known = self.by_id.get_mut(id);
+        known.is_some_and(|known| !std::mem::replace(&mut known.has_refused, true))
+    }
+
+    fn forget_oldest(&mut self) {
+        let Some((turn, id)) = self.order.pop_front() else {
+            return;
+        };
+        if self.by_id.get(&id).is_some_and(|known| known.turn == turn) {
+            self.by_id.remove(&id);
+        }
+    }
+}
+
+/// Names a run among all runs of all servers, also where none states its start: there a row
+/// with another address, service or failure domain is another run's.
+fn run_name(entry: &ServerEntry) -> u64 {
+    let place = format!("{}\n{}\n{}", entry.service, entry.address, entry.domain);
+    let name = pair_weight(entry.run_hash(), stable_hash(place.as_bytes()));
+    name.max(1)
+}
--- a/crates/place/src/fleet/log.rs
+++ b/crates/place/src/fleet/log.rs
@@ -4,10 +4,11 @@
 //! Versions are made of the store's own, so that an entry may ask any other for what it
 //! lacks, whichever of them read it. What is told twice does no harm.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 
+use crate::departure::Departure;
 use crate::fleet::mark::ContentMark;
-use crate::server::ServerEntry;
+use crate::server::{EntryState, ServerEntry};
 use crate::snapshot::CatalogSnapshot;
 
 /// Servers that are gone stay in the log for this many changes: a third of the largest
@@ -28,8 +29,8 @@
         pub whole: bool,
         /// Entries that changed.
         pub entries: Vec<ServerEntry>,
-        /// Servers that are gone.
-        pub gone: Vec<String>,
+        /// Servers that are gone, and what of them is older than that.
+        pub gone: Vec<Departure>,
         /// Keys of rows that are no server's own word; always all of them.
         pub foreign: Vec<String>,
         /// Servers whose rows vanished but may have lapsed; always all of them.
@@ -77,7 +78,7 @@
     oldest: u64,
     entries: BTreeMap<String, LogRecord>,
     content: ContentMark,
-    gone: VecDeque<(u64, String)>,
+    gone: VecDeque<(u64, Departure)>,
     foreign: Vec<String>,
     missing: Vec<String>,
 }
@@ -113,31 +114,33 @@
         for entry in &snapshot.entries {
             let is_back = was_out(&entry.id) || scope.dropped.contains(&entry.id);
             let known = left.remove(&entry.id);
+            let entry = newest(known.as_ref(), entry);
             let record = match known {
-                Some(known) if !is_back && is_same(&known.entry, entry) => LogRecord {
-                    entry: entry.clone(),
-                    ..known
-                },
+                Some(known) if !is_back && is_same(&known.entry, &entry) => {
+                    LogRecord { entry, ..known }
+                }
                 _ => {
                     is_changed = true;
-                    LogRecord::new(stamp, entry.clone())
+                    LogRecord::new(stamp, entry)
                 }
             };
-            self.entries.insert(entry.id.clone(), record);
+            self.entries.insert(record.entry.id.clone(), record);
         }
+        let mut forgotten = HashSet::new();
         for (id, record) in left {
             if scope.missing.contains(&id) || snapshot.foreign.contains(&id) {
                 self.entries.insert(id, record);
                 continue;
             }
             is_changed = true;
-            self.forget(stamp, id);
+            self.forget(stamp, Departure::of(&record.entry));
+            forgotten.insert(id);
         }
         for id in scope.dropped {
             // Others may have heard of it from another reader.
-            if !scope.missing.contains(&id) {
+            if !scope.missing.contains(&id) && !forgotten.contains(&id) {
                 is_changed = true;
-                self.forget(stamp, id);
+                self.forget(stamp, Departure::unknown(&id));
             }
         }
         self.foreign.clone_from(&snapshot.foreign);
@@ -158,12 +161,18 @@
         let is_news = |changed: u64| whole || changed > version;
         let records = self.entries.values();
         let changed = records.filter(|record| is_news(record.changed));
-        let gone = self.gone.iter().filter(|(at, _)| is_news(*at) && !whole);
+        let gone = self.gone.iter().filter(|(at, departure)| {
+            if whole {
+                self.has_ended(departure)
+            } else {
+                is_news(*at)
+            }
+        });
         RegistryDelta {
             version: self.version,
             whole,
             entries: changed.map(|record| record.entry.clone()).collect(),
-            gone: gone.map(|(_, id)| id.clone()).collect(),
+            gone: gone.map(|(_, departure)| departure.clone()).collect(),
             foreign: self.foreign.clone(),
             missing: self.missing.clone(),
         }
@@ -171,21 +180,22 @@
 
     /// Takes in what another entry told.
     pub fn on_told(&mut self, delta: &RegistryDelta) {
+        let mut before = BTreeMap::new();
         if delta.whole {
-            self.entries.clear();
-            self.gone.clear();
+            before = std::mem::take(&mut self.entries);
             self.oldest = delta.version;
         }
         // Rows of other writers hide what stood before them, so that only all rows tell the sum.
         let is_plain = !delta.whole && self.foreign.is_empty() && delta.foreign.is_empty();
-        for id in &delta.gone {
-            if let Some(record) = self.entries.remove(id) {
+        for departure in &delta.gone {
+            if let Some(record) = self.entries.remove(&departure.id) {
                 self.content = self.content.without(record.mark);
             }
-            self.forget(delta.version, id.clone());
+            self.forget(delta.version, departure.clone());
         }
         for entry in &delta.entries {
-            let record = LogRecord::new(delta.version, entry.clone());
+            let known = before.get(&entry.id).or(self.entries.get(&entry.id));
+            let record = LogRecord::new(delta.version, newest(known, entry));
             self.content = self.content.with(record.mark);
             if let Some(before) = self.entries.insert(entry.id.clone(), record) {
                 self.content = self.content.without(before.mark);
@@ -217,8 +227,14 @@
         self.content = foreign.fold(own, ContentMark::with);
     }
 
-    fn forget(&mut self, stamp: u64, id: String) {
-        self.gone.push_back((stamp, id));
+    /// Whether the run that ended is not listed again by a newer word.
+    fn has_ended(&self, departure: &Departure) -> bool {
+        let listed = self.entries.get(&departure.id);
+        departure.is_known() && listed.is_none_or(|record| departure.refuses(&record.entry))
+    }
+
+    fn forget(&mut self, stamp: u64, departure: Departure) {
+        self.gone.push_back((stamp, departure));
         while self.gone.len() > GONE_KEPT {
             if let Some((stamp, _)) = self.gone.pop_front() {
                 self.oldest = stamp;
@@ -237,6 +253,30 @@
     }
 }
 
+/// The newest that is known of the server of `entry`, also where the store performed an older
+/// heartbeat late or an entry that is behind told it: a run that leaves doesn't come back.
+fn newest(known: Option<&LogRecord>, entry: &ServerEntry) -> ServerEntry {
+    let known = known.map(|record| &record.entry);
+    let Some(known) = known.filter(|known| !known.is_of_earlier_run(entry)) else {
+        return entry.clone();
+    };
+    if entry.is_of_earlier_run(known) {
+        return known.clone();
+    }
+    if !entry.is_same_run(known) {
+        return entry.clone();
+    }
+    let mut word = if entry.seq < known.seq {
+        known.clone()
+    } else {
+        entry.clone()
+    };
+    if known.state == EntryState::Draining {
+        word.state = EntryState::Draining;
+    }
+    word
+}
+
 /// Whether nothing differs but the heartbeat and the rest of a warm-up that was told.
 fn is_same(known: &ServerEntry, entry: &ServerEntry) -> bool {
     let is_warming =
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod blocks;
 pub mod catalog;
 pub mod crash;
+pub mod departure;
 pub mod desired;
 pub mod directory;
 pub mod fleet;
