A row that vanished is kept for one wait, by whoever keeps it

Cause: the wait hung on the last trouble instead of the row, and only a reader ended it. Ruled out: dropping at once (live servers that lapsed would be refused for two seconds); fewer calls that count as trouble (the wait would still have no end). Change: each row has its own end: as of when it was listed, or since when it is missed, plus the time for live servers. Any entry, whatever its role, reads once more then, and again where that fails.

--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -343,6 +343,13 @@
             known.registry_read = heard.registry_read;
             known.registry_at = Some(begun);
         });
+        self.note_settles();
+    }
+
+    /// Tells the fleet when servers whose rows vanished are gone.
+    pub(crate) fn note_settles(&self) {
+        let settles_at = self.placer.borrow().catalog.settles_at();
+        self.fleet.on_event(FleetEvent::Settles(settles_at));
     }
 
     /// Tells the rollouts of the versions of servers that joined.
--- a/bin/lh-entry/src/watch.rs
+++ b/bin/lh-entry/src/watch.rs
@@ -198,8 +198,7 @@
             ReadOutcome::Failed
         }
     };
-    let settles_at = state.placer.borrow().catalog.settles_at();
-    state.fleet.on_event(FleetEvent::Settles(settles_at));
+    state.note_settles();
     state.fleet.on_event(FleetEvent::Read(outcome));
 }
 
--- a/crates/place/src/catalog/mod.rs
+++ b/crates/place/src/catalog/mod.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use crate::catalog::index::{NearPlaces, ServiceIndex};
-use crate::catalog::outage::RegistryOutage;
+use crate::catalog::outage::{RegistryOutage, VanishedRow};
 use crate::catalog::table::RecordTable;
 use crate::departure::{Departure, DepartureBook};
 use crate::fleet::log::{RegistryDelta, store_version};
@@ -159,8 +159,10 @@
 
     /// When servers that are still missing are gone, where any may be.
     pub fn settles_at(&self) -> Option<Instant> {
-        let has_missing = self.missing().next().is_some();
-        self.outage.settled_at().filter(|_| has_missing)
+        let rows = self.table.iter().filter_map(vanished_row);
+        let first = rows.map(|row| self.outage.gone_at(row)).min()?;
+        let settled_at = self.outage.settled_at();
+        Some(settled_at.map_or(first, |at| at.min(first)))
     }
 
     /// Servers whose rows vanished and that are kept for now.
@@ -371,13 +373,16 @@
             if listed.contains(record.entry.id.as_str()) {
                 continue;
             }
-            if settled {
-                gone.push(record.entry.id.clone());
-                continue;
-            }
             if record.missing_since.is_none() {
                 record.missing_since = Some(now);
-                changes.push(CatalogChange::Missing(record.entry.id.clone()));
+                record.listed_at = self.read_at;
+                if !settled {
+                    changes.push(CatalogChange::Missing(record.entry.id.clone()));
+                }
+            }
+            let row = vanished_row(record);
+            if settled || row.is_some_and(|row| now >= self.outage.gone_at(row)) {
+                gone.push(record.entry.id.clone());
             }
         }
         for id in gone {
@@ -432,6 +437,15 @@
     }
 }
 
+/// The row of `record`, where it vanished.
+fn vanished_row(record: &ServerRecord) -> Option<VanishedRow> {
+    let missing_since = record.missing_since?;
+    Some(VanishedRow {
+        listed_at: record.listed_at.unwrap_or(missing_since),
+        missing_since,
+    })
+}
+
 /// Takes in a word of the run that is known.
 fn on_own_word(
     begun: Instant,
--- a/crates/place/src/catalog/outage.rs
+++ b/crates/place/src/catalog/outage.rs
@@ -15,6 +15,19 @@
 /// doesn't answer this entry. An outage this short makes no entry lapse.
 const OTHERS_FRESH: Duration = Duration::from_millis(1500);
 
+/// Rows lapse after several heartbeats: a time without a reading that is shorter than this is
+/// no reason for a row to vanish.
+const LAPSE_LEAST: Duration = Duration::from_millis(1500);
+
+/// A row that vanished.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct VanishedRow {
+    /// As of when it was listed last.
+    pub(super) listed_at: Instant,
+    /// When a reading lacked it first.
+    pub(super) missing_since: Instant,
+}
+
 /// When the registry was in trouble, as this entry and others have met it.
 #[derive(Debug)]
 pub(super) struct RegistryOutage {
@@ -69,6 +82,18 @@
         self.settled_at
     }
 
+    /// When a reading that still lacks `row` shows that it is gone, whatever fails meanwhile.
+    /// Without such a bound each call that failed began the wait anew, and a row that had been
+    /// dropped for good was kept for as long as calls failed now and then.
+    pub(super) fn gone_at(&self, row: VanishedRow) -> Instant {
+        let unread = row.missing_since.saturating_duration_since(row.listed_at);
+        if unread < LAPSE_LEAST {
+            row.listed_at + self.relist
+        } else {
+            row.missing_since + self.relist
+        }
+    }
+
     /// When all live servers are listed again, where the registry returned at some time
     /// between a call that failed and one that it answered.
     fn settled_after(&self, failed_at: Instant, answered_at: Instant) -> Instant {
--- a/crates/place/src/fleet/reading.rs
+++ b/crates/place/src/fleet/reading.rs
@@ -73,6 +73,8 @@
     /// When a reader reads next.
     next: Option<Instant>,
     done_at: Option<Instant>,
+    /// When the last reading began that was answered.
+    answered: Option<Instant>,
     overdue_at: Instant,
     is_reading: bool,
     pause: Duration,
@@ -90,6 +92,7 @@
             begun: None,
             next: None,
             done_at: None,
+            answered: None,
             overdue_at: now,
             is_reading: false,
             pause: FIRST_PAUSE,
@@ -98,8 +101,9 @@
         }
     }
 
-    /// Servers that are missing in the registry are gone at `at`, where there are such: a
-    /// reader looks then.
+    /// Servers that are missing in the registry are gone at `at`, where there are such: the
+    /// entry looks then, whatever its role. One that had begun to wait and then followed a lead
+    /// kept servers that were gone, since the lead had nothing to tell of them.
     pub fn set_settles(&mut self, at: Option<Instant>) {
         self.settles_at = at;
     }
@@ -115,6 +119,7 @@
         self.pause = FIRST_PAUSE;
         self.not_before = None;
         self.done_at = Some(now);
+        self.answered = self.begun;
         self.next = match outcome {
             ReadOutcome::Changed => Some(now + self.pace.reader.mul_f64(NEWS_SHARE)),
             _ => self.begun.map(|begun| begun + self.pace.reader),
@@ -138,7 +143,8 @@
         let whole = whole && self.begun.is_none_or(is_paced);
         let age = known_at.map(|at| now.saturating_duration_since(at));
         let is_due = match role {
-            ReadRole::Reader => self.next.is_none_or(|next| now >= next) || self.settles_now(now),
+            _ if self.settles_now(now) => true,
+            ReadRole::Reader => self.next.is_none_or(|next| now >= next),
             ReadRole::Deputy => age.is_none_or(|age| age >= self.pace.deputy),
             // What is lacked may not be the registry: no more often than a reader.
             ReadRole::Follower { stuck: true, .. } => age.is_none_or(|age| age >= self.pace.reader),
@@ -179,10 +185,10 @@
         self.pace
     }
 
-    /// Whether servers that are missing are gone by now, and nobody has looked since.
+    /// Whether servers that are missing are gone by now, and no reading has shown it yet.
     fn settles_now(&self, now: Instant) -> bool {
         let at = self.settles_at.filter(|at| now >= *at);
-        at.is_some_and(|at| self.begun.is_none_or(|begun| begun < at))
+        at.is_some_and(|at| self.answered.is_none_or(|begun| begun < at))
     }
 
     /// How long a reader lets the store wait for changes: it must be back to look whether
--- a/crates/place/src/server.rs
+++ b/crates/place/src/server.rs
@@ -118,6 +118,8 @@
     pub cold_until: Option<Instant>,
     /// Since when the entry has been missing from the registry.
     pub missing_since: Option<Instant>,
+    /// As of when it had been listed there before.
+    pub listed_at: Option<Instant>,
     /// Whether somebody else's row stands in the registry in the entry's place. The
     /// server gets nothing until its own word is back.
     pub overwritten: bool,
@@ -146,6 +148,7 @@
             region: region.to_owned(),
             cold_until: None,
             missing_since: None,
+            listed_at: None,
             overwritten: false,
             trip: 0.0,
             in_flight: 0,
