A row dropped and listed again between two readings needs a newer word

Callers' requests went to a server for 3 to 6 s after its leaving: a region whose reader couldn't read for a moment got the drop and an older heartbeat in one answer, and saw a row that hadn't changed; or the last word of a server came in one answer with the drop, so that the older heartbeat was newer than what was remembered. Cause: of a feed only the outcome was compared, not what had happened between. Ruled out: entries that had started anew (they had seen the server before). Change: a dropped row comes with its version and with what stood there last; both catalog and log compare what is listed now with that. A drop older than what is known changes nothing. The new test fails without the change (DroppedRow has no word there).

--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -286,6 +286,7 @@
         }
         let mut placer = self.placer.borrow_mut();
         let is_first = placer.catalog.read_at().is_none();
+        placer.catalog.on_dropped(&scope.dropped);
         let changes = placer.catalog.on_read(Instant::now(), snapshot);
         scope.missing = placer.catalog.missing().map(str::to_owned).collect();
         drop(placer);
--- a/crates/place/src/catalog/mod.rs
+++ b/crates/place/src/catalog/mod.rs
@@ -23,7 +23,7 @@
 
 pub use crate::catalog::change::{CatalogChange, ServerCondition};
 pub use crate::catalog::table::ServerHandle;
-pub use crate::snapshot::CatalogSnapshot;
+pub use crate::snapshot::{CatalogSnapshot, DroppedRow};
 
 /// The servers.
 #[derive(Debug, Default)]
@@ -123,6 +123,21 @@
         changes
     }
 
+    /// Takes in which rows were dropped since the reading before, before what is listed now:
+    /// a word that is listed again and is no newer than what stood there is an older one.
+    pub fn on_dropped(&mut self, rows: &[DroppedRow]) {
+        for row in rows {
+            if row.version <= self.version {
+                // What is known now is newer.
+                continue;
+            }
+            let known = self.table.by_id(&row.id).map(|record| &record.entry);
+            for word in known.into_iter().chain(&row.word) {
+                self.departures.note(&Departure::of(word));
+            }
+        }
+    }
+
     /// Takes in what another entry told of the registry as of `begun`, and returns what
     /// changed. Whether a server whose row vanished is gone was decided there.
     pub fn on_told(
@@ -313,13 +328,11 @@
             self.overwrite(&entry.id, changes);
             return;
         }
+        if self.departures.refuses(entry) {
+            self.on_refused(entry, changes);
+            return;
+        }
         let Some(record) = self.table.by_id_mut(&entry.id) else {
-            if self.departures.refuses(entry) {
-                if self.departures.on_refused(&entry.id) {
-                    changes.push(CatalogChange::Outdated(entry.id.clone()));
-                }
-                return;
-            }
             self.insert(begun, entry);
             changes.push(CatalogChange::Joined(Box::new(entry.clone())));
             return;
@@ -340,6 +353,17 @@
         on_own_word(begun, record, entry, changes);
     }
 
+    /// The registry lists, or another entry tells, a word from before the server's end.
+    fn on_refused(&mut self, entry: &ServerEntry, changes: &mut Vec<CatalogChange>) {
+        let known = self.table.by_id(&entry.id);
+        if known.is_some_and(|record| self.departures.refuses(&record.entry)) {
+            self.remove(&entry.id, changes);
+        }
+        if self.departures.on_refused(&entry.id) {
+            changes.push(CatalogChange::Outdated(entry.id.clone()));
+        }
+    }
+
     /// Somebody else's row stands where the server `id` had its entry, if it had one.
     fn overwrite(&mut self, id: &str, changes: &mut Vec<CatalogChange>) {
         let Some(record) = self.table.by_id_mut(id) else {
--- a/crates/place/src/departure.rs
+++ b/crates/place/src/departure.rs
@@ -66,11 +66,11 @@
     }
 
     /// Adds what `other` knows of the same run; a later run takes the place of an earlier one.
-    fn merge(&mut self, other: &Self) {
+    pub fn merge(&mut self, other: &Self) {
         if other.run == self.run {
             self.seq = self.seq.max(other.seq);
             self.announced |= other.announced;
-        } else if other.started >= self.started {
+        } else if other.is_known() && other.started >= self.started {
             self.clone_from(other);
         }
     }
--- a/crates/place/src/fleet/log.rs
+++ b/crates/place/src/fleet/log.rs
@@ -4,12 +4,12 @@
 //! Versions are made of the store's own, so that an entry may ask any other for what it
 //! lacks, whichever of them read it. What is told twice does no harm.
 
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::departure::Departure;
 use crate::fleet::mark::ContentMark;
 use crate::server::{EntryState, ServerEntry};
-use crate::snapshot::CatalogSnapshot;
+use crate::snapshot::{CatalogSnapshot, DroppedRow};
 
 /// Servers that are gone stay in the log for this many changes: a third of the largest
 /// fleet may be replaced while an entry hears nothing.
@@ -44,8 +44,8 @@
     /// Whether it was made from all rows; else from those that changed since the reading
     /// before it.
     pub whole: bool,
-    /// Servers whose rows were dropped since the reading before it.
-    pub dropped: Vec<String>,
+    /// Rows that were dropped since the reading before it.
+    pub dropped: Vec<DroppedRow>,
     /// Servers that aren't in it, but may still be there.
     pub missing: Vec<String>,
 }
@@ -110,9 +110,10 @@
         let stamp = log_version(snapshot.version).max(self.version.saturating_add(1));
         let mut is_changed = self.foreign != snapshot.foreign || self.missing != scope.missing;
         let was_out = |id: &String| self.foreign.contains(id) || self.missing.contains(id);
+        let mut ended = self.ended(&scope);
         let mut left = std::mem::take(&mut self.entries);
         for entry in &snapshot.entries {
-            let is_back = was_out(&entry.id) || scope.dropped.contains(&entry.id);
+            let is_back = was_out(&entry.id) || ended.contains_key(&entry.id);
             let known = left.remove(&entry.id);
             let entry = newest(known.as_ref(), entry);
             let record = match known {
@@ -126,22 +127,17 @@
             };
             self.entries.insert(record.entry.id.clone(), record);
         }
-        let mut forgotten = HashSet::new();
         for (id, record) in left {
             if scope.missing.contains(&id) || snapshot.foreign.contains(&id) {
                 self.entries.insert(id, record);
                 continue;
             }
-            is_changed = true;
-            self.forget(stamp, Departure::of(&record.entry));
-            forgotten.insert(id);
+            let departure = ended.entry(id).or_default();
+            departure.merge(&Departure::of(&record.entry));
         }
-        for id in scope.dropped {
-            // Others may have heard of it from another reader.
-            if !scope.missing.contains(&id) && !forgotten.contains(&id) {
-                is_changed = true;
-                self.forget(stamp, Departure::unknown(&id));
-            }
+        for departure in ended.into_values() {
+            is_changed = true;
+            self.forget(stamp, departure);
         }
         self.foreign.clone_from(&snapshot.foreign);
         self.missing = scope.missing;
@@ -227,6 +223,29 @@
         self.content = foreign.fold(own, ContentMark::with);
     }
 
+    /// The servers whose rows were dropped, also those that aren't known here: others may have
+    /// heard of them from another reader.
+    fn ended(&self, scope: &ReadScope) -> BTreeMap<String, Departure> {
+        let mut ended = BTreeMap::new();
+        for row in &scope.dropped {
+            if scope.missing.contains(&row.id) {
+                continue;
+            }
+            let departure: &mut Departure = ended
+                .entry(row.id.clone())
+                .or_insert_with(|| Departure::unknown(&row.id));
+            if row.version <= store_version(self.version) {
+                // What is known now is newer.
+                continue;
+            }
+            let known = self.entries.get(&row.id).map(|record| &record.entry);
+            for word in known.into_iter().chain(&row.word) {
+                departure.merge(&Departure::of(word));
+            }
+        }
+        ended
+    }
+
     /// Whether the run that ended is not listed again by a newer word.
     fn has_ended(&self, departure: &Departure) -> bool {
         let listed = self.entries.get(&departure.id);
--- a/crates/place/src/snapshot.rs
+++ b/crates/place/src/snapshot.rs
@@ -4,6 +4,28 @@
 
 use crate::server::ServerEntry;
 
+/// A row that was dropped since the reading before.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DroppedRow {
+    /// The server.
+    pub id: String,
+    /// The store's version at which it was dropped.
+    pub version: u64,
+    /// What stood there last, as far as it was read.
+    pub word: Option<ServerEntry>,
+}
+
+impl DroppedRow {
+    /// The row of the server `id`, of which nothing else is known, dropped at `version`.
+    pub fn new(id: &str, version: u64) -> Self {
+        Self {
+            id: id.to_owned(),
+            version,
+            word: None,
+        }
+    }
+}
+
 /// One complete reading of the registry.
 #[derive(Debug, Clone)]
 pub struct CatalogSnapshot {
--- a/crates/place/tests/departed.rs
+++ b/crates/place/tests/departed.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use common::{changes, domains, ms, reading, server};
+use place::catalog::DroppedRow;
 use place::fleet::log::{ReadScope, RegistryDelta, RegistryLog};
 use place::fleet::pace::ReadPace;
 use place::fleet::reading::{ReadOutcome, ReadRole, ReadingPlan};
@@ -290,14 +291,67 @@
     let mut catalog = catalog();
     let first = lead.since(0);
     catalog.on_told(start, start, &first);
+    let later = start + ms(1000);
     let scope = ReadScope {
-        dropped: vec!["x".to_owned()],
+        dropped: vec![DroppedRow::new("x", reading(later, &[]).version)],
         ..changes()
     };
-    let later = start + ms(1000);
     lead.on_read(&reading(later, &[ready("x", 4)]), scope);
     let told: RegistryDelta = lead.since(first.version);
     let changed = catalog.on_told(later, later, &told);
     assert!(is_open(&catalog, "x"));
     assert_eq!(changed, []);
 }
+
+/// Promise: a row that is dropped and listed again between two readings is of a live server only
+/// by a newer word than what stood there, also where nobody read that one; others are told.
+#[test]
+fn a_row_that_is_listed_again_between_two_readings_needs_a_newer_word() {
+    // What is known, what was dropped, what is listed now, and whether that is a live server's.
+    let cases = [
+        (1, None, 1, false),
+        (1, None, 2, true),
+        (1, Some(2), 2, false),
+    ];
+    for (known, dropped, listed, is_live) in cases {
+        let start = Instant::now();
+        let (mut lead, mut catalog, mut follower) = (RegistryLog::default(), catalog(), catalog());
+        let first = reading(start, &[ready("x", known)]);
+        lead.on_read(&first, changes());
+        catalog.on_read(start, &first);
+        follower.on_told(start, start, &lead.since(0));
+        let before = lead.version();
+        let later = start + ms(1000);
+        let second = reading(later, &[ready("x", listed)]);
+        let row = DroppedRow {
+            word: dropped.map(|seq| ready("x", seq)),
+            ..DroppedRow::new("x", second.version)
+        };
+        let scope = ReadScope {
+            dropped: vec![row],
+            ..changes()
+        };
+        catalog.on_dropped(&scope.dropped);
+        catalog.on_read(later, &second);
+        lead.on_read(&second, scope);
+        follower.on_told(later, later, &lead.since(before));
+        let what = format!("{known}, {dropped:?}, {listed}");
+        assert_eq!(is_open(&catalog, "x"), is_live, "{what}");
+        assert_eq!(is_open(&follower, "x"), is_live, "follower: {what}");
+    }
+}
+
+/// Promise: a reading that tells late of a row's drop, which another entry has told since with
+/// the newer word, keeps no live server out.
+#[test]
+fn a_drop_that_is_heard_late_keeps_no_live_server_out() {
+    let start = Instant::now();
+    let mut catalog = catalog();
+    let mut lead = RegistryLog::default();
+    lead.on_read(&reading(start, &[ready("x", 4)]), changes());
+    catalog.on_told(start, start, &lead.since(0));
+    let known = reading(start, &[]).version;
+    catalog.on_dropped(&[DroppedRow::new("x", known - 1)]);
+    read(&mut catalog, start + ms(100), &[ready("x", 4)]);
+    assert!(is_open(&catalog, "x"));
+}
--- a/crates/place/tests/log.rs
+++ b/crates/place/tests/log.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use common::{changes, domains, ms, reading, server};
+use place::catalog::DroppedRow;
 use place::fleet::known::KnownStore;
 use place::fleet::log::{ReadScope, RegistryLog, log_version};
 use place::prelude::*;
@@ -43,7 +44,7 @@
     let both = [server("x", "a1"), server("y", "a1")];
     reader.on_read(&reading(now, &both).with_version(1), changes());
     let kept = ReadScope {
-        dropped: vec!["y".to_owned()],
+        dropped: vec![DroppedRow::new("y", 2)],
         missing: vec!["y".to_owned()],
         ..changes()
     };
@@ -99,13 +100,13 @@
         let mut leaving: BTreeSet<u8> = BTreeSet::new();
         // What was dropped since each reader's last reading; `None` before the first and
         // where the history is gone.
-        let mut dropped: [Option<Vec<String>>; 2] = [None, None];
+        let mut dropped: [Option<Vec<DroppedRow>>; 2] = [None, None];
         for (version, (number, heard, is_second)) in (1..).zip(steps) {
             if !present.insert(number) && !leaving.insert(number) {
                 present.remove(&number);
                 leaving.remove(&number);
                 for dropped in dropped.iter_mut().flatten() {
-                    dropped.push(format!("s{number}"));
+                    dropped.push(DroppedRow::new(&format!("s{number}"), version));
                 }
             }
             if number == 39 {
