What an entry knows counts from when it was true, not from when it was read

Cause: three places took a word for newer than it is. A reading whose answer came after the whole wait counted from the wait's end also where it had news, which the store gives at once: an entry without a turn in between told its region that it knew everything up to then. The operator's rows counted from when the answer was read. Another entry's answer and its datagrams counted from when they were read, however long they had waited: an entry that stood still took its leads' last words for new. Change: answer_time for both kinds of answers; an answer of another entry counts from its question; a digest read after a turn of 0.8 s or more without one is older by that time.

--- a/bin/lh-entry/src/fleet.rs
+++ b/bin/lh-entry/src/fleet.rs
@@ -25,6 +25,10 @@
 /// Datagrams taken in at once before timers get their turn.
 const DATAGRAMS_AT_ONCE: usize = 64;
 
+/// The loop has a turn every [`BEAT_EVERY`] at least. A longer time without one is the process's:
+/// it was stopped or had no processor, and datagrams waited meanwhile.
+const HELD_UP_LEAST: Duration = Duration::from_millis(800);
+
 /// What the fleet is to this entry: the decisions, and what they want done.
 #[derive(Debug)]
 pub(crate) struct FleetDesk {
@@ -166,6 +170,7 @@
     measure.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut buffer = vec![0; DATAGRAM_BYTES];
     let mut load_at = Instant::now();
+    let mut turn_at = Instant::now();
     loop {
         tell_own(&state);
         perform(&state, &socket).await;
@@ -187,12 +192,14 @@
             }
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((length, from)) => {
-                    on_datagram(&state, from, &buffer[..length]);
-                    take_waiting(&state, &socket, &mut buffer);
+                    let waited = Some(turn_at.elapsed()).filter(|span| *span >= HELD_UP_LEAST);
+                    on_datagram(&state, from, &buffer[..length], waited);
+                    take_waiting(&state, &socket, &mut buffer, waited);
                 }
                 Err(error) => log::debug!(error:%; "datagram not received"),
             }
         }
+        turn_at = Instant::now();
     }
 }
 
@@ -213,16 +220,23 @@
 }
 
 /// Takes in datagrams that have arrived meanwhile: one turn of the loop for many.
-fn take_waiting(state: &InstanceState, socket: &UdpSocket, buffer: &mut [u8]) {
+fn take_waiting(
+    state: &InstanceState,
+    socket: &UdpSocket,
+    buffer: &mut [u8],
+    waited: Option<Duration>,
+) {
     for _ in 0..DATAGRAMS_AT_ONCE {
         let Ok((length, from)) = socket.try_recv_from(buffer) else {
             return;
         };
-        on_datagram(state, from, &buffer[..length]);
+        on_datagram(state, from, &buffer[..length], waited);
     }
 }
 
-fn on_datagram(state: &InstanceState, from: SocketAddr, bytes: &[u8]) {
+/// Takes in a datagram that may have waited for `waited`. What a lead tells is older by that:
+/// taken for new it kept an entry from asking, whose leads had ended while it stood still.
+fn on_datagram(state: &InstanceState, from: SocketAddr, bytes: &[u8], waited: Option<Duration>) {
     match postcard::from_bytes::<PeerMessage>(bytes) {
         Ok(PeerMessage::Load(beat)) => {
             let now = Instant::now();
@@ -234,7 +248,12 @@
             placer.on_peer_load(now, beat.entry, beat.word);
         }
         Ok(PeerMessage::Rollout(beat)) => state.rollouts.on_beat(&beat),
-        Ok(message) => state.fleet.on_event(FleetEvent::Message(message)),
+        Ok(mut message) => {
+            if let (PeerMessage::Digest(digest), Some(span)) = (&mut message, waited) {
+                digest.store = digest.store.waited(span);
+            }
+            state.fleet.on_event(FleetEvent::Message(message));
+        }
         Err(error) => {
             if state.metrics.on_bad_datagram() == 1 {
                 log::warn!(from:%, error:%; "datagram not understood; further ones are counted only");
--- a/bin/lh-entry/src/view.rs
+++ b/bin/lh-entry/src/view.rs
@@ -231,8 +231,9 @@
     target: &PullTarget,
     answer: &ViewAnswer,
 ) -> Result<(), ViewError> {
-    let now = Instant::now();
-    let heard = KnownStore::heard(now, &answer.store);
+    // The answer was given at some time since the question: taking it for new would hide how
+    // long this process had no turn to read it.
+    let heard = KnownStore::heard(begun, &answer.store);
     if !answer.desired.is_empty() {
         let desired: DesiredState = postcard::from_bytes(&answer.desired)?;
         state.on_desired(&desired);
--- a/bin/lh-entry/src/watch.rs
+++ b/bin/lh-entry/src/watch.rs
@@ -9,7 +9,7 @@
 
 use place::catalog::CatalogSnapshot;
 use place::fleet::log::ReadScope;
-use place::fleet::reading::{ReadOutcome, RegistryCall};
+use place::fleet::reading::{ReadOutcome, RegistryCall, answer_time};
 use place::prelude::FleetEvent;
 use platform::Error;
 use platform::client::{OperatorRows, StoreClient};
@@ -54,12 +54,10 @@
         let begun = Instant::now();
         let known = state.fleet.known().operator_read;
         let resume = (known > 0 || has_read).then_some(known);
+        let wait = feed_wait(&state, tells_time);
         let result = match resume {
             None => client.read_operator().await,
-            Some(after) => {
-                let wait = feed_wait(&state, tells_time);
-                client.watch_operator(after, wait).await
-            }
+            Some(after) => client.watch_operator(after, wait).await,
         };
         state
             .metrics
@@ -73,7 +71,9 @@
                 state
                     .fleet
                     .on_event(FleetEvent::StoreTime(begun, rows.time));
-                on_rows(&state, &rows, resume.is_none());
+                let has_news = resume.is_none() || rows.has_news;
+                let as_of = answer_time(begun, wait, Instant::now(), has_news);
+                on_rows(&state, &rows, as_of, resume.is_none());
                 state.fleet.on_event(FleetEvent::Watched(true));
             }
             Err(Error::HistoryGone) => {
@@ -115,8 +115,8 @@
     placer.catalog.on_read_failed(Instant::now());
 }
 
-/// Takes in the operator's rows: all of them, or those that changed.
-fn on_rows(state: &InstanceState, rows: &OperatorRows, is_whole: bool) {
+/// Takes in the operator's rows as of `as_of`: all of them, or those that changed.
+fn on_rows(state: &InstanceState, rows: &OperatorRows, as_of: Instant, is_whole: bool) {
     if rows.version < state.fleet.known().operator {
         // A lead told what is newer while this answer was on its way.
         return;
@@ -135,7 +135,7 @@
             known.operator = rows.version;
         }
         known.operator_read = known.operator_read.max(rows.version);
-        known.operator_at = Some(Instant::now());
+        known.operator_at = known.operator_at.max(Some(as_of));
         known.proved = known.proved.max(rows.time);
         known.desired = version;
     });
@@ -169,13 +169,11 @@
     drop(dependency);
     let outcome = match result {
         Ok(rows) => {
-            // An answer that came after the whole wait holds until its end.
-            let waited = !is_whole && begun.elapsed() >= wait;
-            let as_of = if waited { begun + wait } else { begun };
+            let has_news = is_whole || rows.has_news;
             let snapshot = CatalogSnapshot {
                 entries: rows.entries,
                 foreign: rows.foreign,
-                begun: as_of,
+                begun: answer_time(begun, wait, Instant::now(), has_news),
                 version: rows.version,
             };
             let before = state.servers.borrow().version();
--- a/crates/place/src/fleet/known.rs
+++ b/crates/place/src/fleet/known.rs
@@ -31,6 +31,17 @@
     }
 }
 
+impl StoreWord {
+    /// The word as it is told when it waited for `span` before it was read.
+    #[must_use]
+    pub fn waited(mut self, span: Duration) -> Self {
+        for age in [&mut self.registry_age, &mut self.operator_age] {
+            *age = age.saturating_add(millis(span));
+        }
+        self
+    }
+}
+
 /// The same as this entry keeps it, with times of its own clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct KnownStore {
--- a/crates/place/src/fleet/reading.rs
+++ b/crates/place/src/fleet/reading.rs
@@ -40,6 +40,15 @@
     pub whole: bool,
 }
 
+/// As of when the store's answer holds that came at `now` to a question of `begun`, which the
+/// store might hold back for `wait` until there was news. Only an answer without news shows
+/// that the whole wait has passed at the store: one with news that is as late was late on its
+/// way, or this entry was to read it.
+pub fn answer_time(begun: Instant, wait: Duration, now: Instant, has_news: bool) -> Instant {
+    let waited = !has_news && now.saturating_duration_since(begun) >= wait;
+    if waited { begun + wait } else { begun }
+}
+
 /// What an entry is when it decides whether to ask the store.
 #[derive(Debug, Clone, Copy)]
 pub enum ReadRole {
--- a/crates/place/tests/departed.rs
+++ b/crates/place/tests/departed.rs
@@ -7,6 +7,7 @@
 
 use common::{changes, domains, ms, reading, server};
 use place::catalog::DroppedRow;
+use place::fleet::known::KnownStore;
 use place::fleet::log::{ReadScope, RegistryDelta, RegistryLog};
 use place::fleet::pace::ReadPace;
 use place::fleet::reading::{ReadOutcome, ReadRole, ReadingPlan};
@@ -355,3 +356,18 @@
     read(&mut catalog, start + ms(100), &[ready("x", 4)]);
     assert!(is_open(&catalog, "x"));
 }
+
+/// Promise: a lead's word that waited unread while the process stood still is as old as the
+/// wait; one that never was stays so.
+#[test]
+fn a_word_that_waited_is_older_by_the_wait() {
+    let now = Instant::now();
+    let known = KnownStore {
+        registry_at: Some(now - ms(100)),
+        ..KnownStore::default()
+    };
+    let word = known.word(now).waited(ms(2500));
+    let heard = KnownStore::heard(now, &word);
+    assert_eq!(heard.registry_at, Some(now - ms(2600)));
+    assert_eq!(heard.operator_at, None);
+}
--- a/crates/place/tests/reading.rs
+++ b/crates/place/tests/reading.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use place::fleet::pace::ReadPace;
-use place::fleet::reading::{ReadOutcome, ReadRole, ReadingPlan};
+use place::fleet::reading::{ReadOutcome, ReadRole, ReadingPlan, answer_time};
 
 /// Promise: an entry that goes on doubting what it knows reads everything again no more often
 /// than a reader reads.
@@ -29,3 +29,16 @@
     let most = span.as_millis() / pace.reader.as_millis() + 1;
     assert!(calls <= most, "{calls} calls in {span:?}");
 }
+
+/// Promise: an answer with news counts from its question, however late it is read, since it may
+/// have been given at once; one without news counts from the end of the wait.
+#[test]
+fn a_late_answer_with_news_counts_from_its_question() {
+    let begun = Instant::now();
+    let wait = Duration::from_millis(1080);
+    let late = begun + Duration::from_millis(2500);
+    assert_eq!(answer_time(begun, wait, late, true), begun);
+    assert_eq!(answer_time(begun, wait, late, false), begun + wait);
+    let early = begun + Duration::from_millis(300);
+    assert_eq!(answer_time(begun, wait, early, false), begun);
+}
