An entry looks at its leads in time, however often other datagrams wake it

Cause: the next look was 'now + 50 ms' each time that the loop went to sleep. Words on load of 23 other entries wake it more often than that, each begins the wait anew, and they don't lead to a look. Change: the next look counts from the last one. Measured: an_entry_that_is_woken_often_looks_in_time failed before, passes now. It grows with the fleet: the more entries share servers, the more words on load.

--- a/crates/place/src/fleet/member/mod.rs
+++ b/crates/place/src/fleet/member/mod.rs
@@ -173,6 +173,7 @@
     config: MemberConfig,
     hash: u64,
     started: Instant,
+    reviewed_at: Instant,
     own: OwnState,
     reads: bool,
     known: KnownStore,
@@ -212,6 +213,7 @@
         Self {
             hash,
             started: now,
+            reviewed_at: now,
             own: OwnState::default(),
             reads: true,
             known: KnownStore::default(),
@@ -280,14 +282,15 @@
         self.review(now, actions);
     }
 
-    /// When to look again if nothing happens before.
+    /// When to look again if nothing happens before. It doesn't move while time passes: an
+    /// entry that is woken by other things more often than it looks would never look.
     pub fn due(&self, now: Instant) -> Instant {
         let silent = self.leads.silent_at(&self.config.region);
         let waits = self.leading.is_some() || self.pulls.is_behind();
         let due = match silent.filter(|at| !waits && *at > now) {
             Some(at) => self.beat_due.min(at).max(now),
-            None if self.leading.is_none() => now + SEARCH_EVERY,
-            None => now + LOOK_EVERY,
+            None if self.leading.is_none() => self.reviewed_at + SEARCH_EVERY,
+            None => self.reviewed_at + LOOK_EVERY,
         };
         let others = [self.crashes_due(), self.doubt.due().filter(|at| *at > now)];
         let others = others.into_iter().flatten().map(|at| at.max(now));
@@ -360,6 +363,7 @@
     }
 
     fn review(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
+        self.reviewed_at = now;
         if now >= self.seats_due {
             self.seats_due = now + SEARCH_EVERY;
             self.leads.forget(now);
