A server that a newer copy lacks has ended; what kept a silent one's words out ends by itself

Ruled out: taking each copy so (one that is older than what was known lacks servers that are new). Change: a copy that is as new as what was known counts as a reading for what it lacks. Ends that no server announced are remembered for 20 s, so that wrong ones heal. Measured: a_server_that_a_newer_copy_lacks_needs_a_newer_word failed before with word 10. The soak's servers that live on now repeat that they leave, as real ones do.

--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -286,8 +286,9 @@
         }
         let mut placer = self.placer.borrow_mut();
         let is_first = placer.catalog.read_at().is_none();
-        placer.catalog.on_dropped(&scope.dropped);
-        let changes = placer.catalog.on_read(Instant::now(), snapshot);
+        let now = Instant::now();
+        placer.catalog.on_dropped(now, &scope.dropped);
+        let changes = placer.catalog.on_read(now, snapshot);
         scope.missing = placer.catalog.missing().map(str::to_owned).collect();
         drop(placer);
         let mut servers = self.servers.borrow_mut();
--- a/bin/lh-soak/src/servers.rs
+++ b/bin/lh-soak/src/servers.rs
@@ -120,6 +120,12 @@
         self.store.drop_row(TABLE, &server.id);
     }
 
+    /// A server that announced its leaving says so again, after all words so far.
+    pub(crate) fn write_leaving(&self, server: &SoakServer) {
+        let word = server.word("draining", server.seq + 1);
+        self.store.put(TABLE, &server.id, &word);
+    }
+
     /// The store performs a heartbeat late that `server` sent before it left.
     pub(crate) fn write_late(&self, server: &SoakServer) {
         let id = server.id.clone();
--- a/bin/lh-soak/src/soak.rs
+++ b/bin/lh-soak/src/soak.rs
@@ -38,6 +38,8 @@
 const LATE_MS: std::ops::Range<u64> = 300..6000;
 /// Part of the servers that leave without saying so.
 const SILENT_SHARE: f64 = 0.5;
+/// Time between two heartbeats of a server.
+const HEARTBEAT: Duration = Duration::from_millis(1500);
 /// Time without heartbeats after which a row lapses.
 const LAPSE_TIME: Duration = Duration::from_millis(4500);
 /// Time within which servers are listed again after an outage of the store.
@@ -398,6 +400,14 @@
         if let Some(late) = late {
             sleep(Duration::from_millis(late)).await;
             world.park.write_late(&server);
+            if let Some(lives_on) = row.and_then(|row| row.checked_sub(late)) {
+                // The next heartbeat of a server that still lives says again that it leaves.
+                if Duration::from_millis(lives_on) > HEARTBEAT {
+                    sleep(HEARTBEAT).await;
+                    world.park.write_leaving(&server);
+                }
+                return;
+            }
             sleep(LAPSE_TIME).await;
             world.park.drop_row(&server);
         }
--- a/crates/place/src/catalog/mod.rs
+++ b/crates/place/src/catalog/mod.rs
@@ -108,7 +108,7 @@
         let settled = self.outage.on_answered(now);
         let mut changes = Vec::new();
         for entry in &snapshot.entries {
-            self.update(snapshot.begun, entry, &mut changes);
+            self.update(now, snapshot.begun, entry, &mut changes);
         }
         for id in &snapshot.foreign {
             self.overwrite(id, &mut changes);
@@ -125,7 +125,7 @@
 
     /// Takes in which rows were dropped since the reading before, before what is listed now:
     /// a word that is listed again and is no newer than what stood there is an older one.
-    pub fn on_dropped(&mut self, rows: &[DroppedRow]) {
+    pub fn on_dropped(&mut self, now: Instant, rows: &[DroppedRow]) {
         for row in rows {
             if row.version <= self.version {
                 // What is known now is newer.
@@ -133,7 +133,7 @@
             }
             let known = self.table.by_id(&row.id).map(|record| &record.entry);
             for word in known.into_iter().chain(&row.word) {
-                self.departures.note(&Departure::of(word));
+                self.departures.note(now, &Departure::of(word));
             }
         }
     }
@@ -147,9 +147,9 @@
         delta: &RegistryDelta,
     ) -> Vec<CatalogChange> {
         let mut changes = Vec::new();
-        self.on_told_gone(delta, &mut changes);
+        self.on_told_gone(now, delta, &mut changes);
         for entry in &delta.entries {
-            self.update(begun, entry, &mut changes);
+            self.update(now, begun, entry, &mut changes);
         }
         for id in &delta.foreign {
             self.overwrite(id, &mut changes);
@@ -158,7 +158,12 @@
             let entries = delta.entries.iter().map(|entry| &entry.id);
             let kept = entries.chain(&delta.foreign).chain(&delta.missing);
             let listed: HashSet<&str> = kept.map(String::as_str).collect();
-            self.drop_others(&listed, &mut changes);
+            // Of a copy that is older than what was known, no row that it lacks was dropped.
+            if store_version(delta.version) >= self.version {
+                self.sweep(now, &listed, true, &mut changes);
+            } else {
+                self.drop_others(&listed, &mut changes);
+            }
         }
         self.version = store_version(delta.version);
         self.taken_at = Some(now);
@@ -323,13 +328,19 @@
 
     /// Takes in one entry. Runs of a server are told apart by their start, words of
     /// one run by `seq`: a late word of a former run changes nothing.
-    fn update(&mut self, begun: Instant, entry: &ServerEntry, changes: &mut Vec<CatalogChange>) {
+    fn update(
+        &mut self,
+        now: Instant,
+        begun: Instant,
+        entry: &ServerEntry,
+        changes: &mut Vec<CatalogChange>,
+    ) {
         if !self.domains.contains_key(&entry.domain) {
             self.overwrite(&entry.id, changes);
             return;
         }
-        if self.departures.refuses(entry) {
-            self.on_refused(entry, changes);
+        if self.departures.refuses(now, entry) {
+            self.on_refused(now, entry, changes);
             return;
         }
         let Some(record) = self.table.by_id_mut(&entry.id) else {
@@ -354,10 +365,10 @@
     }
 
     /// The registry lists, or another entry tells, a word from before the server's end.
-    fn on_refused(&mut self, entry: &ServerEntry, changes: &mut Vec<CatalogChange>) {
+    fn on_refused(&mut self, now: Instant, entry: &ServerEntry, changes: &mut Vec<CatalogChange>) {
         let known = self.table.by_id(&entry.id);
-        if known.is_some_and(|record| self.departures.refuses(&record.entry)) {
-            self.remove(&entry.id, changes);
+        if known.is_some_and(|record| self.departures.refuses(now, &record.entry)) {
+            self.remove(now, &entry.id, changes);
         }
         if self.departures.on_refused(&entry.id) {
             changes.push(CatalogChange::Outdated(entry.id.clone()));
@@ -410,13 +421,18 @@
             }
         }
         for id in gone {
-            self.remove(&id, changes);
+            self.remove(now, &id, changes);
         }
     }
 
     /// Takes in which servers another entry knows to be gone. One that is listed again in the
     /// same change is the same run, of which nothing is forgotten.
-    fn on_told_gone(&mut self, delta: &RegistryDelta, changes: &mut Vec<CatalogChange>) {
+    fn on_told_gone(
+        &mut self,
+        now: Instant,
+        delta: &RegistryDelta,
+        changes: &mut Vec<CatalogChange>,
+    ) {
         if delta.gone.is_empty() {
             return;
         }
@@ -424,22 +440,21 @@
         let listed: HashMap<&str, &ServerEntry> =
             listed.map(|entry| (entry.id.as_str(), entry)).collect();
         for departure in &delta.gone {
-            self.departures.note(departure);
+            self.departures.note(now, departure);
             let Some(record) = self.table.by_id(&departure.id) else {
                 continue;
             };
             let again = listed.get(departure.id.as_str());
             let is_back = again.is_some_and(|entry| {
-                entry.is_same_run(&record.entry) && !self.departures.refuses(entry)
+                entry.is_same_run(&record.entry) && !self.departures.refuses(now, entry)
             });
             if !is_back {
-                self.remove(&departure.id, changes);
+                self.remove(now, &departure.id, changes);
             }
         }
     }
 
-    /// Drops the servers that a whole copy doesn't list. The copy may be older than what was
-    /// known, so that it tells nothing of their end.
+    /// Drops the servers that an older copy doesn't list, which tells nothing of their end.
     fn drop_others(&mut self, listed: &HashSet<&str>, changes: &mut Vec<CatalogChange>) {
         let known = self.table.iter().map(|record| &record.entry.id);
         let others = known.filter(|id| !listed.contains(id.as_str()));
@@ -451,11 +466,11 @@
     }
 
     /// Removes the server `id`, which is gone by the registry's word.
-    fn remove(&mut self, id: &str, changes: &mut Vec<CatalogChange>) {
+    fn remove(&mut self, now: Instant, id: &str, changes: &mut Vec<CatalogChange>) {
         let Some(record) = self.table.by_id(id) else {
             return;
         };
-        self.departures.note(&Departure::of(&record.entry));
+        self.departures.note(now, &Departure::of(&record.entry));
         self.table.remove(id);
         changes.push(CatalogChange::Gone(id.to_owned()));
     }
--- a/crates/place/src/departure.rs
+++ b/crates/place/src/departure.rs
@@ -5,6 +5,7 @@
 //! that was known. A live server whose row only lapsed comes back with a newer one.
 
 use std::collections::{HashMap, VecDeque};
+use std::time::{Duration, Instant};
 
 use crate::rank::{pair_weight, stable_hash};
 use crate::server::{EntryState, ServerEntry};
@@ -12,6 +13,10 @@
 /// Departures that are remembered: more than a fleet of 10,000 servers has in the time in
 /// which calls are performed late, at under 1 MB.
 const KEPT: usize = 4096;
+/// Time in which the end of a server that didn't announce it keeps its older words out: longer
+/// than a call is performed late and its row then lapses. What was told wrongly by a damaged
+/// message keeps a live server out no longer.
+const SILENT_FOR: Duration = Duration::from_secs(20);
 
 base::common! {
     /// The end of one run of a server, as far as it is known.
@@ -88,6 +93,7 @@
 #[derive(Debug)]
 struct BookEntry {
     departure: Departure,
+    noted_at: Instant,
     turn: u64,
     /// Whether a word was refused for it.
     has_refused: bool,
@@ -95,7 +101,7 @@
 
 impl DepartureBook {
     /// Remembers `departure`, for as long as not too many others come after it.
-    pub(crate) fn note(&mut self, departure: &Departure) {
+    pub(crate) fn note(&mut self, now: Instant, departure: &Departure) {
         if !departure.is_known() {
             return;
         }
@@ -104,10 +110,11 @@
         let known = self.by_id.get_mut(&departure.id);
         if let Some(known) = known {
             known.departure.merge(departure);
-            (known.turn, known.has_refused) = (turn, false);
+            (known.noted_at, known.turn, known.has_refused) = (now, turn, false);
         } else {
             let entry = BookEntry {
                 departure: departure.clone(),
+                noted_at: now,
                 turn,
                 has_refused: false,
             };
@@ -120,9 +127,13 @@
     }
 
     /// Whether `entry` is an older word of a server that left.
-    pub(crate) fn refuses(&self, entry: &ServerEntry) -> bool {
+    pub(crate) fn refuses(&self, now: Instant, entry: &ServerEntry) -> bool {
         let known = self.by_id.get(&entry.id);
-        known.is_some_and(|known| known.departure.refuses(entry))
+        known.is_some_and(|known| {
+            let age = now.saturating_duration_since(known.noted_at);
+            let holds = known.departure.announced || age < SILENT_FOR;
+            holds && known.departure.refuses(entry)
+        })
     }
 
     /// Takes down that a word of the server `id` was refused; whether it is the first one.
--- a/crates/place/tests/departed.rs
+++ b/crates/place/tests/departed.rs
@@ -332,7 +332,7 @@
             dropped: vec![row],
             ..changes()
         };
-        catalog.on_dropped(&scope.dropped);
+        catalog.on_dropped(later, &scope.dropped);
         catalog.on_read(later, &second);
         lead.on_read(&second, scope);
         follower.on_told(later, later, &lead.since(before));
@@ -352,7 +352,7 @@
     lead.on_read(&reading(start, &[ready("x", 4)]), changes());
     catalog.on_told(start, start, &lead.since(0));
     let known = reading(start, &[]).version;
-    catalog.on_dropped(&[DroppedRow::new("x", known - 1)]);
+    catalog.on_dropped(start + ms(50), &[DroppedRow::new("x", known - 1)]);
     read(&mut catalog, start + ms(100), &[ready("x", 4)]);
     assert!(is_open(&catalog, "x"));
 }
@@ -371,3 +371,39 @@
     assert_eq!(heard.registry_at, Some(now - ms(2600)));
     assert_eq!(heard.operator_at, None);
 }
+
+/// Promise: a server that a whole copy lacks, which is as new as what was known, has ended: a
+/// word that is no newer brings it back nowhere.
+#[test]
+fn a_server_that_a_newer_copy_lacks_needs_a_newer_word() {
+    for (seq, is_live) in [(10, false), (11, true)] {
+        let start = Instant::now();
+        let both = [ready("x", 10), ready("y", 3)];
+        let mut lead = RegistryLog::default();
+        let later = start + ms(1000);
+        lead.on_read(&reading(later, &both[1..]), changes());
+        let mut catalog = catalog();
+        read(&mut catalog, start, &both);
+        catalog.on_told(later, later, &lead.since(0));
+        assert!(!is_open(&catalog, "x"));
+        let late = [ready("x", seq), ready("y", 3)];
+        read(&mut catalog, start + ms(2000), &late);
+        assert_eq!(is_open(&catalog, "x"), is_live, "word {seq}");
+    }
+}
+
+/// Promise: what kept the words of a server out that announced nothing ends by itself, so that
+/// no damaged message keeps a live server out for long.
+#[test]
+fn the_end_of_a_silent_server_is_forgotten_in_time() {
+    const MOST: Duration = Duration::from_secs(30);
+    let start = Instant::now();
+    let both = [ready("x", 10), ready("y", 3)];
+    let mut catalog = catalog();
+    read(&mut catalog, start, &both);
+    read(&mut catalog, start + ms(1000), &both[1..]);
+    read(&mut catalog, start + ms(2000), &both);
+    assert!(!is_open(&catalog, "x"));
+    read(&mut catalog, start + MOST, &both);
+    assert!(is_open(&catalog, "x"));
+}
