--- /dev/null
+++ b/bin/lh-soak/tests/judge.rs
@@ -0,0 +1,102 @@
+//! What the judge reports, by histories that were made up, and how faults are drawn.
+
+use lh_soak::faults;
+use lh_soak::history::{RunEvent, RunHistory, ServerChange, TimedEvent};
+use lh_soak::judge::{RunVerdict, judge};
+
+fn left() -> RunEvent {
+    RunEvent::Left {
+        server: "x".to_owned(),
+    }
+}
+
+fn arrived(entry: usize) -> RunEvent {
+    RunEvent::Arrived {
+        server: "x".to_owned(),
+        entry,
+    }
+}
+
+fn line(run: u32, change: ServerChange) -> RunEvent {
+    RunEvent::Line {
+        entry: 1,
+        run,
+        server: "x".to_owned(),
+        change,
+    }
+}
+
+fn fault(entry: Option<usize>) -> RunEvent {
+    let name = "a fault".to_owned();
+    RunEvent::Fault { name, entry }
+}
+
+fn verdict(events: &[(u64, RunEvent)]) -> RunVerdict {
+    let events = events.iter().cloned();
+    let events = events.map(|(at, event)| TimedEvent { at, event }).collect();
+    judge(&RunHistory { seed: 1, events })
+}
+
+/// Promise: a late request is reported, one in time isn't, and the run's own delay is allowed
+/// for.
+#[test]
+fn a_late_request_is_reported() {
+    let base = [(10_000, left())];
+    let with = |at| verdict(&[&base[..], &[(at, arrived(1))]].concat());
+    assert_eq!(with(12_900).broken(), 0);
+    assert_eq!(with(13_001).drain.len(), 1);
+    let lag = [(100, RunEvent::Lag { ms: 50 })];
+    let late = [(13_040, arrived(1))];
+    assert_eq!(verdict(&[&lag[..], &base, &late].concat()).broken(), 0);
+}
+
+/// Promise: no bound holds for an entry with a fault, or of a store with one, nor for the
+/// stable window after it; another entry isn't excused by it.
+#[test]
+fn a_fault_excuses_its_own_entry_only() {
+    let base = [
+        (9000, fault(Some(1))),
+        (10_000, left()),
+        (11_000, RunEvent::Calm { entry: Some(1) }),
+    ];
+    let with = |at, entry| verdict(&[&base[..], &[(at, arrived(entry))]].concat());
+    assert_eq!(with(14_500, 1).drain.len(), 0);
+    assert_eq!(with(14_500, 1).excused, (1, 4500));
+    assert_eq!(with(15_001, 1).drain.len(), 1);
+    assert_eq!(with(14_500, 2).drain.len(), 1);
+    let store = [
+        (9000, fault(None)),
+        (10_000, left()),
+        (11_000, RunEvent::Calm { entry: None }),
+    ];
+    let with = |at| verdict(&[&store[..], &[(at, arrived(2))]].concat());
+    assert_eq!(with(17_900).drain.len(), 0);
+    assert_eq!(with(18_100).drain.len(), 1);
+}
+
+/// Promise: an entry that takes a server in again, or sends it requests, after it wrote that
+/// the server left is reported under any fault; a run of it that began later isn't.
+#[test]
+fn a_server_taken_in_again_is_reported() {
+    let base = [
+        (9000, fault(Some(1))),
+        (10_000, left()),
+        (11_000, line(1, ServerChange::Left)),
+    ];
+    let with = |at, event| verdict(&[&base[..], &[(at, event)]].concat());
+    let again = |run| line(run, ServerChange::Joined);
+    assert_eq!(with(12_000, again(1)).returned.len(), 1);
+    assert_eq!(with(12_000, again(2)).returned.len(), 0);
+    assert_eq!(with(13_900, arrived(1)).returned.len(), 0);
+    assert_eq!(with(14_100, arrived(1)).returned.len(), 1);
+}
+
+/// Promise: the same seed draws the same faults, and a run ends without any.
+#[test]
+fn a_seed_draws_its_faults() {
+    let drawn = faults::draw(7, 60, 24, 3);
+    assert_eq!(drawn, faults::draw(7, 60, 24, 3));
+    assert_ne!(drawn, faults::draw(8, 60, 24, 3));
+    let ends = drawn.iter().map(|fault| (fault.at + fault.span).as_secs());
+    assert!(drawn.len() > 5 && ends.max().is_some_and(|last| last <= 52));
+}
--- /dev/null
+++ b/bin/lh-soak/tests/soak.rs
@@ -0,0 +1,38 @@
+//! A short run of real entries. What hangs on the machine's speed isn't asked for here; the
+//! long runs do that.
+
+use std::path::Path;
+use std::process::Command;
+
+use lh_soak::history::RunHistory;
+use lh_soak::judge::judge;
+
+const SEED: &str = "1";
+const SECONDS: &str = "24";
+
+/// Promise: whatever fails, no entry takes in a server again that it knew to have left, and
+/// callers get answers.
+#[test]
+fn no_entry_takes_in_a_server_that_left() {
+    let program = Path::new(env!("CARGO_BIN_EXE_lh-soak"));
+    let entry = program.with_file_name("lh-entry");
+    assert!(
+        entry.exists(),
+        "build {} with `cargo build -p lh-entry`",
+        entry.display()
+    );
+    let folder = tempfile::tempdir().unwrap();
+    let output = Command::new(program)
+        .args(["--seed", SEED, "--seconds", SECONDS, "--entries", "12"])
+        .args(["--servers", "30", "--keep"])
+        .arg(folder.path())
+        .arg("--entry-program")
+        .arg(&entry)
+        .output()
+        .unwrap();
+    let told = String::from_utf8_lossy(&output.stdout);
+    let history = RunHistory::read(&folder.path().join("history.json")).unwrap();
+    let verdict = judge(&history);
+    assert!(verdict.returned.is_empty(), "{told}");
+    assert!(verdict.left > 20 && verdict.answers.0 > 100, "{told}");
+}
