--- a/bin/lh-entry/tests/leaving.rs
+++ b/bin/lh-entry/tests/leaving.rs
@@ -86,3 +86,24 @@
     assert_eq!(answer.status, 200);
     assert_eq!(backend.runs("held-up"), 1);
 }
+
+/// Promise: a server whose row is dropped gets nothing more, though the store performs an older
+/// heartbeat of it before the entry reads again.
+#[tokio::test]
+async fn an_older_heartbeat_right_after_the_drop_brings_no_server_back() {
+    let world = World::new(1).await;
+    let address = "127.0.0.1:9".parse().unwrap();
+    let word = server_entry("board", address, "ready", 3);
+    world.store.put("servers", "i-left", &word);
+    let process = EntryProcess::ready(&world, "n1").await;
+    until("the server is known", async || {
+        process.logged("server joined").len() == 2
+    })
+    .await;
+    world.store.drop_row("servers", "i-left");
+    world.store.put("servers", "i-left", &word);
+    until("the server is gone", async || {
+        process.logged("\"event\":\"server is gone\"").len() == 1
+    })
+    .await;
+}
--- a/crates/place/src/fleet/log.rs
+++ b/crates/place/src/fleet/log.rs
@@ -115,7 +115,7 @@
         for entry in &snapshot.entries {
             let is_back = was_out(&entry.id) || ended.contains_key(&entry.id);
             let known = left.remove(&entry.id);
-            let entry = newest(known.as_ref(), entry);
+            let entry = self.newest(known.as_ref(), entry);
             let record = match known {
                 Some(known) if !is_back && is_same(&known.entry, &entry) => {
                     LogRecord { entry, ..known }
@@ -191,7 +191,7 @@
         }
         for entry in &delta.entries {
             let known = before.get(&entry.id).or(self.entries.get(&entry.id));
-            let record = LogRecord::new(delta.version, newest(known, entry));
+            let record = LogRecord::new(delta.version, self.newest(known, entry));
             self.content = self.content.with(record.mark);
             if let Some(before) = self.entries.insert(entry.id.clone(), record) {
                 self.content = self.content.without(before.mark);
@@ -246,6 +246,22 @@
         ended
     }
 
+    /// The newest that is known of the server of `entry`, also where the store performed an
+    /// older heartbeat late or an entry that is behind told it: a run that leaves doesn't come
+    /// back, whether its row was dropped meanwhile or not.
+    fn newest(&self, known: Option<&LogRecord>, entry: &ServerEntry) -> ServerEntry {
+        if let Some(known) = known {
+            return newer(&known.entry, entry);
+        }
+        let mut ends = self.gone.iter().rev().map(|(_, departure)| departure);
+        let has_left = ends.any(|departure| departure.announced && departure.refuses(entry));
+        let mut word = entry.clone();
+        if has_left {
+            word.state = EntryState::Draining;
+        }
+        word
+    }
+
     /// Whether the run that ended is not listed again by a newer word.
     fn has_ended(&self, departure: &Departure) -> bool {
         let listed = self.entries.get(&departure.id);
@@ -272,13 +288,8 @@
     }
 }
 
-/// The newest that is known of the server of `entry`, also where the store performed an older
-/// heartbeat late or an entry that is behind told it: a run that leaves doesn't come back.
-fn newest(known: Option<&LogRecord>, entry: &ServerEntry) -> ServerEntry {
-    let known = known.map(|record| &record.entry);
-    let Some(known) = known.filter(|known| !known.is_of_earlier_run(entry)) else {
-        return entry.clone();
-    };
+/// The newer one of two words of a server. A run that leaves says nothing else later.
+fn newer(known: &ServerEntry, entry: &ServerEntry) -> ServerEntry {
     if entry.is_of_earlier_run(known) {
         return known.clone();
     }
--- a/crates/place/tests/departed.rs
+++ b/crates/place/tests/departed.rs
@@ -407,3 +407,26 @@
     read(&mut catalog, start + MOST, &both);
     assert!(is_open(&catalog, "x"));
 }
+
+/// Promise: entries that have seen a server announce its end agree on an older word of it,
+/// whether they saw the row dropped or not.
+#[test]
+fn entries_agree_on_an_older_word_of_a_server_that_announced_its_end() {
+    let start = Instant::now();
+    let other = ready("y", 3);
+    let steps = [
+        vec![ready("x", 10), other.clone()],
+        vec![leaving("x", 11), other.clone()],
+        vec![other.clone()],
+        vec![ready("x", 10), other.clone()],
+    ];
+    let log_of = |seen: &[usize]| {
+        let mut log = RegistryLog::default();
+        for step in seen {
+            let at = start + ms(1000 * *step as u64);
+            log.on_read(&reading(at, &steps[*step]), changes());
+        }
+        log.content()
+    };
+    assert_eq!(log_of(&[0, 1, 2, 3]), log_of(&[0, 1, 3]));
+}
