Older knowledge of the operator's rows comes with its own proof

Cause: an entry that asked a lead for everything, since it seemed ahead of the store, took the lead's older state of the operator's rows and kept its own newer proof. It then claimed that nothing newer had been set lately, of a state that lacked a change (a revoked key, an evacuation). Ruled out: the claim's clock (both entries place the store's time alike), late digests as such. Change: KnownStore::replace_operator sets the proof back where the state goes back; the daemon and the fleet's tests in virtual time use it.

--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -244,11 +244,7 @@
             self.on_operator(&OperatorChange::Evacuate(domain.clone()));
         }
         self.restore_others(evacuated);
-        self.fleet.on_known(|known| {
-            known.operator = heard.operator;
-            known.operator_read = heard.operator_read;
-            known.operator_at = heard.operator_at;
-        });
+        self.fleet.on_known(|known| known.replace_operator(heard));
     }
 
     /// Takes in all of the operator's rows: evacuations and rollouts that aren't among them
--- a/crates/place/src/fleet/known.rs
+++ b/crates/place/src/fleet/known.rs
@@ -143,6 +143,17 @@
         other.desired > self.desired || other.operator > self.operator
     }
 
+    /// Takes what `other` knows of the operator's rows in place of what is known here. Where that
+    /// is older, the proof of what was known says nothing of it.
+    pub fn replace_operator(&mut self, other: &Self) {
+        if other.operator < self.operator {
+            self.proved = other.proved;
+        }
+        self.operator = other.operator;
+        self.operator_read = other.operator_read;
+        self.operator_at = other.operator_at;
+    }
+
     /// Takes from `other` how fresh it is in what both know of the operator's rows: what
     /// `other` lacks was set later than what it knows.
     pub fn confirm_operator(&mut self, other: &Self) {
--- a/crates/place/tests/fleet_world/mod.rs
+++ b/crates/place/tests/fleet_world/mod.rs
@@ -553,9 +553,7 @@
             known.registry_at = told.registry_at;
         }
         if scope == PullScope::All || known.is_behind_operator(&told) {
-            known.operator = told.operator;
-            known.operator_read = told.operator_read;
-            known.operator_at = told.operator_at;
+            known.replace_operator(&told);
             known.desired = told.desired;
         }
         known.confirm_operator(&told);
--- a/crates/place/tests/proofs.rs
+++ b/crates/place/tests/proofs.rs
@@ -7,7 +7,7 @@
 
 use fleet_world::{FleetWorld, REGIONS, ms, region_of};
 use place::fleet::clock::{StoreClock, StoreTime};
-use place::fleet::known::StoreWord;
+use place::fleet::known::{KnownStore, StoreWord};
 use place::fleet::message::{PeerMessage, RegionDigest};
 use place::fleet::seat::LeadSeat;
 use place::prelude::*;
@@ -313,3 +313,20 @@
         }
     }
 }
+
+/// Promise: an entry that takes older knowledge of the operator's rows in place of its own
+/// claims no younger proof than that knowledge has.
+#[test]
+fn older_knowledge_comes_with_its_own_proof() {
+    let word = |operator, proved| KnownStore {
+        operator,
+        proved: StoreTime(proved),
+        ..KnownStore::default()
+    };
+    let mut known = word(12, 73_000);
+    known.replace_operator(&word(11, 68_000));
+    assert_eq!((known.operator, known.proved), (11, StoreTime(68_000)));
+    known.replace_operator(&word(12, 70_000));
+    known.confirm_operator(&word(12, 70_000));
+    assert_eq!((known.operator, known.proved), (12, StoreTime(70_000)));
+}
