An entry that starts asks which servers have left; a lead's digest isn't put off

Cause: ends were told with whole copies only, and a lead that starts reads the store itself. Change: an entry asks up to three leads, once each, those first that have run longest; followers ask their region's. A lead's next digest is due for itself: followers of a deputy waited for its next look. The judge counts apart what no running process can know. Measured: an_entry_that_starts_asks_which_servers_have_left, what_one_process_has_seen_counts_for_all; both are of new functions.

--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -8,6 +8,7 @@
 
 use base::prelude::{Incarnation, InstanceId, NodeId};
 use place::catalog::CatalogChange;
+use place::departure::Departure;
 use place::fleet::copies::CopyDesk;
 use place::fleet::front::RateMeter;
 use place::fleet::known::KnownStore;
@@ -344,6 +345,19 @@
         self.note_settles();
     }
 
+    /// Takes in which servers have left, as a lead told that has run for longer.
+    pub(crate) fn on_told_ends(&self, lead: SocketAddr, ends: &[Departure]) {
+        self.servers.borrow_mut().on_ends(ends);
+        let mut placer = self.placer.borrow_mut();
+        let changes = placer.catalog.on_ends(Instant::now(), ends);
+        drop(placer);
+        let by = &lead.to_string();
+        for change in &changes {
+            let age = Duration::ZERO;
+            log_change(change, &ChangeSource { by, age });
+        }
+    }
+
     /// Tells the fleet when servers whose rows vanished are gone.
     pub(crate) fn note_settles(&self) {
         let settles_at = self.placer.borrow().catalog.settles_at();
--- a/bin/lh-entry/src/view.rs
+++ b/bin/lh-entry/src/view.rs
@@ -12,6 +12,7 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use place::departure::Departure;
 use place::desired::DesiredState;
 use place::fleet::clock::StoreTime;
 use place::fleet::copies::CopySource;
@@ -58,6 +59,8 @@
         view: SocketAddr,
         /// Whether it takes a copy of the registry from nobody else.
         insists: bool,
+        /// Whether it asks which servers have left.
+        ends: bool,
     }
 
     /// What the one that asked lacks.
@@ -77,6 +80,8 @@
         /// An encoded [`DesiredState`]; empty where the one that asked has it.
         desired: Vec<u8>,
         lists: Vec<EntryList>,
+        /// Servers that have left, where that was asked for.
+        ends: Vec<Departure>,
         /// The latest time that the store's clock can show.
         latest: StoreTime,
     }
@@ -161,6 +166,9 @@
     {
         answer.desired = encode(desired);
     }
+    if query.ends {
+        answer.ends = state.servers.borrow().ends();
+    }
     answer.lists = state
         .fleet
         .with_regions(|_, regions| regions.lists_since(&query.lists));
@@ -196,7 +204,7 @@
     if let Err(error) = &result {
         log::info!(lead:% = target.view, error:%; "lead not followed");
     }
-    let is_whole = target.scope != PullScope::News;
+    let is_whole = target.scope.is_whole();
     state.metrics.on_pull(is_whole, result.is_ok());
     let done = result.is_ok();
     state.fleet.on_event(FleetEvent::Pulled(target.view, done));
@@ -251,9 +259,12 @@
     }
     if !answer.registry.is_empty() {
         let delta: RegistryDelta = postcard::from_bytes(&answer.registry)?;
-        let is_whole = target.scope != PullScope::News;
+        let is_whole = target.scope.is_whole();
         state.on_told_servers(target.view, &heard, &delta, is_whole);
     }
+    if !answer.ends.is_empty() {
+        state.on_told_ends(target.view, &answer.ends);
+    }
     state
         .fleet
         .on_event(FleetEvent::StoreTime(begun, answer.latest));
@@ -284,7 +295,7 @@
         }
         let known = state.fleet.known();
         let (registry, operator) = match target.scope {
-            PullScope::News => (known.registry, known.operator),
+            PullScope::News | PullScope::Ends => (known.registry, known.operator),
             PullScope::Registry => (0, known.operator),
             PullScope::All => (0, 0),
         };
@@ -295,6 +306,7 @@
             lists: state.fleet.with_regions(|_, regions| regions.versions()),
             view: state.config.view_address,
             insists,
+            ends: target.scope == PullScope::Ends,
         });
         let path = format!("{VIEW_PATH}?{}", URL_SAFE_NO_PAD.encode(query));
         let patience = if known.is_complete() {
--- a/bin/lh-soak/tests/judge.rs
+++ b/bin/lh-soak/tests/judge.rs
@@ -91,6 +91,29 @@
     assert_eq!(with(14_100, arrived(1)).returned.len(), 1);
 }
 
+/// Promise: an older word is the store's own where no process that runs has seen the server
+/// leave; where one has, the request is late.
+#[test]
+fn what_one_process_has_seen_counts_for_all() {
+    let word = RunEvent::LateWord {
+        server: "x".to_owned(),
+    };
+    let with = |knows: &[(u64, RunEvent)]| {
+        let end = [(15_000, word.clone()), (16_000, arrived(2))];
+        verdict(&[&[(10_000, left())], knows, &end].concat())
+    };
+    let seen = (11_000, line(1, ServerChange::Left));
+    assert_eq!(with(&[]).forgotten, 1);
+    assert_eq!(with(std::slice::from_ref(&seen)).drain.len(), 1);
+    let began_again = RunEvent::Line {
+        entry: 1,
+        run: 2,
+        server: "y".to_owned(),
+        change: ServerChange::Joined,
+    };
+    assert_eq!(with(&[seen, (12_000, began_again)]).forgotten, 1);
+}
+
 /// Promise: the same seed draws the same faults, and a run ends without any.
 #[test]
 fn a_seed_draws_its_faults() {
--- a/crates/place/src/catalog/mod.rs
+++ b/crates/place/src/catalog/mod.rs
@@ -171,6 +171,19 @@
         changes
     }
 
+    /// Takes in which servers have left, as another entry knows, and returns what changed.
+    pub fn on_ends(&mut self, now: Instant, ends: &[Departure]) -> Vec<CatalogChange> {
+        let mut changes = Vec::new();
+        for departure in ends {
+            self.departures.note(now, departure);
+            let known = self.table.by_id(&departure.id);
+            if known.is_some_and(|record| self.departures.refuses(now, &record.entry)) {
+                self.remove(now, &departure.id, &mut changes);
+            }
+        }
+        changes
+    }
+
     /// What is known is as fresh as of `begun`, by the word of another entry.
     pub fn confirm(&mut self, begun: Instant) {
         self.read_at = self.read_at.max(Some(begun));
--- a/crates/place/src/fleet/follow.rs
+++ b/crates/place/src/fleet/follow.rs
@@ -30,6 +30,10 @@
 /// a second apart.
 const AHEAD_MOST: Duration = Duration::from_millis(3000);
 
+/// Leads that an entry asks, in its life, which servers have left: those that have run longest,
+/// one of which may be wrong or as new as the entry.
+const ENDS_ASKED: usize = 3;
+
 /// What a lead is asked for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PullScope {
@@ -39,6 +43,15 @@
     Registry,
     /// Everything, also what is thought known.
     All,
+    /// Which servers have left, besides news.
+    Ends,
+}
+
+impl PullScope {
+    /// Whether what is told replaces what is known of the registry.
+    pub fn is_whole(self) -> bool {
+        matches!(self, Self::Registry | Self::All)
+    }
 }
 
 /// A question to a lead.
@@ -72,6 +85,8 @@
     avoided: Option<(SocketAddr, Instant)>,
     behind_since: Option<Instant>,
     ahead_since: Option<Instant>,
+    /// Leads that were asked which servers have left.
+    ends_asked: Vec<SocketAddr>,
 }
 
 impl PullState {
@@ -112,7 +127,7 @@
         let ahead = leads_ahead(now, place, known, leads, regions, &near);
         if ahead.is_empty() && scope == PullScope::News {
             self.behind_since = None;
-            return None;
+            return self.next_ends(now, place, known, leads);
         }
         let since = *self.behind_since.get_or_insert(now);
         let is_recent = |at: Instant, span| now.saturating_duration_since(at) < span;
@@ -136,6 +151,34 @@
         Some(PullTarget { view, scope })
     }
 
+    /// Whom to ask which servers have left: an entry that starts knows none, and the registry
+    /// lists one again where it performs an older heartbeat late.
+    fn next_ends(
+        &mut self,
+        now: Instant,
+        place: FollowerPlace<'_>,
+        known: &KnownStore,
+        leads: &LeadTable,
+    ) -> Option<PullTarget> {
+        let is_early = |at: Instant| now.saturating_duration_since(at) < ASK_PAUSE;
+        let is_asking = self.asked.is_some() || self.asked_at.is_some_and(is_early);
+        if self.ends_asked.len() >= ENDS_ASKED || is_asking || known.registry_at.is_none() {
+            return None;
+        }
+        let heard = leads.fresh(now).filter(|lead| {
+            let is_asked = place.leads || lead.region == place.region;
+            is_asked && !self.ends_asked.contains(&lead.view())
+        });
+        let view = heard.min_by_key(|lead| lead.incarnation())?.view();
+        self.ends_asked.push(view);
+        self.asked = Some(view);
+        self.asked_at = Some(now);
+        Some(PullTarget {
+            view,
+            scope: PullScope::Ends,
+        })
+    }
+
     /// Whether what is known has been ahead of the store's word at all leads for too long.
     fn is_ahead_for_long(&mut self, now: Instant, known: &KnownStore, near: &[&HeardLead]) -> bool {
         let is_ahead = !near.is_empty() && near.iter().all(|lead| is_ahead(now, known, lead));
--- a/crates/place/src/fleet/leads.rs
+++ b/crates/place/src/fleet/leads.rs
@@ -50,6 +50,11 @@
         self.seat.view
     }
 
+    /// Its run: smaller the earlier it began.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     /// Whether `node` leads the region by this one's word.
     pub fn appoints(&self, node: &str) -> bool {
         let mut leads = self.seats.iter().take(LEADS);
--- a/crates/place/src/fleet/log.rs
+++ b/crates/place/src/fleet/log.rs
@@ -174,6 +174,23 @@
         }
     }
 
+    /// Which servers have left, as far as it is known.
+    pub fn ends(&self) -> Vec<Departure> {
+        let ends = self.gone.iter().map(|(_, departure)| departure);
+        let ended = ends.filter(|departure| self.has_ended(departure));
+        ended.cloned().collect()
+    }
+
+    /// Takes in which servers have left, as another entry knows.
+    pub fn on_ends(&mut self, ends: &[Departure]) {
+        for departure in ends {
+            let mut known = self.gone.iter().map(|(_, known)| known);
+            if !known.any(|known| known == departure) {
+                self.forget(self.version, departure.clone());
+            }
+        }
+    }
+
     /// Takes in what another entry told.
     pub fn on_told(&mut self, delta: &RegistryDelta) {
         let mut before = BTreeMap::new();
--- a/crates/place/src/fleet/member/asking.rs
+++ b/crates/place/src/fleet/member/asking.rs
@@ -91,7 +91,7 @@
             .next(now, place, &self.known, &self.leads, &self.regions, doubted);
         if let Some(target) = next {
             match target.scope {
-                PullScope::News => {}
+                PullScope::News | PullScope::Ends => {}
                 PullScope::Registry => {
                     self.doubt.on_acted(now);
                     actions.push(FleetAction::Note(FleetNote::Doubted));
--- a/crates/place/src/fleet/member/mod.rs
+++ b/crates/place/src/fleet/member/mod.rs
@@ -292,7 +292,11 @@
             None if self.leading.is_none() => self.reviewed_at + SEARCH_EVERY,
             None => self.reviewed_at + LOOK_EVERY,
         };
-        let others = [self.crashes_due(), self.doubt.due().filter(|at| *at > now)];
+        let others = [
+            self.crashes_due(),
+            self.doubt.due().filter(|at| *at > now),
+            self.next_digest(),
+        ];
         let others = others.into_iter().flatten().map(|at| at.max(now));
         others.fold(due, Instant::min)
     }
--- a/crates/place/src/fleet/member/telling.rs
+++ b/crates/place/src/fleet/member/telling.rs
@@ -133,6 +133,13 @@
         }))
     }
 
+    /// When a lead tells its next digest, where nothing happens before.
+    pub(super) fn next_digest(&self) -> Option<Instant> {
+        self.leading?;
+        let pause = self.digest_at.map(|at| at + DIGEST_PAUSE);
+        Some(pause.map_or(self.digest_due, |at| at.max(self.digest_due)))
+    }
+
     pub(super) fn review_digest(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
         let is_early = self
             .digest_at
--- a/crates/place/tests/due.rs
+++ b/crates/place/tests/due.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use place::fleet::follow::PullScope;
+use place::fleet::known::KnownStore;
 use place::fleet::member::MemberConfig;
+use place::fleet::message::{PeerMessage, RegionDigest};
 use place::fleet::seat::LeadSeat;
 use place::prelude::*;
 
@@ -59,3 +62,57 @@
         .any(|action| matches!(action, FleetAction::ReadRegistry(_)));
     assert!(reads, "it asks the store itself");
 }
+
+/// Promise: an entry that starts asks the leads that it hears which servers have left, the one
+/// that has run longest first, and no lead twice.
+#[test]
+fn an_entry_that_starts_asks_which_servers_have_left() {
+    let start = Instant::now();
+    let mut member = member(start);
+    let known = KnownStore {
+        registry: 1024,
+        registry_read: 1,
+        registry_at: Some(start),
+        ..KnownStore::default()
+    };
+    let mut actions = Vec::new();
+    let mut asked = Vec::new();
+    for step in 0..60_u64 {
+        let now = start + Duration::from_millis(100 * step);
+        for (port, incarnation) in [(21, 7), (22, 3)] {
+            let digest = digest_of(port, incarnation);
+            member.on_event(now, FleetEvent::Message(digest), &mut actions);
+        }
+        member.on_event(now, FleetEvent::Known(known), &mut actions);
+        for action in actions.drain(..) {
+            let FleetAction::Pull(target) = action else {
+                continue;
+            };
+            assert_eq!(target.scope, PullScope::Ends);
+            asked.push(target.view.port());
+            member.on_event(now, FleetEvent::Pulled(target.view, true), &mut Vec::new());
+        }
+    }
+    assert_eq!(asked, [22, 21]);
+}
+
+/// The digest of a lead of the same region that knows nothing of the store.
+fn digest_of(port: u16, incarnation: u64) -> PeerMessage {
+    let address = SocketAddr::from(([127, 0, 0, 1], port));
+    PeerMessage::Digest(Box::new(RegionDigest {
+        incarnation,
+        seat: LeadSeat {
+            node: format!("lead-{port}"),
+            domain: "a1".to_owned(),
+            beat: address,
+            view: address,
+            capacity: 1000,
+            reads: true,
+            leads: true,
+        },
+        region: "a".to_owned(),
+        leaving: false,
+        store: KnownStore::default().word(Instant::now()),
+        regions: Vec::new(),
+    }))
+}
