An older word is told with its server's end only

Ruled out: followers that ask every region (their number is the fleet's). Change: a change that holds a row refused by a known end tells that end with it; an end that is heard later makes the row news. Starts and ends of processes are in the soak's history.

--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -347,7 +347,10 @@
 
     /// Takes in which servers have left, as a lead told that has run for longer.
     pub(crate) fn on_told_ends(&self, lead: SocketAddr, ends: &[Departure]) {
-        self.servers.borrow_mut().on_ends(ends);
+        let mut servers = self.servers.borrow_mut();
+        servers.on_ends(ends);
+        let changed_at = servers.version();
+        drop(servers);
         let mut placer = self.placer.borrow_mut();
         let changes = placer.catalog.on_ends(Instant::now(), ends);
         drop(placer);
@@ -356,6 +359,7 @@
             let age = Duration::ZERO;
             log_change(change, &ChangeSource { by, age });
         }
+        self.fleet.on_known(|known| known.registry = changed_at);
     }
 
     /// Tells the fleet when servers whose rows vanished are gone.
--- a/bin/lh-soak/src/fleet.rs
+++ b/bin/lh-soak/src/fleet.rs
@@ -111,6 +111,8 @@
         };
         std::thread::spawn(move || reader.read(BufReader::new(output), file));
         self.child = Some(child);
+        let (entry, run) = (self.index, self.run);
+        self.recorder.record(RunEvent::Started { entry, run });
         Ok(())
     }
 
@@ -138,6 +140,8 @@
         if let Some(mut child) = self.child.take() {
             child.kill()?;
             child.wait()?;
+            let entry = self.index;
+            self.recorder.record(RunEvent::Ended { entry });
         }
         Ok(())
     }
--- a/bin/lh-soak/src/history.rs
+++ b/bin/lh-soak/src/history.rs
@@ -40,6 +40,18 @@
             /// What became of it.
             change: ServerChange,
         },
+        /// A process of an entry was started.
+        Started {
+            /// The entry.
+            entry: usize,
+            /// The entry's run.
+            run: u32,
+        },
+        /// The process of an entry has ended.
+        Ended {
+            /// The entry.
+            entry: usize,
+        },
         /// A fault began or was renewed.
         Fault {
             /// What it is.
--- a/bin/lh-soak/src/judge.rs
+++ b/bin/lh-soak/src/judge.rs
@@ -151,13 +151,18 @@
                 verdict.arrivals += 1;
                 self.on_arrived(at, server, *entry, verdict);
             }
+            RunEvent::Started { entry, run } => {
+                self.runs.insert(*entry, *run);
+            }
+            RunEvent::Ended { entry } => {
+                self.runs.remove(entry);
+            }
             RunEvent::Line {
                 entry,
                 run,
                 server,
                 change,
             } => {
-                self.runs.insert(*entry, *run);
                 self.on_line(at, (*entry, *run, server), *change, verdict);
             }
             RunEvent::Fault { name, entry } => {
--- a/bin/lh-soak/tests/judge.rs
+++ b/bin/lh-soak/tests/judge.rs
@@ -31,8 +31,11 @@
     RunEvent::Fault { name, entry }
 }
 
+/// The verdict on `events` of entry 1 in its first run and entry 2.
 fn verdict(events: &[(u64, RunEvent)]) -> RunVerdict {
-    let events = events.iter().cloned();
+    let started = |entry| (0, RunEvent::Started { entry, run: 1 });
+    let events = [&[started(1), started(2)], events].concat();
+    let events = events.into_iter();
     let events = events.map(|(at, event)| TimedEvent { at, event }).collect();
     judge(&RunHistory { seed: 1, events })
 }
@@ -105,13 +108,8 @@
     let seen = (11_000, line(1, ServerChange::Left));
     assert_eq!(with(&[]).forgotten, 1);
     assert_eq!(with(std::slice::from_ref(&seen)).drain.len(), 1);
-    let began_again = RunEvent::Line {
-        entry: 1,
-        run: 2,
-        server: "y".to_owned(),
-        change: ServerChange::Joined,
-    };
-    assert_eq!(with(&[seen, (12_000, began_again)]).forgotten, 1);
+    let ended = (12_000, RunEvent::Ended { entry: 1 });
+    assert_eq!(with(&[seen, ended]).forgotten, 1);
 }
 
 /// Promise: the same seed draws the same faults, and a run ends without any.
--- a/crates/place/src/fleet/log.rs
+++ b/crates/place/src/fleet/log.rs
@@ -157,11 +157,16 @@
         let is_news = |changed: u64| whole || changed > version;
         let records = self.entries.values();
         let changed = records.filter(|record| is_news(record.changed));
+        // A word from before its server's end is told with that end only.
+        let is_older_news = |departure: &Departure| {
+            let listed = self.entries.get(&departure.id);
+            listed.is_some_and(|record| is_news(record.changed) && departure.refuses(&record.entry))
+        };
         let gone = self.gone.iter().filter(|(at, departure)| {
             if whole {
                 self.has_ended(departure)
             } else {
-                is_news(*at)
+                is_news(*at) || is_older_news(departure)
             }
         });
         RegistryDelta {
@@ -181,13 +186,20 @@
         ended.cloned().collect()
     }
 
-    /// Takes in which servers have left, as another entry knows.
+    /// Takes in which servers have left, as another entry knows. Who follows this one is told
+    /// of those that are listed by an older word.
     pub fn on_ends(&mut self, ends: &[Departure]) {
         for departure in ends {
             let mut known = self.gone.iter().map(|(_, known)| known);
-            if !known.any(|known| known == departure) {
-                self.forget(self.version, departure.clone());
+            if known.any(|known| known == departure) {
+                continue;
+            }
+            let listed = self.entries.get_mut(&departure.id);
+            if let Some(record) = listed.filter(|record| departure.refuses(&record.entry)) {
+                self.version += 1;
+                record.changed = self.version;
             }
+            self.forget(self.version, departure.clone());
         }
     }
 
--- a/crates/place/tests/departed.rs
+++ b/crates/place/tests/departed.rs
@@ -7,6 +7,7 @@
 
 use common::{changes, domains, ms, reading, server};
 use place::catalog::DroppedRow;
+use place::departure::Departure;
 use place::fleet::known::KnownStore;
 use place::fleet::log::{ReadScope, RegistryDelta, RegistryLog};
 use place::fleet::pace::ReadPace;
@@ -430,3 +431,32 @@
     };
     assert_eq!(log_of(&[0, 1, 2, 3]), log_of(&[0, 1, 3]));
 }
+
+/// Promise: a lead that has heard of a server's end tells no older word of it without that end,
+/// whether the word came before it heard or after.
+#[test]
+fn an_older_word_is_told_with_the_servers_end() {
+    let start = Instant::now();
+    let ends = [Departure::of(&leaving("x", 11))];
+    for hears_first in [false, true] {
+        let mut lead = RegistryLog::default();
+        lead.on_read(&reading(start, &[ready("y", 3)]), changes());
+        let mut follower = catalog();
+        follower.on_told(start, start, &lead.since(0));
+        let mut known = lead.version();
+        let late = reading(start + ms(1000), &[ready("x", 10), ready("y", 3)]);
+        if hears_first {
+            lead.on_ends(&ends);
+        } else {
+            lead.on_read(&late, changes());
+            follower.on_told(start, start, &lead.since(known));
+            known = lead.version();
+            lead.on_ends(&ends);
+            assert!(lead.version() > known, "its followers are told");
+        }
+        lead.on_read(&late, changes());
+        follower.on_told(start, start, &lead.since(known));
+        assert!(!is_open(&follower, "x"), "hears first: {hears_first}");
+        assert!(is_open(&follower, "y"));
+    }
+}
