--- a/bin/lh-soak/src/lib.rs
+++ b/bin/lh-soak/src/lib.rs
@@ -5,6 +5,7 @@
 //! from that alone which promises were broken, so that a history can be judged again.
 
 mod callers;
+mod churn;
 mod cli;
 pub mod config;
 mod error;
@@ -15,6 +16,8 @@
 mod proxy;
 mod servers;
 mod soak;
+mod trouble;
+mod world;
 
 pub use crate::cli::run;
 pub use crate::error::{Error, Result};
