What is told of a server's end has the last word that is known; a stopped soak ends its entries

A lead had known its last word, number 3, had been told of its end by one that knew number 2 only, and told that on. A whole copy that lacked the server told no end at all. A soak that was ended by a signal left its entries. Ruled out: followers that remember by themselves (they had never seen number 3). Change: the log adds what it knows to the ends that it is told, and of what a whole copy lacks; a signal ends the soak with its processes. Measured: an_end_that_is_told_on_has_the_last_word_that_is_known failed before.

--- a/bin/lh-soak/src/error.rs
+++ b/bin/lh-soak/src/error.rs
@@ -25,6 +25,10 @@
         Start(detail: String) {
             display("{}", detail)
         }
+        /// A signal ended the run.
+        Stopped {
+            display("stopped by a signal; nothing was judged")
+        }
         /// Promises were broken.
         Broken(count: usize) {
             display("{} promises were broken; the history and the entries' lines are kept", count)
--- a/bin/lh-soak/src/soak.rs
+++ b/bin/lh-soak/src/soak.rs
@@ -5,11 +5,12 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::sleep;
 
 use crate::churn::replace_servers;
 use crate::config::{REGIONS, SoakConfig};
-use crate::error::Result;
+use crate::error::{Error, Result};
 use crate::faults;
 use crate::history::{RunEvent, RunHistory, RunRecorder, millis};
 use crate::judge;
@@ -28,11 +29,32 @@
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()?;
-    let result = runtime.block_on(run(config));
+    let result = runtime.block_on(async {
+        tokio::select! {
+            result = run(config) => result,
+            stopped = stop_signal() => Err(stopped),
+        }
+    });
+    // Ends the entries of a run that was stopped.
+    drop(runtime);
     drop(busy);
     result
 }
 
+/// Waits for a signal that ends the run.
+async fn stop_signal() -> Error {
+    let waiting = signal(SignalKind::terminate());
+    let mut terminate = match waiting {
+        Ok(terminate) => terminate,
+        Err(error) => return error.into(),
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+    Error::Stopped
+}
+
 async fn run(config: &SoakConfig) -> Result<RunHistory> {
     let scratch = tempfile::tempdir()?;
     let folder = config.keep.as_deref().unwrap_or(scratch.path());
--- a/crates/place/src/fleet/log.rs
+++ b/crates/place/src/fleet/log.rs
@@ -4,7 +4,7 @@
 //! Versions are made of the store's own, so that an entry may ask any other for what it
 //! lacks, whichever of them read it. What is told twice does no harm.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 
 use crate::departure::Departure;
 use crate::fleet::mark::ContentMark;
@@ -209,14 +209,25 @@
         if delta.whole {
             before = std::mem::take(&mut self.entries);
             self.oldest = delta.version;
+            if delta.version >= self.version {
+                self.forget_others(delta, &before);
+            }
         }
         // Rows of other writers hide what stood before them, so that only all rows tell the sum.
         let is_plain = !delta.whole && self.foreign.is_empty() && delta.foreign.is_empty();
         for departure in &delta.gone {
+            let mut departure = departure.clone();
             if let Some(record) = self.entries.remove(&departure.id) {
                 self.content = self.content.without(record.mark);
+                // The other may not have known the run's last word.
+                let mut listed = delta.entries.iter();
+                let is_listed =
+                    listed.any(|entry| entry.id == departure.id && entry.seq >= record.entry.seq);
+                if !is_listed {
+                    departure.merge(&Departure::of(&record.entry));
+                }
             }
-            self.forget(delta.version, departure.clone());
+            self.forget(delta.version, departure);
         }
         for entry in &delta.entries {
             let known = before.get(&entry.id).or(self.entries.get(&entry.id));
@@ -291,6 +302,19 @@
         word
     }
 
+    /// Remembers the ends of servers that a copy lacks which is as new as what was known `before`.
+    fn forget_others(&mut self, delta: &RegistryDelta, before: &BTreeMap<String, LogRecord>) {
+        let listed = delta.entries.iter().map(|entry| &entry.id);
+        let kept: HashSet<&String> = listed.chain(&delta.foreign).chain(&delta.missing).collect();
+        let others = before
+            .values()
+            .filter(|record| !kept.contains(&record.entry.id));
+        let ends: Vec<Departure> = others.map(|record| Departure::of(&record.entry)).collect();
+        for departure in ends {
+            self.forget(delta.version, departure);
+        }
+    }
+
     /// Whether the run that ended is not listed again by a newer word.
     fn has_ended(&self, departure: &Departure) -> bool {
         let listed = self.entries.get(&departure.id);
--- a/crates/place/tests/departed.rs
+++ b/crates/place/tests/departed.rs
@@ -460,3 +460,48 @@
         assert!(is_open(&follower, "y"));
     }
 }
+
+/// Promise: of a server's end that another entry tells, with an earlier word than is known here,
+/// the last word that is known here counts in what is told on.
+#[test]
+fn an_end_that_is_told_on_has_the_last_word_that_is_known() {
+    let start = Instant::now();
+    let other = ready("y", 3);
+    let mut lead = RegistryLog::default();
+    lead.on_read(&reading(start, &[ready("x", 3), other.clone()]), changes());
+    let told = RegistryDelta {
+        version: lead.version() + 5000,
+        gone: vec![Departure::of(&ready("x", 2))],
+        ..RegistryDelta::default()
+    };
+    lead.on_told(&told);
+    let mut follower = catalog();
+    follower.on_told(start, start, &lead.since(0));
+    read(&mut follower, start + ms(9000), &[ready("x", 3), other]);
+    assert!(!is_open(&follower, "x"));
+    // The same where a whole copy, as new as what is known, lacks it.
+    let mut lead = RegistryLog::default();
+    lead.on_read(&reading(start, &[ready("x", 3), ready("y", 3)]), changes());
+    let copy = RegistryDelta {
+        whole: true,
+        entries: vec![ready("y", 3)],
+        ..told.clone()
+    };
+    lead.on_told(&copy);
+    let mut follower = catalog();
+    follower.on_told(start, start, &lead.since(0));
+    let late = [ready("x", 3), ready("y", 3)];
+    read(&mut follower, start + ms(9000), &late);
+    assert!(!is_open(&follower, "x"), "a whole copy");
+    // A server that is told as gone and back is known by the word that is told.
+    let mut lead = RegistryLog::default();
+    lead.on_read(&reading(start, &[ready("x", 3)]), changes());
+    let back = RegistryDelta {
+        entries: vec![ready("x", 3)],
+        ..told
+    };
+    lead.on_told(&back);
+    let mut follower = catalog();
+    follower.on_told(start, start, &lead.since(0));
+    assert!(is_open(&follower, "x"));
+}
