--- a/bin/lh-soak/src/history.rs
+++ b/bin/lh-soak/src/history.rs
@@ -22,12 +22,14 @@
             /// The server.
             server: String,
         },
-        /// A request reached a server.
+        /// A request reached a server, which runs it.
         Arrived {
             /// The server.
             server: String,
             /// The entry that sent it.
             entry: usize,
+            /// The request.
+            request: String,
         },
         /// An entry wrote a line on a server.
         Line {
@@ -69,10 +71,14 @@
             /// Milliseconds.
             ms: u64,
         },
-        /// Callers have got an answer of this status; 0 where none came.
+        /// A caller has got an answer.
         Answered {
-            /// The status.
+            /// The request.
+            request: String,
+            /// The status; 0 where no whole answer came.
             status: u16,
+            /// The answer's body.
+            body: String,
         },
     }
 
--- a/bin/lh-soak/src/judge.rs
+++ b/bin/lh-soak/src/judge.rs
@@ -6,13 +6,21 @@
 //!   lists an older word of it, the store's word is all that there is: counted apart.
 //! - **Return.** An entry that has written that a server left doesn't take it in again in the
 //!   same run, and sends it nothing [`DRAIN`] later; this holds under all faults.
+//! - **Once.** A request that must not repeat runs once at most, one that was answered as not run
+//!   has not run, and a good answer is the whole one of a server that ran the request; under all
+//!   faults.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::fmt;
 
 use crate::config::{DRAIN, STABLE_WINDOW};
 use crate::history::{RunEvent, RunHistory, ServerChange, millis};
+use crate::{callers, servers};
 
+/// Status of a good answer.
+const GOOD: u16 = 200;
+/// Statuses which promise that the request has not run and never will.
+const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 /// Broken promises that are told one by one.
 const TOLD_MOST: usize = 12;
 
@@ -31,6 +39,8 @@
     pub drain: Vec<String>,
     /// Servers that were taken in again by entries that had written of their leaving.
     pub returned: Vec<String>,
+    /// Requests that ran twice, were run though refused, or got another answer than their own.
+    pub once: Vec<String>,
     /// Late requests to servers that the store lists by an older word, and whose leaving no
     /// process has seen that runs.
     pub forgotten: usize,
@@ -44,7 +54,7 @@
 impl RunVerdict {
     /// Number of broken promises.
     pub fn broken(&self) -> usize {
-        self.drain.len() + self.returned.len()
+        self.drain.len() + self.returned.len() + self.once.len()
     }
 }
 
@@ -58,7 +68,7 @@
         write!(
             f,
             "seed {}: {} arrivals, {} servers left, answers {} good {} other, faults [{}]; \
-             drain {}, returned {}, forgotten by all {}, late under faults {} (latest {} ms)",
+             drain {}, returned {}, once {}, forgotten by all {}, late under faults {} (latest {} ms)",
             self.seed,
             self.arrivals,
             self.left,
@@ -67,11 +77,13 @@
             faults.join(", "),
             self.drain.len(),
             self.returned.len(),
+            self.once.len(),
             self.forgotten,
             self.excused.0,
             self.excused.1,
         )?;
-        for breach in self.drain.iter().chain(&self.returned).take(TOLD_MOST) {
+        let breaches = self.drain.iter().chain(&self.returned).chain(&self.once);
+        for breach in breaches.take(TOLD_MOST) {
             write!(f, "\n  {breach}")?;
         }
         Ok(())
@@ -114,6 +126,10 @@
     /// When an older word of a server was written, and whether any process that ran then had
     /// seen the server leave.
     late_words: HashMap<String, (u64, bool)>,
+    /// The servers that ran each request.
+    ran: HashMap<String, Vec<String>>,
+    /// Requests that were answered as not run.
+    refused: HashSet<String>,
 }
 
 /// Judges `history`.
@@ -125,6 +141,7 @@
         faults: BTreeMap::new(),
         drain: Vec::new(),
         returned: Vec::new(),
+        once: Vec::new(),
         forgotten: 0,
         excused: (0, 0),
         answers: (0, 0),
@@ -147,8 +164,13 @@
                 let is_known = self.is_known(server);
                 self.late_words.insert(server.clone(), (at, is_known));
             }
-            RunEvent::Arrived { server, entry } => {
+            RunEvent::Arrived {
+                server,
+                entry,
+                request,
+            } => {
                 verdict.arrivals += 1;
+                self.on_ran(server, request, verdict);
                 self.on_arrived(at, server, *entry, verdict);
             }
             RunEvent::Started { entry, run } => {
@@ -171,8 +193,11 @@
             }
             RunEvent::Calm { entry } => self.clock(*entry).end(at),
             RunEvent::Lag { ms } => self.lag = self.lag.max(*ms),
-            RunEvent::Answered { status: 200 } => verdict.answers.0 += 1,
-            RunEvent::Answered { .. } => verdict.answers.1 += 1,
+            RunEvent::Answered {
+                request,
+                status,
+                body,
+            } => self.on_answered(request, *status, body, verdict),
         }
     }
 
@@ -219,6 +244,47 @@
         }
     }
 
+    fn on_ran(&mut self, server: &str, request: &str, verdict: &mut RunVerdict) {
+        let servers = self.ran.entry(request.to_owned()).or_default();
+        servers.push(server.to_owned());
+        if !callers::is_once(request) {
+            return;
+        }
+        if servers.len() > 1 {
+            let text = format!("once: {request} ran at {}", servers.join(" and "));
+            verdict.once.push(text);
+        }
+        if self.refused.contains(request) {
+            let text = format!("once: {request} was refused and ran later");
+            verdict.once.push(text);
+        }
+    }
+
+    fn on_answered(&mut self, request: &str, status: u16, body: &str, verdict: &mut RunVerdict) {
+        let ran = self.ran.get(request);
+        match status {
+            GOOD => {
+                verdict.answers.0 += 1;
+                let mut servers = ran.into_iter().flatten();
+                if !servers.any(|server| servers::body_of(request, server) == body) {
+                    let text = format!("once: {request} was answered with '{body}'");
+                    verdict.once.push(text);
+                }
+            }
+            _ => {
+                verdict.answers.1 += 1;
+                let is_promise = NOT_RUN.contains(&status) && callers::is_once(request);
+                if is_promise && ran.is_some() {
+                    let text = format!("once: {request} ran and was answered {status}");
+                    verdict.once.push(text);
+                }
+                if is_promise {
+                    self.refused.insert(request.to_owned());
+                }
+            }
+        }
+    }
+
     /// Whether any process that runs has seen `server` leave.
     fn is_known(&self, server: &str) -> bool {
         let mut runs = self.runs.iter();
--- a/bin/lh-soak/src/servers.rs
+++ b/bin/lh-soak/src/servers.rs
@@ -201,12 +201,18 @@
         return whole(answer, "");
     }
     if let Some(entry) = entry_of(&request_id) {
-        let server = id.to_owned();
-        recorder.record(RunEvent::Arrived { server, entry });
+        recorder.record(RunEvent::Arrived {
+            server: id.to_owned(),
+            entry,
+            request: request_id.clone(),
+        });
     }
     let _ = request.into_body().collect().await;
     tokio::time::sleep(WORK_TIME).await;
-    whole(answer.header("server-stamp", "soak"), id)
+    whole(
+        answer.header("server-stamp", "soak"),
+        &body_of(&request_id, id),
+    )
 }
 
 fn whole(answer: hyper::http::response::Builder, body: &str) -> Response<Full<Bytes>> {
@@ -215,6 +221,11 @@
     answer.unwrap_or_else(|_| Response::new(Full::new(Bytes::new())))
 }
 
+/// The answer's body to `request` by `server`.
+pub(crate) fn body_of(request: &str, server: &str) -> String {
+    format!("{request} ran at {server}")
+}
+
 /// The entry that a caller sent the request to, by the request's id.
 fn entry_of(request_id: &str) -> Option<usize> {
     request_id.split('-').next()?.parse().ok()
--- a/bin/lh-soak/src/world.rs
+++ b/bin/lh-soak/src/world.rs
@@ -32,6 +32,13 @@
     timeout: "3s",
 };
 
+const DESK: RouteText<'static> = RouteText {
+    name: "desk",
+    prefix: "/desk/",
+    kind: "non_idempotent",
+    ..BOARD
+};
+
 /// Everything that runs.
 pub(crate) struct World {
     pub(crate) store: FakeStore,
@@ -44,7 +51,7 @@
     pub(crate) async fn start(config: &SoakConfig, folder: &Path) -> Result<Self> {
         let recorder = RunRecorder::new();
         let store = FakeStore::start().await;
-        store.put("op", "config", &desired_state(5, &[BOARD]));
+        store.put("op", "config", &desired_state(5, &[BOARD, DESK]));
         let park = ServerPark::new(store.clone(), recorder.clone());
         for _ in 0..config.servers {
             park.start_one().await?;
--- a/bin/lh-soak/tests/judge.rs
+++ b/bin/lh-soak/tests/judge.rs
@@ -14,6 +14,23 @@
     RunEvent::Arrived {
         server: "x".to_owned(),
         entry,
+        request: "a-request".to_owned(),
+    }
+}
+
+fn ran(server: &str, request: &str) -> RunEvent {
+    RunEvent::Arrived {
+        server: server.to_owned(),
+        entry: 1,
+        request: request.to_owned(),
+    }
+}
+
+fn answered(request: &str, status: u16, body: &str) -> RunEvent {
+    RunEvent::Answered {
+        request: request.to_owned(),
+        status,
+        body: body.to_owned(),
     }
 }
 
@@ -112,6 +129,40 @@
     assert_eq!(with(&[seen, ended]).forgotten, 1);
 }
 
+/// Promise: a second run of what must not repeat, a run of what was refused, and an answer that
+/// isn't the request's own are reported; other repeats aren't.
+#[test]
+fn what_must_not_repeat_runs_once() {
+    let once = |events: &[RunEvent]| {
+        let events: Vec<(u64, RunEvent)> =
+            events.iter().cloned().map(|event| (10, event)).collect();
+        verdict(&events).once.len()
+    };
+    let own = "1-0-3-once ran at x";
+    assert_eq!(
+        once(&[ran("x", "1-0-3-once"), answered("1-0-3-once", 200, own)]),
+        0
+    );
+    assert_eq!(once(&[ran("x", "1-0-3-once"), ran("y", "1-0-3-once")]), 1);
+    assert_eq!(once(&[ran("x", "1-0-1"), ran("y", "1-0-1")]), 0);
+    assert_eq!(
+        once(&[ran("x", "1-0-3-once"), answered("1-0-3-once", 503, "")]),
+        1
+    );
+    assert_eq!(
+        once(&[answered("1-0-3-once", 503, ""), ran("x", "1-0-3-once")]),
+        1
+    );
+    assert_eq!(
+        once(&[ran("x", "1-0-3-once"), answered("1-0-3-once", 502, "")]),
+        0
+    );
+    assert_eq!(
+        once(&[ran("y", "1-0-3-once"), answered("1-0-3-once", 200, own)]),
+        1
+    );
+}
+
 /// Promise: the same seed draws the same faults, and a run ends without any.
 #[test]
 fn a_seed_draws_its_faults() {
--- a/bin/lh-soak/tests/soak.rs
+++ b/bin/lh-soak/tests/soak.rs
@@ -10,8 +10,8 @@
 const SEED: &str = "1";
 const SECONDS: &str = "24";
 
-/// Promise: whatever fails, no entry takes in a server again that it knew to have left, and
-/// callers get answers.
+/// Promise: whatever fails, no entry takes in a server again that it knew to have left, what must
+/// not repeat runs once at most, and callers get answers, each its own.
 #[test]
 fn no_entry_takes_in_a_server_that_left() {
     let program = Path::new(env!("CARGO_BIN_EXE_lh-soak"));
@@ -33,6 +33,9 @@
     let told = String::from_utf8_lossy(&output.stdout);
     let history = RunHistory::read(&folder.path().join("history.json")).unwrap();
     let verdict = judge(&history);
-    assert!(verdict.returned.is_empty(), "{told}");
+    assert!(
+        verdict.returned.is_empty() && verdict.once.is_empty(),
+        "{told}"
+    );
     assert!(verdict.left > 20 && verdict.answers.0 > 100, "{told}");
 }
