--- a/crates/place/src/catalog/words.rs
+++ b/crates/place/src/catalog/words.rs
@@ -79,6 +79,7 @@
         self.table.insert(record);
     }
 
+    /// Ends the servers that a reading doesn't hold, or keeps them while they may have lapsed.
     pub(super) fn sweep(
         &mut self,
         now: Instant,
--- a/crates/place/src/departure.rs
+++ b/crates/place/src/departure.rs
@@ -11,7 +11,7 @@
 use crate::server::{EntryState, ServerEntry};
 
 /// Departures that are remembered: more than a fleet of 10,000 servers has in the time in
-/// which calls are performed late, at under 1 MB.
+/// which calls are performed late, at about 1 MB.
 const KEPT: usize = 4096;
 /// Time in which the end of a server that didn't announce it keeps its older words out: longer
 /// than a call is performed late and its row then lapses. What was told wrongly by a damaged
--- a/crates/place/tests/departed.rs
+++ b/crates/place/tests/departed.rs
@@ -505,3 +505,37 @@
     follower.on_told(start, start, &lead.since(0));
     assert!(is_open(&follower, "x"));
 }
+
+/// Promise: however many servers leave at once, what is told of their ends is bounded, and the
+/// newest thousand are kept out.
+#[test]
+fn what_is_told_of_ends_is_bounded() {
+    const TOLD_MOST: usize = 1024;
+    for count in [100, 300, 1000, 3000] {
+        let start = Instant::now();
+        let other = ready("y", 3);
+        let ids: Vec<String> = (0..count).map(|number| format!("x{number:05}")).collect();
+        let all: Vec<ServerEntry> = ids.iter().map(|id| ready(id, 10)).collect();
+        let mut lead = RegistryLog::default();
+        lead.on_read(
+            &reading(start, &[all.clone(), vec![other.clone()]].concat()),
+            changes(),
+        );
+        lead.on_read(
+            &reading(start + ms(1000), std::slice::from_ref(&other)),
+            changes(),
+        );
+        let told = lead.since(0);
+        assert!(told.gone.len() <= TOLD_MOST, "{count}: {}", told.gone.len());
+        let mut follower = catalog();
+        follower.on_told(start + ms(1000), start, &told);
+        read(
+            &mut follower,
+            start + ms(2000),
+            &[all, vec![other]].concat(),
+        );
+        let newest = ids.iter().rev().take(1000);
+        let back = newest.filter(|id| is_open(&follower, id)).count();
+        assert_eq!(back, 0, "{count}");
+    }
+}
