An older word ends no wait for a server

Cause: a row that vanished in an outage and is listed again by an older word, while its server is waited for, counted as back. Ruled out: asking for a newer word (lapsed_entries_are_kept_until_the_registry_has_heard_from_all lists a live server again by the word that was known; a registry may do so). Change: an older word ends the server. Measured: an_older_word_ends_no_wait failed before with word 9 of 10.

--- a/crates/place/src/catalog/words.rs
+++ b/crates/place/src/catalog/words.rs
@@ -44,6 +44,12 @@
             self.overwrite(&entry.id, changes);
             return;
         }
+        if record.missing_since.is_some() && entry.seq < record.entry.seq {
+            // A live server whose row lapsed comes back with its last word or a newer one.
+            self.remove(now, &entry.id, changes);
+            self.on_refused(now, entry, changes);
+            return;
+        }
         on_own_word(begun, record, entry, changes);
     }
 
--- a/crates/place/tests/departed.rs
+++ b/crates/place/tests/departed.rs
@@ -539,3 +539,25 @@
         assert_eq!(back, 0, "{count}");
     }
 }
+
+/// Promise: a row that vanished in an outage and is listed again while its server is waited for
+/// isn't the live server's by an older word.
+#[test]
+fn an_older_word_ends_no_wait() {
+    for (seq, is_live) in [(9, false), (11, true)] {
+        let start = Instant::now();
+        let both = [ready("x", 10), ready("y", 3)];
+        let mut catalog = catalog();
+        read(&mut catalog, start, &both);
+        for at in (500..8000).step_by(500) {
+            catalog.on_read_failed(start + ms(at));
+        }
+        read(&mut catalog, start + ms(8000), &both[1..]);
+        assert!(is_open(&catalog, "x"), "it is waited for");
+        let again = [ready("x", seq), ready("y", 3)];
+        for at in [9000, 10_000, 12_000] {
+            read(&mut catalog, start + ms(at), &again);
+            assert_eq!(is_open(&catalog, "x"), is_live, "word {seq} at {at}");
+        }
+    }
+}
