The end of a server after a wait is told with its last word

Ruled out: the catalog (it refused the older word at the reader). Change: the log takes in the last word of a row that was dropped and is waited for. Measured: the_end_after_a_wait_has_the_last_word failed before.

--- a/crates/place/src/fleet/log.rs
+++ b/crates/place/src/fleet/log.rs
@@ -108,6 +108,7 @@
         }
         let is_first = self.version == 0;
         let stamp = log_version(snapshot.version).max(self.version.saturating_add(1));
+        self.note_last_words(&scope);
         let mut is_changed = self.foreign != snapshot.foreign || self.missing != scope.missing;
         let was_out = |id: &String| self.foreign.contains(id) || self.missing.contains(id);
         let mut ended = self.ended(&scope);
@@ -263,6 +264,17 @@
         self.content = foreign.fold(own, ContentMark::with);
     }
 
+    /// Takes in what stood last in rows that were dropped and may only have lapsed.
+    fn note_last_words(&mut self, scope: &ReadScope) {
+        let kept = scope.dropped.iter();
+        for row in kept.filter(|row| scope.missing.contains(&row.id)) {
+            let known = self.entries.get_mut(&row.id);
+            if let (Some(record), Some(word)) = (known, &row.word) {
+                *record = LogRecord::new(record.changed, newer(&record.entry, word));
+            }
+        }
+    }
+
     /// The servers whose rows were dropped, also those that aren't known here: others may have
     /// heard of them from another reader.
     fn ended(&self, scope: &ReadScope) -> BTreeMap<String, Departure> {
--- a/crates/place/tests/departed.rs
+++ b/crates/place/tests/departed.rs
@@ -561,3 +561,35 @@
         }
     }
 }
+
+/// Promise: the last word of a row that vanished in an outage counts in what is told of its end,
+/// though that word came in the same reading as the drop.
+#[test]
+fn the_end_after_a_wait_has_the_last_word() {
+    let start = Instant::now();
+    let other = ready("y", 3);
+    let mut lead = RegistryLog::default();
+    lead.on_read(&reading(start, &[ready("x", 1), other.clone()]), changes());
+    let at = |millis| reading(start + ms(millis), std::slice::from_ref(&other));
+    let lapsed = at(1000);
+    let row = DroppedRow {
+        word: Some(ready("x", 2)),
+        ..DroppedRow::new("x", lapsed.version)
+    };
+    let scope = ReadScope {
+        dropped: vec![row],
+        missing: vec!["x".to_owned()],
+        ..changes()
+    };
+    lead.on_read(&lapsed, scope);
+    lead.on_read(&at(3500), changes());
+    let known = lead.version();
+    let mut follower = catalog();
+    follower.on_told(start + ms(3500), start, &lead.since(0));
+    lead.on_read(
+        &reading(start + ms(4000), &[ready("x", 2), other.clone()]),
+        changes(),
+    );
+    follower.on_told(start + ms(4000), start, &lead.since(known));
+    assert!(!is_open(&follower, "x"));
+}
