--- a/crates/place/tests/departed.rs
+++ b/crates/place/tests/departed.rs
@@ -505,3 +505,91 @@
     follower.on_told(start, start, &lead.since(0));
     assert!(is_open(&follower, "x"));
 }
+
+/// Promise: however many servers leave at once, what is told of their ends is bounded, and the
+/// newest thousand are kept out.
+#[test]
+fn what_is_told_of_ends_is_bounded() {
+    const TOLD_MOST: usize = 1024;
+    for count in [100, 300, 1000, 3000] {
+        let start = Instant::now();
+        let other = ready("y", 3);
+        let ids: Vec<String> = (0..count).map(|number| format!("x{number:05}")).collect();
+        let all: Vec<ServerEntry> = ids.iter().map(|id| ready(id, 10)).collect();
+        let mut lead = RegistryLog::default();
+        lead.on_read(
+            &reading(start, &[all.clone(), vec![other.clone()]].concat()),
+            changes(),
+        );
+        lead.on_read(
+            &reading(start + ms(1000), std::slice::from_ref(&other)),
+            changes(),
+        );
+        let told = lead.since(0);
+        assert!(told.gone.len() <= TOLD_MOST, "{count}: {}", told.gone.len());
+        let mut follower = catalog();
+        follower.on_told(start + ms(1000), start, &told);
+        read(
+            &mut follower,
+            start + ms(2000),
+            &[all, vec![other]].concat(),
+        );
+        let newest = ids.iter().rev().take(1000);
+        let back = newest.filter(|id| is_open(&follower, id)).count();
+        assert_eq!(back, 0, "{count}");
+    }
+}
+
+/// Promise: a row that vanished in an outage and is listed again while its server is waited for
+/// isn't the live server's by an older word.
+#[test]
+fn an_older_word_ends_no_wait() {
+    for (seq, is_live) in [(9, false), (11, true)] {
+        let start = Instant::now();
+        let both = [ready("x", 10), ready("y", 3)];
+        let mut catalog = catalog();
+        read(&mut catalog, start, &both);
+        for at in (500..8000).step_by(500) {
+            catalog.on_read_failed(start + ms(at));
+        }
+        read(&mut catalog, start + ms(8000), &both[1..]);
+        assert!(is_open(&catalog, "x"), "it is waited for");
+        let again = [ready("x", seq), ready("y", 3)];
+        for at in [9000, 10_000, 12_000] {
+            read(&mut catalog, start + ms(at), &again);
+            assert_eq!(is_open(&catalog, "x"), is_live, "word {seq} at {at}");
+        }
+    }
+}
+
+/// Promise: the last word of a row that vanished in an outage counts in what is told of its end,
+/// though that word came in the same reading as the drop.
+#[test]
+fn the_end_after_a_wait_has_the_last_word() {
+    let start = Instant::now();
+    let other = ready("y", 3);
+    let mut lead = RegistryLog::default();
+    lead.on_read(&reading(start, &[ready("x", 1), other.clone()]), changes());
+    let at = |millis| reading(start + ms(millis), std::slice::from_ref(&other));
+    let lapsed = at(1000);
+    let row = DroppedRow {
+        word: Some(ready("x", 2)),
+        ..DroppedRow::new("x", lapsed.version)
+    };
+    let scope = ReadScope {
+        dropped: vec![row],
+        missing: vec!["x".to_owned()],
+        ..changes()
+    };
+    lead.on_read(&lapsed, scope);
+    lead.on_read(&at(3500), changes());
+    let known = lead.version();
+    let mut follower = catalog();
+    follower.on_told(start + ms(3500), start, &lead.since(0));
+    lead.on_read(
+        &reading(start + ms(4000), &[ready("x", 2), other.clone()]),
+        changes(),
+    );
+    follower.on_told(start + ms(4000), start, &lead.since(known));
+    assert!(!is_open(&follower, "x"));
+}
