--- a/bin/lh-soak/src/fleet.rs
+++ b/bin/lh-soak/src/fleet.rs
@@ -220,12 +220,14 @@
             let Some((server, change)) = server_change(&line) else {
                 continue;
             };
-            self.recorder.record(RunEvent::Line {
+            let line_at = line["time_ms"].as_u64().unwrap_or_default();
+            let event = RunEvent::Line {
                 entry: self.entry,
                 run: self.run,
                 server,
                 change,
-            });
+            };
+            self.recorder.record_at(line_at, event);
         }
     }
 }
--- a/bin/lh-soak/src/history.rs
+++ b/bin/lh-soak/src/history.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::path::Path;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::error::Result;
 
@@ -132,6 +132,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct RunRecorder {
     begun: Instant,
+    /// The same by the time of day.
+    begun_at: SystemTime,
     events: Arc<Mutex<Vec<TimedEvent>>>,
 }
 
@@ -140,20 +142,30 @@
     pub(crate) fn new() -> Self {
         Self {
             begun: Instant::now(),
+            begun_at: SystemTime::now(),
             events: Arc::default(),
         }
     }
 
-    /// Takes down `event`.
+    /// Takes down `event`, which happens now.
     pub(crate) fn record(&self, event: RunEvent) {
         let mut events = self.lock();
         let at = millis(self.begun.elapsed());
         events.push(TimedEvent { at, event });
     }
 
+    /// Takes down `event`, which happened at `time_ms`, in Unix milliseconds. Lines of a process
+    /// that gets little processor time are read seconds later.
+    pub(crate) fn record_at(&self, time_ms: u64, event: RunEvent) {
+        let begun = self.begun_at.duration_since(UNIX_EPOCH);
+        let at = time_ms.saturating_sub(millis(begun.unwrap_or_default()));
+        self.lock().push(TimedEvent { at, event });
+    }
+
     /// The history so far.
     pub(crate) fn history(&self, seed: u64) -> RunHistory {
-        let events = self.lock().clone();
+        let mut events = self.lock().clone();
+        events.sort_by_key(|event| event.at);
         RunHistory { seed, events }
     }
 
--- a/bin/lh-soak/src/judge.rs
+++ b/bin/lh-soak/src/judge.rs
@@ -2,8 +2,9 @@
 //!
 //! - **Drain.** No request reaches a server later than [`DRAIN`] after the store acknowledged
 //!   its leaving, from an entry without faults for [`STABLE_WINDOW`] and of a store without
-//!   faults for as long. Where no process that runs has seen the server leave, and the store
-//!   lists an older word of it, the store's word is all that there is: counted apart.
+//!   faults for as long. Where the store lists an older word of it and no process that had
+//!   seen the server leave before runs any more, the store's word is all that there is: counted
+//!   apart.
 //! - **Return.** An entry that has written that a server left doesn't take it in again in the
 //!   same run, and sends it nothing [`DRAIN`] later; this holds under all faults.
 //! - **Once.** A request that must not repeat runs once at most, one that was answered as not run
@@ -113,6 +114,9 @@
     }
 }
 
+/// An entry and the number of its run.
+type EntryRun = (usize, u32);
+
 #[derive(Debug, Default)]
 struct RunJudge {
     store: FaultClock,
@@ -123,9 +127,9 @@
     known: HashMap<(usize, u32, String), u64>,
     runs: HashMap<usize, u32>,
     lag: u64,
-    /// When an older word of a server was written, and whether any process that ran then had
-    /// seen the server leave.
-    late_words: HashMap<String, (u64, bool)>,
+    /// When an older word of a server was written, and the runs of entries that had seen the
+    /// server leave.
+    late_words: HashMap<String, (u64, Vec<EntryRun>)>,
     /// The servers that ran each request.
     ran: HashMap<String, Vec<String>>,
     /// Requests that were answered as not run.
@@ -161,8 +165,8 @@
                 self.left.entry(server.clone()).or_insert(at);
             }
             RunEvent::LateWord { server } => {
-                let is_known = self.is_known(server);
-                self.late_words.insert(server.clone(), (at, is_known));
+                let knowing = self.knowing(server);
+                self.late_words.insert(server.clone(), (at, knowing));
             }
             RunEvent::Arrived {
                 server,
@@ -233,7 +237,7 @@
         if !is_stable || at <= counted + bound {
             verdict.excused.0 += 1;
             verdict.excused.1 = verdict.excused.1.max(late);
-        } else if word.is_some_and(|(_, is_known)| !is_known) {
+        } else if word.is_some_and(|(_, knowing)| !self.is_any_running(knowing)) {
             verdict.forgotten += 1;
         } else {
             let word = word.map(|(at, _)| at);
@@ -285,10 +289,19 @@
         }
     }
 
-    /// Whether any process that runs has seen `server` leave.
-    fn is_known(&self, server: &str) -> bool {
-        let mut runs = self.runs.iter();
-        runs.any(|(entry, run)| self.known.contains_key(&(*entry, *run, server.to_owned())))
+    /// The runs that have seen `server` leave.
+    fn knowing(&self, server: &str) -> Vec<EntryRun> {
+        let runs = self.runs.iter().map(|(entry, run)| (*entry, *run));
+        let knows = |(entry, run): &EntryRun| {
+            let key = (*entry, *run, server.to_owned());
+            self.known.contains_key(&key)
+        };
+        runs.filter(knows).collect()
+    }
+
+    fn is_any_running(&self, runs: &[EntryRun]) -> bool {
+        let mut runs = runs.iter();
+        runs.any(|(entry, run)| self.runs.get(entry) == Some(run))
     }
 
     fn on_line(
--- a/crates/place/tests/departed.rs
+++ b/crates/place/tests/departed.rs
@@ -15,6 +15,8 @@
 use place::prelude::*;
 
 const DRAIN: Duration = Duration::from_millis(3000);
+/// What is left of it for the other entries to hear.
+const TELLING: Duration = Duration::from_millis(600);
 
 fn catalog() -> ServerCatalog {
     ServerCatalog::new(domains()).with_drain(DRAIN)
@@ -201,7 +203,7 @@
                 break;
             }
         }
-        let is_in_time = gone_after.is_some_and(|after| after <= DRAIN);
+        let is_in_time = gone_after.is_some_and(|after| after <= DRAIN - TELLING);
         assert!(is_in_time, "a failed call each {gap} ms: {gone_after:?}");
     }
 }
@@ -437,8 +439,9 @@
 #[test]
 fn an_older_word_is_told_with_the_servers_end() {
     let start = Instant::now();
-    let ends = [Departure::of(&leaving("x", 11))];
-    for hears_first in [false, true] {
+    let told = [leaving("x", 11), ready("x", 11)];
+    for (last, hears_first) in told.iter().flat_map(|last| [(last, false), (last, true)]) {
+        let ends = [Departure::of(last)];
         let mut lead = RegistryLog::default();
         lead.on_read(&reading(start, &[ready("y", 3)]), changes());
         let mut follower = catalog();
