Count and log headers of servers that are not read

Cause: a server described itself in a header that no code reads, and nothing in logs or metrics showed it, so the hypotheses on LIMIT could not be told apart. Change: laurelhill_unread_headers_total by name (16 names at most), one warning for each new name. Measured: unread_server_header_is_unnoticed and each_metric_has_its_row pass; the first can't pass before, the metric is new.

--- a/bin/lh-entry/src/job.rs
+++ b/bin/lh-entry/src/job.rs
@@ -301,6 +301,10 @@
             self.record.on_attempt_result("answer to another request");
             return AttemptResult::Broken;
         }
+        let server = &guard.placement.id;
+        self.state
+            .header_audit
+            .on_response(server, &parts.headers, &self.state.metrics);
         if head.not_executed {
             let outcome = if parts.status == StatusCode::MISDIRECTED_REQUEST {
                 ServerOutcome::Misdirected
--- a/bin/lh-entry/src/lib.rs
+++ b/bin/lh-entry/src/lib.rs
@@ -20,6 +20,7 @@
 mod fingerprint;
 mod fleet;
 mod handler;
+mod header_audit;
 mod homes;
 mod internal;
 mod job;
--- a/bin/lh-entry/src/metrics.rs
+++ b/bin/lh-entry/src/metrics.rs
@@ -48,6 +48,7 @@
     pub(crate) lead_conflicts: IntCounter,
     bad_datagrams: IntCounter,
     broken_off: IntCounterVec,
+    unread_headers: IntCounterVec,
     pub(crate) connections: IntGauge,
 }
 
@@ -207,6 +208,13 @@
             ),
             &["service", "server"],
         )?;
+        let unread_headers = IntCounterVec::new(
+            Opts::new(
+                "laurelhill_unread_headers_total",
+                "Headers in which servers describe themselves and that are not read, by name",
+            ),
+            &["header"],
+        )?;
         let connections = IntGauge::new("laurelhill_caller_connections", "Open connections")?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(good.clone()))?;
@@ -236,6 +244,7 @@
         registry.register(Box::new(lead_conflicts.clone()))?;
         registry.register(Box::new(bad_datagrams.clone()))?;
         registry.register(Box::new(broken_off.clone()))?;
+        registry.register(Box::new(unread_headers.clone()))?;
         registry.register(Box::new(connections.clone()))?;
         Ok(Self {
             registry,
@@ -267,6 +276,7 @@
             lead_conflicts,
             bad_datagrams,
             broken_off,
+            unread_headers,
             connections,
         })
     }
@@ -328,6 +338,11 @@
         self.broken_off.with_label_values(&[service, server]).inc();
     }
 
+    /// Records a header of a server that is not read.
+    pub(crate) fn on_unread_header(&self, name: &str) {
+        self.unread_headers.with_label_values(&[name]).inc();
+    }
+
     /// Records a refused request.
     pub(crate) fn on_refusal(&self, reason: &str) {
         self.refusals.with_label_values(&[reason]).inc();
--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -29,6 +29,7 @@
 use crate::config::EntryConfig;
 use crate::crash::CrashProbes;
 use crate::fleet::FleetDriver;
+use crate::header_audit::HeaderAudit;
 use crate::homes::HomeRegionTable;
 use crate::load_reports::LoadReporter;
 use crate::logs::LogRateLimiter;
@@ -89,6 +90,8 @@
     /// Tracks servers that aborted requests.
     pub(crate) crashes: CrashProbes,
     pub(crate) metrics: EntryMetrics,
+    /// Finds headers of servers that are not read.
+    pub(crate) header_audit: HeaderAudit,
     pub(crate) stop: Cell<StopPhase>,
     pub(crate) stopping: tokio::sync::watch::Sender<StopPhase>,
     pub(crate) in_flight: Rc<Cell<usize>>,
@@ -139,6 +142,7 @@
             pool: ConnectionPool::new(config.connect),
             crashes: CrashProbes::default(),
             metrics,
+            header_audit: HeaderAudit::default(),
             stop: Cell::new(StopPhase::Serving),
             stopping,
             in_flight: Rc::default(),
--- a/bin/lh-entry/tests/pages.rs
+++ b/bin/lh-entry/tests/pages.rs
@@ -74,6 +74,7 @@
     let state = with_teams(desired_state(6, &[BOARD, DESK]), &[team], &["board"]);
     world.store.put("op", "config", &state);
     let entry = EntryProcess::ready(&world, "n1").await;
+    world.backends[0].set_extra_headers(&[("Server-Mood", "weary")]);
     entry.send("GET", "/board/x", "a").await;
     world.backends[0].set_behavior(Behavior::Break);
     entry.send("GET", "/board/x", "broken-off").await;
--- a/bin/lh-entry/tests/requests.rs
+++ b/bin/lh-entry/tests/requests.rs
@@ -338,3 +338,21 @@
     assert!(metrics.contains(count), "{metrics}");
     assert_eq!(BOARD.name, "board");
 }
+
+/// A header in which servers describe themselves and that isn't read is counted, and logged
+/// once.
+#[tokio::test]
+async fn unread_server_header_is_unnoticed() {
+    let world = World::new(1).await;
+    world.backends[0].set_extra_headers(&[("Server-Mood", "weary")]);
+    let entry = EntryProcess::ready(&world, "n1").await;
+    for id in ["first", "second"] {
+        assert_eq!(entry.send("GET", "/board/x", id).await.status, 200);
+    }
+    let counted = "laurelhill_unread_headers_total{header=\"server-mood\"} 2";
+    assert!(entry.metrics().await.contains(counted));
+    until("the header is logged", async || {
+        entry.logged("header of servers is not read").len() == 1
+    })
+    .await;
+}
