Keep all entries together within the rate limits that servers name

Cause: a limit that a server names in its responses was dropped with the other headers, so the server got as many requests as before, from each entry. Ruled out: a limit that each entry keeps for itself, or forgets: the rate of the server was the same before and after, and the new counter shows the header as unread from the first response on. Change: place::statement holds what a run has said of itself, by run, whatever becomes of its row. Whether a request may be sent is asked there when a server is chosen and again right before sending. A limit is a token bucket that stands for all entries; each request that takes a token is told to the others at once, and a draw in slots of a message's time keeps them from taking the same one. Refusals say when there is a token. platform/ only reads the header.

--- a/bin/lh-entry/src/fleet.rs
+++ b/bin/lh-entry/src/fleet.rs
@@ -17,6 +17,7 @@
 
 use crate::error::{Error, Result};
 use crate::state::InstanceState;
+use crate::statements;
 use crate::view::ViewClient;
 use crate::{load_reports, quarantine, rollout, view, watch as store_watch};
 
@@ -180,6 +181,9 @@
                 next_report_at = Instant::now() + load_reports::send_reports(&state, &socket).await;
             }
             () = state.load_reports.wake.notified() => next_report_at = Instant::now(),
+            () = state.urgent_reports.due() => {
+                statements::send_urgent_report(&state, &socket).await;
+            }
             () = state.rollouts.verdict.notified() => {
                 rollout::send_reports(&state, &socket, &load_reports::all_recipients(&state)).await;
             }
@@ -249,6 +253,9 @@
             let mut placer = state.placer.borrow_mut();
             placer.on_peer_load(now, report.entry, report.report);
         }
+        Ok(PeerMessage::Statements(message)) => {
+            statements::on_peer_report(state, from, &message, stall.unwrap_or_default());
+        }
         Ok(PeerMessage::Rollout(report)) => state.rollouts.on_peer_counts(&report),
         Ok(mut message) => {
             if let (PeerMessage::Digest(digest), Some(span)) = (&mut message, stall) {
--- a/bin/lh-entry/src/header_audit.rs
+++ b/bin/lh-entry/src/header_audit.rs
@@ -2,11 +2,13 @@
 
 use std::cell::RefCell;
 use std::collections::HashSet;
+use std::time::Instant;
 
 use hyper::HeaderMap;
 use hyper::header::HeaderName;
 use platform::headers;
 
+use crate::logs::LogRateLimiter;
 use crate::metrics::EntryMetrics;
 
 /// Number of header names that are counted by name, since servers choose the names.
@@ -18,6 +20,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct HeaderAudit {
     names: RefCell<HashSet<HeaderName>>,
+    invalid_log_limit: LogRateLimiter,
 }
 
 impl HeaderAudit {
@@ -36,4 +39,12 @@
             }
         }
     }
+
+    /// Counts a header of a response of `server` whose value makes no sense, and logs it.
+    pub(crate) fn on_invalid(&self, server: &str, name: &HeaderName, metrics: &EntryMetrics) {
+        metrics.on_unread_header(name.as_str());
+        if self.invalid_log_limit.take(Instant::now()) {
+            log::warn!(server, header = name.as_str(); "header of server ignored: its value makes no sense");
+        }
+    }
 }
--- a/bin/lh-entry/src/job.rs
+++ b/bin/lh-entry/src/job.rs
@@ -30,6 +30,7 @@
 };
 use crate::rollout;
 use crate::state::InstanceState;
+use crate::statements;
 
 /// Number of attempts that could not send the request after which a further attempt is limited
 /// like a retry.
@@ -201,6 +202,7 @@
                 .with_remaining(self.deadline_at.saturating_duration_since(now))
         };
         let placement = rollout::place(&self.state, now, &request)?;
+        self.state.urgent_reports.on_sent(&placement);
         self.progress.tried.push(placement.handle);
         let (part, object) = (self.part, self.object);
         Ok(AttemptGuard::new(
@@ -228,10 +230,11 @@
                 return AttemptResult::Unsent;
             }
         };
-        if !self.may_send(&guard.placement, body) {
+        if !self.may_send(&mut guard.placement, body) {
             guard.finish(ServerOutcome::Withdrawn, None);
-            self.record
-                .on_attempt_result("not sent: server left or request was quarantined meanwhile");
+            self.record.on_attempt_result(
+                "not sent: server left or has no room, or request was quarantined meanwhile",
+            );
             return AttemptResult::Unsent;
         }
         if matches!(body, JobBody::Streamed(_)) {
@@ -277,14 +280,16 @@
     }
 
     /// Whether the request may still be sent to the server after the time it took to connect.
-    fn may_send(&mut self, placement: &Placement, body: &JobBody) -> bool {
-        let is_current = self
-            .state
-            .placer
-            .borrow()
-            .catalog
-            .may_send(placement.handle);
-        is_current && self.quarantine_refusal(body).is_none()
+    fn may_send(&mut self, placement: &mut Placement, body: &JobBody) -> bool {
+        if self.quarantine_refusal(body).is_some() {
+            return false;
+        }
+        let mut placer = self.state.placer.borrow_mut();
+        let may_send = placer.may_send(Instant::now(), placement);
+        if may_send {
+            self.state.urgent_reports.on_sent(placement);
+        }
+        may_send
     }
 
     async fn handle_response(
@@ -301,10 +306,7 @@
             self.record.on_attempt_result("answer to another request");
             return AttemptResult::Broken;
         }
-        let server = &guard.placement.id;
-        self.state
-            .header_audit
-            .on_response(server, &parts.headers, &self.state.metrics);
+        statements::on_response(&self.state, &guard.placement, &head, &parts.headers);
         if head.not_executed {
             let outcome = if parts.status == StatusCode::MISDIRECTED_REQUEST {
                 ServerOutcome::Misdirected
--- a/bin/lh-entry/src/lib.rs
+++ b/bin/lh-entry/src/lib.rs
@@ -35,6 +35,7 @@
 mod reply;
 mod rollout;
 mod state;
+mod statements;
 mod status;
 mod stop;
 mod suspect;
--- a/bin/lh-entry/src/load_reports.rs
+++ b/bin/lh-entry/src/load_reports.rs
@@ -16,6 +16,7 @@
 use crate::fleet::send;
 use crate::rollout;
 use crate::state::InstanceState;
+use crate::statements;
 
 /// Interval at which an idle entry checks whether it gets requests.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(600);
@@ -61,7 +62,7 @@
     if is_listed || is_used {
         state.load_reports.final_reports.replace(FINAL_REPORTS);
     } else if !is_needed || state.load_reports.final_reports.take() == 0 {
-        return IDLE_CHECK_INTERVAL;
+        return send_unlisted(state, socket).await;
     }
     let left = *state.load_reports.final_reports.borrow();
     state
@@ -95,10 +96,23 @@
         &message(state, report.for_other_regions(), quota),
     )
     .await;
-    rollout::send_reports(state, socket, &[near, far].concat()).await;
+    let targets = [near, far].concat();
+    statements::send_report(state, socket, &targets).await;
+    rollout::send_reports(state, socket, &targets).await;
     load_interval(count)
 }
 
+/// Sends the report of an entry that is not listed but still has callers: without it, it must not
+/// use servers with a rate limit. Returns the time until the next report.
+async fn send_unlisted(state: &InstanceState, socket: &UdpSocket) -> Duration {
+    let targets = all_recipients(state);
+    if statements::send_report(state, socket, &targets).await {
+        load_interval(targets.len() as u32)
+    } else {
+        IDLE_CHECK_INTERVAL
+    }
+}
+
 /// Returns the addresses of all other entries that get requests.
 pub(crate) fn all_recipients(state: &InstanceState) -> Vec<SocketAddr> {
     let (near, far) = recipients(state);
--- a/bin/lh-entry/src/metrics.rs
+++ b/bin/lh-entry/src/metrics.rs
@@ -49,6 +49,8 @@
     bad_datagrams: IntCounter,
     broken_off: IntCounterVec,
     unread_headers: IntCounterVec,
+    /// Servers that name a rate limit.
+    pub(crate) limited_servers: IntGauge,
     pub(crate) connections: IntGauge,
 }
 
@@ -215,6 +217,10 @@
             ),
             &["header"],
         )?;
+        let limited_servers = IntGauge::new(
+            "laurelhill_limited_servers",
+            "Servers that name a rate limit in their responses",
+        )?;
         let connections = IntGauge::new("laurelhill_caller_connections", "Open connections")?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(good.clone()))?;
@@ -245,6 +251,7 @@
         registry.register(Box::new(bad_datagrams.clone()))?;
         registry.register(Box::new(broken_off.clone()))?;
         registry.register(Box::new(unread_headers.clone()))?;
+        registry.register(Box::new(limited_servers.clone()))?;
         registry.register(Box::new(connections.clone()))?;
         Ok(Self {
             registry,
@@ -277,6 +284,7 @@
             bad_datagrams,
             broken_off,
             unread_headers,
+            limited_servers,
             connections,
         })
     }
--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -36,6 +36,7 @@
 use crate::metrics::EntryMetrics;
 use crate::pool::ConnectionPool;
 use crate::rollout::RolloutState;
+use crate::statements::UrgentReporter;
 use crate::stop::StopPhase;
 use crate::suspension::SuspensionDetector;
 use crate::ticket::TicketTable;
@@ -80,6 +81,8 @@
     pub(crate) fairness: RefCell<FairnessRanker>,
     /// Exchange of load reports with other entries.
     pub(crate) load_reports: LoadReporter,
+    /// Reports of requests to servers with a rate limit.
+    pub(crate) urgent_reports: UrgentReporter,
     /// Measures the rate of callers' requests.
     pub(crate) request_meter: RefCell<RateMeter>,
     /// Request rate per second that was last advertised to other entries.
@@ -136,6 +139,7 @@
             quota: RefCell::new(quota_limiter(&config, incarnation)),
             fairness: RefCell::default(),
             load_reports: LoadReporter::default(),
+            urgent_reports: UrgentReporter::default(),
             request_meter: RefCell::default(),
             advertised_rate: Cell::new(0),
             homes: RefCell::default(),
--- /dev/null
+++ b/bin/lh-entry/src/statements.rs
@@ -0,0 +1,143 @@
+//! What servers say of themselves: takes it out of their responses, and exchanges it with other
+//! entries.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use hyper::HeaderMap;
+use place::fleet::message::{PeerMessage, StatementMessage};
+use place::rank::stable_hash;
+use place::request::Placement;
+use place::statement::StatementChange;
+use place::statement::message::StatementReport;
+use platform::headers::{self, ServerHeaders};
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::time::sleep_until;
+
+use crate::fleet::send;
+use crate::load_reports::all_recipients;
+use crate::state::InstanceState;
+
+/// Minimum interval between two urgent reports, for each entry that receives them: a large fleet
+/// gets at most 400 datagrams a second from an entry.
+const URGENT_INTERVAL_PER_ENTRY: Duration = Duration::from_micros(2500);
+
+/// When an entry tells the others at once of requests to servers with a rate limit.
+#[derive(Debug, Default)]
+pub(crate) struct UrgentReporter {
+    /// Notified when such a request is sent.
+    wake: Notify,
+    /// Earliest time of the next report.
+    next_at: Cell<Option<Instant>>,
+}
+
+impl UrgentReporter {
+    /// Records that the request of `placement` is sent.
+    pub(crate) fn on_sent(&self, placement: &Placement) {
+        if placement.uses_limit {
+            self.wake.notify_one();
+        }
+    }
+
+    /// Waits until an urgent report is due.
+    pub(crate) async fn due(&self) {
+        self.wake.notified().await;
+        // A cancelled wait must not lose the notification.
+        self.wake.notify_one();
+        if let Some(next_at) = self.next_at.get() {
+            sleep_until(next_at.into()).await;
+        }
+        self.wake.notified().await;
+    }
+}
+
+/// Records what the response to the request of `placement` says of its server.
+pub(crate) fn on_response(
+    state: &InstanceState,
+    placement: &Placement,
+    head: &ServerHeaders,
+    response_headers: &HeaderMap,
+) {
+    let server = placement.id.as_str();
+    state
+        .header_audit
+        .on_response(server, response_headers, &state.metrics);
+    for name in &head.invalid {
+        state.header_audit.on_invalid(server, name, &state.metrics);
+    }
+    if headers::parse_instance_id(response_headers).is_some_and(|id| id != server) {
+        // The answer is another server's.
+        return;
+    }
+    let mut placer = state.placer.borrow_mut();
+    let change = placer.on_statement(Instant::now(), placement, &head.statement);
+    match change {
+        Some(StatementChange::Limited(rate)) => {
+            log::info!(server, rate; "server names a rate limit");
+        }
+        Some(StatementChange::Unlimited) => {
+            log::info!(server; "server names no rate limit any more");
+        }
+        None => return,
+    }
+    let limited = placer.statements().limited_count();
+    state.metrics.limited_servers.set(limited as i64);
+}
+
+/// Sends the entries at `targets` what is known of servers, if they have to know it. Returns
+/// whether there was anything to send.
+pub(crate) async fn send_report(
+    state: &InstanceState,
+    socket: &UdpSocket,
+    targets: &[SocketAddr],
+) -> bool {
+    let report = state.placer.borrow_mut().own_statements(Instant::now());
+    send_statements(state, socket, targets, report).await
+}
+
+/// Tells all other entries of the requests that this one has just sent to servers with a rate
+/// limit.
+pub(crate) async fn send_urgent_report(state: &InstanceState, socket: &UdpSocket) {
+    let now = Instant::now();
+    let targets = all_recipients(state);
+    let interval = URGENT_INTERVAL_PER_ENTRY * targets.len() as u32;
+    state.urgent_reports.next_at.set(Some(now + interval));
+    let report = state.placer.borrow_mut().urgent_statements(now);
+    send_statements(state, socket, &targets, report).await;
+}
+
+async fn send_statements(
+    state: &InstanceState,
+    socket: &UdpSocket,
+    targets: &[SocketAddr],
+    report: StatementReport,
+) -> bool {
+    if report.limits.is_empty() {
+        return false;
+    }
+    let message = PeerMessage::Statements(StatementMessage {
+        entry: stable_hash(state.config.instance.as_bytes()),
+        report,
+    });
+    send(socket, targets, &message).await;
+    true
+}
+
+/// Applies the report of another entry at `from`, listed or not, that may have waited in the
+/// socket for `stall`.
+pub(crate) fn on_peer_report(
+    state: &InstanceState,
+    from: SocketAddr,
+    message: &StatementMessage,
+    stall: Duration,
+) {
+    let now = Instant::now();
+    state.load_reports.on_peer_report(now, from);
+    let received_at = now.checked_sub(stall).unwrap_or(now);
+    let mut placer = state.placer.borrow_mut();
+    placer.on_peer_statements(received_at, message.entry, &message.report);
+    let limited = placer.statements().limited_count();
+    state.metrics.limited_servers.set(limited as i64);
+}
--- a/bin/lh-entry/src/status.rs
+++ b/bin/lh-entry/src/status.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use place::catalog::{ServerCatalog, ServerCondition};
+use place::catalog::ServerCondition;
+use place::prelude::RequestPlacer;
 use place::server::ServerRecord;
 use rollout::order::RolloutRecord;
 use serde::Serialize;
@@ -79,6 +80,9 @@
     occupancy: f64,
     failure_rate: f64,
     speed: f64,
+    /// Requests per second that the server takes from all entries together, if it names a limit.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    rate_limit: Option<f64>,
 }
 
 fn rollouts(now: Instant, state: &InstanceState) -> Vec<RolloutStatus> {
@@ -115,7 +119,7 @@
             .iter()
             .filter(|record| record.entry.service == service);
         known
-            .map(|record| server_status(now, catalog, record))
+            .map(|record| server_status(now, &placer, record))
             .collect()
     });
     let answer = StatusAnswer {
@@ -154,16 +158,17 @@
     })
 }
 
-fn server_status(now: Instant, catalog: &ServerCatalog, record: &ServerRecord) -> ServerStatus {
+fn server_status(now: Instant, placer: &RequestPlacer, record: &ServerRecord) -> ServerStatus {
     ServerStatus {
         server: record.entry.id.clone(),
         address: record.entry.address.to_string(),
         domain: record.entry.domain.clone(),
-        state: catalog.condition(now, record).as_str(),
+        state: placer.catalog.condition(now, record).as_str(),
         slots: record.entry.slots,
         in_flight: record.in_flight,
         occupancy: record.occupancy(now),
         failure_rate: record.failure_rate(now),
         speed: record.speed(now),
+        rate_limit: placer.statements().limit(record.hash),
     }
 }
--- a/crates/place/src/catalog/mod.rs
+++ b/crates/place/src/catalog/mod.rs
@@ -298,6 +298,11 @@
         self.table.indexes_by_short_id(short_id)
     }
 
+    /// The record at `record_index`.
+    pub(crate) fn by_index(&self, record_index: usize) -> Option<&ServerRecord> {
+        self.table.by_index(record_index)
+    }
+
     /// The record at `record_index`, mutable.
     pub(crate) fn by_index_mut(&mut self, record_index: usize) -> Option<&mut ServerRecord> {
         self.table.by_index_mut(record_index)
--- a/crates/place/src/fleet/message.rs
+++ b/crates/place/src/fleet/message.rs
@@ -11,6 +11,7 @@
 use crate::fleet::list::ListVersion;
 use crate::fleet::store_progress::StoreProgressReport;
 use crate::placing::load::LoadReport;
+use crate::statement::message::StatementReport;
 
 base::common! {
     /// A datagram between entries.
@@ -31,6 +32,17 @@
         /// Request outcomes during rollouts. Sent among entries that receive requests,
         /// and to leads.
         Rollout(RolloutMessage),
+        /// What servers said of themselves. Sent among entries that receive requests.
+        Statements(StatementMessage),
+    }
+
+    /// Statements of servers as known to an entry.
+    #[derive(Eq)]
+    pub struct StatementMessage {
+        /// Hash of the entry's name.
+        pub entry: u64,
+        /// The statements.
+        pub report: StatementReport,
     }
 
     /// An entry's requests by server.
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -2,8 +2,8 @@
 //! backend servers, and load balancing among them.
 //!
 //! [`fleet`] is the protocol by which entries exchange their state and follow the store,
-//! [`placing`] selects a server for a request, and [`limits`] enforces limits shared by all
-//! entries. The other modules define the types that these work on.
+//! [`placing`] selects a server for a request, [`limits`] enforces limits shared by all
+//! entries, and [`statement`] holds what servers say of themselves. The other modules define the types that these work on.
 //!
 //! All code here is deterministic decision logic without sockets, clocks, threads or unseeded
 //! randomness. Callers pass `now`, so the same code runs in the daemon and in tests under
@@ -24,3 +24,4 @@
 pub mod routes;
 pub mod server;
 pub mod snapshot;
+pub mod statement;
--- a/crates/place/src/limits/refusal.rs
+++ b/crates/place/src/limits/refusal.rs
@@ -7,6 +7,8 @@
 /// Minimum and maximum delay before that, in seconds. Callers wait a third of their deadline at
 /// most, usually about a second.
 const RETRY_AFTER_RANGE: (f64, f64) = (0.15, 0.9);
+/// Maximum delay if servers said when they take requests again, in seconds.
+const MAX_STATED_DELAY: f64 = 60.0;
 /// Delay if it isn't known when capacity is expected, in seconds.
 const DEFAULT_WAIT: f64 = 0.4;
 
@@ -25,7 +27,10 @@
     /// A refusal for `reason` if capacity is expected in `available_in` seconds.
     pub fn refusal(&mut self, reason: RefusalReason, available_in: Option<f64>) -> Refusal {
         let jitter = self.random_fraction();
-        let (min_delay, max_delay) = RETRY_AFTER_RANGE;
+        let (min_delay, mut max_delay) = RETRY_AFTER_RANGE;
+        if reason == RefusalReason::Limited {
+            max_delay = MAX_STATED_DELAY;
+        }
         let wait = available_in.unwrap_or(DEFAULT_WAIT);
         let seconds = (wait + min_delay * jitter).max(min_delay) * (1.0 + jitter);
         Refusal {
--- a/crates/place/src/placing/candidates.rs
+++ b/crates/place/src/placing/candidates.rs
@@ -7,6 +7,7 @@
 use crate::rank::{pair_weight, stable_hash};
 use crate::request::PlacementRequest;
 use crate::server::ServerRecord;
+use crate::statement::{SendVerdict, StatementTable};
 
 /// A server that could take the request.
 #[derive(Debug, Clone, Copy)]
@@ -35,6 +36,24 @@
     pub localities: usize,
 }
 
+/// Which servers may be candidates, by what they say of themselves.
+#[derive(Debug, Clone, Copy)]
+pub struct StatementFilter<'a> {
+    /// The statements of the servers.
+    pub statements: &'a StatementTable,
+    /// Whether servers are excluded whose rate limits leave no room.
+    pub needs_room: bool,
+}
+
+impl StatementFilter<'_> {
+    fn allows(&self, now: Instant, handle: ServerHandle) -> bool {
+        match self.statements.verdict(now, handle.run()) {
+            SendVerdict::Allowed => true,
+            SendVerdict::NoRoom(_) => !self.needs_room,
+        }
+    }
+}
+
 struct UsableServer<'a> {
     locality: &'a str,
     weight: u64,
@@ -61,6 +80,8 @@
     pub preferred_ranks: usize,
     /// Short ids of servers that recently handled the object.
     pub holders: &'a [u32],
+    /// Excludes servers by their statements.
+    pub filter: StatementFilter<'a>,
 }
 
 /// Returns the preferred servers of each locality and those that recently handled the object.
@@ -84,7 +105,8 @@
             };
             let is_known = ranked.candidates.iter().any(|known| known.handle == handle);
             let is_other = record.entry.service != query.service;
-            if is_known || is_other || !is_usable(now, handle, record, query.request) {
+            if is_known || is_other || !is_usable(now, handle, record, query.request, &query.filter)
+            {
                 continue;
             }
             let rank = query.preferred_ranks;
@@ -110,7 +132,7 @@
         let Some((handle, record)) = catalog.open_by_index(*record_index) else {
             continue;
         };
-        if !is_usable(now, handle, record, query.request) {
+        if !is_usable(now, handle, record, query.request, &query.filter) {
             continue;
         }
         found.push(Candidate { handle, rank });
@@ -126,12 +148,14 @@
     handle: ServerHandle,
     record: &ServerRecord,
     request: &PlacementRequest<'_>,
+    filter: &StatementFilter<'_>,
 ) -> bool {
     let homes = request.homes;
     !request.tried.contains(&handle)
         && !record.is_backing_off(now)
         && request.versions.allows(&record.entry.version)
         && (homes.is_empty() || homes.contains(&record.region))
+        && filter.allows(now, handle)
 }
 
 /// Returns the usable servers of `service`, ranked for the request's object within each region
@@ -143,13 +167,14 @@
     service: &str,
     request: &PlacementRequest<'_>,
     scope: RankScope,
+    filter: &StatementFilter<'_>,
 ) -> RankedServers {
     let object = request
         .object
         .unwrap_or_else(|| stable_hash(request.route.name.as_bytes()));
     let mut usable = Vec::new();
     for (handle, record) in catalog.open_servers(service) {
-        if !is_usable(now, handle, record, request) {
+        if !is_usable(now, handle, record, request, filter) {
             continue;
         }
         usable.push(UsableServer {
--- a/crates/place/src/placing/load.rs
+++ b/crates/place/src/placing/load.rs
@@ -69,14 +69,27 @@
     (LOAD_INTERVAL_PER_ENTRY * in_region).max(MIN_LOAD_INTERVAL)
 }
 
+/// Time within which an entry with `in_region` others in its region and `in_other_regions`
+/// elsewhere sends a report to all of them.
+pub fn report_interval(in_region: u32, in_other_regions: u32) -> Duration {
+    let reports = reports_per_far_report(in_region, in_other_regions);
+    load_interval(in_region) * u32::try_from(reports).unwrap_or(u32::MAX)
+}
+
 /// Whether report number `round` of an entry with `in_region` others in its region is also
 /// sent to the `in_other_regions` entries of other regions.
 pub fn is_sent_to_other_regions(round: u32, in_region: u32, in_other_regions: u32) -> bool {
+    let reports = reports_per_far_report(in_region, in_other_regions);
+    u128::from(round).is_multiple_of(reports)
+}
+
+/// One report in this many also goes to the entries of other regions.
+fn reports_per_far_report(in_region: u32, in_other_regions: u32) -> u128 {
     let interval = OTHER_REGION_LOAD_INTERVAL_PER_ENTRY * in_other_regions;
     let reports = interval
         .as_millis()
         .div_ceil(load_interval(in_region).as_millis());
-    u128::from(round).is_multiple_of(reports.max(1))
+    reports.max(1)
 }
 
 impl PeerLoads {
--- a/crates/place/src/placing/placer.rs
+++ b/crates/place/src/placing/placer.rs
@@ -17,18 +17,20 @@
 use crate::limits::split::TrafficSplitter;
 use crate::placing::cache_likelihood::{DISTINCT_RANKS, HandledObjects};
 use crate::placing::candidates::{
-    CandidateQuery, RankScope, RankedServers, ranked_candidates, top_candidates,
+    CandidateQuery, RankScope, RankedServers, StatementFilter, ranked_candidates, top_candidates,
 };
 use crate::placing::choice::{
     ByteCosts, ChoiceContext, MIN_HOLDER_LIKELIHOOD, ServerChoice, max_preferred_count, rank_scope,
 };
-use crate::placing::load::{LoadReport, PeerLoads, own_load};
+use crate::placing::load::{LoadReport, PeerLoads, own_load, report_interval, short_id};
 use crate::placing::timing::millis;
 use crate::placing::work::RouteWorkTable;
 use crate::request::{
     Placement, PlacementReason, PlacementRequest, Refusal, RefusalReason, ServerOutcome,
 };
 use crate::server::{EntryState, ServerRecord, ServerReport};
+use crate::statement::message::StatementReport;
+use crate::statement::{SendVerdict, ServerStatement, StatementChange, StatementTable};
 
 /// A server that rejects a request as full is assumed to hold this many times its slots.
 const REJECTED_LOAD_FACTOR: f64 = 3.0;
@@ -72,6 +74,8 @@
     config: PlacerConfig,
     /// The known servers.
     pub catalog: ServerCatalog,
+    /// What the servers say of themselves.
+    statements: StatementTable,
     services: HashMap<String, ServiceSpec>,
     splitter: TrafficSplitter,
     budget: RetryBudget,
@@ -96,6 +100,7 @@
             catalog: ServerCatalog::new(config.domains.clone())
                 .with_location(&config.domain, &config.region)
                 .with_drain(config.drain),
+            statements: StatementTable::new(config.own),
             services: HashMap::new(),
             splitter: TrafficSplitter::default(),
             budget: RetryBudget::new(config.budget),
@@ -126,6 +131,7 @@
     pub fn set_standby(&mut self, standby: bool) {
         self.standby = standby;
         self.budget.set_slack(!standby);
+        self.statements.set_informed(!standby);
     }
 
     /// Sets the hashes of all entries that receive requests, and the number of others in the
@@ -136,6 +142,11 @@
         entries.dedup();
         self.budget.set_entries(entries.len());
         self.shift_limiter.retain_peers(&entries);
+        let in_other_regions = entries.len().saturating_sub(in_region + 1);
+        self.statements.set_others(
+            entries.len() - 1,
+            report_interval(in_region as u32, in_other_regions as u32),
+        );
         self.entries = entries;
         self.region_entries = in_region + 1;
     }
@@ -157,6 +168,69 @@
         }
     }
 
+    /// Records what an answer to the request of `placement` says of its server, and returns the
+    /// change.
+    pub fn on_statement(
+        &mut self,
+        now: Instant,
+        placement: &Placement,
+        statement: &ServerStatement,
+    ) -> Option<StatementChange> {
+        let run = placement.handle.run();
+        self.statements.on_answer(now, run, statement)
+    }
+
+    /// Applies what the entry with the hash `entry` reports of servers.
+    pub fn on_peer_statements(&mut self, now: Instant, entry: u64, report: &StatementReport) {
+        for limit in &report.limits {
+            let indexes = self.catalog.indexes_by_short_id(limit.server);
+            let records = indexes.filter_map(|index| self.catalog.by_index(index));
+            for run in records.map(|record| record.hash) {
+                self.statements.on_peer_report(now, entry, run, limit);
+            }
+        }
+    }
+
+    /// Returns what this entry reports to the others of servers. Call it as often as
+    /// [`Self::own_load`], and send it unless it is empty.
+    pub fn own_statements(&mut self, now: Instant) -> StatementReport {
+        let catalog = &self.catalog;
+        let is_registered = |run| {
+            let mut indexes = catalog.indexes_by_short_id(short_id(run));
+            indexes.next().is_some()
+        };
+        self.statements.report(now, is_registered)
+    }
+
+    /// Returns what the others must be told at once of requests that this entry sent.
+    pub fn urgent_statements(&mut self, now: Instant) -> StatementReport {
+        self.statements.urgent_report(now)
+    }
+
+    /// What the servers say of themselves.
+    pub fn statements(&self) -> &StatementTable {
+        &self.statements
+    }
+
+    /// Whether the request of `placement` may still be sent: its server may have said or
+    /// announced something while the connection was opened. Call it right before sending.
+    pub fn may_send(&mut self, now: Instant, placement: &mut Placement) -> bool {
+        if !self.catalog.may_send(placement.handle) {
+            return false;
+        }
+        let run = placement.handle.run();
+        if placement.uses_limit || self.statements.limit(run).is_none() {
+            return true;
+        }
+        // The limit became known after the request was placed.
+        if self.statements.verdict(now, run) != SendVerdict::Allowed {
+            self.statements.on_wanted(now, run);
+            return false;
+        }
+        placement.uses_limit = self.statements.on_sent(now, run);
+        true
+    }
+
     /// The longest warm-up time of any service.
     pub fn longest_warmup(&self) -> Duration {
         let warmups = self.services.values().map(|service| service.warmup);
@@ -214,13 +288,15 @@
             self.work.get_or_insert(request.route),
             &self.config.costs,
         );
-        let top_ranked = self.top_ranked(now, request, service, scope);
-        let ranked = top_ranked
-            .unwrap_or_else(|| ranked_candidates(now, &self.catalog, service, request, scope));
+        let mut ranked = self.ranked(now, request, service, scope, false);
         if ranked.candidates.is_empty() {
             return Err(self.jitter.refusal(RefusalReason::NoServer, None));
         }
-        let unbounded = self.choose(now, request, service, &ranked, None);
+        let mut unbounded = self.choose(now, request, service, &ranked, None);
+        if let Some(room_in) = self.missing_room(now, &ranked, &unbounded) {
+            ranked = self.ranked(now, request, service, scope, true);
+            unbounded = self.choose_with_room(now, request, service, &ranked, room_in);
+        }
         let chosen = self.within_cap(now, request, service, &ranked, unbounded);
         let (handle, reason) =
             chosen.map_err(|(reason, available_in)| self.jitter.refusal(reason, available_in))?;
@@ -228,6 +304,69 @@
         placement.ok_or_else(|| self.jitter.refusal(RefusalReason::NoServer, None))
     }
 
+    /// The servers that can get the request; with `needs_room` only those whose rate limits
+    /// leave room.
+    fn ranked(
+        &mut self,
+        now: Instant,
+        request: &PlacementRequest<'_>,
+        service: &str,
+        scope: RankScope,
+        needs_room: bool,
+    ) -> RankedServers {
+        let top_ranked = self.top_ranked(now, request, service, scope, needs_room);
+        let filter = StatementFilter {
+            statements: &self.statements,
+            needs_room,
+        };
+        top_ranked.unwrap_or_else(|| {
+            ranked_candidates(now, &self.catalog, service, request, scope, &filter)
+        })
+    }
+
+    /// If the rate limit of the chosen server leaves no room, announces the request for it and
+    /// returns the time until any of the candidates without room has some.
+    fn missing_room(
+        &mut self,
+        now: Instant,
+        ranked: &RankedServers,
+        chosen: &ChoiceResult,
+    ) -> Option<Duration> {
+        let (handle, _) = chosen.as_ref().ok()?;
+        let SendVerdict::NoRoom(wait) = self.statements.verdict(now, handle.run()) else {
+            return None;
+        };
+        self.statements.on_wanted(now, handle.run());
+        let candidates = ranked.candidates.iter();
+        let waits = candidates.filter_map(|candidate| {
+            match self.statements.verdict(now, candidate.handle.run()) {
+                SendVerdict::NoRoom(wait) => Some(wait),
+                SendVerdict::Allowed => None,
+            }
+        });
+        waits.min().or(Some(wait))
+    }
+
+    /// Chooses among `ranked`, whose servers have room within their rate limits. Others have
+    /// room in `room_in`.
+    fn choose_with_room(
+        &self,
+        now: Instant,
+        request: &PlacementRequest<'_>,
+        service: &str,
+        ranked: &RankedServers,
+        room_in: Duration,
+    ) -> ChoiceResult {
+        let chosen = self.choose(now, request, service, ranked, None);
+        chosen.map_err(|(reason, available_in)| {
+            let room_in = room_in.as_secs_f64();
+            if !ranked.candidates.is_empty() && available_in.is_some_and(|time| time < room_in) {
+                return (reason, available_in);
+            }
+            (RefusalReason::Limited, Some(room_in))
+        })
+    }
+
     /// The only servers that can get the request, if the service has many servers and these can
     /// be determined without evaluating all. If none of them has capacity, the refusal says
     /// when they will have it, since no other server would take the request then either.
@@ -237,6 +376,7 @@
         request: &PlacementRequest<'_>,
         service: &str,
         scope: RankScope,
+        needs_room: bool,
     ) -> Option<RankedServers> {
         if self.catalog.server_count(service) <= MAX_FULL_SCAN {
             return None;
@@ -259,6 +399,10 @@
             scope,
             preferred_ranks,
             holders: self.handled_objects.holders(object),
+            filter: StatementFilter {
+                statements: &self.statements,
+                needs_room,
+            },
         };
         let ranked = top_candidates(now, &mut self.catalog, &query)?;
         // An empty result falls back to all servers: these few don't show whether any server
@@ -320,6 +464,12 @@
             let Some(record) = self.catalog.get(candidate.handle) else {
                 continue;
             };
+            // A first choice ignores rate limits, to find out which servers are wanted.
+            let verdict = limiter.map(|_| self.statements.verdict(now, candidate.handle.run()));
+            if let Some(SendVerdict::NoRoom(wait)) = verdict {
+                choice.note_blocked(RefusalReason::Limited, Some(millis(wait)));
+                continue;
+            }
             let cold = record.is_cold(now);
             if cold && !self.may_use_cold(now, record, service) {
                 choice.note_blocked(RefusalReason::Cold, None);
@@ -449,9 +599,11 @@
         if reason.cold {
             self.cold_limiter.on_sent(now, record.hash);
         }
+        let uses_limit = self.statements.on_sent(now, handle.run());
         let placement = Placement::new(now, handle, &record.entry);
         Some(Placement {
             reason,
+            uses_limit,
             ..placement
         })
     }
--- a/crates/place/src/request.rs
+++ b/crates/place/src/request.rs
@@ -87,6 +87,8 @@
     pub version: String,
     /// Why this server was chosen, for the log.
     pub reason: PlacementReason,
+    /// Whether the request was counted against a rate limit of the server.
+    pub uses_limit: bool,
     pub(crate) started: Instant,
 }
 
@@ -99,6 +101,7 @@
             id: entry.id.clone(),
             version: entry.version.clone(),
             reason: PlacementReason::default(),
+            uses_limit: false,
             started: now,
         }
     }
@@ -142,6 +145,8 @@
     ShiftCap,
     /// Servers crashed while they ran this request.
     Quarantined,
+    /// Only servers are left whose rate limits are exhausted.
+    Limited,
 }
 
 impl RefusalReason {
@@ -154,6 +159,7 @@
             Self::Late => "late",
             Self::ShiftCap => "shift-cap",
             Self::Quarantined => "quarantined",
+            Self::Limited => "limited",
         }
     }
 }
--- /dev/null
+++ b/crates/place/src/statement/mod.rs
@@ -0,0 +1,42 @@
+//! What runs of servers say of themselves in their answers, and whether a request may be sent
+//! to one.
+//!
+//! Statements belong to a run and outlive its registration: a row that expires and is listed
+//! again doesn't revoke them.
+
+pub mod message;
+pub mod share;
+mod table;
+
+use std::time::Duration;
+
+pub use table::{StatementChange, StatementTable};
+
+/// What an answer says of the run that sent it.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct ServerStatement {
+    /// The run's rate limit.
+    pub limit: LimitStatement,
+}
+
+/// What an answer says of its server's rate limit.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub enum LimitStatement {
+    /// Nothing.
+    #[default]
+    Unknown,
+    /// The server has no limit.
+    Unlimited,
+    /// The server takes this many requests per second from all entries together.
+    Limited(f64),
+}
+
+/// Whether a request may be sent to a run now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendVerdict {
+    /// It may.
+    Allowed,
+    /// The run's rate limit leaves no room for requests of this entry; room is expected after
+    /// this time.
+    NoRoom(Duration),
+}
--- /dev/null
+++ b/crates/place/src/statement/table.rs
@@ -0,0 +1,296 @@
+//! The statements of all runs that an entry knows of.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use crate::placing::load::short_id;
+use crate::statement::message::{LimitClaim, LimitReport, StatementReport, rounded};
+use crate::statement::share::{LimitShare, ShareTiming};
+use crate::statement::{LimitStatement, SendVerdict, ServerStatement};
+
+/// Maximum number of runs: more than the servers of a large fleet.
+const MAX_RUNS: usize = 16_384;
+/// How long the statements of a run are kept that is not registered and sends no answers.
+const RETENTION: Duration = Duration::from_secs(600);
+/// Maximum number of limits in a report, which fit into one datagram.
+const MAX_REPORTED_LIMITS: usize = 64;
+
+/// A change of what is known of a run, for the log.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum StatementChange {
+    /// The run named a limit, in requests per second.
+    Limited(f64),
+    /// The run no longer names a limit.
+    Unlimited,
+}
+
+/// What is known of the limit of a run.
+#[derive(Debug)]
+struct KnownLimit {
+    /// `None` if the run no longer names a limit.
+    share: Option<LimitShare>,
+    /// When the answer arrived that said so, at whichever entry.
+    stated_at: Instant,
+    /// Whether the answer was one to this entry.
+    is_first_hand: bool,
+    /// When the limit last changed here.
+    changed_at: Instant,
+}
+
+#[derive(Debug)]
+struct RunStatements {
+    heard_at: Instant,
+    limit: Option<KnownLimit>,
+}
+
+/// The statements by run.
+#[derive(Debug)]
+pub struct StatementTable {
+    own: u64,
+    runs: HashMap<u64, RunStatements>,
+    /// Number of runs with a limit.
+    limited: usize,
+    /// Runs with a limit that this entry has used since its last report.
+    unreported: Vec<u64>,
+    timing: ShareTiming,
+    /// Whether the others tell this entry of their requests.
+    is_informed: bool,
+}
+
+impl StatementTable {
+    /// Creates the table of the entry with the hash `own`, which reports to no others.
+    pub fn new(own: u64) -> Self {
+        Self {
+            own,
+            runs: HashMap::new(),
+            limited: 0,
+            unreported: Vec::new(),
+            timing: ShareTiming::new(0, Duration::ZERO),
+            is_informed: true,
+        }
+    }
+
+    /// Sets the number of other entries, and the interval at which all of them get this entry's
+    /// reports.
+    pub fn set_others(&mut self, others: usize, report_interval: Duration) {
+        self.timing = ShareTiming::new(others, report_interval);
+    }
+
+    /// Sets whether the others tell this entry of their requests. Otherwise it doesn't use
+    /// servers with a limit.
+    pub fn set_informed(&mut self, is_informed: bool) {
+        self.is_informed = is_informed;
+    }
+
+    /// Whether a request may be sent to `run` now.
+    pub fn verdict(&self, now: Instant, run: u64) -> SendVerdict {
+        let Some(share) = self.share(run) else {
+            return SendVerdict::Allowed;
+        };
+        if !self.is_informed {
+            return SendVerdict::NoRoom(self.timing.want_time);
+        }
+        let wait = share.wait(now, &self.timing);
+        wait.map_or(SendVerdict::Allowed, SendVerdict::NoRoom)
+    }
+
+    /// The limit of `run` in requests per second, if it has one.
+    pub fn limit(&self, run: u64) -> Option<f64> {
+        self.share(run).map(LimitShare::rate)
+    }
+
+    /// Number of runs with a limit.
+    pub fn limited_count(&self) -> usize {
+        self.limited
+    }
+
+    /// Records what an answer of `run` said, and returns the change.
+    pub fn on_answer(
+        &mut self,
+        now: Instant,
+        run: u64,
+        statement: &ServerStatement,
+    ) -> Option<StatementChange> {
+        let rate = match statement.limit {
+            LimitStatement::Unknown => return None,
+            LimitStatement::Unlimited if !self.runs.contains_key(&run) => return None,
+            LimitStatement::Unlimited => None,
+            LimitStatement::Limited(rate) => Some(rounded(rate)),
+        };
+        self.set_limit(now, (now, true), run, rate)
+    }
+
+    /// Records what the entry `entry` reported of `run`, and returns the change.
+    pub fn on_peer_report(
+        &mut self,
+        now: Instant,
+        entry: u64,
+        run: u64,
+        report: &LimitReport,
+    ) -> Option<StatementChange> {
+        let mut change = None;
+        if let Some(claim) = &report.claim {
+            let stated_at = claim.stated_at(now)?;
+            let known = self.runs.get(&run).and_then(|known| known.limit.as_ref());
+            let is_newer = known.is_none_or(|limit| limit.stated_at < stated_at);
+            if is_newer && (known.is_some() || claim.rate.is_some()) {
+                change = self.set_limit(now, (stated_at, false), run, claim.per_second());
+            }
+        }
+        if let Some(share) = self.share_mut(run) {
+            share.on_peer_use(now, entry, report.own_use());
+        }
+        change
+    }
+
+    /// Records that this entry has a request for `run`, but the run's limit leaves no room.
+    pub fn on_wanted(&mut self, now: Instant, run: u64) {
+        if let Some(share) = self.share_mut(run) {
+            share.on_wanted(now);
+        }
+    }
+
+    /// Counts a request that is sent to `run`. Returns whether the run has a limit.
+    pub fn on_sent(&mut self, now: Instant, run: u64) -> bool {
+        let Some(share) = self.share_mut(run) else {
+            return false;
+        };
+        share.on_sent(now);
+        if !self.unreported.contains(&run) {
+            self.unreported.push(run);
+        }
+        true
+    }
+
+    /// Whether this entry sent requests that the others must be told of at once.
+    pub fn has_unreported(&self) -> bool {
+        !self.unreported.is_empty()
+    }
+
+    /// Returns the report on requests that the others must be told of at once.
+    pub fn urgent_report(&mut self, now: Instant) -> StatementReport {
+        let runs = std::mem::take(&mut self.unreported);
+        let limits = runs.iter().filter_map(|run| {
+            let limit = self.runs.get(run)?.limit.as_ref()?;
+            limit.share.as_ref()?;
+            Some(limit.report(now, *run))
+        });
+        StatementReport {
+            limits: limits.take(MAX_REPORTED_LIMITS).collect(),
+        }
+    }
+
+    /// Returns this entry's periodic report. It repeats what the others may have missed.
+    /// `is_registered` tells whether a run is registered.
+    pub fn report(&mut self, now: Instant, is_registered: impl Fn(u64) -> bool) -> StatementReport {
+        let timing = self.timing;
+        let mut limits = Vec::new();
+        for (run, statements) in &mut self.runs {
+            let Some(limit) = &mut statements.limit else {
+                continue;
+            };
+            if let Some(share) = &mut limit.share {
+                share.expire(now, &timing);
+            }
+            if limit.is_reported(now, &timing) && limits.len() < MAX_REPORTED_LIMITS {
+                limits.push(limit.report(now, *run));
+            }
+        }
+        self.unreported.clear();
+        self.remove_obsolete(now, is_registered);
+        StatementReport { limits }
+    }
+
+    fn set_limit(
+        &mut self,
+        now: Instant,
+        (stated_at, is_first_hand): (Instant, bool),
+        run: u64,
+        rate: Option<f64>,
+    ) -> Option<StatementChange> {
+        let own = self.own;
+        let statements = self.runs.entry(run).or_insert(RunStatements {
+            heard_at: now,
+            limit: None,
+        });
+        statements.heard_at = now;
+        let limit = statements.limit.get_or_insert(KnownLimit {
+            share: None,
+            stated_at,
+            is_first_hand,
+            changed_at: now,
+        });
+        (limit.stated_at, limit.is_first_hand) = (stated_at, is_first_hand);
+        let before = limit.share.as_ref().map(LimitShare::rate);
+        match (&mut limit.share, rate) {
+            (Some(share), Some(rate)) => share.set_rate(now, rate),
+            (share, rate) => *share = rate.map(|rate| LimitShare::new(now, run, own, rate)),
+        }
+        if before == rate {
+            return None;
+        }
+        limit.changed_at = now;
+        self.remove_excess();
+        self.count_limits();
+        Some(rate.map_or(StatementChange::Unlimited, StatementChange::Limited))
+    }
+
+    fn remove_obsolete(&mut self, now: Instant, is_registered: impl Fn(u64) -> bool) {
+        self.runs.retain(|run, statements| {
+            let age = now.saturating_duration_since(statements.heard_at);
+            age < RETENTION || is_registered(*run)
+        });
+        self.count_limits();
+    }
+
+    fn remove_excess(&mut self) {
+        if self.runs.len() <= MAX_RUNS {
+            return;
+        }
+        let runs = self.runs.iter();
+        let oldest = runs.min_by_key(|(_, statements)| statements.heard_at);
+        if let Some(run) = oldest.map(|(run, _)| *run) {
+            self.runs.remove(&run);
+        }
+    }
+
+    fn count_limits(&mut self) {
+        let runs = self.runs.values();
+        self.limited = runs.filter(|run| run.share().is_some()).count();
+    }
+
+    fn share(&self, run: u64) -> Option<&LimitShare> {
+        self.runs.get(&run)?.share()
+    }
+
+    fn share_mut(&mut self, run: u64) -> Option<&mut LimitShare> {
+        self.runs.get_mut(&run)?.limit.as_mut()?.share.as_mut()
+    }
+}
+
+impl RunStatements {
+    fn share(&self) -> Option<&LimitShare> {
+        self.limit.as_ref()?.share.as_ref()
+    }
+}
+
+impl KnownLimit {
+    /// Whether the limit is part of the periodic report: while this entry uses it, and some
+    /// time after a change that it knows first-hand.
+    fn is_reported(&self, now: Instant, timing: &ShareTiming) -> bool {
+        let has_changed = now.saturating_duration_since(self.changed_at) < timing.want_time;
+        let share = self.share.as_ref();
+        let is_wanted = share.is_some_and(|share| share.is_wanted(now, timing));
+        is_wanted || has_changed && self.is_first_hand
+    }
+
+    fn report(&self, now: Instant, run: u64) -> LimitReport {
+        let share = self.share.as_ref();
+        let rate = share.map(LimitShare::rate);
+        let claim = self
+            .is_first_hand
+            .then(|| LimitClaim::new(now, self.stated_at, rate));
+        let own_use = share.map(|share| share.own_use(now)).unwrap_or_default();
+        LimitReport::new(short_id(run), claim, own_use)
+    }
+}
--- a/crates/place/tests/near.rs
+++ b/crates/place/tests/near.rs
@@ -9,13 +9,14 @@
 use common::{desired, ms, placer_config, reading, request, route, server};
 use place::placing::cache_likelihood::HandledObjects;
 use place::placing::candidates::{
-    CandidateQuery, RankScope, RankedServers, ranked_candidates, top_candidates,
+    CandidateQuery, RankScope, RankedServers, StatementFilter, ranked_candidates, top_candidates,
 };
 use place::placing::choice::{ByteCosts, ChoiceContext, ServerChoice};
 use place::placing::load::{LoadReport, short_id};
 use place::placing::work::RouteWorkTable;
 use place::prelude::*;
 use place::request::PlacementReason;
+use place::statement::StatementTable;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -153,7 +154,12 @@
             let mut fixture = Fixture::new(&setups);
             let route = fixture.route.clone();
             let wanted = request(&route, Some(OBJECT));
+            let statements = StatementTable::new(1);
             for scope in [RankScope::Region, RankScope::Domain] {
+                let filter = StatementFilter {
+                    statements: &statements,
+                    needs_room: false,
+                };
                 let holders = fixture.handled_objects.holders(OBJECT).to_vec();
                 let query = CandidateQuery {
                     service: "board",
@@ -162,9 +168,17 @@
                     scope,
                     preferred_ranks: PREFERRED_RANKS,
                     holders: &holders,
+                    filter,
                 };
                 let top = top_candidates(fixture.now, &mut fixture.catalog, &query);
-                let all = ranked_candidates(fixture.now, &fixture.catalog, "board", &wanted, scope);
+                let all = ranked_candidates(
+                    fixture.now,
+                    &fixture.catalog,
+                    "board",
+                    &wanted,
+                    scope,
+                    &filter,
+                );
                 let Some(top) = top else {
                     continue;
                 };
