Soak, emulator and load patterns: servers that name a rate limit

Cause: no server of ours named a limit, so neither soak nor emulator could show that entries exceed one. Change: servers of the soak name limits and end them, by a draw of its own, so that faults and departures of each seed are as before; the judge counts the requests of entries that were told. FaultKind::Limit and the patterns limit and limits in lh-load.

--- a/bin/lh-load/src/cli.rs
+++ b/bin/lh-load/src/cli.rs
@@ -37,6 +37,10 @@
     Slow,
     /// A fifth of the servers reject half of their requests.
     Shed,
+    /// A fifth of the servers name a rate limit in their answers.
+    Limit,
+    /// All servers name a rate limit in their answers.
+    Limits,
     /// Strategies to enforce quotas over all entries, at several fleet sizes, while one team
     /// requests many times its usual rate.
     Quota,
--- a/bin/lh-soak/src/history.rs
+++ b/bin/lh-soak/src/history.rs
@@ -31,6 +31,22 @@
             /// Id of the request.
             request: String,
         },
+        /// A server names a rate limit from now on, or no longer names one.
+        Limit {
+            /// The server.
+            server: String,
+            /// The limit in thousandths of a request per second.
+            milli: Option<u32>,
+        },
+        /// A server responded to a request, and said something of itself.
+        Told {
+            /// The server.
+            server: String,
+            /// Id of the request.
+            request: String,
+            /// What it said.
+            statement: Statement,
+        },
         /// An entry logged a change of a server.
         Line {
             /// The entry.
@@ -82,6 +98,14 @@
         },
     }
 
+    /// What a server says of itself in a response.
+    #[derive(Copy, Eq)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum Statement {
+        /// It has a rate limit.
+        Limited,
+    }
+
     /// A change of a server that an entry logged.
     #[derive(Copy, Eq)]
     #[serde(rename_all = "kebab-case")]
--- a/bin/lh-soak/src/judge.rs
+++ b/bin/lh-soak/src/judge.rs
@@ -7,6 +7,8 @@
 //!   then no entry can know better.
 //! - **Return.** An entry that logged the departure of a server does not take it in again in the
 //!   same run, and sends it no request [`DRAIN_TIMEOUT`] later. This holds under all faults.
+//! - **Limit.** A server that names a rate limit gets no more than it tolerates, beginning with
+//!   [`STABLE_WINDOW`] after that, from entries that it has told and that had no fault.
 //! - **Once.** An at-most-once request is executed at most once. A request that was answered as
 //!   not run has not been executed. A successful response is the complete response of a server
 //!   that executed the request. This holds under all faults.
@@ -15,7 +17,8 @@
 use std::fmt;
 
 use crate::config::{DRAIN_TIMEOUT, STABLE_WINDOW};
-use crate::history::{RunEvent, RunHistory, ServerChange, millis};
+use crate::history::{RunEvent, RunHistory, ServerChange, Statement, millis};
+use crate::judge_limits::LimitJudge;
 use crate::{callers, servers};
 
 /// Status code of a successful response.
@@ -44,6 +47,10 @@
     /// Violations of **Once**: requests that were executed twice or in spite of a refusal, or got
     /// the wrong response.
     pub once_violations: Vec<String>,
+    /// Violations of **Limit**.
+    pub limit_violations: Vec<String>,
+    /// Requests that servers with limits got, in percent of what the limits allowed.
+    pub limits_used_percent: u32,
     /// Late requests to servers that the store lists with an earlier heartbeat, and whose departure
     /// was seen by no process that still runs.
     pub forgotten: usize,
@@ -57,7 +64,10 @@
 impl SoakReport {
     /// Number of violations.
     pub fn violation_count(&self) -> usize {
-        self.drain_violations.len() + self.readmissions.len() + self.once_violations.len()
+        self.drain_violations.len()
+            + self.readmissions.len()
+            + self.once_violations.len()
+            + self.limit_violations.len()
     }
 }
 
@@ -71,7 +81,7 @@
         write!(
             f,
             "seed {}: {} arrivals, {} servers left, answers {} good {} other, faults [{}]; \
-             drain {}, returned {}, once {}, forgotten by all {}, late under faults {} (latest {} ms)",
+             drain {}, returned {}, once {}, limit {} (used {} %), forgotten by all {}, late under faults {} (latest {} ms)",
             self.seed,
             self.arrivals,
             self.servers_left,
@@ -81,6 +91,8 @@
             self.drain_violations.len(),
             self.readmissions.len(),
             self.once_violations.len(),
+            self.limit_violations.len(),
+            self.limits_used_percent,
             self.forgotten,
             self.late_under_faults.0,
             self.late_under_faults.1,
@@ -89,7 +101,8 @@
             .drain_violations
             .iter()
             .chain(&self.readmissions)
-            .chain(&self.once_violations);
+            .chain(&self.once_violations)
+            .chain(&self.limit_violations);
         for violation in violations.take(MAX_PRINTED_VIOLATIONS) {
             write!(f, "\n  {violation}")?;
         }
@@ -140,6 +153,9 @@
     servers_by_request: HashMap<String, Vec<String>>,
     /// At-most-once requests that were answered as not run.
     refused: HashSet<String>,
+    limits: LimitJudge,
+    /// What servers said of themselves in the responses to requests that callers still wait for.
+    told: HashMap<String, Vec<(String, Statement)>>,
 }
 
 /// Checks `history` against the guarantees.
@@ -152,6 +168,8 @@
         drain_violations: Vec::new(),
         readmissions: Vec::new(),
         once_violations: Vec::new(),
+        limit_violations: Vec::new(),
+        limits_used_percent: 0,
         forgotten: 0,
         late_under_faults: (0, 0),
         responses: (0, 0),
@@ -161,6 +179,10 @@
         judge.on_event(timed.at, &timed.event, &mut report);
     }
     report.servers_left = judge.left_at.len();
+    if judge.limits.room > 0.0 {
+        let share = judge.limits.used as f64 / judge.limits.room;
+        report.limits_used_percent = (100.0 * share).round() as u32;
+    }
     report
 }
 
@@ -183,6 +205,16 @@
                 report.arrivals += 1;
                 self.on_executed(server, request, report);
                 self.on_arrived(at, server, *entry, report);
+                self.check_limit(at, server, *entry, report);
+            }
+            RunEvent::Limit { server, milli } => self.limits.on_limit(at, server, *milli),
+            RunEvent::Told {
+                server,
+                request,
+                statement,
+            } => {
+                let told = self.told.entry(request.clone()).or_default();
+                told.push((server.clone(), *statement));
             }
             RunEvent::Started { entry, run } => {
                 self.runs.insert(*entry, *run);
@@ -208,7 +240,10 @@
                 request,
                 status,
                 body,
-            } => self.on_answered(request, *status, body, report),
+            } => {
+                self.on_passed_on(at, request, *status);
+                self.on_answered(request, *status, body, report);
+            }
         }
     }
 
@@ -255,6 +290,30 @@
         }
     }
 
+    fn check_limit(&mut self, at: u64, server: &str, entry: usize, report: &mut SoakReport) {
+        let run = self.runs.get(&entry).copied().unwrap_or_default();
+        let is_faulty = !self.fault_state(Some(entry)).is_stable(at);
+        let lag_ms = self.max_lag_ms;
+        let violation = self
+            .limits
+            .on_arrived(at, (entry, run), server, lag_ms, is_faulty);
+        report.limit_violations.extend(violation);
+    }
+
+    /// Handles that an entry passed on what servers said in their responses to `request`.
+    fn on_passed_on(&mut self, at: u64, request: &str, status: u16) {
+        let told = self.told.remove(request).unwrap_or_default();
+        let Some(entry) = servers::entry_of(request).filter(|_| status != 0) else {
+            return;
+        };
+        let run = self.runs.get(&entry).copied().unwrap_or_default();
+        for (server, statement) in told {
+            match statement {
+                Statement::Limited => self.limits.on_told(at, (entry, run), &server),
+            }
+        }
+    }
+
     fn on_executed(&mut self, server: &str, request: &str, report: &mut SoakReport) {
         let servers = self
             .servers_by_request
--- a/bin/lh-soak/src/lib.rs
+++ b/bin/lh-soak/src/lib.rs
@@ -14,9 +14,11 @@
 pub mod history;
 mod injector;
 pub mod judge;
+mod judge_limits;
 mod proxy;
 mod servers;
 mod soak;
+mod statements;
 mod world;
 
 pub use crate::cli::run;
--- a/bin/lh-soak/src/servers.rs
+++ b/bin/lh-soak/src/servers.rs
@@ -18,7 +18,8 @@
 
 use crate::config::region_and_domain;
 use crate::error::Result;
-use crate::history::{RunEvent, RunRecorder};
+use crate::history::{RunEvent, RunRecorder, Statement};
+use crate::statements::StatementBoard;
 
 /// Name of the service that all servers offer.
 pub(crate) const SERVICE: &str = "board";
@@ -61,6 +62,8 @@
     recorder: RunRecorder,
     live: Arc<Mutex<Vec<SoakServer>>>,
     started: Arc<Mutex<usize>>,
+    /// What the servers say of themselves.
+    pub(crate) statements: StatementBoard,
 }
 
 impl ServerPool {
@@ -71,6 +74,7 @@
             recorder,
             live: Arc::default(),
             started: Arc::default(),
+            statements: StatementBoard::default(),
         }
     }
 
@@ -88,7 +92,12 @@
             domain: region_and_domain(index).1,
             seq: 1,
         };
-        tokio::spawn(accept(listener, server.id.clone(), self.recorder.clone()));
+        let identity = ServerIdentity {
+            id: server.id.clone(),
+            recorder: self.recorder.clone(),
+            statements: self.statements.clone(),
+        };
+        tokio::spawn(accept(listener, identity));
         self.store
             .put(TABLE, &server.id, &server.registration("ready", 1));
         self.live().push(server);
@@ -100,6 +109,12 @@
         self.live().len()
     }
 
+    /// The id of the running server that the number `draw` selects.
+    pub(crate) fn draw_live(&self, draw: u32) -> String {
+        let live = self.live();
+        live[draw as usize % live.len()].id.clone()
+    }
+
     /// Lets the server at `index` leave. It still serves requests that reach it.
     pub(crate) fn start_leaving(&self, index: usize, kind: LeaveKind) -> SoakServer {
         let mut server = self.live().swap_remove(index);
@@ -165,17 +180,36 @@
     }
 }
 
-async fn accept(listener: TcpListener, id: String, recorder: RunRecorder) {
+/// A server as its connections see it.
+#[derive(Debug, Clone)]
+struct ServerIdentity {
+    id: String,
+    recorder: RunRecorder,
+    statements: StatementBoard,
+}
+
+impl ServerIdentity {
+    /// Records that the response to `request` says `statement`.
+    fn record_told(&self, request: &str, statement: Statement) {
+        self.recorder.record(RunEvent::Told {
+            server: self.id.clone(),
+            request: request.to_owned(),
+            statement,
+        });
+    }
+}
+
+async fn accept(listener: TcpListener, server: ServerIdentity) {
     while let Ok((stream, _)) = listener.accept().await {
-        tokio::spawn(serve_connection(stream, id.clone(), recorder.clone()));
+        tokio::spawn(serve_connection(stream, server.clone()));
     }
 }
 
-async fn serve_connection(stream: TcpStream, id: String, recorder: RunRecorder) {
+async fn serve_connection(stream: TcpStream, server: ServerIdentity) {
     let _ = stream.set_nodelay(true);
     let service = service_fn(move |request| {
-        let (id, recorder) = (id.clone(), recorder.clone());
-        async move { Ok::<_, Infallible>(handle_request(&id, &recorder, request).await) }
+        let server = server.clone();
+        async move { Ok::<_, Infallible>(handle_request(&server, request).await) }
     });
     // Connection errors are left to the entry, which reconnects.
     let _ = http1::Builder::new()
@@ -184,32 +218,38 @@
 }
 
 async fn handle_request(
-    id: &str,
-    recorder: &RunRecorder,
+    server: &ServerIdentity,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
+    let ServerIdentity { id, recorder, .. } = server;
     let request_id = header_text(request.headers(), "request-id").to_owned();
     let expected = header_text(request.headers(), "expect-instance");
     let mut builder = Response::builder()
         .header("request-id", &request_id)
-        .header("instance-id", id)
+        .header("instance-id", id.as_str())
         .header("server-load", "0,0,8");
     if request.uri().path() == HEALTH_PATH {
         return response_with_body(builder, "");
     }
-    if !expected.is_empty() && expected != id {
+    if !expected.is_empty() && expected != id.as_str() {
         builder = builder.status(StatusCode::MISDIRECTED_REQUEST);
         return response_with_body(builder, "");
     }
     if let Some(entry) = entry_of(&request_id) {
         recorder.record(RunEvent::Arrived {
-            server: id.to_owned(),
+            server: id.clone(),
             entry,
             request: request_id.clone(),
         });
     }
     let _ = request.into_body().collect().await;
     tokio::time::sleep(SERVICE_TIME).await;
+    let statement = server.statements.get(id);
+    if let Some(milli) = statement.limit_milli {
+        let rate = f64::from(milli) / 1000.0;
+        builder = builder.header("server-limit", rate.to_string());
+        server.record_told(&request_id, Statement::Limited);
+    }
     response_with_body(
         builder.header("server-stamp", "soak"),
         &response_body(&request_id, id),
@@ -231,7 +271,7 @@
 }
 
 /// Parses the number of the entry to which the caller sent the request from the request id.
-fn entry_of(request_id: &str) -> Option<usize> {
+pub(crate) fn entry_of(request_id: &str) -> Option<usize> {
     request_id.split('-').next()?.parse().ok()
 }
 
--- a/bin/lh-soak/src/soak.rs
+++ b/bin/lh-soak/src/soak.rs
@@ -15,6 +15,7 @@
 use crate::history::{RunEvent, RunHistory, RunRecorder, millis};
 use crate::injector::inject;
 use crate::judge;
+use crate::statements::state_limits;
 use crate::world::World;
 
 /// Interval between two measurements of the scheduling delay of this process.
@@ -63,6 +64,7 @@
     tokio::spawn(measure_lag(world.recorder.clone()));
     let callers = world.start_callers();
     let churn = tokio::spawn(replace_servers(Arc::clone(&world), config.clone()));
+    let limits = tokio::spawn(state_limits(Arc::clone(&world), config.clone()));
     let started = Instant::now();
     let mut injections = Vec::new();
     for fault in faults::draw_faults(config.seed, config.seconds, config.entries, REGIONS.len()) {
@@ -75,6 +77,7 @@
     let run_time = Duration::from_secs(config.seconds);
     sleep(run_time.saturating_sub(started.elapsed())).await;
     churn.abort();
+    limits.abort();
     callers.iter().for_each(tokio::task::JoinHandle::abort);
     let history = world.recorder.history(config.seed);
     world.stop_entries()?;
--- /dev/null
+++ b/bin/lh-soak/src/statements.rs
@@ -0,0 +1,80 @@
+//! What servers say of themselves in their responses.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use rand::{Rng as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use tokio::time::sleep;
+
+use crate::config::SoakConfig;
+use crate::history::{RunEvent, RunRecorder};
+use crate::world::World;
+
+/// Makes the draws independent of those of faults and departures.
+const SEED_MASK: u64 = 0x57a7_e000;
+/// Range of the interval between two servers that begin to say something, in milliseconds.
+const START_INTERVAL_MS: std::ops::Range<u64> = 1000..4000;
+/// Range of the time for which a server says it, in milliseconds.
+const DURATION_MS: std::ops::Range<u64> = 6000..15_000;
+/// Range of the rate limits, in thousandths of a request per second.
+const LIMIT_MILLI: std::ops::Range<u32> = 300..6000;
+
+/// What a server says of itself now.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct ServerStatement {
+    /// Its rate limit, in thousandths of a request per second.
+    pub(crate) limit_milli: Option<u32>,
+}
+
+/// What each server says of itself.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct StatementBoard {
+    by_server: Arc<Mutex<HashMap<String, ServerStatement>>>,
+}
+
+impl StatementBoard {
+    /// What `server` says of itself.
+    pub(crate) fn get(&self, server: &str) -> ServerStatement {
+        self.lock().get(server).copied().unwrap_or_default()
+    }
+
+    /// Changes the rate limit of `server`.
+    fn set_limit(&self, recorder: &RunRecorder, server: &str, limit_milli: Option<u32>) {
+        let mut by_server = self.lock();
+        let statement = by_server.entry(server.to_owned()).or_default();
+        statement.limit_milli = limit_milli;
+        recorder.record(RunEvent::Limit {
+            server: server.to_owned(),
+            milli: limit_milli,
+        });
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<String, ServerStatement>> {
+        self.by_server
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Lets servers name rate limits and end them.
+pub(crate) async fn state_limits(world: Arc<World>, config: SoakConfig) {
+    let mut rng = ChaCha8Rng::seed_from_u64(config.seed ^ SEED_MASK);
+    loop {
+        sleep(Duration::from_millis(rng.random_range(START_INTERVAL_MS))).await;
+        let server = world.server_pool.draw_live(rng.random::<u32>());
+        let limit_milli = rng.random_range(LIMIT_MILLI);
+        let duration = Duration::from_millis(rng.random_range(DURATION_MS));
+        let board = world.server_pool.statements.clone();
+        if board.get(&server).limit_milli.is_some() {
+            continue;
+        }
+        let recorder = world.recorder.clone();
+        tokio::spawn(async move {
+            board.set_limit(&recorder, &server, Some(limit_milli));
+            sleep(duration).await;
+            board.set_limit(&recorder, &server, None);
+        });
+    }
+}
--- a/bin/lh-soak/tests/judge.rs
+++ b/bin/lh-soak/tests/judge.rs
@@ -1,7 +1,7 @@
 //! Tests of the judge with constructed histories, and of the fault schedule.
 
 use lh_soak::faults;
-use lh_soak::history::{RunEvent, RunHistory, ServerChange, TimedEvent};
+use lh_soak::history::{RunEvent, RunHistory, ServerChange, Statement, TimedEvent};
 use lh_soak::judge::{SoakReport, judge};
 
 fn left() -> RunEvent {
@@ -137,6 +137,48 @@
     assert_eq!(with(&[logged_departure, ended]).forgotten, 1);
 }
 
+fn told(request: &str, statement: Statement) -> RunEvent {
+    RunEvent::Told {
+        server: "x".to_owned(),
+        request: request.to_owned(),
+        statement,
+    }
+}
+
+/// More requests than a limited server tolerates are reported: of entries that it has told, once
+/// these had time to settle, unless they are faulty.
+#[test]
+fn requests_beyond_a_limit_are_reported() {
+    let limit = |milli| RunEvent::Limit {
+        server: "x".to_owned(),
+        milli,
+    };
+    let tell = [
+        (900, ran("x", "1-0-0")),
+        (1000, limit(Some(1000))),
+        (1100, told("1-0-0", Statement::Limited)),
+        (1200, answered("1-0-0", 200, "1-0-0 ran at x")),
+    ];
+    // 1.5 times 1 a second in 4 s, and 5 more.
+    let requests = |from: u64, count: u64| {
+        let times = (0..count).map(move |index| from + index * 3900 / count);
+        times.map(|at| (at, arrived(1))).collect::<Vec<_>>()
+    };
+    let count = |base: &[(u64, RunEvent)], events: &[(u64, RunEvent)]| {
+        report(&[base, events].concat()).limit_violations.len()
+    };
+    assert_eq!(count(&tell, &requests(5000, 11)), 0);
+    assert_eq!(count(&tell, &requests(5000, 12)), 1);
+    assert_eq!(count(&tell, &requests(1000, 12)), 0, "not settled");
+    assert_eq!(count(&tell[..3], &requests(5000, 12)), 0, "not told");
+    let faulty = [&tell[..], &[(4000, fault(Some(1)))]].concat();
+    assert_eq!(count(&faulty, &requests(5000, 12)), 0, "faulty");
+    let other = [&tell[..], &[(4000, fault(Some(2)))]].concat();
+    assert_eq!(count(&other, &requests(5000, 12)), 1, "another is faulty");
+    let lifted = [&tell[..], &[(4000, limit(None))]].concat();
+    assert_eq!(count(&lifted, &requests(5000, 12)), 0, "no limit any more");
+}
+
 /// A second execution of an at-most-once request, an execution of a refused one, and a response to
 /// another request are reported. Repeated idempotent requests are not.
 #[test]
--- a/crates/emulate/src/lib.rs
+++ b/crates/emulate/src/lib.rs
@@ -6,6 +6,7 @@
 //! retry. It does not simulate a cluster: there is no network, store or process.
 
 mod experiment;
+mod limits;
 mod model;
 mod policy;
 pub mod quota;
--- a/crates/emulate/src/model.rs
+++ b/crates/emulate/src/model.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use place::server::ServerReport;
+use place::statement::{LimitStatement, ServerStatement};
 
 use crate::experiment::FaultKind;
 
@@ -27,6 +28,7 @@
     pub(crate) down: bool,
     pub(crate) slowdown: f64,
     pub(crate) shed_share: f64,
+    pub(crate) limit: Option<f64>,
 }
 
 impl ModelServer {
@@ -37,6 +39,7 @@
             FaultKind::Down => self.down = false,
             FaultKind::Slow(factor) => self.slowdown = if is_start { factor } else { 1.0 },
             FaultKind::Shed(share) => self.shed_share = if is_start { share } else { 0.0 },
+            FaultKind::Limit(rate) => self.limit = is_start.then_some(rate),
         }
     }
 
@@ -51,6 +54,7 @@
             down: false,
             slowdown: 1.0,
             shed_share: 0.0,
+            limit: None,
         }
     }
 
@@ -106,6 +110,14 @@
         self.waiting.clear();
     }
 
+    /// What its answers say of it.
+    pub(crate) fn statement(&self) -> ServerStatement {
+        let limit = self
+            .limit
+            .map_or(LimitStatement::Unlimited, LimitStatement::Limited);
+        ServerStatement { limit }
+    }
+
     pub(crate) fn report(&self) -> ServerReport {
         ServerReport {
             running: self.running as u32,
--- a/crates/emulate/src/policy.rs
+++ b/crates/emulate/src/policy.rs
@@ -7,6 +7,8 @@
 use place::placing::load::LoadReport;
 use place::prelude::*;
 use place::rank::stable_hash;
+use place::statement::ServerStatement;
+use place::statement::message::StatementReport;
 use team::fairness::FairnessRanker;
 use team::spec::TeamSpec;
 
@@ -57,6 +59,18 @@
 
     /// Records the load update of another entry.
     fn on_load_update(&mut self, now: Instant, entry: u64, update: LoadReport);
+
+    /// Records what the answer to a placed request says of its server.
+    fn on_statement(&mut self, _: Instant, _: &Placement, _: &ServerStatement) {}
+
+    /// What the other entries must be told of servers; with `is_urgent` only what they must be
+    /// told at once.
+    fn statement_report(&mut self, _: Instant, _is_urgent: bool) -> StatementReport {
+        StatementReport::default()
+    }
+
+    /// Records what another entry reports of servers.
+    fn on_statement_report(&mut self, _: Instant, _entry: u64, _: &StatementReport) {}
 }
 
 /// The policy of the daemon.
@@ -156,6 +170,22 @@
     fn on_load_update(&mut self, now: Instant, entry: u64, update: LoadReport) {
         self.placer.on_peer_load(now, entry, update);
     }
+
+    fn on_statement(&mut self, now: Instant, placement: &Placement, statement: &ServerStatement) {
+        self.placer.on_statement(now, placement, statement);
+    }
+
+    fn statement_report(&mut self, now: Instant, is_urgent: bool) -> StatementReport {
+        if is_urgent {
+            self.placer.urgent_statements(now)
+        } else {
+            self.placer.own_statements(now)
+        }
+    }
+
+    fn on_statement_report(&mut self, now: Instant, entry: u64, report: &StatementReport) {
+        self.placer.on_peer_statements(now, entry, report);
+    }
 }
 
 impl NaivePolicy {
--- a/crates/emulate/src/report.rs
+++ b/crates/emulate/src/report.rs
@@ -36,6 +36,11 @@
         /// Largest share of a region's requests that moved to other regions between two
         /// consecutive windows.
         pub largest_shift: f64,
+        /// Largest number of requests within four seconds at a server with a rate limit, as a
+        /// multiple of what it tolerates, from some seconds after it named the limit.
+        pub limit_overload: f64,
+        /// Requests at servers with rate limits, as a share of what the limits allowed.
+        pub limit_use: f64,
     }
 }
 
--- a/crates/emulate/src/run.rs
+++ b/crates/emulate/src/run.rs
@@ -10,6 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::experiment::{Experiment, FaultKind};
+use crate::limits::LimitCounts;
 use crate::model::{Job, ModelServer};
 use crate::policy::{EntryPolicy, PolicyChoice, PolicyRequest};
 use crate::regions::RegionCounts;
@@ -57,6 +58,7 @@
     attempts: Vec<Attempt>,
     report: TrialReport,
     regions: RegionCounts,
+    limits: LimitCounts,
     teams: Vec<String>,
 }
 
@@ -101,6 +103,7 @@
         attempts: Vec::new(),
         report: TrialReport::default(),
         regions: RegionCounts::new(experiment.regions),
+        limits: LimitCounts::default(),
         teams: (0..experiment.teams.len()).map(team_name).collect(),
     };
     trial.run();
@@ -129,6 +132,8 @@
             self.now = at;
             self.on_event(event);
         }
+        self.report.limit_overload = self.limits.overload;
+        self.report.limit_use = self.limits.use_share();
         self.report.largest_shift = self.regions.largest_shift(self.experiment.seconds);
     }
 
@@ -145,6 +150,10 @@
                 let now = self.instant();
                 self.policies[entry].on_load_update(now, from, update);
             }
+            Event::ReceiveStatements(entry, from, report) => {
+                let now = self.instant();
+                self.policies[entry].on_statement_report(now, from, &report);
+            }
             Event::FaultStarts(index) => self.set_fault(index, true),
             Event::FaultEnds(index) => self.set_fault(index, false),
         }
@@ -232,6 +241,7 @@
         self.schedule(self.now + delay, Event::AttemptArrives(attempt));
         let bound = remaining.min(self.experiment.timeout).as_micros() as u64;
         self.schedule(self.now + bound, Event::AttemptTimesOut(attempt));
+        self.send_statements(entry, true);
     }
 
     fn refuse(&mut self, index: usize, after: Duration, remaining: Duration) {
@@ -251,6 +261,7 @@
         if !is_open || self.servers[server].down {
             return;
         }
+        self.limits.on_arrived(self.now, server);
         let shed = self.rng.random::<f64>() < self.servers[server].shed_share;
         let object = self.requests[self.attempts[index].request].object;
         let job = Job {
@@ -314,7 +325,12 @@
         } else {
             ServerOutcome::Full
         };
-        let report = self.servers[self.attempts[index].server].report();
+        let server = &self.servers[self.attempts[index].server];
+        let (report, statement) = (server.report(), server.statement());
+        let now = self.instant();
+        let attempt = &self.attempts[index];
+        let policy = &mut self.policies[self.requests[attempt.request].entry];
+        policy.on_statement(now, &attempt.placement, &statement);
         self.close(index, outcome, Some(&report));
         let request = self.attempts[index].request;
         let begun = self.requests[request].begun;
@@ -367,11 +383,7 @@
                 continue;
             }
             let is_same_region = other / self.experiment.entries == entry / self.experiment.entries;
-            let delay = if is_same_region {
-                IN_REGION_DELAY_US
-            } else {
-                CROSS_REGION_DELAY_US
-            };
+            let delay = self.peer_delay(entry, other);
             let update = update.clone();
             let update = if is_same_region {
                 update
@@ -381,15 +393,45 @@
             let event = Event::ReceiveLoad(other, entry_hash(entry), update);
             self.schedule(self.now + delay, event);
         }
+        self.send_statements(entry, false);
         self.schedule(self.now + self.load_interval(), Event::SendLoad(entry));
     }
 
+    fn send_statements(&mut self, entry: usize, is_urgent: bool) {
+        let now = self.instant();
+        let report = self.policies[entry].statement_report(now, is_urgent);
+        if report.limits.is_empty() {
+            return;
+        }
+        for other in 0..self.policies.len() {
+            if other == entry {
+                continue;
+            }
+            let delay = self.peer_delay(entry, other);
+            let event = Event::ReceiveStatements(other, entry_hash(entry), report.clone());
+            self.schedule(self.now + delay, event);
+        }
+    }
+
+    /// Delay of messages between two entries.
+    fn peer_delay(&self, entry: usize, other: usize) -> Micros {
+        if other / self.experiment.entries == entry / self.experiment.entries {
+            IN_REGION_DELAY_US
+        } else {
+            CROSS_REGION_DELAY_US
+        }
+    }
+
     fn set_fault(&mut self, index: usize, is_start: bool) {
         let fault = self.experiment.faults[index];
         for server in fault.first_server..fault.first_server + fault.count {
             let crashes = is_start && matches!(fault.kind, FaultKind::Down);
             self.epochs[server] += u64::from(crashes);
             self.servers[server].set_fault(fault.kind, is_start);
+            if let FaultKind::Limit(rate) = fault.kind {
+                self.limits
+                    .on_limit(self.now, server, is_start.then_some(rate));
+            }
         }
     }
 
--- a/crates/emulate/src/timeline.rs
+++ b/crates/emulate/src/timeline.rs
@@ -4,6 +4,7 @@
 use std::collections::BinaryHeap;
 
 use place::placing::load::LoadReport;
+use place::statement::message::StatementReport;
 
 /// Microseconds from the start.
 pub(crate) type Micros = u64;
@@ -27,6 +28,8 @@
     SendLoad(usize),
     /// An entry receives the load of the entry with this hash.
     ReceiveLoad(usize, u64, LoadReport),
+    /// An entry receives what the entry with this hash knows of servers.
+    ReceiveStatements(usize, u64, StatementReport),
     /// A fault starts.
     FaultStarts(usize),
     /// A fault ends.
--- a/crates/emulate/tests/patterns.rs
+++ b/crates/emulate/tests/patterns.rs
@@ -232,3 +232,42 @@
         "shared {with}, not shared {without}, of 3"
     );
 }
+
+/// A fifth of the servers name a rate limit far below their share of the load. They must get no
+/// more than that, and the others must serve the rest; the naive policy doesn't know of limits.
+#[test]
+fn limited_servers_get_what_they_take() {
+    for seed in SEEDS {
+        let experiment = Experiment::new(seed, 0.6).with_fault(fault(3, FaultKind::Limit(2.0)));
+        let (placed, naive) = (placed(&experiment), naive(&experiment));
+        let worth = placed.between(10.0, 18.0).worth();
+        assert!(worth > 0.8, "seed {seed}: {worth}");
+        let (overload, used) = (placed.limit_overload, placed.limit_use);
+        assert!(
+            overload <= 1.0,
+            "seed {seed}: {overload} of what they tolerate"
+        );
+        assert!(used > 0.5, "seed {seed}: {used} of the limits used");
+        assert!(
+            naive.limit_overload > 1.0,
+            "seed {seed}: {}",
+            naive.limit_overload
+        );
+    }
+}
+
+/// All servers name a rate limit, together a tenth of the load. Their room must be used; the rest
+/// is refused at once.
+#[test]
+fn limits_of_all_servers_are_used() {
+    for seed in SEEDS {
+        let experiment = Experiment::new(seed, 0.6).with_fault(fault(15, FaultKind::Limit(4.0)));
+        let placed = placed(&experiment);
+        let (overload, used) = (placed.limit_overload, placed.limit_use);
+        assert!(
+            overload <= 1.0,
+            "seed {seed}: {overload} of what they tolerate"
+        );
+        assert!(used > 0.8, "seed {seed}: {used} of the limits used");
+    }
+}
--- a/crates/place/src/statement/message.rs
+++ b/crates/place/src/statement/message.rs
@@ -6,14 +6,14 @@
 
 base::common! {
     /// What an entry knows of rate limits, for the others.
-    #[derive(Eq, Default)]
+    #[derive(Eq, Default, PartialOrd, Ord)]
     pub struct StatementReport {
         /// The limits.
         pub limits: Vec<LimitReport>,
     }
 
     /// A server's rate limit, and an entry's use of it.
-    #[derive(Copy, Eq)]
+    #[derive(Copy, Eq, PartialOrd, Ord)]
     pub struct LimitReport {
         /// Short id of the server.
         pub server: u32,
@@ -27,7 +27,7 @@
     }
 
     /// What a server said of its limit.
-    #[derive(Copy, Eq)]
+    #[derive(Copy, Eq, PartialOrd, Ord)]
     pub struct LimitClaim {
         /// The limit in thousandths of a request per second; `None` if it has none any more.
         pub rate: Option<u32>,
