Log and count servers that ask for rest

Cause: a 503 with a time to rest looked like any full queue in lines and metrics, so the hypotheses on BUDGET could not be told apart. No decision uses it yet.

--- a/bin/lh-entry/src/metrics.rs
+++ b/bin/lh-entry/src/metrics.rs
@@ -49,6 +49,8 @@
     bad_datagrams: IntCounter,
     broken_off: IntCounterVec,
     unread_headers: IntCounterVec,
+    /// Responses in which servers ask for rest.
+    pub(crate) rests: IntCounter,
     /// Servers that name a rate limit.
     pub(crate) limited_servers: IntGauge,
     pub(crate) connections: IntGauge,
@@ -217,6 +219,10 @@
             ),
             &["header"],
         )?;
+        let rests = IntCounter::new(
+            "laurelhill_rests_total",
+            "Responses in which servers ask this entry for rest",
+        )?;
         let limited_servers = IntGauge::new(
             "laurelhill_limited_servers",
             "Servers that name a rate limit in their responses",
@@ -251,6 +257,7 @@
         registry.register(Box::new(bad_datagrams.clone()))?;
         registry.register(Box::new(broken_off.clone()))?;
         registry.register(Box::new(unread_headers.clone()))?;
+        registry.register(Box::new(rests.clone()))?;
         registry.register(Box::new(limited_servers.clone()))?;
         registry.register(Box::new(connections.clone()))?;
         Ok(Self {
@@ -284,6 +291,7 @@
             bad_datagrams,
             broken_off,
             unread_headers,
+            rests,
             limited_servers,
             connections,
         })
--- a/bin/lh-entry/src/statements.rs
+++ b/bin/lh-entry/src/statements.rs
@@ -71,6 +71,11 @@
         // The answer is another server's.
         return;
     }
+    if let Some(rest) = head.statement.rest {
+        state.metrics.rests.inc();
+        let rest_ms = rest.as_millis() as u64;
+        log::info!(server, rest_ms; "server asks for rest");
+    }
     let mut placer = state.placer.borrow_mut();
     let change = placer.on_statement(Instant::now(), placement, &head.statement);
     match change {
--- a/crates/emulate/src/model.rs
+++ b/crates/emulate/src/model.rs
@@ -115,7 +115,7 @@
         let limit = self
             .limit
             .map_or(LimitStatement::Unlimited, LimitStatement::Limited);
-        ServerStatement { limit }
+        ServerStatement { limit, rest: None }
     }
 
     pub(crate) fn report(&self) -> ServerReport {
--- a/crates/place/src/statement/mod.rs
+++ b/crates/place/src/statement/mod.rs
@@ -17,6 +17,8 @@
 pub struct ServerStatement {
     /// The run's rate limit.
     pub limit: LimitStatement,
+    /// Time for which the server wants nothing from the entry that it answers.
+    pub rest: Option<Duration>,
 }
 
 /// What an answer says of its server's rate limit.
--- a/crates/place/tests/server_limits.rs
+++ b/crates/place/tests/server_limits.rs
@@ -190,7 +190,10 @@
             } else {
                 LimitStatement::Unlimited
             };
-            let statement = ServerStatement { limit };
+            let statement = ServerStatement {
+                limit,
+                ..ServerStatement::default()
+            };
             entry.placer.on_statement(now, &placement, &statement);
             let wanted = request(&self.route, None);
             let good = ServerOutcome::Answered { good: true };
@@ -391,6 +394,7 @@
     let placement = placer.place(now, &wanted).unwrap();
     let statement = ServerStatement {
         limit: LimitStatement::Limited(1.0),
+        ..ServerStatement::default()
     };
     let change = placer.on_statement(now, &placement, &statement);
     assert_eq!(change, Some(StatementChange::Limited(1.0)));
@@ -433,6 +437,7 @@
     assert!(placer.may_send(now, &mut second.clone()));
     let statement = ServerStatement {
         limit: LimitStatement::Limited(1.0),
+        ..ServerStatement::default()
     };
     placer.on_statement(now, &first, &statement);
     assert!(!placer.may_send(now, &mut second));
@@ -452,6 +457,7 @@
     let first = placer.place(now, &wanted).unwrap();
     let statement = ServerStatement {
         limit: LimitStatement::Limited(50.0),
+        ..ServerStatement::default()
     };
     placer.on_statement(now, &first, &statement);
     let mut sent = 0;
