--- a/bin/lh-entry/tests/leaving.rs
+++ b/bin/lh-entry/tests/leaving.rs
@@ -3,6 +3,7 @@
 mod world;
 
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use platform_standin::{FakeBackend, server_entry};
 use socket2::{Domain, Socket, Type};
@@ -105,3 +106,82 @@
     })
     .await;
 }
+
+/// Time after the first answer of a leaving server from which on it must get no requests.
+const DRAIN_TIME: Duration = Duration::from_millis(2500);
+/// Time for which requests are sent after that.
+const COUNT_TIME: Duration = Duration::from_millis(1500);
+/// Interval of the requests.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Requests that reached `server` later than [`DRAIN_TIME`] after the first.
+fn late_requests(server: &FakeBackend) -> usize {
+    let seen = server.seen();
+    let Some(first) = seen.first() else {
+        return 0;
+    };
+    let late = seen
+        .iter()
+        .filter(|request| request.at > first.at + DRAIN_TIME);
+    late.count()
+}
+
+/// Sends requests for different objects until [`COUNT_TIME`] after `server` must get no more.
+/// Returns the statuses of the last answers.
+async fn send_beyond_drain(entry: &EntryProcess, server: &FakeBackend) -> Vec<u16> {
+    let mut statuses = Vec::new();
+    let ends = |first: Instant| first + DRAIN_TIME + COUNT_TIME;
+    for index in 0.. {
+        let first = server.seen().first().map(|request| request.at);
+        if first.is_some_and(|first| Instant::now() >= ends(first)) {
+            break;
+        }
+        let id = format!("d-{index}");
+        let request = world::request_for(&id, "GET", "/board/x", &id, b"");
+        let answer = exchange(&mut entry.connect().await, request).await;
+        statuses.push(answer.expect("an answer").status);
+        tokio::time::sleep(REQUEST_INTERVAL).await;
+    }
+    statuses.split_off(statuses.len().saturating_sub(10))
+}
+
+/// A server that says in its answers that it leaves gets no more requests, although its row says
+/// that it is ready, and is written again.
+#[tokio::test]
+async fn server_that_leaves_by_its_answers_gets_requests() {
+    let world = World::new(2).await;
+    let (leaving, other) = (&world.backends[0], &world.backends[1]);
+    leaving.set_extra_headers(&[("Server-Leaving", "1")]);
+    let entry = EntryProcess::ready(&world, "n1").await;
+    let sending = send_beyond_drain(&entry, leaving);
+    let heartbeats = async {
+        for seq in 2..5 {
+            tokio::time::sleep(DRAIN_TIME / 4).await;
+            let row = server_entry("board", leaving.address(), "ready", seq);
+            world.store.put("servers", leaving.id(), &row);
+        }
+    };
+    let (statuses, ()) = tokio::join!(sending, heartbeats);
+    assert_eq!(late_requests(leaving), 0);
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    assert!(!other.seen().is_empty());
+}
+
+/// Where all servers leave, callers are refused at once until another server is listed.
+#[tokio::test]
+async fn the_only_server_that_leaves_by_its_answers_gets_requests() {
+    let world = World::new(1).await;
+    let leaving = &world.backends[0];
+    leaving.set_extra_headers(&[("Server-Leaving", "1")]);
+    let entry = EntryProcess::ready(&world, "n1").await;
+    let statuses = send_beyond_drain(&entry, leaving).await;
+    assert_eq!(late_requests(leaving), 0);
+    assert!(statuses.iter().all(|status| *status == 503), "{statuses:?}");
+    let backend = FakeBackend::start("i-other").await;
+    let other = server_entry("board", backend.address(), "ready", 1);
+    world.store.put("servers", "i-other", &other);
+    until("the new server is used", async || {
+        entry.send("GET", "/board/x", "new").await.status == 200
+    })
+    .await;
+}
