Send nothing to a server that says in its answers that it leaves

Cause: only the registry made a server leave; its row came 12 s after its answers said so, and the header was dropped with the other response headers. Ruled out: a statement that a row takes back (the rate of the server did not change when it was made) and requests that were placed before it (they were sent by their callers 2.5 s later). Change: the statements of a run say that it leaves, once and for all; it is no candidate from then on, and a request that waits for its connection goes to another server. Other entries are told by run, from first hand only. Metrics and status show such a server as leaving.

--- a/bin/lh-entry/src/internal.rs
+++ b/bin/lh-entry/src/internal.rs
@@ -97,7 +97,7 @@
             let region = &state.config.region;
             state
                 .metrics
-                .update_servers(Instant::now(), region, &placer.catalog);
+                .update_servers(Instant::now(), region, &placer);
             text(StatusCode::OK, state.metrics.text())
         }
         _ => text(StatusCode::NOT_FOUND, String::new()),
--- a/bin/lh-entry/src/metrics.rs
+++ b/bin/lh-entry/src/metrics.rs
@@ -7,7 +7,7 @@
 
 use std::time::{Duration, Instant};
 
-use place::catalog::ServerCatalog;
+use place::prelude::RequestPlacer;
 
 use crate::error::Result;
 use crate::team_metrics::TeamMetrics;
@@ -399,16 +399,17 @@
     }
 
     /// Updates the metrics of all known servers; series of removed servers disappear.
-    pub(crate) fn update_servers(&self, now: Instant, region: &str, catalog: &ServerCatalog) {
+    pub(crate) fn update_servers(&self, now: Instant, region: &str, placer: &RequestPlacer) {
         self.servers.reset();
         self.server_requests.reset();
         self.slots.reset();
+        let catalog = &placer.catalog;
         let age = catalog
             .read_at()
             .map_or(f64::NAN, |at| (now - at).as_secs_f64());
         self.registry_age.set(age);
         for record in catalog.iter() {
-            let state = catalog.condition(now, record).as_str();
+            let state = placer.condition(now, record).as_str();
             let service = record.entry.service.as_str();
             self.servers.with_label_values(&[service, state]).inc();
             let requests = |of: &str| {
--- a/bin/lh-entry/src/statements.rs
+++ b/bin/lh-entry/src/statements.rs
@@ -77,15 +77,20 @@
         log::info!(server, rest_ms; "server asks for rest");
     }
     let mut placer = state.placer.borrow_mut();
-    let change = placer.on_statement(Instant::now(), placement, &head.statement);
-    match change {
-        Some(StatementChange::Limited(rate)) => {
-            log::info!(server, rate; "server names a rate limit");
-        }
-        Some(StatementChange::Unlimited) => {
-            log::info!(server; "server names no rate limit any more");
+    let changes = placer.on_statement(Instant::now(), placement, &head.statement);
+    if changes.is_empty() {
+        return;
+    }
+    for change in changes {
+        match change {
+            StatementChange::Limited(rate) => {
+                log::info!(server, rate; "server names a rate limit");
+            }
+            StatementChange::Unlimited => {
+                log::info!(server; "server names no rate limit any more");
+            }
+            StatementChange::Leaving => log::info!(server; "server says that it is leaving"),
         }
-        None => return,
     }
     let limited = placer.statements().limited_count();
     state.metrics.limited_servers.set(limited as i64);
@@ -119,7 +124,7 @@
     targets: &[SocketAddr],
     report: StatementReport,
 ) -> bool {
-    if report.limits.is_empty() {
+    if report.is_empty() {
         return false;
     }
     let message = PeerMessage::Statements(StatementMessage {
--- a/bin/lh-entry/src/status.rs
+++ b/bin/lh-entry/src/status.rs
@@ -106,7 +106,7 @@
     for record in catalog.iter() {
         let status = services.entry(&record.entry.service).or_default();
         status.servers += 1;
-        status.open += usize::from(catalog.condition(now, record) == ServerCondition::Open);
+        status.open += usize::from(placer.condition(now, record) == ServerCondition::Open);
         status.slots += record.entry.slots;
         status.free += (f64::from(record.entry.slots) - record.occupancy(now)).max(0.0);
     }
@@ -163,7 +163,7 @@
         server: record.entry.id.clone(),
         address: record.entry.address.to_string(),
         domain: record.entry.domain.clone(),
-        state: placer.catalog.condition(now, record).as_str(),
+        state: placer.condition(now, record).as_str(),
         slots: record.entry.slots,
         in_flight: record.in_flight,
         occupancy: record.occupancy(now),
--- a/crates/emulate/src/model.rs
+++ b/crates/emulate/src/model.rs
@@ -115,7 +115,10 @@
         let limit = self
             .limit
             .map_or(LimitStatement::Unlimited, LimitStatement::Limited);
-        ServerStatement { limit, rest: None }
+        ServerStatement {
+            limit,
+            ..ServerStatement::default()
+        }
     }
 
     pub(crate) fn report(&self) -> ServerReport {
--- a/crates/emulate/src/run.rs
+++ b/crates/emulate/src/run.rs
@@ -400,7 +400,7 @@
     fn send_statements(&mut self, entry: usize, is_urgent: bool) {
         let now = self.instant();
         let report = self.policies[entry].statement_report(now, is_urgent);
-        if report.limits.is_empty() {
+        if report.is_empty() {
             return;
         }
         for other in 0..self.policies.len() {
--- a/crates/place/src/placing/candidates.rs
+++ b/crates/place/src/placing/candidates.rs
@@ -49,6 +49,7 @@
     fn allows(&self, now: Instant, handle: ServerHandle) -> bool {
         match self.statements.verdict(now, handle.run()) {
             SendVerdict::Allowed => true,
+            SendVerdict::Leaving => false,
             SendVerdict::NoRoom(_) => !self.needs_room,
         }
     }
--- a/crates/place/src/placing/placer.rs
+++ b/crates/place/src/placing/placer.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use crate::catalog::index::TOP_SERVERS;
-use crate::catalog::{ServerCatalog, ServerHandle};
+use crate::catalog::{ServerCatalog, ServerCondition, ServerHandle};
 use crate::desired::{DesiredState, RouteSpec, ServiceSpec};
 use crate::limits::budget::{BudgetBounds, RetryBudget};
 use crate::limits::cold_rate::ColdRateLimiter;
@@ -169,13 +169,13 @@
     }
 
     /// Records what an answer to the request of `placement` says of its server, and returns the
-    /// change.
+    /// changes.
     pub fn on_statement(
         &mut self,
         now: Instant,
         placement: &Placement,
         statement: &ServerStatement,
-    ) -> Option<StatementChange> {
+    ) -> Vec<StatementChange> {
         let run = placement.handle.run();
         self.statements.on_answer(now, run, statement)
     }
@@ -189,6 +189,18 @@
                 self.statements.on_peer_report(now, entry, run, limit);
             }
         }
+        for run in &report.leaving {
+            self.statements.on_peer_leaving(now, *run);
+        }
+    }
+
+    /// Whether the server of `record` may get requests, by the registry and by its own
+    /// statements.
+    pub fn condition(&self, now: Instant, record: &ServerRecord) -> ServerCondition {
+        match self.statements.verdict(now, record.hash) {
+            SendVerdict::Leaving => ServerCondition::Leaving,
+            SendVerdict::NoRoom(_) | SendVerdict::Allowed => self.catalog.condition(now, record),
+        }
     }
 
     /// Returns what this entry reports to the others of servers. Call it as often as
@@ -219,16 +231,19 @@
             return false;
         }
         let run = placement.handle.run();
-        if placement.uses_limit || self.statements.limit(run).is_none() {
-            return true;
-        }
-        // The limit became known after the request was placed.
-        if self.statements.verdict(now, run) != SendVerdict::Allowed {
-            self.statements.on_wanted(now, run);
-            return false;
+        match self.statements.verdict(now, run) {
+            SendVerdict::Leaving => false,
+            SendVerdict::NoRoom(_) if !placement.uses_limit => {
+                self.statements.on_wanted(now, run);
+                false
+            }
+            SendVerdict::Allowed if !placement.uses_limit => {
+                // A limit may have become known after the request was placed.
+                placement.uses_limit = self.statements.on_sent(now, run);
+                true
+            }
+            SendVerdict::NoRoom(_) | SendVerdict::Allowed => true,
         }
-        placement.uses_limit = self.statements.on_sent(now, run);
-        true
     }
 
     /// The longest warm-up time of any service.
@@ -341,7 +356,7 @@
         let waits = candidates.filter_map(|candidate| {
             match self.statements.verdict(now, candidate.handle.run()) {
                 SendVerdict::NoRoom(wait) => Some(wait),
-                SendVerdict::Allowed => None,
+                SendVerdict::Leaving | SendVerdict::Allowed => None,
             }
         });
         waits.min().or(Some(wait))
--- a/crates/place/src/statement/message.rs
+++ b/crates/place/src/statement/message.rs
@@ -10,6 +10,9 @@
     pub struct StatementReport {
         /// The limits.
         pub limits: Vec<LimitReport>,
+        /// Runs that told the entry that they are leaving. Short ids aren't enough: if two
+        /// servers share one, the other would never get requests again.
+        pub leaving: Vec<u64>,
     }
 
     /// A server's rate limit, and an entry's use of it.
@@ -39,6 +42,13 @@
 /// Thousandths in a whole.
 const THOUSANDTHS: f64 = 1000.0;
 
+impl StatementReport {
+    /// Whether there is nothing to report.
+    pub fn is_empty(&self) -> bool {
+        self.limits.is_empty() && self.leaving.is_empty()
+    }
+}
+
 impl LimitReport {
     /// Creates the report of an entry's use of the limit of the server with the short id
     /// `server`.
--- a/crates/place/src/statement/mod.rs
+++ b/crates/place/src/statement/mod.rs
@@ -15,6 +15,8 @@
 /// What an answer says of the run that sent it.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct ServerStatement {
+    /// Whether the run is leaving. A run that has said so once never takes it back.
+    pub leaving: bool,
     /// The run's rate limit.
     pub limit: LimitStatement,
     /// Time for which the server wants nothing from the entry that it answers.
@@ -38,6 +40,8 @@
 pub enum SendVerdict {
     /// It may.
     Allowed,
+    /// The run is leaving.
+    Leaving,
     /// The run's rate limit leaves no room for requests of this entry; room is expected after
     /// this time.
     NoRoom(Duration),
--- a/crates/place/src/statement/table.rs
+++ b/crates/place/src/statement/table.rs
@@ -12,8 +12,8 @@
 const MAX_RUNS: usize = 16_384;
 /// How long the statements of a run are kept that is not registered and sends no answers.
 const RETENTION: Duration = Duration::from_secs(600);
-/// Maximum number of limits in a report, which fit into one datagram.
-const MAX_REPORTED_LIMITS: usize = 64;
+/// Maximum number of runs of each kind in a report, which fit into one datagram.
+const MAX_REPORTED_RUNS: usize = 64;
 
 /// A change of what is known of a run, for the log.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -22,6 +22,8 @@
     Limited(f64),
     /// The run no longer names a limit.
     Unlimited,
+    /// The run is leaving.
+    Leaving,
 }
 
 /// What is known of the limit of a run.
@@ -41,6 +43,15 @@
 struct RunStatements {
     heard_at: Instant,
     limit: Option<KnownLimit>,
+    leaving: Option<KnownLeaving>,
+}
+
+/// How it is known that a run is leaving.
+#[derive(Debug, Clone, Copy)]
+struct KnownLeaving {
+    since: Instant,
+    /// Whether the run told this entry.
+    is_first_hand: bool,
 }
 
 /// The statements by run.
@@ -84,7 +95,13 @@
 
     /// Whether a request may be sent to `run` now.
     pub fn verdict(&self, now: Instant, run: u64) -> SendVerdict {
-        let Some(share) = self.share(run) else {
+        let Some(statements) = self.runs.get(&run) else {
+            return SendVerdict::Allowed;
+        };
+        if statements.leaving.is_some() {
+            return SendVerdict::Leaving;
+        }
+        let Some(share) = statements.share() else {
             return SendVerdict::Allowed;
         };
         if !self.is_informed {
@@ -104,12 +121,30 @@
         self.limited
     }
 
-    /// Records what an answer of `run` said, and returns the change.
+    /// Records what an answer of `run` said, and returns the changes.
     pub fn on_answer(
         &mut self,
         now: Instant,
         run: u64,
         statement: &ServerStatement,
+    ) -> Vec<StatementChange> {
+        let limit = self.on_limit_statement(now, run, statement);
+        let leaving = statement.leaving && self.set_leaving(now, run, true);
+        let leaving = leaving.then_some(StatementChange::Leaving);
+        limit.into_iter().chain(leaving).collect()
+    }
+
+    /// Records that the entry that sent a report was told by `run` that it is leaving. Returns
+    /// whether that is new.
+    pub fn on_peer_leaving(&mut self, now: Instant, run: u64) -> bool {
+        self.set_leaving(now, run, false)
+    }
+
+    fn on_limit_statement(
+        &mut self,
+        now: Instant,
+        run: u64,
+        statement: &ServerStatement,
     ) -> Option<StatementChange> {
         let rate = match statement.limit {
             LimitStatement::Unknown => return None,
@@ -176,7 +211,8 @@
             Some(limit.report(now, *run))
         });
         StatementReport {
-            limits: limits.take(MAX_REPORTED_LIMITS).collect(),
+            limits: limits.take(MAX_REPORTED_RUNS).collect(),
+            leaving: Vec::new(),
         }
     }
 
@@ -184,21 +220,47 @@
     /// `is_registered` tells whether a run is registered.
     pub fn report(&mut self, now: Instant, is_registered: impl Fn(u64) -> bool) -> StatementReport {
         let timing = self.timing;
-        let mut limits = Vec::new();
+        let (mut limits, mut leaving) = (Vec::new(), Vec::new());
         for (run, statements) in &mut self.runs {
+            if statements.is_leaving_reported(now, &timing) && leaving.len() < MAX_REPORTED_RUNS {
+                leaving.push(*run);
+            }
             let Some(limit) = &mut statements.limit else {
                 continue;
             };
             if let Some(share) = &mut limit.share {
                 share.expire(now, &timing);
             }
-            if limit.is_reported(now, &timing) && limits.len() < MAX_REPORTED_LIMITS {
+            if limit.is_reported(now, &timing) && limits.len() < MAX_REPORTED_RUNS {
                 limits.push(limit.report(now, *run));
             }
         }
         self.unreported.clear();
         self.remove_obsolete(now, is_registered);
-        StatementReport { limits }
+        StatementReport { limits, leaving }
+    }
+
+    fn set_leaving(&mut self, now: Instant, run: u64, is_first_hand: bool) -> bool {
+        let statements = self.statements_mut(now, run);
+        let is_new = statements.leaving.is_none();
+        let since = now;
+        statements.leaving.get_or_insert(KnownLeaving {
+            since,
+            is_first_hand,
+        });
+        self.remove_excess();
+        is_new
+    }
+
+    /// The statements of `run`, from which something was heard now.
+    fn statements_mut(&mut self, now: Instant, run: u64) -> &mut RunStatements {
+        let statements = self.runs.entry(run).or_insert(RunStatements {
+            heard_at: now,
+            limit: None,
+            leaving: None,
+        });
+        statements.heard_at = now;
+        statements
     }
 
     fn set_limit(
@@ -209,11 +271,7 @@
         rate: Option<f64>,
     ) -> Option<StatementChange> {
         let own = self.own;
-        let statements = self.runs.entry(run).or_insert(RunStatements {
-            heard_at: now,
-            limit: None,
-        });
-        statements.heard_at = now;
+        let statements = self.statements_mut(now, run);
         let limit = statements.limit.get_or_insert(KnownLimit {
             share: None,
             stated_at,
@@ -272,6 +330,14 @@
     fn share(&self) -> Option<&LimitShare> {
         self.limit.as_ref()?.share.as_ref()
     }
+
+    /// Whether the others are told that the run is leaving: some time after it said so here.
+    fn is_leaving_reported(&self, now: Instant, timing: &ShareTiming) -> bool {
+        self.leaving.is_some_and(|known| {
+            let age = now.saturating_duration_since(known.since);
+            known.is_first_hand && age < timing.want_time
+        })
+    }
 }
 
 impl KnownLimit {
--- a/crates/place/tests/server_limits.rs
+++ b/crates/place/tests/server_limits.rs
@@ -138,7 +138,7 @@
         } else {
             entry.placer.urgent_statements(now)
         };
-        if !report.limits.is_empty() {
+        if !report.is_empty() {
             self.reports.push((now + REPORT_DELAY, index, report));
         }
     }
@@ -397,8 +397,8 @@
         ..ServerStatement::default()
     };
     let change = placer.on_statement(now, &placement, &statement);
-    assert_eq!(change, Some(StatementChange::Limited(1.0)));
-    assert_eq!(placer.on_statement(now, &placement, &statement), None);
+    assert_eq!(change, [StatementChange::Limited(1.0)]);
+    assert_eq!(placer.on_statement(now, &placement, &statement), []);
     let at = now + Duration::from_secs(30);
     placer.catalog.apply_snapshot(at, &reading(at, &[]));
     let later = at + Duration::from_secs(30);
