Leave servers alone that ask for rest

Cause: a 503 with a time to rest counted as a full queue; the load report of 0 that came with it made the server the first choice for its objects again. Ruled out: a rest that ends too soon (the first attempt came at once) and requests on their way (attempts went on for the whole rest). Change: the statements of a run hold the rest that it asked this entry for, to the end of the last one asked for; entries come back within a fifth of it, and one request goes ahead. Callers are refused with the time until the first server takes requests again if all of them rest.

--- a/bin/lh-entry/src/statements.rs
+++ b/bin/lh-entry/src/statements.rs
@@ -36,7 +36,7 @@
 impl UrgentReporter {
     /// Records that the request of `placement` is sent.
     pub(crate) fn on_sent(&self, placement: &Placement) {
-        if placement.uses_limit {
+        if placement.takes_room {
             self.wake.notify_one();
         }
     }
--- a/crates/place/src/catalog/change.rs
+++ b/crates/place/src/catalog/change.rs
@@ -34,6 +34,8 @@
     Cold,
     /// Could not be reached recently.
     Unreachable,
+    /// Asked this entry for rest.
+    Resting,
     /// Its failure domain is evacuated.
     Evacuated,
     /// Its row was replaced by a foreign one.
@@ -49,6 +51,7 @@
             Self::Open => "open",
             Self::Cold => "cold",
             Self::Unreachable => "unreachable",
+            Self::Resting => "resting",
             Self::Evacuated => "evacuated",
             Self::Overwritten => "overwritten",
             Self::Leaving => "leaving",
--- a/crates/place/src/limits/refusal.rs
+++ b/crates/place/src/limits/refusal.rs
@@ -8,7 +8,9 @@
 /// most, usually about a second.
 const RETRY_AFTER_RANGE: (f64, f64) = (0.15, 0.9);
 /// Maximum delay if servers said when they take requests again, in seconds.
-const MAX_STATED_DELAY: f64 = 60.0;
+const MAX_STATED_DELAY: f64 = 3600.0;
+/// Spread of these delays, as a share of the time that servers stated.
+const STATED_SPREAD: f64 = 0.2;
 /// Delay if it isn't known when capacity is expected, in seconds.
 const DEFAULT_WAIT: f64 = 0.4;
 
@@ -27,9 +29,16 @@
     /// A refusal for `reason` if capacity is expected in `available_in` seconds.
     pub fn refusal(&mut self, reason: RefusalReason, available_in: Option<f64>) -> Refusal {
         let jitter = self.random_fraction();
-        let (min_delay, mut max_delay) = RETRY_AFTER_RANGE;
-        if reason == RefusalReason::Limited {
-            max_delay = MAX_STATED_DELAY;
+        let (min_delay, max_delay) = RETRY_AFTER_RANGE;
+        if let (RefusalReason::Limited | RefusalReason::Resting, Some(wait)) =
+            (reason, available_in)
+        {
+            let seconds = wait + (min_delay + STATED_SPREAD * wait) * jitter;
+            let retry_after = Duration::from_secs_f64(seconds.clamp(min_delay, MAX_STATED_DELAY));
+            return Refusal {
+                reason,
+                retry_after,
+            };
         }
         let wait = available_in.unwrap_or(DEFAULT_WAIT);
         let seconds = (wait + min_delay * jitter).max(min_delay) * (1.0 + jitter);
--- a/crates/place/src/placing/candidates.rs
+++ b/crates/place/src/placing/candidates.rs
@@ -49,7 +49,7 @@
     fn allows(&self, now: Instant, handle: ServerHandle) -> bool {
         match self.statements.verdict(now, handle.run()) {
             SendVerdict::Allowed => true,
-            SendVerdict::Leaving => false,
+            SendVerdict::Leaving | SendVerdict::Resting(_) => false,
             SendVerdict::NoRoom(_) => !self.needs_room,
         }
     }
--- a/crates/place/src/placing/placer.rs
+++ b/crates/place/src/placing/placer.rs
@@ -199,6 +199,7 @@
     pub fn condition(&self, now: Instant, record: &ServerRecord) -> ServerCondition {
         match self.statements.verdict(now, record.hash) {
             SendVerdict::Leaving => ServerCondition::Leaving,
+            SendVerdict::Resting(_) => ServerCondition::Resting,
             SendVerdict::NoRoom(_) | SendVerdict::Allowed => self.catalog.condition(now, record),
         }
     }
@@ -232,14 +233,14 @@
         }
         let run = placement.handle.run();
         match self.statements.verdict(now, run) {
-            SendVerdict::Leaving => false,
-            SendVerdict::NoRoom(_) if !placement.uses_limit => {
+            SendVerdict::Leaving | SendVerdict::Resting(_) => false,
+            SendVerdict::NoRoom(_) if !placement.takes_room => {
                 self.statements.on_wanted(now, run);
                 false
             }
-            SendVerdict::Allowed if !placement.uses_limit => {
+            SendVerdict::Allowed if !placement.takes_room => {
                 // A limit may have become known after the request was placed.
-                placement.uses_limit = self.statements.on_sent(now, run);
+                placement.takes_room = self.statements.on_sent(now, run);
                 true
             }
             SendVerdict::NoRoom(_) | SendVerdict::Allowed => true,
@@ -305,7 +306,7 @@
         );
         let mut ranked = self.ranked(now, request, service, scope, false);
         if ranked.candidates.is_empty() {
-            return Err(self.jitter.refusal(RefusalReason::NoServer, None));
+            return Err(self.no_candidate_refusal(now, service));
         }
         let mut unbounded = self.choose(now, request, service, &ranked, None);
         if let Some(room_in) = self.missing_room(now, &ranked, &unbounded) {
@@ -319,6 +320,22 @@
         placement.ok_or_else(|| self.jitter.refusal(RefusalReason::NoServer, None))
     }
 
+    /// The refusal of a request that no server may get.
+    fn no_candidate_refusal(&mut self, now: Instant, service: &str) -> Refusal {
+        let servers = self.catalog.open_servers(service);
+        let rests =
+            servers.filter_map(
+                |(handle, _)| match self.statements.verdict(now, handle.run()) {
+                    SendVerdict::Resting(wait) => Some(wait.as_secs_f64()),
+                    _ => None,
+                },
+            );
+        match rests.reduce(f64::min) {
+            Some(wait) => self.jitter.refusal(RefusalReason::Resting, Some(wait)),
+            None => self.jitter.refusal(RefusalReason::NoServer, None),
+        }
+    }
+
     /// The servers that can get the request; with `needs_room` only those whose rate limits
     /// leave room.
     fn ranked(
@@ -356,7 +373,7 @@
         let waits = candidates.filter_map(|candidate| {
             match self.statements.verdict(now, candidate.handle.run()) {
                 SendVerdict::NoRoom(wait) => Some(wait),
-                SendVerdict::Leaving | SendVerdict::Allowed => None,
+                SendVerdict::Leaving | SendVerdict::Resting(_) | SendVerdict::Allowed => None,
             }
         });
         waits.min().or(Some(wait))
@@ -614,11 +631,11 @@
         if reason.cold {
             self.cold_limiter.on_sent(now, record.hash);
         }
-        let uses_limit = self.statements.on_sent(now, handle.run());
+        let takes_room = self.statements.on_sent(now, handle.run());
         let placement = Placement::new(now, handle, &record.entry);
         Some(Placement {
             reason,
-            uses_limit,
+            takes_room,
             ..placement
         })
     }
--- a/crates/place/src/request.rs
+++ b/crates/place/src/request.rs
@@ -87,8 +87,9 @@
     pub version: String,
     /// Why this server was chosen, for the log.
     pub reason: PlacementReason,
-    /// Whether the request was counted against a rate limit of the server.
-    pub uses_limit: bool,
+    /// Whether the request was counted against the room that the server left, by a rate limit
+    /// or after a rest.
+    pub takes_room: bool,
     pub(crate) started: Instant,
 }
 
@@ -101,7 +102,7 @@
             id: entry.id.clone(),
             version: entry.version.clone(),
             reason: PlacementReason::default(),
-            uses_limit: false,
+            takes_room: false,
             started: now,
         }
     }
@@ -147,6 +148,8 @@
     Quarantined,
     /// Only servers are left whose rate limits are exhausted.
     Limited,
+    /// Only servers are left that want no requests for a time.
+    Resting,
 }
 
 impl RefusalReason {
@@ -160,6 +163,7 @@
             Self::ShiftCap => "shift-cap",
             Self::Quarantined => "quarantined",
             Self::Limited => "limited",
+            Self::Resting => "resting",
         }
     }
 }
--- a/crates/place/src/statement/mod.rs
+++ b/crates/place/src/statement/mod.rs
@@ -5,6 +5,7 @@
 //! again doesn't revoke them.
 
 pub mod message;
+pub mod rest;
 pub mod share;
 mod table;
 
@@ -42,7 +43,9 @@
     Allowed,
     /// The run is leaving.
     Leaving,
-    /// The run's rate limit leaves no room for requests of this entry; room is expected after
-    /// this time.
+    /// The run wants no requests of this entry for this time.
+    Resting(Duration),
+    /// The run's rate limit, or a rest that has just ended, leaves no room for requests of this
+    /// entry; room is expected after this time.
     NoRoom(Duration),
 }
--- a/crates/place/src/statement/table.rs
+++ b/crates/place/src/statement/table.rs
@@ -5,6 +5,7 @@
 
 use crate::placing::load::short_id;
 use crate::statement::message::{LimitClaim, LimitReport, StatementReport, rounded};
+use crate::statement::rest::{RestVerdict, ServerRest};
 use crate::statement::share::{LimitShare, ShareTiming};
 use crate::statement::{LimitStatement, SendVerdict, ServerStatement};
 
@@ -44,6 +45,8 @@
     heard_at: Instant,
     limit: Option<KnownLimit>,
     leaving: Option<KnownLeaving>,
+    /// The rest that the run asked this entry for, until it takes requests again.
+    rest: Option<ServerRest>,
 }
 
 /// How it is known that a run is leaving.
@@ -101,6 +104,11 @@
         if statements.leaving.is_some() {
             return SendVerdict::Leaving;
         }
+        match statements.rest.map(|rest| rest.verdict(now)) {
+            Some(RestVerdict::Resting(wait)) => return SendVerdict::Resting(wait),
+            Some(RestVerdict::Probing(wait)) => return SendVerdict::NoRoom(wait),
+            Some(RestVerdict::Probe) | None => {}
+        }
         let Some(share) = statements.share() else {
             return SendVerdict::Allowed;
         };
@@ -131,6 +139,7 @@
         let limit = self.on_limit_statement(now, run, statement);
         let leaving = statement.leaving && self.set_leaving(now, run, true);
         let leaving = leaving.then_some(StatementChange::Leaving);
+        self.on_rest_statement(now, run, statement.rest);
         limit.into_iter().chain(leaving).collect()
     }
 
@@ -140,6 +149,22 @@
         self.set_leaving(now, run, false)
     }
 
+    /// Handles that an answer of `run` asked for a rest of `span`, or didn't ask for one.
+    fn on_rest_statement(&mut self, now: Instant, run: u64, span: Option<Duration>) {
+        let own = self.own;
+        if let Some(span) = span {
+            let rest = &mut self.statements_mut(now, run).rest;
+            let rest = rest.get_or_insert_with(|| ServerRest::new(now, run, own, span));
+            rest.extend(now, span);
+            self.remove_excess();
+            return;
+        }
+        let Some(statements) = self.runs.get_mut(&run) else {
+            return;
+        };
+        statements.rest.take_if(|rest| rest.ends_with_answer(now));
+    }
+
     fn on_limit_statement(
         &mut self,
         now: Instant,
@@ -185,11 +210,19 @@
         }
     }
 
-    /// Counts a request that is sent to `run`. Returns whether the run has a limit.
+    /// Counts a request that is sent to `run`. Returns whether it takes a part of the room that
+    /// the run left.
     pub fn on_sent(&mut self, now: Instant, run: u64) -> bool {
-        let Some(share) = self.share_mut(run) else {
+        let Some(statements) = self.runs.get_mut(&run) else {
             return false;
         };
+        if let Some(rest) = &mut statements.rest {
+            rest.on_sent(now);
+        }
+        let takes_room = statements.rest.is_some();
+        let Some(share) = self.share_mut(run) else {
+            return takes_room;
+        };
         share.on_sent(now);
         if !self.unreported.contains(&run) {
             self.unreported.push(run);
@@ -258,6 +291,7 @@
             heard_at: now,
             limit: None,
             leaving: None,
+            rest: None,
         });
         statements.heard_at = now;
         statements
--- a/crates/place/tests/server_limits.rs
+++ b/crates/place/tests/server_limits.rs
@@ -409,7 +409,7 @@
     placer
         .catalog
         .apply_snapshot(later, &reading(later, &[again]));
-    assert!(placer.place(later, &wanted).unwrap().uses_limit);
+    assert!(placer.place(later, &wanted).unwrap().takes_room);
     let refusal = placer.place(later, &wanted).unwrap_err();
     assert_eq!(refusal.reason, RefusalReason::Limited);
     let successor = ServerEntry {
@@ -421,7 +421,7 @@
     placer
         .catalog
         .apply_snapshot(last, &reading(last, &[successor]));
-    assert!(!placer.place(last, &wanted).unwrap().uses_limit);
+    assert!(!placer.place(last, &wanted).unwrap().takes_room);
 }
 
 /// A request that was placed before the limit became known is not sent when its connection is
