Soak: servers that leave by their responses

Cause: servers of the soak left by the registry only, so it could not show that entries use a server that says in its responses that it leaves. Change: some servers say so 1 to 12 s before their row does, by a draw of its own; the judge counts requests later than the drain time after an entry passed on such a response, and only a restart or a freeze of the entry excuses them. Forged histories are reported (requests_to_a_server_that_told_its_leaving_are_reported).

--- a/bin/lh-soak/src/history.rs
+++ b/bin/lh-soak/src/history.rs
@@ -104,6 +104,8 @@
     pub enum Statement {
         /// It has a rate limit.
         Limited,
+        /// It is leaving.
+        Leaving,
     }
 
     /// A change of a server that an entry logged.
--- a/bin/lh-soak/src/judge.rs
+++ b/bin/lh-soak/src/judge.rs
@@ -7,6 +7,9 @@
 //!   then no entry can know better.
 //! - **Return.** An entry that logged the departure of a server does not take it in again in the
 //!   same run, and sends it no request [`DRAIN_TIMEOUT`] later. This holds under all faults.
+//! - **Told.** No request reaches a server later than [`DRAIN_TIMEOUT`] after its entry passed on
+//!   a response in which the server says that it leaves. Only a restart or a freeze of the entry
+//!   since then excuses it.
 //! - **Limit.** A server that names a rate limit gets no more than it tolerates, beginning with
 //!   [`STABLE_WINDOW`] after that, from entries that it has told and that had no fault.
 //! - **Once.** An at-most-once request is executed at most once. A request that was answered as
@@ -25,6 +28,8 @@
 const STATUS_OK: u16 = 200;
 /// Status codes which guarantee that the request was not executed and never will be.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+/// Name of the fault in which an entry is suspended.
+const FREEZE_FAULT: &str = "frozen";
 /// Largest number of violations that are printed in full.
 const MAX_PRINTED_VIOLATIONS: usize = 12;
 
@@ -47,6 +52,8 @@
     /// Violations of **Once**: requests that were executed twice or in spite of a refusal, or got
     /// the wrong response.
     pub once_violations: Vec<String>,
+    /// Violations of **Told**: late requests to servers that had told the entry that they leave.
+    pub told_violations: Vec<String>,
     /// Violations of **Limit**.
     pub limit_violations: Vec<String>,
     /// Requests that servers with limits got, in percent of what the limits allowed.
@@ -67,6 +74,7 @@
         self.drain_violations.len()
             + self.readmissions.len()
             + self.once_violations.len()
+            + self.told_violations.len()
             + self.limit_violations.len()
     }
 }
@@ -81,7 +89,7 @@
         write!(
             f,
             "seed {}: {} arrivals, {} servers left, answers {} good {} other, faults [{}]; \
-             drain {}, returned {}, once {}, limit {} (used {} %), forgotten by all {}, late under faults {} (latest {} ms)",
+             drain {}, returned {}, once {}, told {}, limit {} (used {} %), forgotten by all {}, late under faults {} (latest {} ms)",
             self.seed,
             self.arrivals,
             self.servers_left,
@@ -91,6 +99,7 @@
             self.drain_violations.len(),
             self.readmissions.len(),
             self.once_violations.len(),
+            self.told_violations.len(),
             self.limit_violations.len(),
             self.limits_used_percent,
             self.forgotten,
@@ -102,6 +111,7 @@
             .iter()
             .chain(&self.readmissions)
             .chain(&self.once_violations)
+            .chain(&self.told_violations)
             .chain(&self.limit_violations);
         for violation in violations.take(MAX_PRINTED_VIOLATIONS) {
             write!(f, "\n  {violation}")?;
@@ -154,6 +164,9 @@
     /// At-most-once requests that were answered as not run.
     refused: HashSet<String>,
     limits: LimitJudge,
+    /// When each run of an entry first passed on a response of a server that says that it
+    /// leaves.
+    told_leaving_at: HashMap<(usize, u32, String), u64>,
     /// What servers said of themselves in the responses to requests that callers still wait for.
     told: HashMap<String, Vec<(String, Statement)>>,
 }
@@ -168,6 +181,7 @@
         drain_violations: Vec::new(),
         readmissions: Vec::new(),
         once_violations: Vec::new(),
+        told_violations: Vec::new(),
         limit_violations: Vec::new(),
         limits_used_percent: 0,
         forgotten: 0,
@@ -206,6 +220,7 @@
                 self.on_executed(server, request, report);
                 self.on_arrived(at, server, *entry, report);
                 self.check_limit(at, server, *entry, report);
+                self.check_told(at, server, *entry, report);
             }
             RunEvent::Limit { server, milli } => self.limits.on_limit(at, server, *milli),
             RunEvent::Told {
@@ -232,6 +247,10 @@
             }
             RunEvent::Fault { name, entry } => {
                 *report.faults.entry(name.clone()).or_default() += 1;
+                if name == FREEZE_FAULT {
+                    self.told_leaving_at
+                        .retain(|(frozen, _, _), _| Some(*frozen) != *entry);
+                }
                 self.fault_state(*entry).begin();
             }
             RunEvent::Calm { entry } => self.fault_state(*entry).end(at),
@@ -300,6 +319,20 @@
         report.limit_violations.extend(violation);
     }
 
+    fn check_told(&mut self, at: u64, server: &str, entry: usize, report: &mut SoakReport) {
+        let run = self.runs.get(&entry).copied().unwrap_or_default();
+        let key = (entry, run, server.to_owned());
+        let bound = millis(DRAIN_TIMEOUT) + self.max_lag_ms;
+        if let Some(told_at) = self.told_leaving_at.get(&key)
+            && at > told_at + bound
+        {
+            report.told_violations.push(format!(
+                "told: {server} got a request at {at} ms from entry {entry}, which it had told at \
+                 {told_at} ms that it leaves"
+            ));
+        }
+    }
+
     /// Handles that an entry passed on what servers said in their responses to `request`.
     fn on_passed_on(&mut self, at: u64, request: &str, status: u16) {
         let told = self.told.remove(request).unwrap_or_default();
@@ -310,6 +343,10 @@
         for (server, statement) in told {
             match statement {
                 Statement::Limited => self.limits.on_told(at, (entry, run), &server),
+                Statement::Leaving => {
+                    let key = (entry, run, server);
+                    self.told_leaving_at.entry(key).or_insert(at);
+                }
             }
         }
     }
--- a/bin/lh-soak/src/servers.rs
+++ b/bin/lh-soak/src/servers.rs
@@ -115,6 +115,16 @@
         live[draw as usize % live.len()].id.clone()
     }
 
+    /// Lets the server `id` leave, with its row `draining`. Returns whether it had not left yet.
+    pub(crate) fn announce_leaving(&self, id: &str) -> bool {
+        let index = self.live().iter().position(|server| server.id == id);
+        let Some(index) = index else {
+            return false;
+        };
+        self.start_leaving(index, LeaveKind::Announced);
+        true
+    }
+
     /// Lets the server at `index` leave. It still serves requests that reach it.
     pub(crate) fn start_leaving(&self, index: usize, kind: LeaveKind) -> SoakServer {
         let mut server = self.live().swap_remove(index);
@@ -245,6 +255,10 @@
     let _ = request.into_body().collect().await;
     tokio::time::sleep(SERVICE_TIME).await;
     let statement = server.statements.get(id);
+    if statement.leaving {
+        builder = builder.header("server-leaving", "1");
+        server.record_told(&request_id, Statement::Leaving);
+    }
     if let Some(milli) = statement.limit_milli {
         let rate = f64::from(milli) / 1000.0;
         builder = builder.header("server-limit", rate.to_string());
--- a/bin/lh-soak/src/soak.rs
+++ b/bin/lh-soak/src/soak.rs
@@ -15,7 +15,7 @@
 use crate::history::{RunEvent, RunHistory, RunRecorder, millis};
 use crate::injector::inject;
 use crate::judge;
-use crate::statements::state_limits;
+use crate::statements::{leave_by_responses, state_limits};
 use crate::world::World;
 
 /// Interval between two measurements of the scheduling delay of this process.
@@ -65,6 +65,7 @@
     let callers = world.start_callers();
     let churn = tokio::spawn(replace_servers(Arc::clone(&world), config.clone()));
     let limits = tokio::spawn(state_limits(Arc::clone(&world), config.clone()));
+    let leaving = tokio::spawn(leave_by_responses(Arc::clone(&world), config.clone()));
     let started = Instant::now();
     let mut injections = Vec::new();
     for fault in faults::draw_faults(config.seed, config.seconds, config.entries, REGIONS.len()) {
@@ -78,6 +79,7 @@
     sleep(run_time.saturating_sub(started.elapsed())).await;
     churn.abort();
     limits.abort();
+    leaving.abort();
     callers.iter().for_each(tokio::task::JoinHandle::abort);
     let history = world.recorder.history(config.seed);
     world.stop_entries()?;
--- a/bin/lh-soak/src/statements.rs
+++ b/bin/lh-soak/src/statements.rs
@@ -12,8 +12,9 @@
 use crate::history::{RunEvent, RunRecorder};
 use crate::world::World;
 
-/// Makes the draws independent of those of faults and departures.
-const SEED_MASK: u64 = 0x57a7_e000;
+/// Make the draws independent of those of faults and departures.
+const LIMIT_SEED_MASK: u64 = 0x57a7_e000;
+const LEAVING_SEED_MASK: u64 = 0x57a7_e001;
 /// Range of the interval between two servers that begin to say something, in milliseconds.
 const START_INTERVAL_MS: std::ops::Range<u64> = 1000..4000;
 /// Range of the time for which a server says it, in milliseconds.
@@ -21,11 +22,19 @@
 /// Range of the rate limits, in thousandths of a request per second.
 const LIMIT_MILLI: std::ops::Range<u32> = 300..6000;
 
+/// Range of the interval between two servers that begin to leave by their responses, in
+/// milliseconds.
+const LEAVING_INTERVAL_MS: std::ops::Range<u64> = 2000..6000;
+/// Range of the time until the registry shows that such a server leaves, in milliseconds.
+const ROW_DELAY_MS: std::ops::Range<u64> = 1000..12_000;
+
 /// What a server says of itself now.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct ServerStatement {
     /// Its rate limit, in thousandths of a request per second.
     pub(crate) limit_milli: Option<u32>,
+    /// Whether it is leaving.
+    pub(crate) leaving: bool,
 }
 
 /// What each server says of itself.
@@ -51,6 +60,12 @@
         });
     }
 
+    /// Lets `server` say that it is leaving.
+    fn set_leaving(&self, server: &str) {
+        let mut by_server = self.lock();
+        by_server.entry(server.to_owned()).or_default().leaving = true;
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<String, ServerStatement>> {
         self.by_server
             .lock()
@@ -60,7 +75,7 @@
 
 /// Lets servers name rate limits and end them.
 pub(crate) async fn state_limits(world: Arc<World>, config: SoakConfig) {
-    let mut rng = ChaCha8Rng::seed_from_u64(config.seed ^ SEED_MASK);
+    let mut rng = ChaCha8Rng::seed_from_u64(config.seed ^ LIMIT_SEED_MASK);
     loop {
         sleep(Duration::from_millis(rng.random_range(START_INTERVAL_MS))).await;
         let server = world.server_pool.draw_live(rng.random::<u32>());
@@ -78,3 +93,25 @@
         });
     }
 }
+
+/// Lets servers leave that say so in their responses long before the registry shows it, and
+/// starts replacements.
+pub(crate) async fn leave_by_responses(world: Arc<World>, config: SoakConfig) {
+    let mut rng = ChaCha8Rng::seed_from_u64(config.seed ^ LEAVING_SEED_MASK);
+    loop {
+        sleep(Duration::from_millis(rng.random_range(LEAVING_INTERVAL_MS))).await;
+        let server = world.server_pool.draw_live(rng.random::<u32>());
+        let row_delay = Duration::from_millis(rng.random_range(ROW_DELAY_MS));
+        world.server_pool.statements.set_leaving(&server);
+        let world = Arc::clone(&world);
+        tokio::spawn(async move {
+            sleep(row_delay).await;
+            // It may have left in another way meanwhile.
+            if world.server_pool.announce_leaving(&server)
+                && let Err(error) = world.server_pool.start_server().await
+            {
+                eprintln!("failed to start a replacement server: {error}");
+            }
+        });
+    }
+}
--- a/bin/lh-soak/tests/judge.rs
+++ b/bin/lh-soak/tests/judge.rs
@@ -179,6 +179,43 @@
     assert_eq!(count(&lifted, &requests(5000, 12)), 0, "no limit any more");
 }
 
+/// A late request to a server that had told the entry that it leaves is reported, also while the
+/// store or the entry's link is faulty. A restart or a freeze of the entry excuses it.
+#[test]
+fn requests_to_a_server_that_told_its_leaving_are_reported() {
+    let tell = [
+        (900, ran("x", "1-0-0")),
+        (1100, told("1-0-0", Statement::Leaving)),
+        (1200, answered("1-0-0", 200, "1-0-0 ran at x")),
+    ];
+    let count = |events: &[(u64, RunEvent)]| {
+        let late = [(4300, arrived(1))];
+        report(&[&tell, events, &late].concat())
+            .told_violations
+            .len()
+    };
+    assert_eq!(
+        report(&[&tell[..], &[(4100, arrived(1))]].concat()).violation_count(),
+        0
+    );
+    assert_eq!(count(&[]), 1);
+    assert_eq!(count(&[(2000, fault(None)), (2100, fault(Some(1)))]), 1);
+    let name = "frozen".to_owned();
+    let entry = Some(1);
+    assert_eq!(count(&[(2000, RunEvent::Fault { name, entry })]), 0);
+    let restarted = [
+        (2000, RunEvent::Ended { entry: 1 }),
+        (2100, RunEvent::Started { entry: 1, run: 2 }),
+    ];
+    assert_eq!(count(&restarted), 0);
+    assert_eq!(
+        report(&[&tell[..2], &[(4300, arrived(1))]].concat())
+            .told_violations
+            .len(),
+        0
+    );
+}
+
 /// A second execution of an at-most-once request, an execution of a refused one, and a response to
 /// another request are reported. Repeated idempotent requests are not.
 #[test]
