Soak: servers that turn requests away and ask for rest

Cause: no server of the soak asked for rest, so it could not show that entries send on to one that does. Change: groups of servers turn requests away for some seconds and ask for rest, by a draw of its own; the judge counts requests within a rest, turned away or not, and any fault of the entry excuses it. Forged histories are reported (requests_at_rest_are_reported).

--- a/bin/lh-soak/src/history.rs
+++ b/bin/lh-soak/src/history.rs
@@ -47,6 +47,15 @@
             /// What it said.
             statement: Statement,
         },
+        /// A server turned a request away and asked its entry for rest.
+        TurnedAway {
+            /// The server.
+            server: String,
+            /// The entry that sent the request.
+            entry: usize,
+            /// The rest in milliseconds.
+            rest_ms: u64,
+        },
         /// An entry logged a change of a server.
         Line {
             /// The entry.
--- a/bin/lh-soak/src/judge.rs
+++ b/bin/lh-soak/src/judge.rs
@@ -10,6 +10,9 @@
 //! - **Told.** No request reaches a server later than [`DRAIN_TIMEOUT`] after its entry passed on
 //!   a response in which the server says that it leaves. Only a restart or a freeze of the entry
 //!   since then excuses it.
+//! - **Rest.** A server that turned a request of an entry away and asked it for rest gets two
+//!   requests at most from it in that time, but for the first half second. Any fault of the entry
+//!   since then excuses it.
 //! - **Limit.** A server that names a rate limit gets no more than it tolerates, beginning with
 //!   [`STABLE_WINDOW`] after that, from entries that it has told and that had no fault.
 //! - **Once.** An at-most-once request is executed at most once. A request that was answered as
@@ -22,6 +25,7 @@
 use crate::config::{DRAIN_TIMEOUT, STABLE_WINDOW};
 use crate::history::{RunEvent, RunHistory, ServerChange, Statement, millis};
 use crate::judge_limits::LimitJudge;
+use crate::judge_rests::RestJudge;
 use crate::{callers, servers};
 
 /// Status code of a successful response.
@@ -54,6 +58,8 @@
     pub once_violations: Vec<String>,
     /// Violations of **Told**: late requests to servers that had told the entry that they leave.
     pub told_violations: Vec<String>,
+    /// Violations of **Rest**.
+    pub rest_violations: Vec<String>,
     /// Violations of **Limit**.
     pub limit_violations: Vec<String>,
     /// Requests that servers with limits got, in percent of what the limits allowed.
@@ -75,6 +81,7 @@
             + self.readmissions.len()
             + self.once_violations.len()
             + self.told_violations.len()
+            + self.rest_violations.len()
             + self.limit_violations.len()
     }
 }
@@ -89,7 +96,7 @@
         write!(
             f,
             "seed {}: {} arrivals, {} servers left, answers {} good {} other, faults [{}]; \
-             drain {}, returned {}, once {}, told {}, limit {} (used {} %), forgotten by all {}, late under faults {} (latest {} ms)",
+             drain {}, returned {}, once {}, told {}, rest {}, limit {} (used {} %), forgotten by all {}, late under faults {} (latest {} ms)",
             self.seed,
             self.arrivals,
             self.servers_left,
@@ -100,6 +107,7 @@
             self.readmissions.len(),
             self.once_violations.len(),
             self.told_violations.len(),
+            self.rest_violations.len(),
             self.limit_violations.len(),
             self.limits_used_percent,
             self.forgotten,
@@ -112,6 +120,7 @@
             .chain(&self.readmissions)
             .chain(&self.once_violations)
             .chain(&self.told_violations)
+            .chain(&self.rest_violations)
             .chain(&self.limit_violations);
         for violation in violations.take(MAX_PRINTED_VIOLATIONS) {
             write!(f, "\n  {violation}")?;
@@ -164,6 +173,7 @@
     /// At-most-once requests that were answered as not run.
     refused: HashSet<String>,
     limits: LimitJudge,
+    rests: RestJudge,
     /// When each run of an entry first passed on a response of a server that says that it
     /// leaves.
     told_leaving_at: HashMap<(usize, u32, String), u64>,
@@ -182,6 +192,7 @@
         readmissions: Vec::new(),
         once_violations: Vec::new(),
         told_violations: Vec::new(),
+        rest_violations: Vec::new(),
         limit_violations: Vec::new(),
         limits_used_percent: 0,
         forgotten: 0,
@@ -221,6 +232,16 @@
                 self.on_arrived(at, server, *entry, report);
                 self.check_limit(at, server, *entry, report);
                 self.check_told(at, server, *entry, report);
+                self.check_rest(at, server, *entry, report);
+            }
+            RunEvent::TurnedAway {
+                server,
+                entry,
+                rest_ms,
+            } => {
+                self.check_rest(at, server, *entry, report);
+                let run = self.runs.get(entry).copied().unwrap_or_default();
+                self.rests.on_asked(at, (*entry, run), server, *rest_ms);
             }
             RunEvent::Limit { server, milli } => self.limits.on_limit(at, server, *milli),
             RunEvent::Told {
@@ -251,6 +272,9 @@
                     self.told_leaving_at
                         .retain(|(frozen, _, _), _| Some(*frozen) != *entry);
                 }
+                if let Some(entry) = entry {
+                    self.rests.excuse(*entry);
+                }
                 self.fault_state(*entry).begin();
             }
             RunEvent::Calm { entry } => self.fault_state(*entry).end(at),
@@ -333,6 +357,13 @@
         }
     }
 
+    fn check_rest(&mut self, at: u64, server: &str, entry: usize, report: &mut SoakReport) {
+        let run = self.runs.get(&entry).copied().unwrap_or_default();
+        let lag_ms = self.max_lag_ms;
+        let violation = self.rests.on_reached(at, (entry, run), server, lag_ms);
+        report.rest_violations.extend(violation);
+    }
+
     /// Handles that an entry passed on what servers said in their responses to `request`.
     fn on_passed_on(&mut self, at: u64, request: &str, status: u16) {
         let told = self.told.remove(request).unwrap_or_default();
--- a/bin/lh-soak/src/lib.rs
+++ b/bin/lh-soak/src/lib.rs
@@ -15,6 +15,7 @@
 mod injector;
 pub mod judge;
 mod judge_limits;
+mod judge_rests;
 mod proxy;
 mod servers;
 mod soak;
--- a/bin/lh-soak/src/servers.rs
+++ b/bin/lh-soak/src/servers.rs
@@ -115,6 +115,11 @@
         live[draw as usize % live.len()].id.clone()
     }
 
+    /// The ids of all running servers.
+    pub(crate) fn live_ids(&self) -> Vec<String> {
+        self.live().iter().map(|server| server.id.clone()).collect()
+    }
+
     /// Lets the server `id` leave, with its row `draining`. Returns whether it had not left yet.
     pub(crate) fn announce_leaving(&self, id: &str) -> bool {
         let index = self.live().iter().position(|server| server.id == id);
@@ -199,6 +204,28 @@
 }
 
 impl ServerIdentity {
+    /// Responds that the request was not executed and that the server wants to rest.
+    fn turn_away(
+        &self,
+        request: &str,
+        builder: hyper::http::response::Builder,
+        rest_ms: u64,
+    ) -> Response<Full<Bytes>> {
+        if let Some(entry) = entry_of(request) {
+            self.recorder.record(RunEvent::TurnedAway {
+                server: self.id.clone(),
+                entry,
+                rest_ms,
+            });
+        }
+        let rest_secs = rest_ms as f64 / 1000.0;
+        let builder = builder
+            .status(StatusCode::SERVICE_UNAVAILABLE)
+            .header("not-executed", "1")
+            .header("retry-after", rest_secs.to_string());
+        response_with_body(builder, "")
+    }
+
     /// Records that the response to `request` says `statement`.
     fn record_told(&self, request: &str, statement: Statement) {
         self.recorder.record(RunEvent::Told {
@@ -245,6 +272,10 @@
         builder = builder.status(StatusCode::MISDIRECTED_REQUEST);
         return response_with_body(builder, "");
     }
+    let statement = server.statements.get(id);
+    if let Some(rest_ms) = statement.rest_ms {
+        return server.turn_away(&request_id, builder, rest_ms);
+    }
     if let Some(entry) = entry_of(&request_id) {
         recorder.record(RunEvent::Arrived {
             server: id.clone(),
--- a/bin/lh-soak/src/soak.rs
+++ b/bin/lh-soak/src/soak.rs
@@ -15,7 +15,7 @@
 use crate::history::{RunEvent, RunHistory, RunRecorder, millis};
 use crate::injector::inject;
 use crate::judge;
-use crate::statements::{leave_by_responses, state_limits};
+use crate::statements::{ask_for_rest, leave_by_responses, state_limits};
 use crate::world::World;
 
 /// Interval between two measurements of the scheduling delay of this process.
@@ -66,6 +66,7 @@
     let churn = tokio::spawn(replace_servers(Arc::clone(&world), config.clone()));
     let limits = tokio::spawn(state_limits(Arc::clone(&world), config.clone()));
     let leaving = tokio::spawn(leave_by_responses(Arc::clone(&world), config.clone()));
+    let rests = tokio::spawn(ask_for_rest(Arc::clone(&world), config.clone()));
     let started = Instant::now();
     let mut injections = Vec::new();
     for fault in faults::draw_faults(config.seed, config.seconds, config.entries, REGIONS.len()) {
@@ -80,6 +81,7 @@
     churn.abort();
     limits.abort();
     leaving.abort();
+    rests.abort();
     callers.iter().for_each(tokio::task::JoinHandle::abort);
     let history = world.recorder.history(config.seed);
     world.stop_entries()?;
--- a/bin/lh-soak/src/statements.rs
+++ b/bin/lh-soak/src/statements.rs
@@ -15,6 +15,7 @@
 /// Make the draws independent of those of faults and departures.
 const LIMIT_SEED_MASK: u64 = 0x57a7_e000;
 const LEAVING_SEED_MASK: u64 = 0x57a7_e001;
+const REST_SEED_MASK: u64 = 0x57a7_e002;
 /// Range of the interval between two servers that begin to say something, in milliseconds.
 const START_INTERVAL_MS: std::ops::Range<u64> = 1000..4000;
 /// Range of the time for which a server says it, in milliseconds.
@@ -28,6 +29,16 @@
 /// Range of the time until the registry shows that such a server leaves, in milliseconds.
 const ROW_DELAY_MS: std::ops::Range<u64> = 1000..12_000;
 
+/// Range of the interval between two groups of servers that begin to ask for rest, in
+/// milliseconds.
+const REST_INTERVAL_MS: std::ops::Range<u64> = 4000..10_000;
+/// Range of the share of the servers in such a group.
+const REST_SHARE: std::ops::Range<f64> = 0.1..0.9;
+/// Range of the time for which such servers turn requests away, in milliseconds.
+const REST_DURATION_MS: std::ops::Range<u64> = 2000..8000;
+/// Range of the rests, in milliseconds.
+const REST_MS: std::ops::Range<u64> = 2000..7000;
+
 /// What a server says of itself now.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct ServerStatement {
@@ -35,6 +46,8 @@
     pub(crate) limit_milli: Option<u32>,
     /// Whether it is leaving.
     pub(crate) leaving: bool,
+    /// It turns requests away and asks for a rest of this many milliseconds.
+    pub(crate) rest_ms: Option<u64>,
 }
 
 /// What each server says of itself.
@@ -66,6 +79,12 @@
         by_server.entry(server.to_owned()).or_default().leaving = true;
     }
 
+    /// Lets `server` turn requests away and ask for rest, or take requests again.
+    fn set_rest(&self, server: &str, rest_ms: Option<u64>) {
+        let mut by_server = self.lock();
+        by_server.entry(server.to_owned()).or_default().rest_ms = rest_ms;
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<String, ServerStatement>> {
         self.by_server
             .lock()
@@ -115,3 +134,26 @@
         });
     }
 }
+
+/// Lets groups of servers turn requests away for a time, and ask for rest.
+pub(crate) async fn ask_for_rest(world: Arc<World>, config: SoakConfig) {
+    let mut rng = ChaCha8Rng::seed_from_u64(config.seed ^ REST_SEED_MASK);
+    loop {
+        sleep(Duration::from_millis(rng.random_range(REST_INTERVAL_MS))).await;
+        let mut servers = world.server_pool.live_ids();
+        let share = rng.random_range(REST_SHARE);
+        servers.retain(|_| rng.random_bool(share));
+        let rest_ms = rng.random_range(REST_MS);
+        let duration = Duration::from_millis(rng.random_range(REST_DURATION_MS));
+        let board = world.server_pool.statements.clone();
+        tokio::spawn(async move {
+            for server in &servers {
+                board.set_rest(server, Some(rest_ms));
+            }
+            sleep(duration).await;
+            for server in &servers {
+                board.set_rest(server, None);
+            }
+        });
+    }
+}
--- a/bin/lh-soak/tests/judge.rs
+++ b/bin/lh-soak/tests/judge.rs
@@ -216,6 +216,37 @@
     );
 }
 
+/// A third request within a rest is reported, whether it is executed or turned away. The first
+/// half second, another entry and faults of the entry don't count.
+#[test]
+fn requests_at_rest_are_reported() {
+    let turned_away = |entry| RunEvent::TurnedAway {
+        server: "x".to_owned(),
+        entry,
+        rest_ms: 3000,
+    };
+    let asked = [(1000, turned_away(1))];
+    let count =
+        |events: &[(u64, RunEvent)]| report(&[&asked, events].concat()).rest_violations.len();
+    let two = [(2000, arrived(1)), (2100, arrived(1))];
+    assert_eq!(count(&two), 0);
+    assert_eq!(count(&[&two[..], &[(2200, arrived(1))]].concat()), 1);
+    assert_eq!(count(&[&two[..], &[(2200, turned_away(1))]].concat()), 1);
+    assert_eq!(count(&[&two[..], &[(2200, arrived(2))]].concat()), 0);
+    assert_eq!(
+        count(&[&two[..], &[(4000, arrived(1))]].concat()),
+        0,
+        "over"
+    );
+    assert_eq!(
+        count(&[&two[..], &[(1400, arrived(1))]].concat()),
+        0,
+        "at first"
+    );
+    let faulty = [&[(1500, fault(Some(1)))], &two[..], &[(2200, arrived(1))]].concat();
+    assert_eq!(count(&faulty), 0, "faulty");
+}
+
 /// A second execution of an at-most-once request, an execution of a refused one, and a response to
 /// another request are reported. Repeated idempotent requests are not.
 #[test]
