--- a/crates/emulate/src/lib.rs
+++ b/crates/emulate/src/lib.rs
@@ -5,6 +5,7 @@
 //! queues, cached objects, cold starts, delayed load updates, timeouts and callers that
 //! retry. It does not simulate a cluster: there is no network, store or process.
 
+mod departures;
 mod experiment;
 mod limits;
 mod model;
--- a/crates/emulate/src/model.rs
+++ b/crates/emulate/src/model.rs
@@ -29,6 +29,7 @@
     pub(crate) slowdown: f64,
     pub(crate) shed_share: f64,
     pub(crate) limit: Option<f64>,
+    pub(crate) leaving: bool,
 }
 
 impl ModelServer {
@@ -39,6 +40,7 @@
             FaultKind::Down => self.down = false,
             FaultKind::Slow(factor) => self.slowdown = if is_start { factor } else { 1.0 },
             FaultKind::Shed(share) => self.shed_share = if is_start { share } else { 0.0 },
+            FaultKind::Leaving => self.leaving |= is_start,
             FaultKind::Limit(rate) => self.limit = is_start.then_some(rate),
         }
     }
@@ -55,6 +57,7 @@
             slowdown: 1.0,
             shed_share: 0.0,
             limit: None,
+            leaving: false,
         }
     }
 
@@ -117,6 +120,7 @@
             .map_or(LimitStatement::Unlimited, LimitStatement::Limited);
         ServerStatement {
             limit,
+            leaving: self.leaving,
             ..ServerStatement::default()
         }
     }
--- a/crates/emulate/src/run.rs
+++ b/crates/emulate/src/run.rs
@@ -9,6 +9,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::departures::DepartureCounts;
 use crate::experiment::{Experiment, FaultKind};
 use crate::limits::LimitCounts;
 use crate::model::{Job, ModelServer};
@@ -59,6 +60,7 @@
     report: TrialReport,
     regions: RegionCounts,
     limits: LimitCounts,
+    departures: DepartureCounts,
     teams: Vec<String>,
 }
 
@@ -104,6 +106,7 @@
         report: TrialReport::default(),
         regions: RegionCounts::new(experiment.regions),
         limits: LimitCounts::default(),
+        departures: DepartureCounts::default(),
         teams: (0..experiment.teams.len()).map(team_name).collect(),
     };
     trial.run();
@@ -132,6 +135,7 @@
             self.now = at;
             self.on_event(event);
         }
+        self.report.sent_to_leaving = self.departures.late;
         self.report.limit_overload = self.limits.overload;
         self.report.limit_use = self.limits.use_share();
         self.report.largest_shift = self.regions.largest_shift(self.experiment.seconds);
@@ -230,6 +234,7 @@
         let at = self.now as f64 / 1e6;
         self.regions
             .on_sent(at, region, self.experiment.region_of(server));
+        self.departures.on_sent(self.now, entry, server);
         let attempt = self.attempts.len();
         self.attempts.push(Attempt {
             request: index,
@@ -329,7 +334,11 @@
         let (report, statement) = (server.report(), server.statement());
         let now = self.instant();
         let attempt = &self.attempts[index];
-        let policy = &mut self.policies[self.requests[attempt.request].entry];
+        let entry = self.requests[attempt.request].entry;
+        if statement.leaving {
+            self.departures.on_told(self.now, entry, attempt.server);
+        }
+        let policy = &mut self.policies[entry];
         policy.on_statement(now, &attempt.placement, &statement);
         self.close(index, outcome, Some(&report));
         let request = self.attempts[index].request;
--- a/crates/emulate/tests/patterns.rs
+++ b/crates/emulate/tests/patterns.rs
@@ -271,3 +271,17 @@
         assert!(used > 0.8, "seed {seed}: {used} of the limits used");
     }
 }
+
+/// A fifth of the servers say in their answers that they are leaving, while the registry lists
+/// them as ready. They must get nothing more, and the others must serve all requests.
+#[test]
+fn servers_that_leave_by_their_answers_get_nothing() {
+    for seed in SEEDS {
+        let experiment = Experiment::new(seed, 0.6).with_fault(fault(3, FaultKind::Leaving));
+        let (placed, naive) = (placed(&experiment), naive(&experiment));
+        assert_eq!(placed.sent_to_leaving, 0, "seed {seed}");
+        assert!(naive.sent_to_leaving > 0, "seed {seed}");
+        let worth = placed.between(10.0, 30.0).worth();
+        assert!(worth > 0.8, "seed {seed}: {worth}");
+    }
+}
