Emulator and load patterns: servers that ask for rest

Cause: no server of the emulator asked for rest. Change: FaultKind::Rest and the pattern rest of lh-load.

--- a/bin/lh-load/src/cli.rs
+++ b/bin/lh-load/src/cli.rs
@@ -37,6 +37,8 @@
     Slow,
     /// A fifth of the servers reject half of their requests.
     Shed,
+    /// A fifth of the servers reject all requests and ask for rest.
+    Rest,
     /// A fifth of the servers say in their answers that they are leaving.
     Leaving,
     /// A fifth of the servers name a rate limit in their answers.
--- a/bin/lh-load/src/lib.rs
+++ b/bin/lh-load/src/lib.rs
@@ -97,6 +97,7 @@
         LoadPattern::Crash => experiment.with_fault(fault(5, FaultKind::Down)),
         LoadPattern::Slow => experiment.with_fault(fault(3, FaultKind::Slow(5.0))),
         LoadPattern::Shed => experiment.with_fault(fault(3, FaultKind::Shed(0.5))),
+        LoadPattern::Rest => experiment.with_fault(fault(3, FaultKind::Rest(3.0))),
         LoadPattern::Leaving => experiment.with_fault(fault(3, FaultKind::Leaving)),
         LoadPattern::Limit => experiment.with_fault(fault(3, FaultKind::Limit(2.0))),
         LoadPattern::Limits => experiment.with_fault(fault(15, FaultKind::Limit(4.0))),
--- a/crates/emulate/src/experiment.rs
+++ b/crates/emulate/src/experiment.rs
@@ -26,6 +26,8 @@
         Slow(f64),
         /// The servers reject this share of requests.
         Shed(f64),
+        /// The servers reject all requests and ask for a rest of this many seconds.
+        Rest(f64),
         /// The servers say in their answers that they are leaving, and go on serving.
         Leaving,
         /// The servers name this limit in their answers, in requests per second.
--- a/crates/emulate/src/lib.rs
+++ b/crates/emulate/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod quota;
 mod regions;
 mod report;
+mod rests;
 pub mod rollout;
 mod run;
 mod setup;
--- a/crates/emulate/src/model.rs
+++ b/crates/emulate/src/model.rs
@@ -1,6 +1,7 @@
 //! The model of a backend server: slots, a queue, and a cache of objects.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use place::server::ServerReport;
 use place::statement::{LimitStatement, ServerStatement};
@@ -29,6 +30,7 @@
     pub(crate) slowdown: f64,
     pub(crate) shed_share: f64,
     pub(crate) limit: Option<f64>,
+    pub(crate) rest: Option<Duration>,
     pub(crate) leaving: bool,
 }
 
@@ -40,6 +42,7 @@
             FaultKind::Down => self.down = false,
             FaultKind::Slow(factor) => self.slowdown = if is_start { factor } else { 1.0 },
             FaultKind::Shed(share) => self.shed_share = if is_start { share } else { 0.0 },
+            FaultKind::Rest(secs) => self.rest = is_start.then(|| Duration::from_secs_f64(secs)),
             FaultKind::Leaving => self.leaving |= is_start,
             FaultKind::Limit(rate) => self.limit = is_start.then_some(rate),
         }
@@ -57,6 +60,7 @@
             slowdown: 1.0,
             shed_share: 0.0,
             limit: None,
+            rest: None,
             leaving: false,
         }
     }
@@ -64,6 +68,9 @@
     /// Accepts `job`: `Some(true)` if it runs in a slot, `Some(false)` if it waits in the
     /// queue, `None` if it is rejected.
     pub(crate) fn accept(&mut self, job: Job) -> Option<bool> {
+        if self.rest.is_some() {
+            return None;
+        }
         if self.running < self.slots {
             self.running += 1;
             return Some(true);
@@ -113,15 +120,15 @@
         self.waiting.clear();
     }
 
-    /// What its answers say of it.
-    pub(crate) fn statement(&self) -> ServerStatement {
+    /// What an answer says of it: that to an accepted request, or that to a rejected one.
+    pub(crate) fn statement(&self, is_accepted: bool) -> ServerStatement {
         let limit = self
             .limit
             .map_or(LimitStatement::Unlimited, LimitStatement::Limited);
         ServerStatement {
             limit,
             leaving: self.leaving,
-            ..ServerStatement::default()
+            rest: self.rest.filter(|_| !is_accepted),
         }
     }
 
--- a/crates/emulate/src/report.rs
+++ b/crates/emulate/src/report.rs
@@ -39,6 +39,9 @@
         /// Largest number of requests within four seconds at a server with a rate limit, as a
         /// multiple of what it tolerates, from some seconds after it named the limit.
         pub limit_overload: f64,
+        /// Largest number of requests that an entry sent to a server within a rest that the
+        /// server had asked it for, from half a second after that.
+        pub sent_in_rest: u32,
         /// Requests that entries sent to servers later than the drain time after these had told
         /// them that they leave.
         pub sent_to_leaving: u32,
--- a/crates/emulate/src/run.rs
+++ b/crates/emulate/src/run.rs
@@ -16,6 +16,7 @@
 use crate::policy::{EntryPolicy, PolicyChoice, PolicyRequest};
 use crate::regions::RegionCounts;
 use crate::report::TrialReport;
+use crate::rests::RestCounts;
 use crate::setup::{desired_state, entry_hash, placer_config, server_entries};
 use crate::timeline::{Event, EventQueue, Micros};
 
@@ -61,6 +62,7 @@
     regions: RegionCounts,
     limits: LimitCounts,
     departures: DepartureCounts,
+    rests: RestCounts,
     teams: Vec<String>,
 }
 
@@ -107,6 +109,7 @@
         regions: RegionCounts::new(experiment.regions),
         limits: LimitCounts::default(),
         departures: DepartureCounts::default(),
+        rests: RestCounts::default(),
         teams: (0..experiment.teams.len()).map(team_name).collect(),
     };
     trial.run();
@@ -135,6 +138,7 @@
             self.now = at;
             self.on_event(event);
         }
+        self.report.sent_in_rest = self.rests.most;
         self.report.sent_to_leaving = self.departures.late;
         self.report.limit_overload = self.limits.overload;
         self.report.limit_use = self.limits.use_share();
@@ -235,6 +239,7 @@
         self.regions
             .on_sent(at, region, self.experiment.region_of(server));
         self.departures.on_sent(self.now, entry, server);
+        self.rests.on_sent(self.now, entry, server);
         let attempt = self.attempts.len();
         self.attempts.push(Attempt {
             request: index,
@@ -331,13 +336,18 @@
             ServerOutcome::Full
         };
         let server = &self.servers[self.attempts[index].server];
-        let (report, statement) = (server.report(), server.statement());
+        let (report, statement) = (server.report(), server.statement(is_accepted));
         let now = self.instant();
         let attempt = &self.attempts[index];
         let entry = self.requests[attempt.request].entry;
         if statement.leaving {
             self.departures.on_told(self.now, entry, attempt.server);
         }
+        if let Some(span) = statement.rest {
+            let pair = (entry, attempt.server);
+            self.rests
+                .on_asked(self.now, pair, span.as_micros() as Micros);
+        }
         let policy = &mut self.policies[entry];
         policy.on_statement(now, &attempt.placement, &statement);
         self.close(index, outcome, Some(&report));
--- a/crates/emulate/tests/patterns.rs
+++ b/crates/emulate/tests/patterns.rs
@@ -285,3 +285,27 @@
         assert!(worth > 0.8, "seed {seed}: {worth}");
     }
 }
+
+/// A fifth of the servers reject all requests and ask for rest. They must be left alone, and the
+/// others must serve all requests, during and after the rest.
+#[test]
+fn resting_servers_are_left_alone() {
+    for seed in SEEDS {
+        let experiment = Experiment::new(seed, 0.6).with_fault(fault(3, FaultKind::Rest(3.0)));
+        let (placed, naive) = (placed(&experiment), naive(&experiment));
+        assert!(
+            placed.sent_in_rest <= 2,
+            "seed {seed}: {}",
+            placed.sent_in_rest
+        );
+        assert!(
+            naive.sent_in_rest > 2,
+            "seed {seed}: {}",
+            naive.sent_in_rest
+        );
+        for (from, to) in [(10.0, 18.0), (18.0, 30.0)] {
+            let worth = placed.between(from, to).worth();
+            assert!(worth > 0.8, "seed {seed}, from {from} s: {worth}");
+        }
+    }
+}
