Statement reports go to listed entries only

Cause: an entry on standby sent reports to others although it uses no limited server, and could not hear of their requests. Change: only entries that get requests exchange these reports, with their load reports.

--- a/bin/lh-entry/src/fleet.rs
+++ b/bin/lh-entry/src/fleet.rs
@@ -254,7 +254,7 @@
             placer.on_peer_load(now, report.entry, report.report);
         }
         Ok(PeerMessage::Statements(message)) => {
-            statements::on_peer_report(state, from, &message, stall.unwrap_or_default());
+            statements::on_peer_report(state, &message, stall.unwrap_or_default());
         }
         Ok(PeerMessage::Rollout(report)) => state.rollouts.on_peer_counts(&report),
         Ok(mut message) => {
--- a/bin/lh-entry/src/load_reports.rs
+++ b/bin/lh-entry/src/load_reports.rs
@@ -62,7 +62,7 @@
     if is_listed || is_used {
         state.load_reports.final_reports.replace(FINAL_REPORTS);
     } else if !is_needed || state.load_reports.final_reports.take() == 0 {
-        return send_unlisted(state, socket).await;
+        return IDLE_CHECK_INTERVAL;
     }
     let left = *state.load_reports.final_reports.borrow();
     state
@@ -102,17 +102,6 @@
     load_interval(count)
 }
 
-/// Sends the report of an entry that is not listed but still has callers: without it, it must not
-/// use servers with a rate limit. Returns the time until the next report.
-async fn send_unlisted(state: &InstanceState, socket: &UdpSocket) -> Duration {
-    let targets = all_recipients(state);
-    if statements::send_report(state, socket, &targets).await {
-        load_interval(targets.len() as u32)
-    } else {
-        IDLE_CHECK_INTERVAL
-    }
-}
-
 /// Returns the addresses of all other entries that get requests.
 pub(crate) fn all_recipients(state: &InstanceState) -> Vec<SocketAddr> {
     let (near, far) = recipients(state);
--- a/bin/lh-entry/src/statements.rs
+++ b/bin/lh-entry/src/statements.rs
@@ -96,15 +96,10 @@
     state.metrics.limited_servers.set(limited as i64);
 }
 
-/// Sends the entries at `targets` what is known of servers, if they have to know it. Returns
-/// whether there was anything to send.
-pub(crate) async fn send_report(
-    state: &InstanceState,
-    socket: &UdpSocket,
-    targets: &[SocketAddr],
-) -> bool {
+/// Sends the entries at `targets` what is known of servers, if they have to know it.
+pub(crate) async fn send_report(state: &InstanceState, socket: &UdpSocket, targets: &[SocketAddr]) {
     let report = state.placer.borrow_mut().own_statements(Instant::now());
-    send_statements(state, socket, targets, report).await
+    send_statements(state, socket, targets, report).await;
 }
 
 /// Tells all other entries of the requests that this one has just sent to servers with a rate
@@ -123,28 +118,20 @@
     socket: &UdpSocket,
     targets: &[SocketAddr],
     report: StatementReport,
-) -> bool {
+) {
     if report.is_empty() {
-        return false;
+        return;
     }
     let message = PeerMessage::Statements(StatementMessage {
         entry: stable_hash(state.config.instance.as_bytes()),
         report,
     });
     send(socket, targets, &message).await;
-    true
 }
 
-/// Applies the report of another entry at `from`, listed or not, that may have waited in the
-/// socket for `stall`.
-pub(crate) fn on_peer_report(
-    state: &InstanceState,
-    from: SocketAddr,
-    message: &StatementMessage,
-    stall: Duration,
-) {
+/// Applies the report of another entry, which may have waited in the socket for `stall`.
+pub(crate) fn on_peer_report(state: &InstanceState, message: &StatementMessage, stall: Duration) {
     let now = Instant::now();
-    state.load_reports.on_peer_report(now, from);
     let received_at = now.checked_sub(stall).unwrap_or(now);
     let mut placer = state.placer.borrow_mut();
     placer.on_peer_statements(received_at, message.entry, &message.report);
