--- a/crates/place/src/statement/table.rs
+++ b/crates/place/src/statement/table.rs
@@ -173,7 +173,7 @@
     ) -> Option<StatementChange> {
         let rate = match statement.limit {
             LimitStatement::Unknown => return None,
-            LimitStatement::Unlimited if !self.runs.contains_key(&run) => return None,
+            LimitStatement::Unlimited if self.share(run).is_none() => return None,
             LimitStatement::Unlimited => None,
             LimitStatement::Limited(rate) => Some(rounded(rate)),
         };
--- a/crates/place/tests/rests.rs
+++ b/crates/place/tests/rests.rs
@@ -7,7 +7,7 @@
 use common::{ms, placer, request, route, server};
 use place::prelude::*;
 use place::statement::message::StatementReport;
-use place::statement::{SendVerdict, ServerStatement};
+use place::statement::{LimitStatement, SendVerdict, ServerStatement};
 
 const GOOD: ServerOutcome = ServerOutcome::Answered { good: true };
 
@@ -160,6 +160,12 @@
         let servers = common::reading(now, &[server("p", "a1")]);
         placer.catalog.apply_snapshot(now, &servers);
         exchange(&mut placer, now, &browse, &rest(3000)).unwrap();
+        let answer = ServerStatement {
+            limit: LimitStatement::Unlimited,
+            ..ServerStatement::default()
+        };
+        let placement = exchange(&mut placer, now, &browse, &answer);
+        assert!(placement.is_err(), "at rest");
         assert_eq!(placer.own_statements(now), StatementReport::default());
         let tries = (0..400).map(|step| now + ms(10 * step));
         let wanted = request(&browse, Some(7));
