Send rows that were written anew with the same content to followers

Cause: a server that registers again after its row lapsed may write the row twice; the second time only the sequence number changes, and the log of the registry did not send that to followers. A lead that followed another meanwhile and then read the deletion itself knew the number before the last one, so the last heartbeat, applied late, was news to it. Change: such a row is sent along with the next changes; alone it causes no traffic, and a read of all rows marks none.

--- a/crates/place/src/fleet/log.rs
+++ b/crates/place/src/fleet/log.rs
@@ -65,6 +65,8 @@
 struct LogEntry {
     /// The log version at which it changed.
     changed: u64,
+    /// The log version at which its registration was last written, with whatever content.
+    written: u64,
     hash: ContentHash,
     entry: ServerEntry,
 }
@@ -119,7 +121,21 @@
             let entry = self.newest_entry(known.as_ref(), entry);
             let record = match known {
                 Some(known) if !is_back && is_unchanged(&known.entry, &entry) => {
-                    LogEntry { entry, ..known }
+                    // A row that was written anew with the same content is sent along with the
+                    // next changes: without its sequence number, others would take it for news
+                    // if the store applied it once more after the server's end. A read of all
+                    // rows doesn't tell which were written.
+                    let is_written = !scope.whole && entry.seq > known.entry.seq;
+                    let written = if is_written {
+                        self.version.saturating_add(1)
+                    } else {
+                        known.written
+                    };
+                    LogEntry {
+                        entry,
+                        written,
+                        ..known
+                    }
                 }
                 _ => {
                     is_changed = true;
@@ -157,7 +173,7 @@
         let whole = version < self.history_start || version == 0;
         let is_newer = |changed: u64| whole || changed > version;
         let records = self.entries.values();
-        let changed = records.filter(|record| is_newer(record.changed));
+        let changed = records.filter(|record| is_newer(record.changed.max(record.written)));
         // A registration from before its server's end is only sent together with that end.
         let is_obsolete_entry = |departure: &Departure| {
             let listed = self.entries.get(&departure.id);
@@ -355,6 +371,7 @@
     fn new(changed: u64, entry: ServerEntry) -> Self {
         Self {
             changed,
+            written: changed,
             hash: ContentHash::of_entry(&entry),
             entry,
         }
--- a/crates/place/tests/log.rs
+++ b/crates/place/tests/log.rs
@@ -237,3 +237,36 @@
         "the next read would skip the missed change"
     );
 }
+
+/// A row that was written anew with the same content, after it had lapsed, and dropped later: an
+/// entry that followed meanwhile and then reads the drop itself must know the row's last sequence
+/// number. Otherwise the server's last heartbeat, applied late, brings it back.
+#[test]
+fn late_heartbeat_restores_server_whose_rewritten_row_was_not_sent() {
+    let now = Instant::now();
+    let row = |seq| ServerEntry {
+        seq,
+        ..server("x", "a1")
+    };
+    let other = server("y", "a1");
+    let (mut reader, mut follower) = (RegistryLog::default(), RegistryLog::default());
+    let mut catalog = ServerCatalog::new(domains());
+    let mut follow = |reader: &RegistryLog, catalog: &mut ServerCatalog| {
+        let delta = reader.since(follower.version());
+        follower.apply_delta(&delta);
+        catalog.apply_delta(now, now, &delta);
+    };
+    reader.apply_snapshot(&reading(now, &[row(2)]).with_version(1), changes());
+    follow(&reader, &mut catalog);
+    reader.apply_snapshot(&reading(now, &[row(3)]).with_version(2), changes());
+    reader.apply_snapshot(
+        &reading(now, &[row(3), other.clone()]).with_version(3),
+        changes(),
+    );
+    follow(&reader, &mut catalog);
+    assert_eq!(catalog.entry("x").map(|entry| entry.seq), Some(3));
+    catalog.note_dropped_rows(now, &[DroppedRow::new("x", 4)]);
+    catalog.apply_snapshot(now, &reading(now, &[other.clone()]).with_version(4));
+    catalog.apply_snapshot(now, &reading(now, &[row(3), other]).with_version(5));
+    assert!(catalog.entry("x").is_none());
+}
