place::statement: names and comments in the terms of the field

Change: LimitShare and its parts are a token bucket and say so (LimitBucket, BucketTiming, BucketUse); comments on claims and reports; an unused method goes; a lint in a test of the registry's log.

--- a/bin/lh-entry/src/statements.rs
+++ b/bin/lh-entry/src/statements.rs
@@ -1,4 +1,4 @@
-//! What servers say of themselves: takes it out of their responses, and exchanges it with other
+//! Records what servers say of themselves in their responses, and exchanges it with other
 //! entries.
 
 use std::cell::Cell;
@@ -24,7 +24,8 @@
 /// gets at most 400 datagrams a second from an entry.
 const URGENT_INTERVAL_PER_ENTRY: Duration = Duration::from_micros(2500);
 
-/// When an entry tells the others at once of requests to servers with a rate limit.
+/// Schedules the reports on requests to servers with a rate limit, which must reach other
+/// entries at once.
 #[derive(Debug, Default)]
 pub(crate) struct UrgentReporter {
     /// Notified when such a request is sent.
@@ -96,14 +97,13 @@
     state.metrics.limited_servers.set(limited as i64);
 }
 
-/// Sends the entries at `targets` what is known of servers, if they have to know it.
+/// Sends the periodic report on servers to the entries at `targets`, unless it is empty.
 pub(crate) async fn send_report(state: &InstanceState, socket: &UdpSocket, targets: &[SocketAddr]) {
     let report = state.placer.borrow_mut().own_statements(Instant::now());
     send_statements(state, socket, targets, report).await;
 }
 
-/// Tells all other entries of the requests that this one has just sent to servers with a rate
-/// limit.
+/// Reports the requests that were just sent to servers with a rate limit to all other entries.
 pub(crate) async fn send_urgent_report(state: &InstanceState, socket: &UdpSocket) {
     let now = Instant::now();
     let targets = all_recipients(state);
--- a/crates/place/src/placing/placer/statements.rs
+++ b/crates/place/src/placing/placer/statements.rs
@@ -24,7 +24,7 @@
         self.statements.on_answer(now, run, statement)
     }
 
-    /// Applies what the entry with the hash `entry` reports of servers.
+    /// Applies a report on servers of the entry with the hash `entry`.
     pub fn on_peer_statements(&mut self, now: Instant, entry: u64, report: &StatementReport) {
         for limit in &report.limits {
             let indexes = self.catalog.indexes_by_short_id(limit.server);
@@ -48,7 +48,7 @@
         }
     }
 
-    /// Returns what this entry reports to the others of servers. Call it as often as
+    /// Returns this entry's report on servers for the others. Call it as often as
     /// [`Self::own_load`], and send it unless it is empty.
     pub fn own_statements(&mut self, now: Instant) -> StatementReport {
         let catalog = &self.catalog;
@@ -59,7 +59,7 @@
         self.statements.report(now, is_registered)
     }
 
-    /// Returns what the others must be told at once of requests that this entry sent.
+    /// Returns the report on requests of this entry that must reach the others at once.
     pub fn urgent_statements(&mut self, now: Instant) -> StatementReport {
         self.statements.urgent_report(now)
     }
@@ -107,8 +107,8 @@
         }
     }
 
-    /// If the rate limit of the chosen server leaves no room, announces the request for it and
-    /// returns the time until any of the candidates without room has some.
+    /// If the rate limit of the chosen server leaves no room, counts the request as demand for it
+    /// and returns the time until any of the candidates without room has some.
     pub(super) fn missing_room(
         &mut self,
         now: Instant,
--- a/crates/place/src/statement/share.rs
+++ b/crates/place/src/statement/bucket.rs
@@ -1,14 +1,14 @@
-//! Keeps all entries together within the rate limit of a server.
+//! Keeps all entries together within the rate limit of a server, without a coordinator.
 //!
-//! There is no place where entries agree. Each one has a token bucket that stands for all of
-//! them: it fills at the server's limit, and each request that any entry sends takes a token.
-//! Entries tell each other of these requests at once; there are only as many as the limit allows,
-//! so this costs little, however many entries there are.
+//! Each entry maintains one token bucket for the whole fleet: it fills at the server's limit, and
+//! each request that any entry sends removes a token. Entries report these requests to each other
+//! at once. There are only as many as the limit allows, so the number of messages per entry does
+//! not depend on the size of the fleet.
 //!
-//! Several entries may take the same token before they hear of each other. The bucket then
-//! becomes negative, so the rate holds on average. To keep such bursts small, time is divided
-//! into slots as long as a message takes, and in each slot only some entries may take a token,
-//! so few that one of two slots has a taker.
+//! Several entries may remove the same token before their reports arrive. The bucket then becomes
+//! negative, so the rate holds on average. To keep such bursts small, time is divided into slots
+//! of one message delay, and a pseudorandom draw decides which entries may remove a token in a
+//! slot: half an entry on average.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -18,8 +18,8 @@
 
 /// Time within which the others hear of a request.
 const MESSAGE_TIME: Duration = Duration::from_millis(80);
-/// Number of entries that may take a token in one slot, on average.
-const TAKERS_PER_SLOT: f64 = 0.5;
+/// Number of entries with a request that may send it in the same slot, on average.
+const SENDERS_PER_SLOT: f64 = 0.5;
 /// Tokens that the bucket holds: this many, and those of this many seconds. What isn't used when
 /// it is full is lost.
 const MIN_BURST: f64 = 1.0;
@@ -40,7 +40,7 @@
 
 /// Intervals of the protocol.
 #[derive(Debug, Clone, Copy)]
-pub struct ShareTiming {
+pub struct BucketTiming {
     /// Time for which a demand is reported after the last request for the server.
     pub(crate) want_time: Duration,
     /// Time for which the demand of another entry counts.
@@ -49,7 +49,7 @@
     others: usize,
 }
 
-impl ShareTiming {
+impl BucketTiming {
     /// Creates the timing of an entry that reports to `others` entries at `report_interval`.
     pub fn new(others: usize, report_interval: Duration) -> Self {
         let demand_ttl = MIN_DEMAND_TTL.max(report_interval.mul_f64(DEMAND_TTL_INTERVALS));
@@ -63,7 +63,7 @@
 
 /// What an entry reports of its requests for a limited server.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub struct ShareUse {
+pub struct BucketUse {
     /// Number of requests that it has sent since it knows of the limit.
     pub sent: u32,
     /// Probability that it has a request for the server in a slot.
@@ -72,16 +72,15 @@
 
 #[derive(Debug, Clone, Copy)]
 struct PeerUse {
-    last: ShareUse,
+    last: BucketUse,
     reported_at: Instant,
 }
 
 /// A server's rate limit, and what of it is used.
 #[derive(Debug, Clone)]
-pub struct LimitShare {
-    /// Hash of the run and this entry, from which it is drawn in which slots this entry may take
-    /// a token.
-    draw: u64,
+pub struct LimitBucket {
+    /// Seed of the draws: hash of the run and of this entry.
+    draw_seed: u64,
     /// Requests per second of all entries together.
     rate: f64,
     began_at: Instant,
@@ -97,12 +96,12 @@
     peer_demand: f64,
 }
 
-impl LimitShare {
+impl LimitBucket {
     /// Creates the bucket of the entry `own` for a limit of `rate` requests per second that the
     /// run `run` named. It is empty, since others may have used the server.
     pub fn new(now: Instant, run: u64, own: u64, rate: f64) -> Self {
         Self {
-            draw: pair_weight(run, own),
+            draw_seed: pair_weight(run, own),
             rate,
             began_at: now,
             tokens: 0.0,
@@ -138,21 +137,21 @@
     }
 
     /// Whether this entry had requests for the server recently.
-    pub fn is_wanted(&self, now: Instant, timing: &ShareTiming) -> bool {
+    pub fn is_wanted(&self, now: Instant, timing: &BucketTiming) -> bool {
         self.wanted_at
             .is_some_and(|at| now.saturating_duration_since(at) < timing.want_time)
     }
 
     /// Time until this entry may send the server a request; `None` if it may now.
-    pub fn wait(&self, now: Instant, timing: &ShareTiming) -> Option<Duration> {
+    pub fn wait(&self, now: Instant, timing: &BucketTiming) -> Option<Duration> {
         let tokens = self.tokens(now);
         if tokens < 1.0 {
             return Some(self.interval().mul_f64(1.0 - tokens));
         }
-        let takers = self.other_takers(now, timing);
-        let share = TAKERS_PER_SLOT * tokens / takers;
+        let senders = self.other_senders(now, timing);
+        let probability = SENDERS_PER_SLOT * tokens / senders;
         let drawn = self.draw_of_slot(now);
-        (share < 1.0 && drawn >= share).then(|| MESSAGE_TIME.div_f64(share))
+        (probability < 1.0 && drawn >= probability).then(|| MESSAGE_TIME.div_f64(probability))
     }
 
     /// Counts a request that this entry sends to the server.
@@ -164,15 +163,15 @@
     }
 
     /// What this entry reports to the others.
-    pub fn own_use(&self, now: Instant) -> ShareUse {
-        ShareUse {
+    pub fn own_use(&self, now: Instant) -> BucketUse {
+        BucketUse {
             sent: self.sent,
             demand: self.slot_demand(now),
         }
     }
 
     /// Records the report of the entry `peer`.
-    pub fn on_peer_use(&mut self, now: Instant, peer: u64, last: ShareUse) {
+    pub fn on_peer_use(&mut self, now: Instant, peer: u64, last: BucketUse) {
         let reported = PeerUse {
             last,
             reported_at: now,
@@ -189,7 +188,7 @@
     }
 
     /// Removes what other entries reported too long ago.
-    pub fn expire(&mut self, now: Instant, timing: &ShareTiming) {
+    pub fn expire(&mut self, now: Instant, timing: &BucketTiming) {
         let mut peer_demand = 0.0;
         self.peers.retain(|_, known| {
             let age = now.saturating_duration_since(known.reported_at);
@@ -204,7 +203,7 @@
 
     /// Number of other entries that have a request in a slot, on average. Until their reports
     /// have arrived, they are assumed to have as many as this one.
-    fn other_takers(&self, now: Instant, timing: &ShareTiming) -> f64 {
+    fn other_senders(&self, now: Instant, timing: &BucketTiming) -> f64 {
         if now.saturating_duration_since(self.began_at) >= timing.demand_ttl {
             return self.peer_demand;
         }
@@ -226,7 +225,7 @@
     fn draw_of_slot(&self, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.began_at);
         let slot = age.as_nanos() / MESSAGE_TIME.as_nanos();
-        let drawn = pair_weight(self.draw, u64::try_from(slot).unwrap_or(u64::MAX));
+        let drawn = pair_weight(self.draw_seed, u64::try_from(slot).unwrap_or(u64::MAX));
         (drawn >> 11) as f64 / (1u64 << 53) as f64
     }
 
--- a/crates/place/src/statement/message.rs
+++ b/crates/place/src/statement/message.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::statement::share::ShareUse;
+use crate::statement::bucket::BucketUse;
 
 base::common! {
     /// What an entry knows of rate limits, for the others.
@@ -20,8 +20,8 @@
     pub struct LimitReport {
         /// Short id of the server.
         pub server: u32,
-        /// What the server said to the entry itself. Hearsay isn't passed on: between entries
-        /// that repeat it to each other it would never become old.
+        /// What the server said to the entry itself. Claims of other entries are not forwarded:
+        /// entries that repeat a claim to each other would make it look recent forever.
         pub claim: Option<LimitClaim>,
         /// Number of requests that the entry has sent since it knows of the limit.
         pub sent: u32,
@@ -52,7 +52,7 @@
 impl LimitReport {
     /// Creates the report of an entry's use of the limit of the server with the short id
     /// `server`.
-    pub fn new(server: u32, claim: Option<LimitClaim>, own_use: ShareUse) -> Self {
+    pub fn new(server: u32, claim: Option<LimitClaim>, own_use: BucketUse) -> Self {
         Self {
             server,
             claim,
@@ -62,8 +62,8 @@
     }
 
     /// The entry's use of the limit.
-    pub fn own_use(&self) -> ShareUse {
-        ShareUse {
+    pub fn own_use(&self) -> BucketUse {
+        BucketUse {
             sent: self.sent,
             demand: f64::from(self.demand) / THOUSANDTHS,
         }
--- a/crates/place/src/statement/mod.rs
+++ b/crates/place/src/statement/mod.rs
@@ -4,9 +4,9 @@
 //! Statements belong to a run and outlive its registration: a row that expires and is listed
 //! again doesn't revoke them.
 
+pub mod bucket;
 pub mod message;
 pub mod rest;
-pub mod share;
 mod table;
 
 use std::time::Duration;
--- a/crates/place/src/statement/table.rs
+++ b/crates/place/src/statement/table.rs
@@ -4,9 +4,9 @@
 use std::time::{Duration, Instant};
 
 use crate::placing::load::short_id;
+use crate::statement::bucket::{BucketTiming, LimitBucket};
 use crate::statement::message::{LimitClaim, LimitReport, StatementReport, rounded};
 use crate::statement::rest::{RestVerdict, ServerRest};
-use crate::statement::share::{LimitShare, ShareTiming};
 use crate::statement::{LimitStatement, SendVerdict, ServerStatement};
 
 /// Maximum number of runs: more than the servers of a large fleet.
@@ -31,7 +31,7 @@
 #[derive(Debug)]
 struct KnownLimit {
     /// `None` if the run no longer names a limit.
-    share: Option<LimitShare>,
+    bucket: Option<LimitBucket>,
     /// When the answer arrived that said so, at whichever entry.
     stated_at: Instant,
     /// Whether the answer was one to this entry.
@@ -66,8 +66,8 @@
     limited: usize,
     /// Runs with a limit that this entry has used since its last report.
     unreported: Vec<u64>,
-    timing: ShareTiming,
-    /// Whether the others tell this entry of their requests.
+    timing: BucketTiming,
+    /// Whether the others send their reports to this entry.
     is_informed: bool,
 }
 
@@ -79,7 +79,7 @@
             runs: HashMap::new(),
             limited: 0,
             unreported: Vec::new(),
-            timing: ShareTiming::new(0, Duration::ZERO),
+            timing: BucketTiming::new(0, Duration::ZERO),
             is_informed: true,
         }
     }
@@ -87,10 +87,10 @@
     /// Sets the number of other entries, and the interval at which all of them get this entry's
     /// reports.
     pub fn set_others(&mut self, others: usize, report_interval: Duration) {
-        self.timing = ShareTiming::new(others, report_interval);
+        self.timing = BucketTiming::new(others, report_interval);
     }
 
-    /// Sets whether the others tell this entry of their requests. Otherwise it doesn't use
+    /// Sets whether the others send their reports to this entry. Otherwise it doesn't use
     /// servers with a limit.
     pub fn set_informed(&mut self, is_informed: bool) {
         self.is_informed = is_informed;
@@ -109,19 +109,19 @@
             Some(RestVerdict::Probing(wait)) => return SendVerdict::NoRoom(wait),
             Some(RestVerdict::Probe) | None => {}
         }
-        let Some(share) = statements.share() else {
+        let Some(bucket) = statements.bucket() else {
             return SendVerdict::Allowed;
         };
         if !self.is_informed {
             return SendVerdict::NoRoom(self.timing.want_time);
         }
-        let wait = share.wait(now, &self.timing);
+        let wait = bucket.wait(now, &self.timing);
         wait.map_or(SendVerdict::Allowed, SendVerdict::NoRoom)
     }
 
     /// The limit of `run` in requests per second, if it has one.
     pub fn limit(&self, run: u64) -> Option<f64> {
-        self.share(run).map(LimitShare::rate)
+        self.bucket(run).map(LimitBucket::rate)
     }
 
     /// Number of runs with a limit.
@@ -173,7 +173,7 @@
     ) -> Option<StatementChange> {
         let rate = match statement.limit {
             LimitStatement::Unknown => return None,
-            LimitStatement::Unlimited if self.share(run).is_none() => return None,
+            LimitStatement::Unlimited if self.bucket(run).is_none() => return None,
             LimitStatement::Unlimited => None,
             LimitStatement::Limited(rate) => Some(rounded(rate)),
         };
@@ -197,16 +197,16 @@
                 change = self.set_limit(now, (stated_at, false), run, claim.per_second());
             }
         }
-        if let Some(share) = self.share_mut(run) {
-            share.on_peer_use(now, entry, report.own_use());
+        if let Some(bucket) = self.bucket_mut(run) {
+            bucket.on_peer_use(now, entry, report.own_use());
         }
         change
     }
 
     /// Records that this entry has a request for `run`, but the run's limit leaves no room.
     pub fn on_wanted(&mut self, now: Instant, run: u64) {
-        if let Some(share) = self.share_mut(run) {
-            share.on_wanted(now);
+        if let Some(bucket) = self.bucket_mut(run) {
+            bucket.on_wanted(now);
         }
     }
 
@@ -220,27 +220,22 @@
             rest.on_sent(now);
         }
         let takes_room = statements.rest.is_some();
-        let Some(share) = self.share_mut(run) else {
+        let Some(bucket) = self.bucket_mut(run) else {
             return takes_room;
         };
-        share.on_sent(now);
+        bucket.on_sent(now);
         if !self.unreported.contains(&run) {
             self.unreported.push(run);
         }
         true
     }
 
-    /// Whether this entry sent requests that the others must be told of at once.
-    pub fn has_unreported(&self) -> bool {
-        !self.unreported.is_empty()
-    }
-
-    /// Returns the report on requests that the others must be told of at once.
+    /// Returns the report on requests that must be reported to the others at once.
     pub fn urgent_report(&mut self, now: Instant) -> StatementReport {
         let runs = std::mem::take(&mut self.unreported);
         let limits = runs.iter().filter_map(|run| {
             let limit = self.runs.get(run)?.limit.as_ref()?;
-            limit.share.as_ref()?;
+            limit.bucket.as_ref()?;
             Some(limit.report(now, *run))
         });
         StatementReport {
@@ -261,8 +256,8 @@
             let Some(limit) = &mut statements.limit else {
                 continue;
             };
-            if let Some(share) = &mut limit.share {
-                share.expire(now, &timing);
+            if let Some(bucket) = &mut limit.bucket {
+                bucket.expire(now, &timing);
             }
             if limit.is_reported(now, &timing) && limits.len() < MAX_REPORTED_RUNS {
                 limits.push(limit.report(now, *run));
@@ -307,16 +302,16 @@
         let own = self.own;
         let statements = self.statements_mut(now, run);
         let limit = statements.limit.get_or_insert(KnownLimit {
-            share: None,
+            bucket: None,
             stated_at,
             is_first_hand,
             changed_at: now,
         });
         (limit.stated_at, limit.is_first_hand) = (stated_at, is_first_hand);
-        let before = limit.share.as_ref().map(LimitShare::rate);
-        match (&mut limit.share, rate) {
-            (Some(share), Some(rate)) => share.set_rate(now, rate),
-            (share, rate) => *share = rate.map(|rate| LimitShare::new(now, run, own, rate)),
+        let before = limit.bucket.as_ref().map(LimitBucket::rate);
+        match (&mut limit.bucket, rate) {
+            (Some(bucket), Some(rate)) => bucket.set_rate(now, rate),
+            (bucket, rate) => *bucket = rate.map(|rate| LimitBucket::new(now, run, own, rate)),
         }
         if before == rate {
             return None;
@@ -348,25 +343,25 @@
 
     fn count_limits(&mut self) {
         let runs = self.runs.values();
-        self.limited = runs.filter(|run| run.share().is_some()).count();
+        self.limited = runs.filter(|run| run.bucket().is_some()).count();
     }
 
-    fn share(&self, run: u64) -> Option<&LimitShare> {
-        self.runs.get(&run)?.share()
+    fn bucket(&self, run: u64) -> Option<&LimitBucket> {
+        self.runs.get(&run)?.bucket()
     }
 
-    fn share_mut(&mut self, run: u64) -> Option<&mut LimitShare> {
-        self.runs.get_mut(&run)?.limit.as_mut()?.share.as_mut()
+    fn bucket_mut(&mut self, run: u64) -> Option<&mut LimitBucket> {
+        self.runs.get_mut(&run)?.limit.as_mut()?.bucket.as_mut()
     }
 }
 
 impl RunStatements {
-    fn share(&self) -> Option<&LimitShare> {
-        self.limit.as_ref()?.share.as_ref()
+    fn bucket(&self) -> Option<&LimitBucket> {
+        self.limit.as_ref()?.bucket.as_ref()
     }
 
     /// Whether the others are told that the run is leaving: some time after it said so here.
-    fn is_leaving_reported(&self, now: Instant, timing: &ShareTiming) -> bool {
+    fn is_leaving_reported(&self, now: Instant, timing: &BucketTiming) -> bool {
         self.leaving.is_some_and(|known| {
             let age = now.saturating_duration_since(known.since);
             known.is_first_hand && age < timing.want_time
@@ -377,20 +372,20 @@
 impl KnownLimit {
     /// Whether the limit is part of the periodic report: while this entry uses it, and some
     /// time after a change that it knows first-hand.
-    fn is_reported(&self, now: Instant, timing: &ShareTiming) -> bool {
+    fn is_reported(&self, now: Instant, timing: &BucketTiming) -> bool {
         let has_changed = now.saturating_duration_since(self.changed_at) < timing.want_time;
-        let share = self.share.as_ref();
-        let is_wanted = share.is_some_and(|share| share.is_wanted(now, timing));
+        let bucket = self.bucket.as_ref();
+        let is_wanted = bucket.is_some_and(|bucket| bucket.is_wanted(now, timing));
         is_wanted || has_changed && self.is_first_hand
     }
 
     fn report(&self, now: Instant, run: u64) -> LimitReport {
-        let share = self.share.as_ref();
-        let rate = share.map(LimitShare::rate);
+        let bucket = self.bucket.as_ref();
+        let rate = bucket.map(LimitBucket::rate);
         let claim = self
             .is_first_hand
             .then(|| LimitClaim::new(now, self.stated_at, rate));
-        let own_use = share.map(|share| share.own_use(now)).unwrap_or_default();
+        let own_use = bucket.map(|bucket| bucket.own_use(now)).unwrap_or_default();
         LimitReport::new(short_id(run), claim, own_use)
     }
 }
--- a/crates/place/tests/log.rs
+++ b/crates/place/tests/log.rs
@@ -266,7 +266,10 @@
     follow(&reader, &mut catalog);
     assert_eq!(catalog.entry("x").map(|entry| entry.seq), Some(3));
     catalog.note_dropped_rows(now, &[DroppedRow::new("x", 4)]);
-    catalog.apply_snapshot(now, &reading(now, &[other.clone()]).with_version(4));
+    catalog.apply_snapshot(
+        now,
+        &reading(now, std::slice::from_ref(&other)).with_version(4),
+    );
     catalog.apply_snapshot(now, &reading(now, &[row(3), other]).with_version(5));
     assert!(catalog.entry("x").is_none());
 }
