place::statement: bound the debt of a bucket, and no negative wait

Cause: requests that were sent before entries knew of a limit, or a corrupted report, could make a bucket negative by any amount and close the server for as long; a sum of demands that rounding made negative gave a negative wait, which panics. Measured: reports_of_any_demand_and_count_leave_room fails before (no room after 20 s) and passes; server_limits passes. The negative wait was found by reading, not seen to fail.

--- a/crates/place/src/statement/bucket.rs
+++ b/crates/place/src/statement/bucket.rs
@@ -24,6 +24,9 @@
 /// it is full is lost.
 const MIN_BURST: f64 = 1.0;
 const BURST_SECS: f64 = 0.5;
+/// Most tokens that the bucket can lack, in seconds of the limit: requests that were sent before
+/// entries knew of the limit, or a corrupted report, must not close the server for long.
+const MAX_DEBT_SECS: f64 = 10.0;
 /// Longest interval between two requests. Only requests show that a limit has ended.
 const MAX_INTERVAL: Duration = Duration::from_secs(10);
 /// Time constant of the moving average of an entry's demand.
@@ -149,9 +152,12 @@
             return Some(self.interval().mul_f64(1.0 - tokens));
         }
         let senders = self.other_senders(now, timing);
+        if senders <= SENDERS_PER_SLOT * tokens {
+            return None;
+        }
         let probability = SENDERS_PER_SLOT * tokens / senders;
         let drawn = self.draw_of_slot(now);
-        (probability < 1.0 && drawn >= probability).then(|| MESSAGE_TIME.div_f64(probability))
+        (drawn >= probability).then(|| MESSAGE_TIME.div_f64(probability))
     }
 
     /// Counts a request that this entry sends to the server.
@@ -183,7 +189,7 @@
             _ => last.sent.min(1),
         };
         self.fill(now);
-        self.tokens -= f64::from(sent);
+        self.tokens = (self.tokens - f64::from(sent)).max(-MAX_DEBT_SECS * self.rate);
         self.peer_demand += last.demand - known.map_or(0.0, |known| known.demand);
     }
 
--- a/crates/place/tests/server_limits.rs
+++ b/crates/place/tests/server_limits.rs
@@ -8,6 +8,7 @@
 use place::placing::load::report_interval;
 use place::prelude::*;
 use place::rank::{pair_weight, stable_hash};
+use place::statement::bucket::{BucketTiming, BucketUse, LimitBucket};
 use place::statement::message::StatementReport;
 use place::statement::{LimitStatement, SendVerdict, ServerStatement, StatementChange};
 
@@ -496,3 +497,26 @@
         assert_eq!(entry.placer.own_statements(now), StatementReport::default());
     }
 }
+
+/// Sums of reported demands are floating-point numbers: rounding must not make the wait
+/// negative, and a report of any count must not close the server for long.
+#[test]
+fn reports_of_any_demand_and_count_leave_room() {
+    let now = Instant::now();
+    let timing = BucketTiming::new(3, ms(100));
+    let mut bucket = LimitBucket::new(now, 1, 2, 2.0);
+    for step in 0..2000u64 {
+        for peer in 0..7 {
+            let demand = ((step * 7 + peer) % 1001) as f64 / 1000.0;
+            let sent = if step == 1500 { u32::MAX } else { 0 };
+            bucket.on_peer_use(now + ms(step), peer, BucketUse { sent, demand });
+        }
+        bucket.wait(now + ms(step), &timing);
+    }
+    for peer in 0..7 {
+        let last = BucketUse::default();
+        bucket.on_peer_use(now + ms(2000), peer, last);
+    }
+    let wait = bucket.wait(now + ms(22_000), &timing);
+    assert_eq!(wait, None, "room after 20 s");
+}
