--- a/crates/place/tests/server_limits.rs
+++ b/crates/place/tests/server_limits.rs
@@ -520,3 +520,42 @@
     let wait = bucket.wait(now + ms(22_000), &timing);
     assert_eq!(wait, None, "room after 20 s");
 }
+
+/// Entries that stop, are replaced by new ones that know nothing, or return after a freeze, with
+/// lists that change at different times, stay within the limit together.
+#[test]
+fn limit_holds_while_entries_come_and_go() {
+    const COUNT: usize = 12;
+    let mut fleet = Fleet::new(COUNT, &[named()], 2.0);
+    fleet.run(Duration::from_secs(6), 5.0);
+    let counted_from = fleet.now;
+    for step in 0..10 {
+        let (first, second) = (step % COUNT, (step + 5) % COUNT);
+        fleet.entries[first].is_running = false;
+        fleet.entries[second].is_running = false;
+        fleet.run(ms(1500), 5.0);
+        // The first is replaced; the second was frozen.
+        let replacement = Fleet::new(COUNT, &[named()], 2.0)
+            .entries
+            .swap_remove(first);
+        fleet.entries[first] = replacement;
+        fleet.entries[second].is_running = true;
+        let shorter: Vec<u64> = fleet
+            .entries
+            .iter()
+            .map(|entry| entry.hash)
+            .take(9)
+            .collect();
+        let others = shorter
+            .into_iter()
+            .filter(|hash| *hash != fleet.entries[3].hash);
+        let others: Vec<u64> = others.collect();
+        fleet.entries[3].placer.set_entries(others, 5);
+        fleet.run(ms(1500), 5.0);
+    }
+    let most = fleet.most_in_window(counted_from);
+    assert!(most <= tolerated(2.0), "{most} in a window");
+    let room = 2.0 * (fleet.now - counted_from).as_secs_f64();
+    let used = fleet.arrivals_since(counted_from) as f64;
+    assert!(used >= 0.8 * room, "{used} of {room} used");
+}
