Report requests to limited servers to all entries at once

Cause: a periodic report, which in larger fleets goes to the own region in most rounds, took the place of the urgent one: entries of other regions heard of the requests before it only seconds later. A 421 of another server could also end the first request after a rest. Change: urgent reports stand by themselves; a 421 says nothing of the expected server, its rest included. Measured: periodic_report_does_not_replace_the_urgent_one fails before. Found by reading.

--- a/bin/lh-entry/src/job.rs
+++ b/bin/lh-entry/src/job.rs
@@ -306,7 +306,9 @@
             self.record.on_attempt_result("answer to another request");
             return AttemptResult::Broken;
         }
-        statements::on_response(&self.state, &guard.placement, &head, &parts.headers);
+        if parts.status != StatusCode::MISDIRECTED_REQUEST {
+            statements::on_response(&self.state, &guard.placement, &head, &parts.headers);
+        }
         if head.not_executed {
             let outcome = if parts.status == StatusCode::MISDIRECTED_REQUEST {
                 ServerOutcome::Misdirected
--- a/crates/place/src/statement/table.rs
+++ b/crates/place/src/statement/table.rs
@@ -64,7 +64,7 @@
     runs: HashMap<u64, RunStatements>,
     /// Number of runs with a limit.
     limited: usize,
-    /// Runs with a limit that this entry has used since its last report.
+    /// Runs with a limit that this entry has used since its last urgent report.
     unreported: Vec<u64>,
     timing: BucketTiming,
     /// Whether the others send their reports to this entry.
@@ -244,7 +244,8 @@
         }
     }
 
-    /// Returns this entry's periodic report. It repeats what the others may have missed.
+    /// Returns this entry's periodic report. It repeats what the others may have missed, and may
+    /// reach some of them only, so that it doesn't take the place of an urgent one.
     /// `is_registered` tells whether a run is registered.
     pub fn report(&mut self, now: Instant, is_registered: impl Fn(u64) -> bool) -> StatementReport {
         let timing = self.timing;
@@ -263,7 +264,6 @@
                 limits.push(limit.report(now, *run));
             }
         }
-        self.unreported.clear();
         self.remove_obsolete(now, is_registered);
         StatementReport { limits, leaving }
     }
--- a/crates/place/tests/server_limits.rs
+++ b/crates/place/tests/server_limits.rs
@@ -559,3 +559,23 @@
     let used = fleet.arrivals_since(counted_from) as f64;
     assert!(used >= 0.8 * room, "{used} of {room} used");
 }
+
+/// A periodic report goes to some entries only. All others must still be told at once of a
+/// request that was sent before it.
+#[test]
+fn periodic_report_does_not_replace_the_urgent_one() {
+    let now = Instant::now();
+    let browse = route("browse", "/");
+    let mut placer = common::placer(now, &[named()]);
+    let first = placer.place(now, &request(&browse, Some(7))).unwrap();
+    let statement = ServerStatement {
+        limit: LimitStatement::Limited(1.0),
+        ..ServerStatement::default()
+    };
+    placer.on_statement(now, &first, &statement);
+    let at = now + ms(1500);
+    placer.place(at, &request(&browse, Some(7))).unwrap();
+    placer.own_statements(at);
+    assert_eq!(placer.urgent_statements(at).limits.len(), 1);
+    assert_eq!(placer.urgent_statements(at), StatementReport::default());
+}
