Paths: tell the loss of an entry's path to the servers from failures of servers

Cause: while an entry couldn't reach any server, no line or metric said so; only the sum of unreachable attempts over all services showed it. Change: ServerPaths takes each response and each connection that failed as evidence, by service. Lines when the path to a service is lost and restored, metrics laurelhill_lost_paths and laurelhill_path_losses_total. Placement is unchanged.

--- a/bin/lh-entry/src/attempt.rs
+++ b/bin/lh-entry/src/attempt.rs
@@ -8,6 +8,7 @@
 use place::server::ServerReport;
 use rollout::sends::SendToken;
 
+use crate::paths;
 use crate::state::InstanceState;
 
 /// Counts an attempt at its server until the outcome is known. An attempt that is dropped before
@@ -67,6 +68,7 @@
         let mut placer = self.state.placer.borrow_mut();
         placer.on_outcome(Instant::now(), &self.placement, &request, outcome, report);
         drop(placer);
+        paths::report_changes(&self.state);
         if let Some(rollout_token) = self.rollout_token.take() {
             self.state.rollouts.on_outcome(rollout_token, outcome);
         }
--- a/bin/lh-entry/src/lib.rs
+++ b/bin/lh-entry/src/lib.rs
@@ -30,6 +30,7 @@
 mod lookup;
 mod metrics;
 mod operator;
+mod paths;
 mod pool;
 mod problem;
 mod quarantine;
--- a/bin/lh-entry/src/metrics.rs
+++ b/bin/lh-entry/src/metrics.rs
@@ -53,6 +53,10 @@
     pub(crate) lead_conflicts: IntCounter,
     bad_datagrams: IntCounter,
     broken_off: IntCounterVec,
+    /// Services whose servers this entry can't reach.
+    pub(crate) lost_paths: IntGauge,
+    /// Times that this entry lost the path to the servers of a service.
+    pub(crate) path_losses: IntCounter,
     unread_headers: IntCounterVec,
     /// Responses in which servers ask for rest.
     pub(crate) rests: IntCounter,
@@ -277,6 +281,16 @@
         registry.register(Box::new(lead_conflicts.clone()))?;
         registry.register(Box::new(bad_datagrams.clone()))?;
         registry.register(Box::new(broken_off.clone()))?;
+        let lost_paths = IntGauge::new(
+            "laurelhill_lost_paths",
+            "Services of which this entry can reach hardly any server",
+        )?;
+        let path_losses = IntCounter::new(
+            "laurelhill_path_losses_total",
+            "Times that this entry lost the path to the servers of a service",
+        )?;
+        registry.register(Box::new(lost_paths.clone()))?;
+        registry.register(Box::new(path_losses.clone()))?;
         registry.register(Box::new(unread_headers.clone()))?;
         registry.register(Box::new(rests.clone()))?;
         registry.register(Box::new(limited_servers.clone()))?;
@@ -314,6 +328,8 @@
             lead_conflicts,
             bad_datagrams,
             broken_off,
+            lost_paths,
+            path_losses,
             unread_headers,
             rests,
             limited_servers,
--- a/bin/lh-entry/src/suspect.rs
+++ b/bin/lh-entry/src/suspect.rs
@@ -1,5 +1,7 @@
 //! Quarantine of requests that crash servers, as seen by the job of a request.
 
+use std::time::Instant;
+
 use place::crash::fingerprint::RequestFingerprint;
 use place::prelude::*;
 
@@ -7,6 +9,7 @@
 use crate::crash;
 use crate::fingerprint::request_fingerprint;
 use crate::job::RequestJob;
+use crate::paths;
 
 impl RequestJob {
     /// Returns the refusal if the request is in quarantine because it crashed servers. It reaches
@@ -50,6 +53,10 @@
         let fingerprint = self.fingerprint(body);
         self.record.fingerprint = Some(fingerprint);
         if let Some(part) = route.parts.get(self.part) {
+            let mut placer = self.state.placer.borrow_mut();
+            placer.on_connection_lost(Instant::now(), placement, &part.service);
+            drop(placer);
+            paths::report_changes(&self.state);
             crash::on_connection_lost(&self.state, placement, &part.service, fingerprint);
         }
     }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod directory;
 pub mod fleet;
 pub mod limits;
+pub mod paths;
 pub mod placing;
 pub mod prelude;
 pub mod rank;
--- a/crates/place/src/placing/placer.rs
+++ b/crates/place/src/placing/placer.rs
@@ -6,6 +6,7 @@
 
 mod connections;
 mod outcomes;
+mod paths;
 mod ranking;
 mod returns;
 mod shares;
@@ -22,6 +23,7 @@
 use crate::limits::refusal::RetryAfterJitter;
 use crate::limits::shift::ShiftLimiter;
 use crate::limits::split::TrafficSplitter;
+use crate::paths::ServerPaths;
 use crate::placing::cache_likelihood::HandledObjects;
 use crate::placing::candidates::RankedServers;
 use crate::placing::choice::{ByteCosts, ChoiceContext, ServerChoice, rank_scope};
@@ -92,6 +94,8 @@
     loads: PeerLoads,
     jitter: RetryAfterJitter,
     connections: ConnectionPlanner,
+    /// Whether this entry has a path to the servers.
+    paths: ServerPaths,
     /// The plan for returning callers; `None` if they are recognized by their deadlines only.
     returns: Option<returns::ReturnPlan>,
     /// The regions' shares of room, if they are switched on.
@@ -120,6 +124,7 @@
             loads: PeerLoads::default(),
             jitter: RetryAfterJitter::new(config.own),
             connections: ConnectionPlanner::default(),
+            paths: ServerPaths::default(),
             returns: None,
             shares: None,
             config,
--- a/crates/place/src/placing/placer/outcomes.rs
+++ b/crates/place/src/placing/placer/outcomes.rs
@@ -28,6 +28,7 @@
     ) {
         let warmup = self.warmup(request);
         self.note_outcome(now, placement, request, outcome);
+        self.note_path(now, placement, request, outcome);
         let Some(record) = self.catalog.get_mut(placement.handle) else {
             return;
         };
