--- a/bin/lh-entry/tests/world/mod.rs
+++ b/bin/lh-entry/tests/world/mod.rs
@@ -12,7 +12,9 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{HeaderMap, Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use platform_standin::{FakeBackend, FakeStore, RouteFixture, desired_state, server_entry};
+use platform_standin::{
+    FakeBackend, FakeStore, Partition, RouteFixture, desired_state, server_entry,
+};
 use tokio::net::TcpStream;
 
 /// Timeout of all waits; generous, since these tests don't measure time.
@@ -37,6 +39,8 @@
 pub struct World {
     pub store: FakeStore,
     pub backends: Vec<FakeBackend>,
+    /// Separates entries from the servers.
+    pub partition: Partition,
 }
 
 impl World {
@@ -44,14 +48,19 @@
     pub async fn new(count: usize) -> Self {
         let store = FakeStore::start().await;
         store.put("op", "config", &desired_state(5, &[BOARD, DESK]));
+        let partition = Partition::default();
         let mut backends = Vec::new();
         for index in 0..count {
-            let backend = FakeBackend::start(&format!("i-{index}")).await;
+            let backend = FakeBackend::start_behind(&format!("i-{index}"), &partition).await;
             let entry = server_entry("board", backend.address(), "ready", 1);
             store.put("servers", backend.id(), &entry);
             backends.push(backend);
         }
-        Self { store, backends }
+        Self {
+            store,
+            backends,
+            partition,
+        }
     }
 
     /// Returns how often the request `id` ran, over all servers.
