--- a/bin/lh-entry/src/app.rs
+++ b/bin/lh-entry/src/app.rs
@@ -16,10 +16,12 @@
 use crate::logs::LogQueue;
 use crate::metrics::EntryMetrics;
 use crate::state::InstanceState;
-use crate::{accept, fleet, internal, rollout, stop, watch};
+use crate::{accept, fleet, internal, paths, rollout, stop, watch};
 
 /// Names of the listeners for everything but callers' requests.
-const INTERNAL_LISTENERS: [&str; 4] = ["readiness", "look-ups", "metrics", "other entries"];
+const INTERNAL_LISTENERS: [&str; 4] = ["readiness", "look-ups", "metrics", PEER_LISTENER];
+/// Name of the listener for other entries.
+const PEER_LISTENER: &str = "other entries";
 /// Interval at which idle connections to servers are pruned.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -57,12 +59,14 @@
     spawn_local(fleet::run(Rc::clone(&state), beats));
     for name in INTERNAL_LISTENERS {
         let listener = services.find::<TcpListener>(name)?;
-        spawn_local(internal::run(Rc::clone(&state), listener));
+        let relays = name == PEER_LISTENER;
+        spawn_local(internal::run(Rc::clone(&state), listener, relays));
     }
     let callers = services.find::<TcpListener>("callers")?;
     spawn_local(accept::run(Rc::clone(&state), callers));
     spawn_local(prune(Rc::clone(&state)));
     spawn_local(ahead::run(Rc::clone(&state)));
+    spawn_local(paths::run(Rc::clone(&state)));
     spawn_local(validate_settings_on_hangup(arguments));
     stop::run(&state).await
 }
--- a/bin/lh-entry/src/config.rs
+++ b/bin/lh-entry/src/config.rs
@@ -1,12 +1,13 @@
 //! Settings of the entry, loaded and validated at startup.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 use std::time::Duration;
 
 use conf::{CheckedSection, SettingsFile, schema};
 use place::fleet::advertise;
+use place::fleet::list::view_address;
 use place::limits::budget::BudgetBounds;
 use place::placing::choice::ByteCosts;
 use team::access::AccessBounds;
@@ -69,6 +70,9 @@
     pub shift_cap: f64,
     /// Whether the callers of each region get like shares of room that is short.
     pub region_shares: bool,
+    /// Address from which connections to servers and other entries leave; the machine chooses it if
+    /// there is none.
+    pub source: Option<IpAddr>,
     /// How precisely teams' quotas are enforced.
     pub quota: QuotaBounds,
     /// Limit on the requests that a bad version gets during a rollout.
@@ -115,7 +119,7 @@
             ready_address: entry.address("ready")?,
             lookup_address: entry.address("lookup")?,
             peer_address: SocketAddr::new(ip, beats),
-            view_address: SocketAddr::new(ip, beats + 1),
+            view_address: view_address(SocketAddr::new(ip, beats)),
             metrics_address: SocketAddr::new(ip, entry.count("metrics_port")?),
             seeds: seeds(entry, SocketAddr::new(ip, beats))?,
             once_records: entry.count("once_records")?,
@@ -123,6 +127,7 @@
             connections_ahead: entry.text("connections_ahead")? == "yes",
             plan_returns: entry.text("plan_returns")? == "yes",
             region_shares: entry.text("region_shares")? == "yes",
+            source: (entry.text("connect_from_address")? == "yes").then_some(ip),
             store: file.section("store")?.address("address")?,
             grace: bounds.duration("grace")?,
             drain: bounds.duration("drain")?,
--- a/bin/lh-entry/src/fleet.rs
+++ b/bin/lh-entry/src/fleet.rs
@@ -89,6 +89,11 @@
         *self.member.borrow().store_progress()
     }
 
+    /// Lets the main loop publish a change of this entry's own state.
+    pub(crate) fn on_entry_changed(&self) {
+        self.wake.notify_one();
+    }
+
     /// Returns the maximum time since the store confirmed the known operator's rows; `None` if
     /// unknown.
     pub(crate) fn proof_age(&self) -> Option<Duration> {
@@ -217,7 +222,7 @@
         String::new()
     };
     state.fleet.on_local_state(LocalEntryState {
-        ready: state.is_ready(),
+        ready: state.is_ready() && !state.is_cut_off(),
         leaving: state.is_stopping(),
         rate: state.advertised_rate.get(),
         stamp,
--- a/bin/lh-entry/src/handler.rs
+++ b/bin/lh-entry/src/handler.rs
@@ -136,7 +136,7 @@
 ///
 /// # Errors
 /// Returns the status of the response if there is no route.
-fn find_route(routes: &RouteTable, parts: &Parts) -> Result<Rc<RouteSpec>, StatusCode> {
+pub(crate) fn find_route(routes: &RouteTable, parts: &Parts) -> Result<Rc<RouteSpec>, StatusCode> {
     let host = parts.headers.get(header::HOST);
     let host = host
         .and_then(|host| host.to_str().ok())
--- a/bin/lh-entry/src/internal.rs
+++ b/bin/lh-entry/src/internal.rs
@@ -7,7 +7,6 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::server::conn::http1::Builder;
@@ -16,14 +15,16 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
+use crate::body::ResponseBody;
 use crate::lookup::{self, OwnLookup};
 use crate::state::InstanceState;
-use crate::{status, view};
+use crate::{relay, status, view};
 
 const METRICS_PATH: &str = "/metrics";
 
-/// Serves requests on `listener` until the process ends.
-pub(crate) async fn run(state: Rc<InstanceState>, listener: Rc<TcpListener>) {
+/// Serves requests on `listener` until the process ends. With `relays`, other entries may relay
+/// callers' requests through it.
+pub(crate) async fn run(state: Rc<InstanceState>, listener: Rc<TcpListener>, relays: bool) {
     loop {
         let Ok((stream, caller)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(20)).await;
@@ -33,8 +34,13 @@
         tokio::task::spawn_local(async move {
             let _ = stream.set_nodelay(true);
             let service = service_fn(move |request| {
-                let answer = respond(&state, &request, caller.ip());
-                async move { Ok::<_, Infallible>(answer) }
+                let state = Rc::clone(&state);
+                async move {
+                    if relays && relay::is_relayed(&request) {
+                        return Ok::<_, Infallible>(relay::serve(state, request).await);
+                    }
+                    Ok(respond(&state, &request, caller.ip()))
+                }
             });
             let served = Builder::new()
                 .header_read_timeout(None)
@@ -50,7 +56,7 @@
     state: &InstanceState,
     request: &Request<Incoming>,
     from: IpAddr,
-) -> Response<Full<Bytes>> {
+) -> Response<ResponseBody> {
     let query = request.uri().query().unwrap_or("");
     match request.uri().path() {
         platform::lookup::READY_PATH => {
@@ -104,19 +110,19 @@
     }
 }
 
-fn json(status: StatusCode, body: String) -> Response<Full<Bytes>> {
+fn json(status: StatusCode, body: String) -> Response<ResponseBody> {
     let mut response = text(status, body);
     let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert(CONTENT_TYPE, json);
     response
 }
 
-fn bytes(body: Vec<u8>) -> Response<Full<Bytes>> {
-    Response::new(Full::new(Bytes::from(body)))
+fn bytes(body: Vec<u8>) -> Response<ResponseBody> {
+    Response::new(ResponseBody::buffered(Bytes::from(body)))
 }
 
-fn text(status: StatusCode, body: String) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from(body)));
+fn text(status: StatusCode, body: String) -> Response<ResponseBody> {
+    let mut response = Response::new(ResponseBody::buffered(Bytes::from(body)));
     *response.status_mut() = status;
     response
 }
--- a/bin/lh-entry/src/job.rs
+++ b/bin/lh-entry/src/job.rs
@@ -3,6 +3,7 @@
 
 mod response;
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -23,9 +24,11 @@
 use crate::body_reader::JobBody;
 use crate::caller::{Caller, Interface};
 use crate::connect::ahead;
+use crate::paths;
 use crate::pool::ConnectionLease;
 use crate::problem::{Problem, set_outcome};
 use crate::record::{RequestOutcome, RequestRecord};
+use crate::relay::AttemptPath;
 use crate::reply::{
     describe_error, respond_unavailable, respond_unknown, strip_hop_by_hop_headers,
 };
@@ -65,17 +68,39 @@
 #[derive(Debug, Default)]
 pub(crate) struct JobProgress {
     tried: Vec<ServerHandle>,
-    failed_attempts: u32,
+    pub(crate) failed_attempts: u32,
     unsent_attempts: u32,
     may_have_run: bool,
     /// The request's fingerprint, once it has been computed.
     pub(crate) fingerprint: Option<RequestFingerprint>,
+    /// Whether another entry relays the request through this one.
+    pub(crate) is_relayed: bool,
+    /// Number of servers to which that entry lets it be sent.
+    max_attempts: Option<u32>,
+    /// Peers through which the request was relayed.
+    pub(crate) tried_peers: Vec<SocketAddr>,
+    /// The refusal of a peer that could have sent it to a server.
+    pub(crate) peer_refusal: Option<Refusal>,
+}
+
+impl JobProgress {
+    /// The progress of a request that another entry relays through this one and that may be
+    /// sent to `max_attempts` servers.
+    pub(crate) fn relayed(max_attempts: u32) -> Self {
+        Self {
+            is_relayed: true,
+            max_attempts: Some(max_attempts),
+            ..Self::default()
+        }
+    }
 }
 
 /// The result of an attempt.
-enum AttemptResult {
+pub(crate) enum AttemptResult {
     Responded(Response<ResponseBody>),
     NotRun,
+    /// A peer didn't send the request to a server.
+    Declined,
     /// The request was not sent: no connection could be established, or its server or the request
     /// was withdrawn meanwhile.
     Unsent,
@@ -96,13 +121,22 @@
             if let Some(refusal) = self.quarantine_refusal(&body) {
                 return self.finish_unserved(last, refusal);
             }
-            let guard = match self.place(route, &body) {
-                Ok(guard) => guard,
-                Err(_) if self.waited_for_turn().await => continue,
-                Err(refusal) => return self.finish_unserved(last, refusal),
+            let result = match self.attempt_path(route) {
+                AttemptPath::Direct => {
+                    let guard = match self.place(route, &body) {
+                        Ok(guard) => guard,
+                        Err(_) if self.waited_for_turn().await => continue,
+                        Err(refusal) => return self.finish_unserved(last, refusal),
+                    };
+                    self.record.on_placed(&guard.placement);
+                    self.attempt(route, guard, &mut body).await
+                }
+                AttemptPath::Peer(peer) => self.relay(route, &peer, &mut body).await,
+                AttemptPath::None => {
+                    let refusal = self.no_path_refusal();
+                    return self.finish_unserved(last, refusal);
+                }
             };
-            self.record.on_placed(&guard.placement);
-            let result = self.attempt(route, guard, &mut body).await;
             match result {
                 AttemptResult::Responded(response) => {
                     self.clear_suspicion(&body);
@@ -130,6 +164,14 @@
                     self.progress.failed_attempts += 1;
                     self.progress.may_have_run = true;
                 }
+                AttemptResult::Declined => match self.progress.peer_refusal {
+                    Some(refusal) => return self.finish_unserved(last, refusal),
+                    None if matches!(body, JobBody::Streamed(None)) => {
+                        let refusal = self.no_path_refusal();
+                        return self.finish_unserved(last, refusal);
+                    }
+                    None => continue,
+                },
                 AttemptResult::NotRun => {}
             }
             if !self.may_retry(route, &body) {
@@ -156,8 +198,11 @@
         if matches!(body, JobBody::Streamed(None)) {
             return false;
         }
-        if self.progress.failed_attempts >= route.max_attempts
-            || self.progress.tried.len() as u32 > route.max_attempts
+        let max_attempts = route
+            .max_attempts
+            .min(self.progress.max_attempts.unwrap_or(u32::MAX));
+        if self.progress.failed_attempts >= max_attempts
+            || self.progress.tried.len() as u32 > max_attempts
         {
             return false;
         }
@@ -195,7 +240,7 @@
     fn relay_response(&mut self, mut response: Response<ResponseBody>) -> Response<ResponseBody> {
         let status = response.status().as_u16();
         self.record.finish(RequestOutcome::Answered, status);
-        if self.caller.interface == Interface::Own {
+        if self.caller.interface == Interface::Own || self.progress.is_relayed {
             set_outcome(&mut response, Outcome::Done);
         }
         response
@@ -244,6 +289,9 @@
         let mut lease = match self.acquire_connection(&guard.placement, avoid_stale).await {
             Ok(lease) => lease,
             Err(reason) => {
+                if let Some(part) = route.parts.get(self.part) {
+                    paths::on_server_missed(&self.state, &guard.placement, &part.service);
+                }
                 guard.finish(ServerOutcome::Unreachable, None);
                 self.record.on_attempt_result(&reason);
                 return AttemptResult::Unsent;
--- a/bin/lh-entry/src/job/response.rs
+++ b/bin/lh-entry/src/job/response.rs
@@ -95,7 +95,7 @@
     }
 
     /// Records the size of a response of which `read` bytes have arrived.
-    pub(super) fn record_response_size(&self, headers: &HeaderMap, read: usize) {
+    pub(crate) fn record_response_size(&self, headers: &HeaderMap, read: usize) {
         let stated = headers.get(header::CONTENT_LENGTH);
         let stated = stated.and_then(|length| length.to_str().ok()?.parse().ok());
         if let Some(route) = &self.record.route {
--- a/bin/lh-entry/src/lib.rs
+++ b/bin/lh-entry/src/lib.rs
@@ -36,6 +36,7 @@
 mod quarantine;
 mod record;
 mod region_shares;
+mod relay;
 mod reply;
 mod returns;
 mod rollout;
--- a/bin/lh-entry/src/lookup.rs
+++ b/bin/lh-entry/src/lookup.rs
@@ -5,6 +5,7 @@
 
 use once::Ticket;
 use place::directory::{home_region_entries, ordered_entries};
+use place::fleet::list::ListedEntry;
 use platform::lookup::{self, CallerLocation};
 use serde::Serialize;
 
@@ -116,14 +117,32 @@
 
 /// Returns the entries that callers should use, from the lists of all regions. Without a list,
 /// only an entry that has never heard from others names itself: otherwise an entry with a higher
-/// capacity may turn up.
+/// capacity may turn up. If no entry is advertised, since none can reach the servers, all that
+/// are listed are named: one of them may have a path again first.
 fn available_entries(state: &InstanceState) -> Vec<AvailableEntry> {
-    let mut entries = Vec::new();
     if state.fleet.is_isolated() && !state.fleet.is_listed() && state.is_ready() {
         return vec![own_entry(state, Instant::now())];
     }
+    let mut entries = listed_entries(state, |entry| entry.named);
+    if entries.is_empty() && state.is_cut_off() {
+        entries = listed_entries(state, |_| true);
+        if entries.is_empty() && state.is_ready() {
+            entries.push(own_entry(state, Instant::now()));
+        }
+    }
+    if entries.is_empty() && state.serves_public_only() {
+        entries.push(own_entry(state, Instant::now()));
+    }
+    entries
+}
+
+fn listed_entries(
+    state: &InstanceState,
+    is_included: impl Fn(&ListedEntry) -> bool,
+) -> Vec<AvailableEntry> {
+    let mut entries = Vec::new();
     state.fleet.with_regions(|now, regions| {
-        for (region, entry) in regions.listed(now).filter(|(_, entry)| entry.named) {
+        for (region, entry) in regions.listed(now).filter(|(_, entry)| is_included(entry)) {
             if entry.node == state.config.instance {
                 if state.is_ready() {
                     entries.push(own_entry(state, now));
@@ -138,9 +157,6 @@
             });
         }
     });
-    if entries.is_empty() && state.serves_public_only() {
-        entries.push(own_entry(state, Instant::now()));
-    }
     entries
 }
 
--- a/bin/lh-entry/src/metrics.rs
+++ b/bin/lh-entry/src/metrics.rs
@@ -9,6 +9,7 @@
 
 use std::time::{Duration, Instant};
 
+use place::paths::relay::RelayOutcome;
 use place::prelude::RequestPlacer;
 
 use crate::connect::metrics::AheadMetrics;
@@ -53,6 +54,7 @@
     pub(crate) lead_conflicts: IntCounter,
     bad_datagrams: IntCounter,
     broken_off: IntCounterVec,
+    relays: IntCounterVec,
     /// Services whose servers this entry can't reach.
     pub(crate) lost_paths: IntGauge,
     /// Times that this entry lost the path to the servers of a service.
@@ -281,6 +283,17 @@
         registry.register(Box::new(lead_conflicts.clone()))?;
         registry.register(Box::new(bad_datagrams.clone()))?;
         registry.register(Box::new(broken_off.clone()))?;
+        let relays = IntCounterVec::new(
+            Opts::new(
+                "laurelhill_relays_total",
+                "Requests relayed through other entries, by result",
+            ),
+            &["result"],
+        )?;
+        registry.register(Box::new(relays.clone()))?;
+        for outcome in RelayOutcome::ALL {
+            relays.with_label_values(&[outcome.as_str()]);
+        }
         let lost_paths = IntGauge::new(
             "laurelhill_lost_paths",
             "Services of which this entry can reach hardly any server",
@@ -328,6 +341,7 @@
             lead_conflicts,
             bad_datagrams,
             broken_off,
+            relays,
             lost_paths,
             path_losses,
             unread_headers,
--- a/bin/lh-entry/src/metrics/events.rs
+++ b/bin/lh-entry/src/metrics/events.rs
@@ -1,5 +1,7 @@
 //! Counts events.
 
+use place::paths::relay::RelayOutcome;
+
 use crate::metrics::EntryMetrics;
 
 impl EntryMetrics {
@@ -14,6 +16,11 @@
         self.attempts.with_label_values(&[service, result]).inc();
     }
 
+    /// Records the outcome of a request that was relayed through another entry.
+    pub(crate) fn on_relayed(&self, outcome: RelayOutcome) {
+        self.relays.with_label_values(&[outcome.as_str()]).inc();
+    }
+
     /// Records a response of `route` within its latency objective.
     pub(crate) fn on_good(&self, route: &str) {
         self.good.with_label_values(&[route]).inc();
--- a/bin/lh-entry/src/pool.rs
+++ b/bin/lh-entry/src/pool.rs
@@ -12,11 +12,11 @@
 use hyper::header::{CONNECTION, HeaderName};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
 use crate::body::RequestBody;
+use crate::connect::dialer::Dialer;
 
 /// `TCP_USER_TIMEOUT` of connections to servers. It detects a server that lost power before most
 /// deadlines expire.
@@ -63,14 +63,16 @@
 pub(crate) struct ConnectionPool {
     /// Timeout for establishing a connection.
     connect_timeout: Duration,
+    dialer: Dialer,
     idle: RefCell<HashMap<String, Vec<IdleConnection>>>,
 }
 
 impl ConnectionPool {
-    /// Creates an empty pool whose connections must be established within `connect_timeout`.
-    pub(crate) fn new(connect_timeout: Duration) -> Self {
+    /// Creates an empty pool whose connections `dialer` must establish within `connect_timeout`.
+    pub(crate) fn new(connect_timeout: Duration, dialer: Dialer) -> Self {
         Self {
             connect_timeout,
+            dialer,
             idle: RefCell::default(),
         }
     }
@@ -145,7 +147,7 @@
         address: SocketAddr,
         time_left: Duration,
     ) -> Result<ConnectionLease, String> {
-        let connecting = TcpStream::connect(address);
+        let connecting = self.dialer.connect(address);
         let stream = match timeout(time_left.min(self.connect_timeout), connecting).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => return Err(error.to_string()),
@@ -176,10 +178,15 @@
     }
 
     /// Returns `lease` to the pool for as long as the `headers` of its response allow.
-    pub(crate) fn release(&self, mut lease: ConnectionLease, headers: &HeaderMap) {
+    pub(crate) fn release(&self, lease: ConnectionLease, headers: &HeaderMap) {
         let Some(keep_alive) = parse_keep_alive(headers) else {
             return;
         };
+        self.release_for(lease, keep_alive);
+    }
+
+    /// Returns `lease` to the pool for `keep_alive`.
+    pub(crate) fn release_for(&self, mut lease: ConnectionLease, keep_alive: Duration) {
         lease.reused = true;
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(lease.server.clone()).or_default();
--- a/bin/lh-entry/src/record.rs
+++ b/bin/lh-entry/src/record.rs
@@ -1,6 +1,7 @@
 //! Collects what happens to a request, and logs it as one line when the request ends.
 
 use std::fmt::Write as _;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -110,6 +111,17 @@
         );
     }
 
+    /// Records that the request is relayed through the peer at `address`.
+    pub(crate) fn on_relayed(&mut self, address: SocketAddr) {
+        self.attempt_count += 1;
+        let separator = if self.attempt_count > 1 { "; " } else { "" };
+        let at = self.started_at.elapsed().as_millis();
+        let _ = write!(
+            self.attempts,
+            "{separator}through entry {address} at {at}ms"
+        );
+    }
+
     /// Records that the latest attempt was sent, if it had to wait for a connection.
     pub(crate) fn on_sent(&mut self, wait_time: Duration) {
         let wait_time = wait_time.as_millis();
--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -25,6 +25,7 @@
 
 use crate::config::EntryConfig;
 use crate::connect::ahead::ConnectionOpener;
+use crate::connect::dialer::Dialer;
 use crate::crash::CrashProbes;
 use crate::fleet::FleetDriver;
 use crate::header_audit::HeaderAudit;
@@ -34,6 +35,7 @@
 use crate::metrics::EntryMetrics;
 use crate::operator::refusals::RefusalTable;
 use crate::pool::ConnectionPool;
+use crate::relay::RelayState;
 use crate::rollout::RolloutState;
 use crate::statements::UrgentReporter;
 use crate::stop::StopPhase;
@@ -91,6 +93,10 @@
     /// Home regions of client addresses.
     pub(crate) homes: RefCell<HomeRegionTable>,
     pub(crate) pool: ConnectionPool,
+    /// Opens connections that carry no request.
+    pub(crate) dialer: Dialer,
+    /// Relays requests through other entries.
+    pub(crate) relay: RelayState,
     /// Opens connections ahead of requests.
     pub(crate) opener: ConnectionOpener,
     /// Tracks servers that aborted requests.
@@ -155,7 +161,9 @@
             refusals: RefCell::default(),
             advertised_rate: Cell::new(0),
             homes: RefCell::default(),
-            pool: ConnectionPool::new(config.connect),
+            pool: ConnectionPool::new(config.connect, Dialer::new(config.source)),
+            dialer: Dialer::new(config.source),
+            relay: RelayState::new(&config.region, own),
             opener: ConnectionOpener::default(),
             crashes: CrashProbes::default(),
             metrics,
@@ -173,6 +181,12 @@
         self.has_required_state() && self.serves_keys()
     }
 
+    /// Returns whether this entry can reach hardly any server, so that others serve callers
+    /// better.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        self.placer.borrow().is_cut_off(Instant::now())
+    }
+
     /// Returns whether this entry can serve only public routes, because its information on
     /// valid keys is too old. If this holds for all entries, look-ups still name this entry
     /// for callers of public routes.
@@ -242,6 +256,7 @@
                 }
             }
         });
+        self.relay.refresh(self);
         let is_listed = self.fleet.is_listed();
         let listed = hashes.len() + usize::from(is_listed);
         self.rollouts
--- a/bin/lh-entry/src/suspect.rs
+++ b/bin/lh-entry/src/suspect.rs
@@ -1,7 +1,5 @@
 //! Quarantine of requests that crash servers, as seen by the job of a request.
 
-use std::time::Instant;
-
 use place::crash::fingerprint::RequestFingerprint;
 use place::prelude::*;
 
@@ -53,10 +51,7 @@
         let fingerprint = self.fingerprint(body);
         self.record.fingerprint = Some(fingerprint);
         if let Some(part) = route.parts.get(self.part) {
-            let mut placer = self.state.placer.borrow_mut();
-            placer.on_connection_lost(Instant::now(), placement, &part.service);
-            drop(placer);
-            paths::report_changes(&self.state);
+            paths::on_server_missed(&self.state, placement, &part.service);
             crash::on_connection_lost(&self.state, placement, &part.service, fingerprint);
         }
     }
--- a/bin/lh-entry/tests/partitions.rs
+++ b/bin/lh-entry/tests/partitions.rs
@@ -10,7 +10,12 @@
 
 mod world;
 
-use world::{EntryProcess, World, until};
+use std::net::IpAddr;
+
+use platform_standin::{Behavior, FakeBackend, desired_state, with_body_limit};
+use world::{
+    BOARD, DESK, EntryProcess, WAIT_TIMEOUT, World, exchange, request, request_with, until,
+};
 
 /// Requests sent to an entry after it has lost its path.
 const REQUESTS: usize = 40;
@@ -40,8 +45,8 @@
 }
 
 fn separate(world: &World, entries: &[&EntryProcess]) {
-    let pids: Vec<u32> = entries.iter().map(|entry| entry.child.id()).collect();
-    world.partition.separate(&pids);
+    let addresses: Vec<IpAddr> = entries.iter().map(|entry| entry.ip).collect();
+    world.partition.separate(&addresses);
 }
 
 /// Sends requests until the entry has noticed that it can reach no server.
@@ -89,3 +94,145 @@
         assert_eq!(world.runs(&id), 1, "{id} must run once");
     }
 }
+
+#[tokio::test]
+async fn a_relayed_request_ends_with_its_caller() {
+    let world = World::new(6).await;
+    let entries = start_entries(&world, 3).await;
+    separate(&world, &[&entries[0]]);
+    lose_path(&entries[0]).await;
+    for backend in &world.backends {
+        backend.set_behavior(Behavior::Run(WAIT_TIMEOUT));
+    }
+    let mut sender = entries[0].connect().await;
+    let sent =
+        tokio::spawn(
+            async move { exchange(&mut sender, request("GET", "/board/x", "left")).await },
+        );
+    until("a server runs the request", async || {
+        world.runs("left") == 1
+    })
+    .await;
+    sent.abort();
+    until("the server's run is cancelled", async || {
+        let seen = world.backends.iter().flat_map(FakeBackend::seen);
+        seen.into_iter().any(|request| request.cancelled)
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn long_bodies_are_relayed_whole() {
+    let world = World::new(6).await;
+    let entries = start_entries(&world, 3).await;
+    separate(&world, &[&entries[0]]);
+    lose_path(&entries[0]).await;
+    let state = with_body_limit(desired_state(6, &[BOARD, DESK]), 8 << 20);
+    world.store.put("op", "config", &state);
+    for entry in &entries {
+        until("the limit is in force", async || {
+            entry.document("/v1/status").await["version"] == 6
+        })
+        .await;
+    }
+    let bytes = 3 << 20;
+    for backend in &world.backends {
+        backend.set_behavior(Behavior::Large(bytes));
+    }
+    let body = vec![7; 2 << 20];
+    let mut sender = entries[0].connect().await;
+    let upload = request_with("POST", "/desk/x", "upload", &body);
+    let answer = exchange(&mut sender, upload).await.expect("an answer");
+    assert_eq!((answer.status, answer.body.len()), (200, bytes));
+    let seen = world.backends.iter().flat_map(FakeBackend::seen);
+    let uploads: Vec<_> = seen
+        .into_iter()
+        .filter(|request| request.body == body)
+        .collect();
+    assert_eq!(uploads.len(), 1, "the upload arrives whole and once");
+    let names = ["laurelhill-relay", "laurelhill-declined"];
+    for name in names {
+        assert!(
+            !uploads[0].headers.contains_key(name),
+            "{name} reached a server"
+        );
+    }
+}
+
+#[tokio::test]
+async fn look_ups_name_entries_with_a_path_and_all_if_none_has() {
+    let world = World::new(6).await;
+    let entries = start_entries(&world, 3).await;
+    separate(&world, &[&entries[0]]);
+    lose_path(&entries[0]).await;
+    let own = entries[0].callers().to_string();
+    until("look-ups leave out the entry without a path", async || {
+        let answer = entries[1].lookup().await;
+        !answer.contains(&own) && answer.contains(&entries[2].callers().to_string())
+    })
+    .await;
+    assert_eq!(entries[0].status("/ready").await, Some(200));
+    separate(&world, &entries.iter().collect::<Vec<_>>());
+    for entry in &entries {
+        lose_path(entry).await;
+    }
+    until(
+        "look-ups name entries although none has a path",
+        async || entries[1].lookup().await.contains("addresses"),
+    )
+    .await;
+    world.partition.heal();
+    until("look-ups name all entries again", async || {
+        let answer = entries[0].lookup().await;
+        entries
+            .iter()
+            .all(|entry| answer.contains(&entry.callers().to_string()))
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn requests_that_no_entry_can_serve_are_refused_at_once_and_served_afterwards() {
+    let world = World::new(6).await;
+    let entries = start_entries(&world, 3).await;
+    separate(&world, &entries.iter().collect::<Vec<_>>());
+    for entry in &entries {
+        lose_path(entry).await;
+    }
+    until("no entry is asked any more", async || {
+        let answer = entries[0].send("POST", "/desk/x", "nowhere").await;
+        answer.status == 503
+            && answer.header("laurelhill-outcome") == "not-run"
+            && !answer.header("retry-after").is_empty()
+            && entries[0].logged("\"reason\":\"no-path\"").len() > 2
+    })
+    .await;
+    assert_eq!(world.runs("nowhere"), 0);
+    world.partition.heal();
+    for entry in &entries {
+        until("the path is found again", async || {
+            entry.metrics().await.contains("laurelhill_lost_paths 0")
+        })
+        .await;
+        let served = count_served(entry, "GET", "/board/x").await;
+        assert_eq!(served, REQUESTS);
+    }
+}
+
+/// A request that is relayed to an entry without a path must not be relayed on.
+#[tokio::test]
+async fn a_request_is_relayed_once() {
+    let world = World::new(6).await;
+    let entries = start_entries(&world, 3).await;
+    separate(&world, &[&entries[0], &entries[1]]);
+    lose_path(&entries[0]).await;
+    lose_path(&entries[1]).await;
+    for number in 0..REQUESTS {
+        let id = format!("once-{number}");
+        let answer = entries[0].send("POST", "/desk/x", &id).await;
+        assert_eq!((answer.status, world.runs(&id)), (200, 1), "{id}");
+    }
+    for line in entries[1].logged("\"request\":\"once-") {
+        assert!(!line.contains("through entry"), "{line}");
+    }
+}
--- a/bin/lh-entry/tests/world/mod.rs
+++ b/bin/lh-entry/tests/world/mod.rs
@@ -149,6 +149,7 @@
              [entry]\ncallers = {ip}:{CALLER_PORT}\nready = {ip}:{READY_PORT}\n\
              lookup = {ip}:{LOOKUP_PORT}\nmetrics_port = {METRICS_PORT}\n\
              peer_ports = {PEER_PORT}-{}\npeer_seeds = {}\npipelined_requests = 4\n\
+             connect_from_address = yes\n\
              {settings}[store]\naddress = {store}\n\
              [bounds]\ngrace = 60s\nretry_ratio = 0.2\nretry_slack = 56\n\
              retry_window = 10s\nshift_cap = 0.15\nlookup_ttl_most = 5s\n\
--- a/bin/lh-soak/src/cli.rs
+++ b/bin/lh-soak/src/cli.rs
@@ -32,6 +32,9 @@
     /// Share of the departed servers for which the store applies an earlier heartbeat late.
     #[arg(long, default_value_t = 0.35, value_name = "SHARE")]
     late_words: f64,
+    /// Cuts entries off from all backend servers at times, in addition to the other faults.
+    #[arg(long)]
+    partitions: bool,
     /// Number of threads that spin to generate CPU load during the run.
     #[arg(long, default_value_t = 0)]
     busy: usize,
@@ -59,6 +62,7 @@
             entries: self.entries,
             servers: self.servers,
             late_heartbeats: self.late_words,
+            partitions: self.partitions,
             busy_threads: self.busy,
             entry_program,
             keep: self.keep,
--- a/bin/lh-soak/src/config.rs
+++ b/bin/lh-soak/src/config.rs
@@ -46,6 +46,8 @@
     pub servers: usize,
     /// Share of the departed servers for which the store applies an earlier heartbeat late, 0 to 1.
     pub late_heartbeats: f64,
+    /// Whether entries lose their path to the backend servers.
+    pub partitions: bool,
     /// Number of threads that spin to generate CPU load.
     pub busy_threads: usize,
     /// Path of the `lh-entry` binary.
--- a/bin/lh-soak/src/faults.rs
+++ b/bin/lh-soak/src/faults.rs
@@ -15,6 +15,15 @@
 /// Range of the duration of a fault, in milliseconds.
 const DURATION_MS: std::ops::Range<u64> = 500..7000;
 
+/// Name of the fault in which entries can reach no backend server.
+pub(crate) const PARTITION_FAULT: &str = "partitioned";
+/// Range of the duration of such a fault, in milliseconds.
+const PARTITION_MS: std::ops::Range<u64> = 6000..12_000;
+/// Range of the interval between the starts of two such faults, in milliseconds.
+const PARTITION_INTERVAL_MS: std::ops::Range<u64> = 9000..20_000;
+/// Distinguishes the numbers drawn for these faults from those of the others.
+const PARTITION_SEED: u64 = 0x7061_7274;
+
 /// Kind of a fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FaultKind {
@@ -28,6 +37,8 @@
     LinkDelayed(Duration),
     /// Connections of the entries to the store break repeatedly, at this interval.
     LinkBreaks(Duration),
+    /// The entries can reach no backend server; callers, the store and other entries reach them.
+    Partitioned,
     /// The processes are suspended.
     Frozen,
     /// The processes get only a small share of CPU time.
@@ -55,6 +66,7 @@
             Self::LinkLosesAnswers => "link-loses-answers",
             Self::LinkDelayed(_) => "link-delayed",
             Self::LinkBreaks(_) => "link-breaks",
+            Self::Partitioned => PARTITION_FAULT,
             Self::Frozen => "frozen",
             Self::Starved => "starved",
             Self::Killed => "killed",
@@ -116,6 +128,28 @@
     faults
 }
 
+/// Draws the times at which up to half of the `entries` entries can reach no backend server.
+pub fn draw_partitions(seed: u64, seconds: u64, entries: usize) -> Vec<PlannedFault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ PARTITION_SEED);
+    let end = Duration::from_secs(seconds).saturating_sub(FAULT_FREE_END);
+    let mut at = FAULT_FREE_START;
+    let mut faults = Vec::new();
+    while at < end {
+        let duration = Duration::from_millis(rng.random_range(PARTITION_MS)).min(end - at);
+        let all: Vec<usize> = (0..entries).collect();
+        let count = rng.random_range(1..=entries / 2);
+        let chosen = all.choose_multiple(&mut rng, count).copied().collect();
+        faults.push(PlannedFault {
+            at,
+            duration,
+            kind: FaultKind::Partitioned,
+            target: FaultTarget::Entries(chosen),
+        });
+        at += Duration::from_millis(rng.random_range(PARTITION_INTERVAL_MS));
+    }
+    faults
+}
+
 fn draw_kind(rng: &mut ChaCha8Rng) -> FaultKind {
     let millis = |rng: &mut ChaCha8Rng, range| Duration::from_millis(rng.random_range(range));
     match rng.random_range(0..20) {
--- a/bin/lh-soak/src/fleet.rs
+++ b/bin/lh-soak/src/fleet.rs
@@ -119,6 +119,11 @@
         Ok(())
     }
 
+    /// Address from which it connects to servers.
+    pub(crate) fn ip(&self) -> IpAddr {
+        self.ip
+    }
+
     /// Whether the process is running.
     pub(crate) fn is_running(&mut self) -> bool {
         let child = self.child.as_mut();
@@ -165,7 +170,7 @@
              lookup = {ip}:{LOOKUP_PORT}\nmetrics_port = {METRICS_PORT}\n\
              peer_ports = {PEER_PORT}-{}\npeer_seeds = {}\n\
              pipelined_requests = 4\nconnections_ahead = yes\nplan_returns = yes\n\
-             region_shares = yes\n[store]\naddress = {}\n\
+             region_shares = yes\nconnect_from_address = yes\n[store]\naddress = {}\n\
              [bounds]\ngrace = 6s\ndrain = {}ms\nretry_ratio = 0.2\nretry_slack = 56\n\
              retry_window = 10s\nshift_cap = 0.15\nlookup_ttl_most = 5s\n\
              config_apply = {}ms\nrevoke = {}ms\nrevoke_cut_off = true\nquota_window = {}ms\n\
@@ -207,6 +212,15 @@
     IpAddr::from([127, 32 + high % 64, low, last])
 }
 
+/// Number of the entry whose connections come from `address`.
+pub(crate) fn entry_at(address: IpAddr) -> Option<usize> {
+    let IpAddr::V4(address) = address else {
+        return None;
+    };
+    let [.., last] = address.octets();
+    usize::from(last).checked_sub(1)
+}
+
 /// Addresses of the entries that are configured as peer seeds.
 pub(crate) fn seed_addresses(entries: usize) -> Vec<IpAddr> {
     (0..entries.min(SEED_COUNT)).map(loopback_ip).collect()
--- a/bin/lh-soak/src/injector.rs
+++ b/bin/lh-soak/src/injector.rs
@@ -1,5 +1,6 @@
 //! Fault injection.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -41,6 +42,10 @@
         world.record_fault(name, Some(*index));
     }
     let result = match fault.kind {
+        FaultKind::Partitioned => {
+            separate(&world, &targets, fault.duration).await;
+            Ok(())
+        }
         FaultKind::Frozen => freeze(&world, &targets, fault.duration).await,
         FaultKind::Starved => starve(&world, &targets, fault.duration).await,
         FaultKind::Killed => kill(&world, &targets).await,
@@ -83,6 +88,15 @@
     set(LinkFault::None);
 }
 
+/// Separates the entries from the backend servers.
+async fn separate(world: &World, targets: &[usize], duration: Duration) {
+    let addresses = targets.iter().map(|index| world.entry(*index).ip());
+    let addresses: Vec<IpAddr> = addresses.collect();
+    world.server_pool.partition.separate(&addresses);
+    sleep(duration).await;
+    world.server_pool.partition.reconnect(&addresses);
+}
+
 async fn freeze(world: &World, targets: &[usize], duration: Duration) -> Result<()> {
     signal_all(world, targets, Signal::STOP)?;
     sleep(duration).await;
--- a/bin/lh-soak/src/judge.rs
+++ b/bin/lh-soak/src/judge.rs
@@ -24,9 +24,11 @@
 use std::collections::{HashMap, HashSet};
 
 use crate::config::{DRAIN_TIMEOUT, STABLE_WINDOW};
+use crate::faults::PARTITION_FAULT;
 use crate::history::{RunEvent, RunHistory, ServerChange, Statement, millis};
 use crate::judge_desired::EntryState;
 use crate::judge_limits::LimitJudge;
+use crate::judge_paths::PathJudge;
 use crate::judge_promises::PromiseJudge;
 use crate::judge_rests::RestJudge;
 pub use crate::report::SoakReport;
@@ -89,6 +91,7 @@
     refused: HashSet<String>,
     limits: LimitJudge,
     rests: RestJudge,
+    paths: PathJudge,
     promises: PromiseJudge,
     /// When each run of an entry first passed on a response of a server that says that it
     /// leaves.
@@ -108,6 +111,7 @@
         judge.on_event(timed.at, &timed.event, &mut report);
     }
     judge.promises.finish(&mut report);
+    report.path_violations.extend(judge.paths.violation());
     report.servers_left = judge.left_at.len();
     if judge.limits.room > 0.0 {
         let share = judge.limits.used as f64 / judge.limits.room;
@@ -180,12 +184,22 @@
                         .retain(|(frozen, _, _), _| Some(*frozen) != *entry);
                 }
                 match entry {
-                    Some(entry) => self.rests.excuse(*entry),
+                    Some(entry) => {
+                        self.rests.excuse(*entry);
+                        if name == PARTITION_FAULT {
+                            self.paths.on_separated(at, *entry);
+                        }
+                    }
                     None => self.promises.on_store_fault(),
                 }
                 self.fault_state(*entry).begin();
             }
-            RunEvent::Calm { entry } => self.fault_state(*entry).end(at),
+            RunEvent::Calm { entry } => {
+                if let Some(entry) = entry {
+                    self.paths.on_calm(*entry);
+                }
+                self.fault_state(*entry).end(at);
+            }
             RunEvent::Desired { .. }
             | RunEvent::Sent { .. }
             | RunEvent::Evacuation { .. }
@@ -204,6 +218,10 @@
             } => {
                 self.on_passed_on(at, request, *status);
                 if let Some(entry) = servers::entry_of(request) {
+                    let state = *self.fault_state(Some(entry));
+                    let faults = (state.active_faults, state.is_stable(at));
+                    let is_served = *status == STATUS_OK;
+                    self.paths.on_answered(at, entry, is_served, faults);
                     let entry = self.entry_state(at, entry);
                     self.promises.on_answered(request, *status, entry, report);
                 }
--- a/bin/lh-soak/src/lib.rs
+++ b/bin/lh-soak/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod judge;
 mod judge_desired;
 mod judge_limits;
+mod judge_paths;
 mod judge_places;
 mod judge_promises;
 mod judge_rests;
--- a/bin/lh-soak/src/report.rs
+++ b/bin/lh-soak/src/report.rs
@@ -43,6 +43,8 @@
     pub order_violations: Vec<String>,
     /// Violations of **Quota**.
     pub quota_violations: Vec<String>,
+    /// Violations of **Path**.
+    pub path_violations: Vec<String>,
     /// Violations of **Rollout**.
     pub rollout_violations: Vec<String>,
     /// Requests that servers with limits got, in percent of what the limits allowed.
@@ -78,6 +80,7 @@
             &self.order_violations,
             &self.quota_violations,
             &self.rollout_violations,
+            &self.path_violations,
         ];
         kinds.into_iter().flatten()
     }
@@ -93,7 +96,7 @@
         write!(
             f,
             "seed {}: {} arrivals, {} servers left, answers {} good {} other, faults [{}]; \
-             drain {}, returned {}, once {}, told {}, rest {}, limit {} (used {} %), desired {}, key {}, evacuation {}, home {}, order {}, quota {}, rollout {}, \
+             drain {}, returned {}, once {}, told {}, rest {}, limit {} (used {} %), desired {}, key {}, evacuation {}, home {}, order {}, quota {}, rollout {}, path {}, \
              forgotten by all {}, late under faults {} (latest {} ms)",
             self.seed,
             self.arrivals,
@@ -115,6 +118,7 @@
             self.order_violations.len(),
             self.quota_violations.len(),
             self.rollout_violations.len(),
+            self.path_violations.len(),
             self.forgotten,
             self.late_under_faults.0,
             self.late_under_faults.1,
--- a/bin/lh-soak/src/servers.rs
+++ b/bin/lh-soak/src/servers.rs
@@ -11,12 +11,13 @@
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use platform_standin::{FakeStore, server_entry_in};
+use platform_standin::{FakeStore, Partition, server_entry_in};
 use serde_json::{Value, json};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::config::{region_and_domain, server_id};
 use crate::error::Result;
+use crate::fleet;
 use crate::history::{RunEvent, RunRecorder, Statement};
 use crate::rollouts;
 use crate::statements::StatementBoard;
@@ -64,6 +65,8 @@
     started: Arc<Mutex<usize>>,
     /// What the servers say of themselves.
     pub(crate) statements: StatementBoard,
+    /// Separates entries from the servers.
+    pub(crate) partition: Partition,
 }
 
 impl ServerPool {
@@ -75,6 +78,7 @@
             live: Arc::default(),
             started: Arc::default(),
             statements: StatementBoard::default(),
+            partition: Partition::default(),
         }
     }
 
@@ -96,6 +100,7 @@
             id: server.id.clone(),
             recorder: self.recorder.clone(),
             statements: self.statements.clone(),
+            partition: self.partition.clone(),
         };
         tokio::spawn(accept(listener, identity));
         self.store
@@ -124,6 +129,7 @@
             id: id.to_owned(),
             recorder: self.recorder.clone(),
             statements: self.statements.clone(),
+            partition: self.partition.clone(),
         };
         tokio::spawn(accept(listener, identity));
         self.store.put(TABLE, id, &row);
@@ -245,17 +251,18 @@
     id: String,
     recorder: RunRecorder,
     statements: StatementBoard,
+    partition: Partition,
 }
 
 impl ServerIdentity {
     /// Responds that the request was not executed and that the server wants to rest.
     fn turn_away(
         &self,
-        request: &str,
+        sender: Option<usize>,
         builder: hyper::http::response::Builder,
         rest_ms: u64,
     ) -> Response<Full<Bytes>> {
-        if let Some(entry) = entry_of(request) {
+        if let Some(entry) = sender {
             self.recorder.record(RunEvent::TurnedAway {
                 server: self.id.clone(),
                 entry,
@@ -285,16 +292,25 @@
         if server.statements.get(&server.id).is_stopped {
             return;
         }
+        if server.partition.resets(&stream) {
+            continue;
+        }
         tokio::spawn(serve_connection(stream, server.clone()));
     }
 }
 
 async fn serve_connection(stream: TcpStream, server: ServerIdentity) {
     let _ = stream.set_nodelay(true);
+    let Ok(client) = stream.peer_addr() else {
+        return;
+    };
+    // An entry that can't reach servers relays its callers' requests through others.
+    let sender = fleet::entry_at(client.ip());
+    let partition = server.partition.clone();
     let service = service_fn(move |request| {
         let server = server.clone();
         async move {
-            let response = handle_request(&server, request).await;
+            let response = handle_request(&server, sender, request).await;
             if server.statements.get(&server.id).is_stopped {
                 return Err(std::io::Error::from(std::io::ErrorKind::ConnectionAborted));
             }
@@ -302,13 +318,16 @@
         }
     });
     // Connection errors are left to the entry, which reconnects.
-    let _ = http1::Builder::new()
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        _ = connection => {}
+        () = partition.separated(client.ip()) => {}
+    }
 }
 
 async fn handle_request(
     server: &ServerIdentity,
+    sender: Option<usize>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let ServerIdentity { id, recorder, .. } = server;
@@ -330,9 +349,9 @@
         return response_with_body(builder, "");
     }
     if let Some(rest_ms) = statement.rest_ms {
-        return server.turn_away(&request_id, builder, rest_ms);
+        return server.turn_away(sender, builder, rest_ms);
     }
-    if let Some(entry) = entry_of(&request_id) {
+    if let Some(entry) = sender {
         recorder.record(RunEvent::Arrived {
             server: id.clone(),
             entry,
--- a/bin/lh-soak/src/soak.rs
+++ b/bin/lh-soak/src/soak.rs
@@ -74,7 +74,17 @@
     let rolling = tokio::spawn(roll_out(Arc::clone(&world), config.clone()));
     let started = Instant::now();
     let mut injections = Vec::new();
-    for fault in faults::draw_faults(config.seed, config.seconds, config.entries, REGIONS.len()) {
+    let mut planned =
+        faults::draw_faults(config.seed, config.seconds, config.entries, REGIONS.len());
+    if config.partitions {
+        planned.extend(faults::draw_partitions(
+            config.seed,
+            config.seconds,
+            config.entries,
+        ));
+    }
+    planned.sort_by_key(|fault| fault.at);
+    for fault in planned {
         sleep(fault.at.saturating_sub(started.elapsed())).await;
         injections.push(tokio::spawn(inject(Arc::clone(&world), fault)));
     }
--- a/bin/lh-soak/tests/judge.rs
+++ b/bin/lh-soak/tests/judge.rs
@@ -292,3 +292,53 @@
         .map(|fault| (fault.at + fault.duration).as_secs());
     assert!(schedule.len() > 5 && ends.max().is_some_and(|last| last <= 52));
 }
+
+/// Requests 0 to 199 at entry 1, which lost its path at 1 s, and as many at entry 2; those at
+/// entry 1 are answered with `status`, from `from` ms on.
+fn path_report(from: u64, status: u16) -> SoakReport {
+    let fault = RunEvent::Fault {
+        name: "partitioned".to_owned(),
+        entry: Some(1),
+    };
+    let mut events = vec![(1000, fault)];
+    for number in 0..200 {
+        let at = from + number * 10;
+        for (entry, status) in [(1, status), (2, 200)] {
+            let request = format!("{entry}-0-{number}");
+            let body = servers_body(&request);
+            events.push((at, ran("i-0000", &request)));
+            events.push((at, answered(&request, status, &body)));
+        }
+    }
+    events.push((20_000, RunEvent::Calm { entry: Some(1) }));
+    report(&events)
+}
+
+fn servers_body(request: &str) -> String {
+    format!("{request} by i-0000")
+}
+
+/// Callers of an entry without a path must be served like those of the others.
+#[test]
+fn refusals_at_an_entry_without_a_path_are_violations() {
+    assert_eq!(path_report(6000, 503).path_violations.len(), 1);
+    assert!(path_report(6000, 200).path_violations.is_empty());
+    assert!(
+        path_report(1000, 503).path_violations.is_empty(),
+        "the entry needs time to notice"
+    );
+}
+
+/// The faults of earlier seeds stay the same when entries are cut off in addition.
+#[test]
+fn partitions_are_drawn_apart_from_other_faults() {
+    let partitions = faults::draw_partitions(7, 60, 24);
+    assert!(partitions.len() > 1);
+    assert_eq!(partitions, faults::draw_partitions(7, 60, 24));
+    let others = faults::draw_faults(7, 60, 24, 3);
+    assert!(
+        others
+            .iter()
+            .all(|fault| fault.kind != faults::FaultKind::Partitioned)
+    );
+}
--- a/bin/lh-soak/tests/soak.rs
+++ b/bin/lh-soak/tests/soak.rs
@@ -51,3 +51,34 @@
         "{stdout}"
     );
 }
+
+/// Callers of entries that can reach no server are served through other entries, and what must
+/// hold under all faults does.
+#[test]
+fn callers_of_entries_without_a_path_are_served() {
+    let program = Path::new(env!("CARGO_BIN_EXE_lh-soak"));
+    let entry = program.with_file_name("lh-entry");
+    let folder = tempfile::tempdir().unwrap();
+    let output = Command::new(program)
+        .args(["--seed", "2", "--seconds", SECONDS, "--entries", "12"])
+        .args(["--servers", "30", "--partitions", "--keep"])
+        .arg(folder.path())
+        .arg("--entry-program")
+        .arg(&entry)
+        .output()
+        .unwrap();
+    let stdout = String::from_utf8_lossy(&output.stdout);
+    let history = RunHistory::read(&folder.path().join("history.json")).unwrap();
+    let report = judge(&history);
+    let unconditional = [
+        &report.path_violations,
+        &report.readmissions,
+        &report.once_violations,
+        &report.key_violations,
+        &report.home_violations,
+        &report.order_violations,
+        &report.quota_violations,
+    ];
+    assert!(unconditional.iter().all(|kind| kind.is_empty()), "{stdout}");
+    assert!(report.faults.contains_key("partitioned"), "{stdout}");
+}
--- a/crates/conf/src/schema/entry.rs
+++ b/crates/conf/src/schema/entry.rs
@@ -113,6 +113,12 @@
                     Some("no"),
                     "Whether the callers of each region get like shares of a service's room where it is short.",
                 ),
+                key(
+                    "connect_from_address",
+                    ValueKind::Choice(&["yes", "no"]),
+                    Some("no"),
+                    "Whether connections to servers and to other instances leave from the instance's address, on machines with several.",
+                ),
             ],
         },
         SectionSpec {
--- a/crates/place/src/fleet/list.rs
+++ b/crates/place/src/fleet/list.rs
@@ -54,6 +54,18 @@
     pub fn hash(&self) -> u64 {
         stable_hash(self.node.as_bytes())
     }
+
+    /// Returns the address at which the entry serves others: the port after the one for
+    /// datagrams.
+    pub fn view_address(&self) -> SocketAddr {
+        view_address(self.peer_address)
+    }
+}
+
+/// Returns the address at which an entry serves others whose address for datagrams is
+/// `peer_address`.
+pub fn view_address(peer_address: SocketAddr) -> SocketAddr {
+    SocketAddr::new(peer_address.ip(), peer_address.port().saturating_add(1))
 }
 
 impl EntryList {
--- a/crates/place/src/paths/mod.rs
+++ b/crates/place/src/paths/mod.rs
@@ -5,6 +5,8 @@
 //! sees then says nothing about the servers or the requests. Only responses count as evidence
 //! of a path: a connection may be accepted on the way and closed before it carries anything.
 
+pub mod relay;
+
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
@@ -15,6 +17,10 @@
 const MIN_MISSED: usize = 3;
 /// The path is lost if more than this many servers are missed for each one that responds.
 const MISSED_PER_RESPONDING: usize = 2;
+/// Number of servers that probes must miss before a path counts as lost, unless the service has
+/// fewer. Requests alone may miss many in sequence while others run on: one that crashes each
+/// server that runs it does.
+const MIN_PROBES_MISSED: usize = 2;
 /// Number of servers that must be reached before the path counts as restored, unless the
 /// service has fewer. One alone could be the only one in reach.
 const MIN_REACHED: usize = 2;
@@ -51,6 +57,11 @@
     responding: HashMap<u64, Instant>,
     /// Server runs that were missed since their last response.
     missed: HashMap<u64, Instant>,
+    /// Whether requests missed servers and none has been reached since. Probes then show whether
+    /// others can be: requests for one object go to the same server again and again.
+    is_suspected: bool,
+    /// Server runs that probes missed since then.
+    probes_missed: HashSet<u64>,
     lost_at: Option<Instant>,
     restored_at: Option<Instant>,
     /// Server runs that were reached since the path was lost.
@@ -65,6 +76,7 @@
 #[derive(Debug, Default)]
 pub struct ServerPaths {
     services: HashMap<String, ServicePath>,
+    last_response_at: Option<Instant>,
     changes: Vec<PathChange>,
 }
 
@@ -73,6 +85,8 @@
         Self {
             responding: HashMap::new(),
             missed: HashMap::new(),
+            is_suspected: false,
+            probes_missed: HashSet::new(),
             lost_at: None,
             restored_at: None,
             reached: HashSet::new(),
@@ -91,6 +105,7 @@
     fn is_missing_most(&self, servers: usize) -> bool {
         self.missed.len() >= MIN_MISSED.min(servers).max(1)
             && self.missed.len() > self.responding.len() * MISSED_PER_RESPONDING
+            && self.probes_missed.len() >= MIN_PROBES_MISSED.min(servers).max(1)
     }
 
     fn lose(&mut self, now: Instant) {
@@ -105,9 +120,11 @@
         self.next_probe_at = now + self.probe_interval;
     }
 
-    /// Records that the server `run` was reached while the path was lost. Returns how long it
-    /// was lost if it is restored by that.
+    /// Records that the server `run` was reached. Returns how long the path was lost if that
+    /// restores it.
     fn on_reached(&mut self, now: Instant, run: u64, servers: usize) -> Option<Duration> {
+        self.is_suspected = false;
+        self.probes_missed.clear();
         let lost_at = self.lost_at?;
         self.reached.insert(run);
         if self.reached.len() < MIN_REACHED.min(servers).max(1) {
@@ -124,6 +141,7 @@
     /// Records a response of the server `run`, whatever it says. The service has `servers`
     /// servers.
     pub fn on_response(&mut self, now: Instant, service: &str, run: u64, servers: usize) {
+        self.last_response_at = Some(now);
         let path = self.path_mut(now, service);
         path.missed.remove(&run);
         path.responding.insert(run, now);
@@ -139,6 +157,13 @@
         path.reached.remove(&run);
         path.missed.insert(run, now);
         path.drop_expired(now);
+        let is_suspicious =
+            path.responding.is_empty() || path.missed.len() >= MIN_MISSED.min(servers).max(1);
+        if path.lost_at.is_none() && is_suspicious && !path.is_suspected {
+            path.is_suspected = true;
+            path.probe_interval = PROBE_INTERVAL;
+            path.next_probe_at = now;
+        }
         if path.lost_at.is_some() || !path.is_missing_most(servers) {
             return;
         }
@@ -157,11 +182,12 @@
         servers: usize,
         is_reached: bool,
     ) {
+        let path = self.path_mut(now, service);
         if !is_reached {
+            path.probes_missed.insert(run);
             self.on_missed(now, service, run, servers);
             return;
         }
-        let path = self.path_mut(now, service);
         let restored = path.on_reached(now, run, servers);
         self.note_restored(service, restored);
     }
@@ -186,6 +212,11 @@
         !lost.is_empty() && !others.into_iter().any(is_responding)
     }
 
+    /// Returns whether any server has responded since `at`.
+    pub fn has_response_since(&self, at: Instant) -> bool {
+        self.last_response_at.is_some_and(|last| last >= at)
+    }
+
     /// Returns the services without a path.
     pub fn lost_services(&self) -> impl Iterator<Item = &str> {
         let lost = self.services.iter();
@@ -193,12 +224,25 @@
             .map(|(service, _)| service.as_str())
     }
 
+    /// Returns whether the server `run` was missed lately.
+    pub fn is_missed(&self, service: &str, run: u64) -> bool {
+        let path = self.services.get(service);
+        path.is_some_and(|path| path.missed.contains_key(&run))
+    }
+
+    /// Returns whether there are services whose servers must be probed.
+    pub fn needs_probes(&self) -> bool {
+        let mut paths = self.services.values();
+        paths.any(|path| path.is_suspected || path.lost_at.is_some())
+    }
+
     /// Returns the services whose servers must be probed now, each with the number of earlier
     /// rounds.
     pub fn take_due_probes(&mut self, now: Instant) -> Vec<(String, usize)> {
         let mut due = Vec::new();
         for (service, path) in &mut self.services {
-            if path.lost_at.is_none() || now < path.next_probe_at {
+            let is_probed = path.is_suspected || path.lost_at.is_some();
+            if !is_probed || now < path.next_probe_at {
                 continue;
             }
             due.push((service.clone(), path.rounds));
--- a/crates/place/src/placing/placer/outcomes.rs
+++ b/crates/place/src/placing/placer/outcomes.rs
@@ -55,7 +55,7 @@
             ServerOutcome::Unreachable => {
                 record.on_unreachable(now);
                 // It may have crashed, in which case it comes back cold.
-                record.mark_cold(now, warmup);
+                record.presume_cold(now, warmup);
             }
             ServerOutcome::Broken => record.on_outcome(now, false),
             ServerOutcome::OutOfTime => {
--- a/crates/place/src/request.rs
+++ b/crates/place/src/request.rs
@@ -150,6 +150,8 @@
     Limited,
     /// Only servers are left that want no requests for a time.
     Resting,
+    /// Neither this entry nor another that it asked can reach the servers.
+    NoPath,
 }
 
 impl RefusalReason {
@@ -164,6 +166,7 @@
             Self::Quarantined => "quarantined",
             Self::Limited => "limited",
             Self::Resting => "resting",
+            Self::NoPath => "no-path",
         }
     }
 }
--- a/crates/place/src/server.rs
+++ b/crates/place/src/server.rs
@@ -116,6 +116,9 @@
     pub hash: u64,
     /// Until when the server counts as cold.
     pub cold_until: Option<Instant>,
+    /// Until when the server is presumed cold, because it couldn't be reached and may have
+    /// restarted.
+    presumed_cold_until: Option<Instant>,
     /// Since when the entry has been missing from the registry.
     pub missing_since: Option<Instant>,
     /// Time of the last read in which it was listed before it went missing.
@@ -147,6 +150,7 @@
             entry,
             region: region.to_owned(),
             cold_until: None,
+            presumed_cold_until: None,
             missing_since: None,
             listed_at: None,
             overwritten: false,
@@ -166,7 +170,22 @@
 
     /// Returns whether the server is limited to its cold rate.
     pub fn is_cold(&self, now: Instant) -> bool {
-        self.cold_until.is_some_and(|until| now < until)
+        let times = [self.cold_until, self.presumed_cold_until];
+        times.into_iter().flatten().any(|until| now < until)
+    }
+
+    /// Presumes the server to be cold for `span` from now on.
+    pub fn presume_cold(&mut self, now: Instant, span: Duration) {
+        self.presumed_cold_until = Some(now + span);
+    }
+
+    /// Drops what was concluded from failures to reach the server, since this entry had lost its
+    /// path to all of them.
+    pub fn on_path_restored(&mut self) {
+        self.on_reached();
+        self.presumed_cold_until = None;
+        self.failure_rate = 0.0;
+        self.failure_at = None;
     }
 
     /// Treats the server as cold for `span` from now on.
@@ -182,6 +201,11 @@
         self.backoff_until.is_some_and(|until| now < until)
     }
 
+    /// Returns whether the server could not be reached when it was last tried.
+    pub fn is_unreached(&self) -> bool {
+        self.backoff_until.is_some()
+    }
+
     /// Returns the estimated number of requests of all entries at the server.
     pub fn occupancy(&self, now: Instant) -> f64 {
         let fresh = self
