Crash reports: only of servers whose entry reaches others

Requests on connections that an entry lost with its path to all servers were reported as ending servers; three leads wrote and deleted their quarantine 2,000 times a second, and the store refused four in five of these calls. Cause: the probe of a server behind a lost connection is refused as well when the entry has lost its path, which counted as the server's end. Change: before it reports, an entry that has had no response since the connection was lost tries three other servers; if none can be reached, it reports nothing. Measured: an_entry_without_a_path_reports_no_ended_servers fails without the change (gave up after 60 s) and passes with it, as do the tests of crashes.

--- a/bin/lh-entry/src/crash.rs
+++ b/bin/lh-entry/src/crash.rs
@@ -8,15 +8,17 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use place::crash::fingerprint::RequestFingerprint;
 use place::crash::message::CrashReport;
 use place::prelude::FleetEvent;
 use place::request::Placement;
-use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
+use crate::connect::dialer::Dialer;
+use crate::paths;
 use crate::state::InstanceState;
 
 /// Delay before a server is probed after a connection to it failed. Its other connections fail in
@@ -28,6 +30,9 @@
 /// Maximum number of concurrent probes: more than the servers that crash together in a failure
 /// domain, but few enough for the file descriptors of a small instance.
 const MAX_CONCURRENT_PROBES: usize = 64;
+/// Maximum number of other servers that are tried, to find out whether a server that can't be
+/// reached has ended.
+const MAX_CONTROL_PROBES: usize = 3;
 /// Maximum number of fingerprints in a log line, which also contains their number.
 const MAX_LOGGED_FINGERPRINTS: usize = 8;
 
@@ -75,8 +80,10 @@
 }
 
 async fn probe(state: Rc<InstanceState>, server: ProbedServer) {
+    let lost_at = Instant::now();
     sleep(PROBE_DELAY).await;
-    let is_closed = is_closed(server.address).await;
+    let is_closed = is_closed(state.dialer, server.address).await
+        && reaches_others(&state, &server, lost_at).await;
     let pending = state.crashes.probes.borrow_mut().remove(&server.run);
     let mut fingerprints = pending.unwrap_or_default();
     fingerprints.sort_unstable();
@@ -109,9 +116,33 @@
     );
 }
 
+/// Returns whether this entry has reached another server since the connection to `server` was
+/// lost, or reaches one now. If not, its own path may have failed, and nothing is known of the
+/// server or its requests.
+async fn reaches_others(state: &InstanceState, server: &ProbedServer, lost_at: Instant) -> bool {
+    if state.placer.borrow().has_response_since(lost_at) {
+        return true;
+    }
+    let controls = {
+        let placer = state.placer.borrow();
+        placer.control_servers(server.run, MAX_CONTROL_PROBES)
+    };
+    let mut probes = JoinSet::new();
+    for address in controls {
+        probes.spawn_local(paths::is_reachable(state.dialer, address, PROBE_TIMEOUT));
+    }
+    while let Some(is_reached) = probes.join_next().await {
+        if matches!(is_reached, Ok(true)) {
+            return true;
+        }
+    }
+    log::info!(server = server.id.as_str(); "server not reported as ended: no other can be reached");
+    false
+}
+
 /// Returns whether connections to `address` are refused.
-async fn is_closed(address: SocketAddr) -> bool {
-    match timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
+async fn is_closed(dialer: Dialer, address: SocketAddr) -> bool {
+    match timeout(PROBE_TIMEOUT, dialer.connect(address)).await {
         Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
         Ok(Ok(_)) | Err(_) => false,
     }
--- a/bin/lh-entry/tests/partitions.rs
+++ b/bin/lh-entry/tests/partitions.rs
@@ -14,7 +14,8 @@
 
 use platform_standin::{Behavior, FakeBackend, desired_state, with_body_limit};
 use world::{
-    BOARD, DESK, EntryProcess, WAIT_TIMEOUT, World, exchange, request, request_with, until,
+    BOARD, DESK, EntryProcess, WAIT_TIMEOUT, World, exchange, request, request_for, request_with,
+    until,
 };
 
 /// Requests sent to an entry after it has lost its path.
@@ -95,6 +96,52 @@
     }
 }
 
+/// What this entry sees must not be taken for the end of servers, which would quarantine its
+/// callers' requests at all entries.
+#[tokio::test]
+async fn an_entry_without_a_path_reports_no_ended_servers() {
+    let world = World::new(4).await;
+    let entries = start_entries(&world, 2).await;
+    for backend in &world.backends {
+        backend.set_fatal("/last");
+    }
+    // All servers end at once, which looks the same to this entry as the loss of its path.
+    let senders = world.backends.iter().enumerate().map(|(number, _)| {
+        let entry = &entries[0];
+        async move {
+            let mut sender = entry.connect().await;
+            let request = request_for(
+                &format!("object-{number}"),
+                "POST",
+                "/desk/last",
+                "end",
+                b"",
+            );
+            exchange(&mut sender, request).await
+        }
+    });
+    futures_util::future::join_all(senders).await;
+    until("the entry has lost its path", async || {
+        let id = format!("lost-{}", entries[0].lines.lock().unwrap().len());
+        entries[0].send("POST", "/desk/last", &id).await;
+        !entries[0].logged("no path to the servers").is_empty()
+    })
+    .await;
+    let others = world
+        .backends
+        .iter()
+        .filter(|backend| !backend.has_crashed());
+    assert_eq!(
+        others.count(),
+        0,
+        "a server that runs on shows that the others ended"
+    );
+    until("lost connections are examined", async || {
+        !entries[0].logged("not reported as ended").is_empty()
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_relayed_request_ends_with_its_caller() {
     let world = World::new(6).await;
