Store era: read it, log and show when the store came back from an older copy

Cause: nothing told an entry that the store's history had been replaced; versions that fall were the only sign. Change: the header Store-Era of all answers is read; a line with what was known of the former history, and laurelhill_store_era. Decisions are unchanged. Measured: builds; no change of behaviour.

--- a/bin/lh-entry/src/metrics.rs
+++ b/bin/lh-entry/src/metrics.rs
@@ -55,6 +55,8 @@
     bad_datagrams: IntCounter,
     broken_off: IntCounterVec,
     relays: IntCounterVec,
+    /// Number of times that the store came back from an older copy.
+    pub(crate) store_era: IntGauge,
     /// Services whose servers this entry can't reach.
     pub(crate) lost_paths: IntGauge,
     /// Times that this entry lost the path to the servers of a service.
@@ -294,6 +296,11 @@
         for outcome in RelayOutcome::ALL {
             relays.with_label_values(&[outcome.as_str()]);
         }
+        let store_era = IntGauge::new(
+            "laurelhill_store_era",
+            "Times that the store came back from an older copy, by its answers to this entry",
+        )?;
+        registry.register(Box::new(store_era.clone()))?;
         let lost_paths = IntGauge::new(
             "laurelhill_lost_paths",
             "Services of which this entry can reach hardly any server",
@@ -342,6 +349,7 @@
             bad_datagrams,
             broken_off,
             relays,
+            store_era,
             lost_paths,
             path_losses,
             unread_headers,
--- a/bin/lh-entry/src/watch.rs
+++ b/bin/lh-entry/src/watch.rs
@@ -62,6 +62,7 @@
             None => client.read_operator().await,
             Some(after) => client.watch_operator(after, wait).await,
         };
+        note_era(&state, &client);
         state
             .metrics
             .on_store_call("operator", result.as_ref().err().map(Error::kind));
@@ -95,6 +96,20 @@
     }
 }
 
+/// Logs that the store came back from an older copy, with what is known of its former history.
+fn note_era(state: &InstanceState, client: &StoreClient) {
+    let (era, known_era) = (client.era() as i64, state.metrics.store_era.get());
+    if era <= known_era {
+        return;
+    }
+    state.metrics.store_era.set(era);
+    let known = state.fleet.known();
+    if known.registry_read > 0 {
+        let (registry, operator) = (known.registry_read, known.operator_read);
+        log::warn!(era, known_era, registry, operator; "store came back from an older copy");
+    }
+}
+
 /// Returns how long the store may delay its response. If the age of the information is known,
 /// it must not exceed its bounds meanwhile.
 fn feed_wait(state: &InstanceState, reports_time: bool) -> Duration {
@@ -162,6 +177,7 @@
     } else {
         client.update_servers(wait).await
     };
+    note_era(&state, &client);
     state.registry.replace(Some(client));
     let error = result.as_ref().err();
     state
