Store positions: era and version name a place in the store's history

A server that had said that it leaves got requests up to 2,979 ms later (bound 2,500 ms) after the store had come back from an older copy. Cause: versions alone named places in its history. After a restoration they are given out again: a feed continued at a version of the former history and passed over what was written below it; followers held copies of that history for newer than their leads' and kept them up to 3 s; the operator's rows were left out until versions had caught up, with 58 calls a second by each lead. A feed whose answer is of another era reads everything. Missing rows of servers are kept as after an outage; the operator's rows are applied without deletions for 3 s and then read whole; leads write their row again. Ruled out: falling versions as the sign (they may pass unseen).

--- a/bin/lh-entry/src/fleet.rs
+++ b/bin/lh-entry/src/fleet.rs
@@ -371,7 +371,7 @@
             state.metrics.lead_conflicts.inc();
             let (registry, read) = (known.registry, known.registry_read);
             let content = known.content.to_string();
-            log::warn!(lead = lead.as_str(), registry, read, content = content.as_str(), servers_age_ms; "a lead knows other servers");
+            log::warn!(lead = lead.as_str(), registry, read:%, content = content.as_str(), servers_age_ms; "a lead knows other servers");
         }
         FleetChange::RefetchingRegistry => {
             log::warn!(servers_age_ms; "what is known of servers is in doubt; asking for all");
--- a/bin/lh-entry/src/rollout.rs
+++ b/bin/lh-entry/src/rollout.rs
@@ -325,9 +325,10 @@
     {
         let latest = state.fleet.latest_store_time();
         state.rollouts.on_record(&record, latest, true);
-        state
-            .fleet
-            .update_known(|known| known.operator = known.operator.max(row.revision));
+        state.fleet.update_known(|known| {
+            let position = StorePosition::new(known.operator_read.era(), row.revision);
+            known.operator = known.operator.max(position);
+        });
     }
     Some(row)
 }
--- a/bin/lh-entry/src/state/registry.rs
+++ b/bin/lh-entry/src/state/registry.rs
@@ -27,13 +27,14 @@
         mut scope: ReadScope,
     ) -> bool {
         if self.placer.borrow().catalog.is_outdated(snapshot) {
-            let (version, known) = (snapshot.version, self.fleet.known().registry_read);
-            log::info!(version, known; "reading of the registry left out");
+            let (position, known) = (snapshot.position, self.fleet.known().registry_read);
+            log::info!(position:%, known:%; "reading of the registry left out");
             return false;
         }
         let mut placer = self.placer.borrow_mut();
         let is_first = placer.catalog.read_at().is_none();
         let now = Instant::now();
+        placer.catalog.note_era(now, snapshot.position);
         scope.has_gap = placer.catalog.has_gap(now);
         placer.catalog.note_dropped_rows(now, &scope.dropped);
         let changes = placer.catalog.apply_snapshot(now, snapshot);
@@ -52,8 +53,8 @@
         self.fleet.update_known(|known| {
             known.registry = changed_at;
             known.content = content;
-            known.registry_read = snapshot.version;
-            known.registry_listed = snapshot.version;
+            known.registry_read = snapshot.position;
+            known.registry_listed = snapshot.position;
             known.registry_at = known.registry_at.max(Some(snapshot.started_at));
         });
         true
--- a/bin/lh-entry/src/view.rs
+++ b/bin/lh-entry/src/view.rs
@@ -21,7 +21,7 @@
 use place::fleet::log::{RegistryDelta, RegistryLog};
 use place::fleet::pull::{PullScope, PullTarget};
 use place::fleet::store_progress::{StoreProgress, StoreProgressReport};
-use place::prelude::FleetEvent;
+use place::prelude::{FleetEvent, StorePosition};
 use quick_error::quick_error;
 use rollout::order::RolloutRecord;
 use serde::Serialize;
@@ -49,8 +49,8 @@
     struct ViewQuery {
         /// Version of the registry's log.
         registry: u64,
-        /// Version of the operator's rows.
-        operator: u64,
+        /// The store's position when the operator's rows last changed.
+        operator: StorePosition,
         /// Version of the desired state.
         desired: u64,
         /// Versions of the lists of entries.
@@ -67,8 +67,8 @@
     #[derive(Default)]
     struct ViewAnswer {
         store: StoreProgressReport,
-        /// The store's version up to which the sender knows every registration.
-        registry_listed: u64,
+        /// The store's position up to which the sender knows every registration.
+        registry_listed: StorePosition,
         /// An encoded [`RegistryDelta`]; empty if nothing changed.
         registry: Vec<u8>,
         /// Address of another entry that serves a copy of the registry instead.
@@ -308,7 +308,7 @@
         let (registry, operator) = match target.scope {
             PullScope::Newer | PullScope::Departures => (known.registry, known.operator),
             PullScope::Registry => (0, known.operator),
-            PullScope::All => (0, 0),
+            PullScope::All => (0, StorePosition::default()),
         };
         let query = encode(&ViewQuery {
             registry,
--- a/bin/lh-entry/src/watch.rs
+++ b/bin/lh-entry/src/watch.rs
@@ -11,7 +11,7 @@
 use place::catalog::CatalogSnapshot;
 use place::fleet::log::ReadScope;
 use place::fleet::reading::{ReadOutcome, RegistryRead, answer_as_of};
-use place::prelude::FleetEvent;
+use place::prelude::{FleetEvent, StorePosition};
 use platform::Error;
 use platform::client::{OperatorRows, StoreClient};
 use platform::tables::PlatformClient;
@@ -36,6 +36,9 @@
 const MIN_BACKOFF: Duration = Duration::from_millis(300);
 /// Maximum delay between calls; a recovered store is noticed within it.
 const MAX_BACKOFF: Duration = Duration::from_millis(1200);
+/// Time after which rows of the operator that a restored store lacks count as deleted: what was
+/// lost is written again before.
+const REWRITE_TIME: Duration = Duration::from_millis(3000);
 /// Interval at which client block rows are read if callers' home regions depend on them.
 const BLOCKS_INTERVAL: Duration = Duration::from_secs(15);
 
@@ -50,13 +53,16 @@
     // doesn't show whether it has been read.
     let mut has_read = false;
     let mut reports_time = true;
+    // When all rows are read again after a restoration, to find those that were deleted.
+    let mut reread_at: Option<Instant> = None;
     loop {
         if watching.wait_for(|watches| *watches).await.is_err() {
             return;
         }
         let begun = Instant::now();
         let known = state.fleet.known().operator_read;
-        let resume = (known > 0 || has_read).then_some(known);
+        let is_reread = reread_at.is_some_and(|at| begun >= at);
+        let resume = ((known.is_known() || has_read) && !is_reread).then_some(known);
         let wait = feed_wait(&state, reports_time);
         let result = match resume {
             None => client.read_operator().await,
@@ -77,13 +83,22 @@
                     .on_event(FleetEvent::StoreTime(begun, rows.time));
                 let has_rows = resume.is_none() || rows.has_rows;
                 let as_of = answer_as_of(begun, wait, Instant::now(), has_rows);
-                apply_operator_rows(&state, &rows, as_of, resume.is_none());
+                let is_restored = is_of_later_era(&state, &rows);
+                let is_whole = resume.is_none() && !is_restored;
+                apply_operator_rows(&state, &rows, as_of, is_whole);
+                if is_restored {
+                    reread_at = Some(Instant::now() + REWRITE_TIME);
+                } else if is_whole {
+                    reread_at = None;
+                }
                 state.fleet.on_event(FleetEvent::WatchFinished(true));
             }
             Err(Error::HistoryGone) => {
                 log::info!("history of the operator's rows is gone; reading all");
                 has_read = false;
-                state.fleet.update_known(|known| known.operator_read = 0);
+                state
+                    .fleet
+                    .update_known(|known| known.operator_read = StorePosition::default());
             }
             Err(error) => {
                 dependency.on_lost(&error);
@@ -96,6 +111,13 @@
     }
 }
 
+/// Returns whether the store came back from an older copy since the operator's rows were last
+/// read. Rows that it lacks may have been lost.
+fn is_of_later_era(state: &InstanceState, rows: &OperatorRows) -> bool {
+    let known = state.fleet.known().operator;
+    known.is_known() && rows.position.era() > known.era()
+}
+
 /// Logs that the store came back from an older copy, with what is known of its former history.
 fn note_era(state: &InstanceState, client: &StoreClient) {
     let (era, known_era) = (client.era() as i64, state.metrics.store_era.get());
@@ -104,9 +126,9 @@
     }
     state.metrics.store_era.set(era);
     let known = state.fleet.known();
-    if known.registry_read > 0 {
+    if known.registry_read.is_known() {
         let (registry, operator) = (known.registry_read, known.operator_read);
-        log::warn!(era, known_era, registry, operator; "store came back from an older copy");
+        log::warn!(era, known_era, registry:%, operator:%; "store came back from an older copy");
     }
 }
 
@@ -138,7 +160,7 @@
 
 /// Applies the operator's rows as of `as_of`: the complete set, or only those that changed.
 fn apply_operator_rows(state: &InstanceState, rows: &OperatorRows, as_of: Instant, is_whole: bool) {
-    if rows.version < state.fleet.known().operator {
+    if rows.position < state.fleet.known().operator {
         // A lead sent newer rows while this response was in transit.
         return;
     }
@@ -149,13 +171,13 @@
             state.on_operator_change(change);
         }
     }
-    let has_changes = is_whole || !rows.changes.is_empty();
+    let has_changes = is_whole || !rows.changes.is_empty() || is_of_later_era(state, rows);
     let version = state.version();
     state.fleet.update_known(|known| {
         if has_changes {
-            known.operator = rows.version;
+            known.operator = rows.position;
         }
-        known.operator_read = known.operator_read.max(rows.version);
+        known.operator_read = known.operator_read.max(rows.position);
         known.operator_at = known.operator_at.max(Some(as_of));
         known.proved = known.proved.max(rows.time);
         known.desired = version;
@@ -170,7 +192,7 @@
         .unwrap_or_else(|| StoreClient::new(state.config.store, STORE_TIMEOUT));
     resume(&state, &mut client);
     let RegistryRead { wait, whole } = call;
-    let is_whole = whole || client.servers_version().is_none();
+    let is_whole = whole || client.servers_position().is_none();
     let begun = Instant::now();
     let result = if whole {
         client.read_servers().await
@@ -196,7 +218,7 @@
                 entries: rows.entries,
                 foreign: rows.foreign,
                 started_at: answer_as_of(begun, wait, Instant::now(), has_rows),
-                version: rows.version,
+                position: rows.position,
             };
             let before = state.servers.borrow().version();
             let scope = ReadScope {
@@ -228,7 +250,7 @@
 /// entry are requested again, for the sequence numbers that this entry lacks.
 fn resume(state: &InstanceState, client: &mut StoreClient) {
     let told = state.fleet.known().registry_listed;
-    if client.servers_version().is_none_or(|read| read < told) && told > 0 {
+    if client.servers_position().is_none_or(|read| read < told) && told.is_known() {
         let servers = state.servers.borrow();
         let entries = servers.entries().cloned().collect();
         client.resume_servers(told, entries, servers.foreign());
--- a/crates/emulate/benches/slopes.rs
+++ b/crates/emulate/benches/slopes.rs
@@ -149,7 +149,7 @@
         entries: servers.to_vec(),
         foreign: Vec::new(),
         started_at: now,
-        version: 1,
+        position: StorePosition::new(0, 1),
     };
     placer.catalog.apply_snapshot(now, &snapshot);
     placer
@@ -191,7 +191,7 @@
                 entries: servers.clone(),
                 foreign: Vec::new(),
                 started_at: now,
-                version: 1,
+                position: StorePosition::new(0, 1),
             };
             drop(black_box(placer.catalog.apply_snapshot(now, &snapshot)));
         });
@@ -222,11 +222,11 @@
             entries: servers.clone(),
             foreign: Vec::new(),
             started_at: now,
-            version: 1,
+            position: StorePosition::new(0, 1),
         };
         log.apply_snapshot(&snapshot, ReadScope::default());
         let next = |snapshot: &mut CatalogSnapshot| {
-            snapshot.version += 1;
+            snapshot.position = snapshot.position.next();
             snapshot.started_at += Duration::from_millis(600);
             for entry in snapshot.entries.iter_mut().step_by(10) {
                 entry.seq += 1;
@@ -418,7 +418,7 @@
             entries: servers,
             foreign: Vec::new(),
             started_at: Instant::now(),
-            version: 1,
+            position: StorePosition::new(0, 1),
         };
         log.apply_snapshot(&snapshot, ReadScope::default());
         let follow = median(7, 20, || drop(black_box(log.since(1))));
--- a/crates/emulate/src/run.rs
+++ b/crates/emulate/src/run.rs
@@ -82,7 +82,7 @@
         entries: server_entries(experiment),
         foreign: Vec::new(),
         started_at: origin,
-        version: 1,
+        position: StorePosition::new(0, 1),
     };
     let count = experiment.regions * experiment.entries;
     let hashes: Vec<u64> = (0..count).map(entry_hash).collect();
--- a/crates/place/src/catalog/mod.rs
+++ b/crates/place/src/catalog/mod.rs
@@ -19,7 +19,8 @@
 use crate::catalog::relisted::RelistedRows;
 use crate::catalog::table::RecordTable;
 use crate::departure::{Departure, DepartureTable};
-use crate::fleet::log::{RegistryDelta, store_version};
+use crate::fleet::log::{RegistryDelta, store_position};
+use crate::fleet::position::StorePosition;
 use crate::placing::candidates::RankScope;
 use crate::placing::round_trip::RoundTripEstimator;
 use crate::server::{EntryState, ServerEntry, ServerRecord};
@@ -35,8 +36,8 @@
     table: RecordTable,
     evacuated: HashSet<String>,
     read_at: Option<Instant>,
-    /// The store version of the known state, whichever entry read it.
-    version: u64,
+    /// The store's position at the known state, whichever entry read it.
+    position: StorePosition,
     /// When that state was applied.
     applied_at: Option<Instant>,
     round_trips: RoundTripEstimator,
@@ -97,13 +98,22 @@
         self.outage.on_failed(now);
     }
 
+    /// Notes that the registry was read at `position`, before what was read is applied. A store
+    /// that came back from an older copy lacks rows of live servers until they write them again,
+    /// as it does after an outage.
+    pub fn note_era(&mut self, now: Instant, position: StorePosition) {
+        if self.position.is_known() && position.era() > self.position.era() {
+            self.outage.on_restored(now);
+        }
+    }
+
     /// Whether a newer state than `snapshot` is known. Its version decides, not the time of the
     /// request: the answer to a long poll may be newer than one to a later request. A lower
     /// version in a snapshot that began after the known state was applied shows that the known
     /// version never was the store's, so such a snapshot counts.
     pub fn is_outdated(&self, snapshot: &CatalogSnapshot) -> bool {
         let is_later = self.applied_at.is_none_or(|at| snapshot.started_at >= at);
-        snapshot.version < self.version && !is_later
+        snapshot.position < self.position && !is_later
     }
 
     /// Applies a complete snapshot of the registry and returns the changes.
@@ -129,7 +139,7 @@
         self.remove_missing(now, &listed, settled, &mut changes);
         self.read_at = self.read_at.max(Some(snapshot.started_at));
         self.registrations_at = self.registrations_at.max(Some(snapshot.started_at));
-        self.version = snapshot.version;
+        self.position = snapshot.position;
         self.applied_at = Some(now);
         changes
     }
@@ -139,7 +149,7 @@
     /// row is stale.
     pub fn note_dropped_rows(&mut self, now: Instant, rows: &[DroppedRow]) {
         for row in rows {
-            if row.version <= self.version {
+            if row.position <= self.position {
                 // The known state is newer.
                 continue;
             }
@@ -180,13 +190,13 @@
             let listed: HashSet<&str> = kept.map(String::as_str).collect();
             // If the copy is older than the known state, a row that it lacks wasn't necessarily
             // dropped.
-            if store_version(delta.version) >= self.version {
+            if store_position(delta.version) >= self.position {
                 self.remove_missing(now, &listed, true, &mut changes);
             } else {
                 self.remove_unlisted(&listed, &mut changes);
             }
         }
-        self.version = store_version(delta.version);
+        self.position = store_position(delta.version);
         self.applied_at = Some(now);
         self.registrations_at = self.registrations_at.max(Some(started_at));
         self.confirm(started_at);
--- a/crates/place/src/catalog/outage.rs
+++ b/crates/place/src/catalog/outage.rs
@@ -58,6 +58,12 @@
         self.settled_at = None;
     }
 
+    /// Records that the registry lost rows that it had acknowledged.
+    pub(super) fn on_restored(&mut self, now: Instant) {
+        self.failed_at = Some(now);
+        self.settled_at = None;
+    }
+
     /// Records that the registry answered a read. Returns whether rows that are missing now are
     /// gone.
     pub(super) fn on_answered(&mut self, now: Instant) -> bool {
--- a/crates/place/src/fleet/log.rs
+++ b/crates/place/src/fleet/log.rs
@@ -10,6 +10,7 @@
 
 use crate::departure::Departure;
 use crate::fleet::content_hash::ContentHash;
+use crate::fleet::position::StorePosition;
 use crate::server::{EntryState, ServerEntry};
 use crate::snapshot::{CatalogSnapshot, DroppedRow};
 
@@ -54,14 +55,14 @@
     pub has_gap: bool,
 }
 
-/// Returns the log version of a read as of the store's version `store`.
-pub fn log_version(store: u64) -> u64 {
-    store.saturating_mul(LOCAL_VERSIONS)
+/// Returns the log version of a read as of the store's `position`.
+pub fn log_version(position: StorePosition) -> u64 {
+    position.number().saturating_mul(LOCAL_VERSIONS)
 }
 
-/// Returns the store's version at the log version `version`.
-pub fn store_version(version: u64) -> u64 {
-    version / LOCAL_VERSIONS
+/// Returns the store's position at the log version `version`.
+pub fn store_position(version: u64) -> StorePosition {
+    StorePosition::from_number(version / LOCAL_VERSIONS)
 }
 
 /// A server's row.
@@ -110,12 +111,12 @@
 
     /// Applies a read of the registry.
     pub fn apply_snapshot(&mut self, snapshot: &CatalogSnapshot, scope: ReadScope) {
-        if self.version >= log_version(snapshot.version.saturating_add(1)) {
+        if self.version >= log_version(snapshot.position.next()) {
             // No read produced this version; a corrupted message may have.
             *self = Self::default();
         }
         let is_first = self.version == 0;
-        let new_version = log_version(snapshot.version).max(self.version.saturating_add(1));
+        let new_version = log_version(snapshot.position).max(self.version.saturating_add(1));
         self.update_missing_entries(&scope);
         let mut is_changed = self.foreign != snapshot.foreign || self.missing != scope.missing;
         let was_out = |id: &String| self.foreign.contains(id) || self.missing.contains(id);
--- a/crates/place/src/fleet/log/departures.rs
+++ b/crates/place/src/fleet/log/departures.rs
@@ -4,7 +4,7 @@
 
 use crate::departure::Departure;
 use crate::fleet::log::{
-    LogEntry, MAX_DEPARTURES, ReadScope, RegistryDelta, RegistryLog, newer_entry, store_version,
+    LogEntry, MAX_DEPARTURES, ReadScope, RegistryDelta, RegistryLog, newer_entry, store_position,
 };
 use crate::server::{EntryState, ServerEntry};
 
@@ -20,7 +20,7 @@
             let departure: &mut Departure = dropped_departures
                 .entry(row.id.clone())
                 .or_insert_with(|| Departure::unknown(&row.id));
-            if row.version <= store_version(self.version) {
+            if row.position <= store_position(self.version) {
                 // The entry known here is newer.
                 continue;
             }
--- a/crates/place/src/fleet/member/announce.rs
+++ b/crates/place/src/fleet/member/announce.rs
@@ -220,6 +220,16 @@
         addresses
     }
 
+    /// Lets a lead check its rows if the store came back from an older copy: it may lack them.
+    fn note_store_era(&mut self, now: Instant) {
+        let era = self.store_progress.registry_read.era();
+        if era > self.lead_row_era {
+            self.lead_row_era = era;
+            self.lead_row.clear();
+            self.row_lookup_due = now;
+        }
+    }
+
     /// Stores the region's leads in the store, and looks for other leads there.
     pub(super) fn maintain_lead_rows(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
         let Some(since) = self.lead_since else {
@@ -228,6 +238,7 @@
             }
             return;
         };
+        self.note_store_era(now);
         if now < self.row_lookup_due {
             return;
         }
--- a/crates/place/src/fleet/member/mod.rs
+++ b/crates/place/src/fleet/member/mod.rs
@@ -201,6 +201,8 @@
     role_check_due: Instant,
     row_lookup_due: Instant,
     lead_row: Vec<SocketAddr>,
+    /// Era of the store in which that row was written.
+    lead_row_era: u64,
     /// Requests in progress at server crashes.
     ledger: CrashLedger,
     quarantine: QuarantineTable,
@@ -239,6 +241,7 @@
             role_check_due: now,
             row_lookup_due: now,
             lead_row: Vec::new(),
+            lead_row_era: 0,
             ledger: CrashLedger::default(),
             quarantine: QuarantineTable::default(),
             outbox: CrashOutbox::default(),
--- a/crates/place/src/fleet/mod.rs
+++ b/crates/place/src/fleet/mod.rs
@@ -21,6 +21,7 @@
 pub mod log;
 pub mod member;
 pub mod message;
+pub mod position;
 pub mod pull;
 pub mod read_intervals;
 pub mod reading;
--- a/crates/place/src/fleet/pull.rs
+++ b/crates/place/src/fleet/pull.rs
@@ -266,7 +266,7 @@
 fn is_ahead(now: Instant, known: &StoreProgress, lead: &LeadRecord) -> bool {
     let read_at = lead.store_progress.registry_at;
     read_at.is_some_and(|at| now.saturating_duration_since(at) < READING_TTL)
-        && known.registry >= log_version(lead.store_progress.registry_read.saturating_add(1))
+        && known.registry >= log_version(lead.store_progress.registry_read.next())
 }
 
 /// Whether a lead of another region has newer data that the local region's leads cannot
--- a/crates/place/src/fleet/store_progress.rs
+++ b/crates/place/src/fleet/store_progress.rs
@@ -5,6 +5,7 @@
 use crate::fleet::clock::StoreTime;
 use crate::fleet::content_hash::ContentHash;
 use crate::fleet::log::log_version;
+use crate::fleet::position::StorePosition;
 
 base::common! {
     /// How current the sender's knowledge of the store is. Ages are relative to the time of
@@ -15,14 +16,14 @@
         pub registry: u64,
         /// Hash of the content at that version.
         pub content: ContentHash,
-        /// The store's version at the latest read of the registry.
-        pub registry_read: u64,
+        /// The store's position at the latest read of the registry.
+        pub registry_read: StorePosition,
         /// Milliseconds since that read began; `u32::MAX` before the first.
         pub registry_age: u32,
-        /// The store's version when the operator's rows last changed.
-        pub operator: u64,
-        /// The store's version at the latest answer about the operator's rows.
-        pub operator_read: u64,
+        /// The store's position when the operator's rows last changed.
+        pub operator: StorePosition,
+        /// The store's position at the latest answer about the operator's rows.
+        pub operator_read: StorePosition,
         /// Milliseconds since that answer; `u32::MAX` before the first.
         pub operator_age: u32,
         /// The store's time when it last confirmed that nothing newer than that had been set.
@@ -51,17 +52,17 @@
     pub registry: u64,
     /// Hash of the content at that version.
     pub content: ContentHash,
-    /// The store's version at the latest read of the registry.
-    pub registry_read: u64,
-    /// The store's version up to which every registration, with its sequence number, is known.
+    /// The store's position at the latest read of the registry.
+    pub registry_read: StorePosition,
+    /// The store's position up to which every registration, with its sequence number, is known.
     /// Confirmation by content doesn't raise it, because content leaves sequence numbers out.
-    pub registry_listed: u64,
+    pub registry_listed: StorePosition,
     /// When that read began.
     pub registry_at: Option<Instant>,
-    /// The store's version when the operator's rows last changed.
-    pub operator: u64,
-    /// The store's version at the latest answer about the operator's rows.
-    pub operator_read: u64,
+    /// The store's position when the operator's rows last changed.
+    pub operator: StorePosition,
+    /// The store's position at the latest answer about the operator's rows.
+    pub operator_read: StorePosition,
     /// When that answer arrived.
     pub operator_at: Option<Instant>,
     /// The store's time when it last confirmed to any entry that nothing newer than that had
@@ -83,7 +84,7 @@
             registry: report.registry,
             content: report.content,
             registry_read: report.registry_read,
-            registry_listed: 0,
+            registry_listed: StorePosition::default(),
             registry_at: at(report.registry_age),
             operator: report.operator,
             operator_read: report.operator_read,
@@ -141,7 +142,7 @@
 
     /// Returns whether this entry has read the store as of the log version `version` or later.
     fn has_read(&self, version: u64) -> bool {
-        log_version(self.registry_read.saturating_add(1)) > version
+        log_version(self.registry_read.next()) > version
     }
 
     /// Returns whether `other` knows a newer version of the operator's rows.
--- a/crates/place/src/prelude.rs
+++ b/crates/place/src/prelude.rs
@@ -5,6 +5,7 @@
 pub use crate::fleet::member::{
     FleetAction, FleetChange, FleetEvent, FleetMember, LocalEntryState,
 };
+pub use crate::fleet::position::StorePosition;
 pub use crate::placing::placer::{PlacerConfig, RequestPlacer};
 pub use crate::request::{Placement, PlacementRequest, Refusal, RefusalReason, ServerOutcome};
 pub use crate::routes::RouteTable;
--- a/crates/place/src/snapshot.rs
+++ b/crates/place/src/snapshot.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use crate::fleet::position::StorePosition;
 use crate::server::ServerEntry;
 
 /// A row that was dropped since the previous read.
@@ -9,18 +10,18 @@
 pub struct DroppedRow {
     /// Id of the server.
     pub id: String,
-    /// The store's version at which the row was dropped.
-    pub version: u64,
+    /// The store's position at which the row was dropped.
+    pub position: StorePosition,
     /// Last content of the row, if it was read.
     pub last_entry: Option<ServerEntry>,
 }
 
 impl DroppedRow {
-    /// Creates the dropped row of the server `id` with unknown content, dropped at `version`.
-    pub fn new(id: &str, version: u64) -> Self {
+    /// Creates the dropped row of the server `id` with unknown content, dropped at `position`.
+    pub fn new(id: &str, position: StorePosition) -> Self {
         Self {
             id: id.to_owned(),
-            version,
+            position,
             last_entry: None,
         }
     }
@@ -35,15 +36,15 @@
     pub foreign: Vec<String>,
     /// When the read began: all data is at least as recent.
     pub started_at: Instant,
-    /// The store's version at the read.
-    pub version: u64,
+    /// The store's position at the read.
+    pub position: StorePosition,
 }
 
 impl CatalogSnapshot {
-    /// Replaces the store's version.
+    /// Replaces the store's position.
     #[must_use]
-    pub fn with_version(mut self, version: u64) -> Self {
-        self.version = version;
+    pub fn with_position(mut self, position: StorePosition) -> Self {
+        self.position = position;
         self
     }
 }
--- a/crates/place/tests/catalog.rs
+++ b/crates/place/tests/catalog.rs
@@ -5,7 +5,7 @@
 use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
-use common::{domains, ms, reading, server};
+use common::{domains, ms, position, reading, server};
 use place::fleet::log::{RegistryDelta, log_version};
 use place::prelude::*;
 
@@ -156,7 +156,7 @@
     let both = [server("x", "a1"), server("y", "a1")];
     let first = reading(now, &both);
     let delta = RegistryDelta {
-        version: log_version(first.version + 700),
+        version: log_version(position(first.position.version() + 700)),
         whole: true,
         entries: both.to_vec(),
         ..RegistryDelta::default()
--- a/crates/place/tests/common/mod.rs
+++ b/crates/place/tests/common/mod.rs
@@ -44,10 +44,15 @@
         entries: entries.to_vec(),
         foreign: Vec::new(),
         started_at,
-        version: (started_at - *STORE_START).as_millis() as u64,
+        position: position((started_at - *STORE_START).as_millis() as u64),
     }
 }
 
+/// The position of a store that never came back from an older copy.
+pub fn position(version: u64) -> StorePosition {
+    StorePosition::new(0, version)
+}
+
 /// The scope of a read of changes only.
 pub fn changes() -> ReadScope {
     ReadScope::default()
--- a/crates/place/tests/departed.rs
+++ b/crates/place/tests/departed.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use common::{changes, domains, ms, reading, server};
+use common::{changes, domains, ms, position, reading, server};
 use place::catalog::DroppedRow;
 use place::departure::Departure;
 use place::fleet::log::{ReadScope, RegistryDelta, RegistryLog};
@@ -326,7 +326,7 @@
     catalog.apply_delta(start, start, &first);
     let later = start + ms(1000);
     let scope = ReadScope {
-        dropped: vec![DroppedRow::new("x", reading(later, &[]).version)],
+        dropped: vec![DroppedRow::new("x", reading(later, &[]).position)],
         ..changes()
     };
     lead.apply_snapshot(&reading(later, &[ready("x", 4)]), scope);
@@ -358,7 +358,7 @@
         let second = reading(later, &[ready("x", listed)]);
         let row = DroppedRow {
             last_entry: dropped.map(|seq| ready("x", seq)),
-            ..DroppedRow::new("x", second.version)
+            ..DroppedRow::new("x", second.position)
         };
         let scope = ReadScope {
             dropped: vec![row],
@@ -383,8 +383,11 @@
     let mut lead = RegistryLog::default();
     lead.apply_snapshot(&reading(start, &[ready("x", 4)]), changes());
     catalog.apply_delta(start, start, &lead.since(0));
-    let known = reading(start, &[]).version;
-    catalog.note_dropped_rows(start + ms(50), &[DroppedRow::new("x", known - 1)]);
+    let known = reading(start, &[]).position;
+    catalog.note_dropped_rows(
+        start + ms(50),
+        &[DroppedRow::new("x", position(known.version() - 1))],
+    );
     read(&mut catalog, start + ms(100), &[ready("x", 4)]);
     assert!(is_open(&catalog, "x"));
 }
@@ -618,7 +621,7 @@
     let lapsed = at(1000);
     let row = DroppedRow {
         last_entry: Some(ready("x", 2)),
-        ..DroppedRow::new("x", lapsed.version)
+        ..DroppedRow::new("x", lapsed.position)
     };
     let scope = ReadScope {
         dropped: vec![row],
--- a/crates/place/tests/due.rs
+++ b/crates/place/tests/due.rs
@@ -90,7 +90,7 @@
     let mut member = member(start);
     let known = StoreProgress {
         registry: 1024,
-        registry_read: 1,
+        registry_read: StorePosition::new(0, 1),
         registry_at: Some(start),
         ..StoreProgress::default()
     };
--- a/crates/place/tests/fleet.rs
+++ b/crates/place/tests/fleet.rs
@@ -429,7 +429,11 @@
     world.run(ms(3000));
     for entry in region_entries {
         let known = world.entries[entry].member.store_progress();
-        assert_eq!(known.registry, log_version(world.registry), "entry {entry}");
+        assert_eq!(
+            known.registry,
+            log_version(StorePosition::new(0, world.registry)),
+            "entry {entry}"
+        );
     }
 }
 
@@ -561,8 +565,8 @@
     world.change();
     world.skip_changes(follower);
     let mut known = *world.entries[follower].member.store_progress();
-    known.operator = world.operator + 5;
-    known.desired = known.operator;
+    known.operator = StorePosition::new(0, world.operator + 5);
+    known.desired = world.operator + 5;
     world.deliver_event(follower, FleetEvent::StoreProgress(known));
     while world.missing_changes().contains(&follower) {
         world.run(ms(10));
--- a/crates/place/tests/fleet_world/mod.rs
+++ b/crates/place/tests/fleet_world/mod.rs
@@ -514,19 +514,19 @@
         }
         let mut known = *self.entries[entry].member.store_progress();
         let before = known.content;
-        if known.registry >= log_version(self.version + 1) {
+        if known.registry >= log_version(StorePosition::new(0, self.version + 1)) {
             // No read can have returned that version, so the log is reset.
             self.entries[entry].servers.clear();
             known.registry = 0;
         }
-        let first = if call.whole || known.registry_listed > self.version {
+        let first = if call.whole || known.registry_listed.version() > self.version {
             0
         } else {
-            known.registry_listed + 1
+            known.registry_listed.version() + 1
         };
         // Changes since the last read.
         let changes: Vec<u64> = self.servers.range(first..).copied().collect();
-        let stamp = log_version(self.registry).max(known.registry + 1);
+        let stamp = log_version(StorePosition::new(0, self.registry)).max(known.registry + 1);
         for change in changes {
             self.entries[entry].servers.entry(change).or_insert(stamp);
         }
@@ -535,8 +535,8 @@
         if is_changed {
             known.registry = stamp;
         }
-        known.registry_read = self.version;
-        known.registry_listed = self.version;
+        known.registry_read = StorePosition::new(0, self.version);
+        known.registry_listed = StorePosition::new(0, self.version);
         known.registry_at = Some(started_at + call.wait);
         self.deliver_event(entry, FleetEvent::StoreProgress(known));
         let outcome = if is_changed {
@@ -615,8 +615,8 @@
         let started_at = self.entries[entry].watch_started_at;
         self.deliver_event(entry, FleetEvent::StoreTime(started_at, time));
         let mut known = *self.entries[entry].member.store_progress();
-        known.operator = known.operator.max(operator);
-        known.operator_read = self.version;
+        known.operator = known.operator.max(StorePosition::new(0, operator));
+        known.operator_read = StorePosition::new(0, self.version);
         known.operator_at = Some(self.local_time(entry, self.now));
         known.desired = known.desired.max(operator);
         known.proved = known.proved.max(time);
@@ -649,7 +649,11 @@
     /// Returns how long ago the operator made the oldest change that `entry` does not
     /// know; `None` if it knows all.
     pub fn oldest_missed_change_age(&self, entry: usize) -> Option<Duration> {
-        let known = self.entries[entry].member.store_progress().operator;
+        let known = self.entries[entry]
+            .member
+            .store_progress()
+            .operator
+            .version();
         let missed = self.changes.iter().find(|(_, version)| *version > known);
         missed.map(|(at, _)| self.now - *at)
     }
@@ -676,9 +680,9 @@
     /// change.
     pub fn claim_version(&mut self, entry: usize, version: u64) {
         let mut known = *self.entries[entry].member.store_progress();
-        known.registry = log_version(version);
-        known.registry_read = version;
-        known.registry_listed = version;
+        known.registry = log_version(StorePosition::new(0, version));
+        known.registry_read = StorePosition::new(0, version);
+        known.registry_listed = StorePosition::new(0, version);
         known.registry_at = Some(self.local_time(entry, self.now));
         self.deliver_event(entry, FleetEvent::StoreProgress(known));
     }
@@ -762,8 +766,8 @@
         live.retain(|entry| {
             let known = self.entries[*entry].member.store_progress();
             !known.is_complete()
-                || known.registry < log_version(self.registry)
-                || known.operator < self.operator
+                || known.registry < log_version(StorePosition::new(0, self.registry))
+                || known.operator.version() < self.operator
         });
         live
     }
--- a/crates/place/tests/log.rs
+++ b/crates/place/tests/log.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 use std::time::Instant;
 
-use common::{changes, domains, ms, reading, server};
+use common::{changes, domains, ms, position, reading, server};
 use place::catalog::DroppedRow;
 use place::fleet::log::{ReadScope, RegistryLog, log_version};
 use place::fleet::store_progress::StoreProgress;
@@ -24,14 +24,20 @@
     let mut log = RegistryLog::default();
     let mut cold = server("x", "a1");
     cold.cold_remaining = ms(3000);
-    log.apply_snapshot(&reading(now, &[cold.clone()]).with_version(1), changes());
+    log.apply_snapshot(
+        &reading(now, &[cold.clone()]).with_position(position(1)),
+        changes(),
+    );
     cold.seq = 9;
     cold.cold_remaining = ms(1500);
-    log.apply_snapshot(&reading(now, &[cold.clone()]).with_version(2), changes());
-    assert_eq!(log.version(), log_version(1));
+    log.apply_snapshot(
+        &reading(now, &[cold.clone()]).with_position(position(2)),
+        changes(),
+    );
+    assert_eq!(log.version(), log_version(position(1)));
     cold.cold_remaining = ms(0);
-    log.apply_snapshot(&reading(now, &[cold]).with_version(3), changes());
-    assert_eq!(log.since(log_version(1)).entries.len(), 1);
+    log.apply_snapshot(&reading(now, &[cold]).with_position(position(3)), changes());
+    assert_eq!(log.since(log_version(position(1))).entries.len(), 1);
 }
 
 /// Followers must keep a server whose row disappeared during trouble with the registry until
@@ -42,20 +48,23 @@
     let (mut reader, mut follower) = (RegistryLog::default(), RegistryLog::default());
     let mut catalog = ServerCatalog::new(domains());
     let both = [server("x", "a1"), server("y", "a1")];
-    reader.apply_snapshot(&reading(now, &both).with_version(1), changes());
+    reader.apply_snapshot(&reading(now, &both).with_position(position(1)), changes());
     let kept = ReadScope {
-        dropped: vec![DroppedRow::new("y", 2)],
+        dropped: vec![DroppedRow::new("y", position(2))],
         missing: vec!["y".to_owned()],
         ..changes()
     };
-    reader.apply_snapshot(&reading(now, &both[..1]).with_version(2), kept);
+    reader.apply_snapshot(&reading(now, &both[..1]).with_position(position(2)), kept);
     let delta = reader.since(0);
     follower.apply_delta(&delta);
     catalog.apply_delta(now, now, &delta);
     assert_eq!(catalog.iter().count(), 2);
     // A read of its own would start from these entries, without the row of the missing server.
     assert_eq!(follower.entries().count(), 1);
-    reader.apply_snapshot(&reading(now, &both[..1]).with_version(3), changes());
+    reader.apply_snapshot(
+        &reading(now, &both[..1]).with_position(position(3)),
+        changes(),
+    );
     let delta = reader.since(follower.version());
     catalog.apply_delta(now, now, &delta);
     assert_eq!(catalog.iter().count(), 1);
@@ -67,14 +76,14 @@
     let now = Instant::now();
     let mut log = RegistryLog::default();
     log.apply_snapshot(
-        &reading(now, &[server("x", "a1")]).with_version(u64::MAX - 3),
+        &reading(now, &[server("x", "a1")]).with_position(position(u64::MAX - 3)),
         changes(),
     );
     log.apply_snapshot(
-        &reading(now, &[server("y", "a1")]).with_version(40),
+        &reading(now, &[server("y", "a1")]).with_position(position(40)),
         changes(),
     );
-    assert_eq!(log.version(), log_version(40));
+    assert_eq!(log.version(), log_version(position(40)));
     let delta = log.since(0);
     assert!(delta.whole && delta.entries.len() == 1 && delta.departures.is_empty());
 }
@@ -107,7 +116,7 @@
                 present.remove(&number);
                 leaving.remove(&number);
                 for dropped in dropped.iter_mut().flatten() {
-                    dropped.push(DroppedRow::new(&format!("s{number}"), version));
+                    dropped.push(DroppedRow::new(&format!("s{number}"), position(version)));
                 }
             }
             if number == 39 {
@@ -132,7 +141,7 @@
                 dropped: since.unwrap_or_default(),
                 ..changes()
             };
-            reader.apply_snapshot(&reading(now, &entries).with_version(version), scope);
+            reader.apply_snapshot(&reading(now, &entries).with_position(position(version)), scope);
             let source = match source_choice {
                 0 => continue,
                 1 => {
@@ -158,7 +167,7 @@
     StoreProgress {
         registry: log.version(),
         content: log.content(),
-        registry_read: read,
+        registry_read: position(read),
         registry_at: Some(at),
         ..StoreProgress::default()
     }
@@ -175,8 +184,11 @@
         missing: vec!["y".to_owned()],
         ..changes()
     };
-    here.apply_snapshot(&reading(now, &both[..1]).with_version(100), kept.clone());
-    there.apply_snapshot(&reading(now, &both[..1]).with_version(100), kept);
+    here.apply_snapshot(
+        &reading(now, &both[..1]).with_position(position(100)),
+        kept.clone(),
+    );
+    there.apply_snapshot(&reading(now, &both[..1]).with_position(position(100)), kept);
     // Here a row of another writer appears; there a missing server is given up.
     let mut with_foreign_row = reading(now, &both[..1]);
     with_foreign_row.foreign.push("z".to_owned());
@@ -184,8 +196,11 @@
         missing: vec!["y".to_owned()],
         ..changes()
     };
-    here.apply_snapshot(&with_foreign_row.with_version(100), kept);
-    there.apply_snapshot(&reading(now, &both[..1]).with_version(100), changes());
+    here.apply_snapshot(&with_foreign_row.with_position(position(100)), kept);
+    there.apply_snapshot(
+        &reading(now, &both[..1]).with_position(position(100)),
+        changes(),
+    );
     let mut known = known_of(&here, 100, now);
     let received = known_of(&there, 100, now + ms(20));
     assert!(
@@ -201,15 +216,15 @@
     let now = Instant::now();
     let (mut here, mut there) = (RegistryLog::default(), RegistryLog::default());
     let both = [server("x", "a1"), server("y", "a1")];
-    here.apply_snapshot(&reading(now, &both).with_version(100), changes());
-    there.apply_snapshot(&reading(now, &both).with_version(100), changes());
+    here.apply_snapshot(&reading(now, &both).with_position(position(100)), changes());
+    there.apply_snapshot(&reading(now, &both).with_position(position(100)), changes());
     // A row of another writer appears only here; the store's version is the same.
     let mut with_foreign_row = reading(now, &both);
     with_foreign_row.foreign.push("z".to_owned());
-    here.apply_snapshot(&with_foreign_row.with_version(100), changes());
+    here.apply_snapshot(&with_foreign_row.with_position(position(100)), changes());
     let mut known = StoreProgress {
         registry: here.version(),
-        registry_read: 100,
+        registry_read: position(100),
         registry_at: Some(now),
         ..StoreProgress::default()
     };
@@ -217,23 +232,24 @@
     let mut leaving = both.clone();
     leaving[0].state = EntryState::Draining;
     there.apply_snapshot(
-        &reading(now + ms(10), &leaving).with_version(101),
+        &reading(now + ms(10), &leaving).with_position(position(101)),
         changes(),
     );
     there.apply_snapshot(
-        &reading(now + ms(20), &leaving).with_version(102),
+        &reading(now + ms(20), &leaving).with_position(position(102)),
         changes(),
     );
     let received = StoreProgress {
         registry: there.version(),
-        registry_read: 102,
+        registry_read: position(102),
         registry_at: Some(now + ms(20)),
         ..StoreProgress::default()
     };
     assert!(known.is_behind_registry(&received));
     assert!(!known.confirm(&received));
     assert_eq!(
-        known.registry_read, 100,
+        known.registry_read,
+        position(100),
         "the next read would skip the missed change"
     );
 }
@@ -256,20 +272,29 @@
         follower.apply_delta(&delta);
         catalog.apply_delta(now, now, &delta);
     };
-    reader.apply_snapshot(&reading(now, &[row(2)]).with_version(1), changes());
+    reader.apply_snapshot(
+        &reading(now, &[row(2)]).with_position(position(1)),
+        changes(),
+    );
     follow(&reader, &mut catalog);
-    reader.apply_snapshot(&reading(now, &[row(3)]).with_version(2), changes());
     reader.apply_snapshot(
-        &reading(now, &[row(3), other.clone()]).with_version(3),
+        &reading(now, &[row(3)]).with_position(position(2)),
+        changes(),
+    );
+    reader.apply_snapshot(
+        &reading(now, &[row(3), other.clone()]).with_position(position(3)),
         changes(),
     );
     follow(&reader, &mut catalog);
     assert_eq!(catalog.entry("x").map(|entry| entry.seq), Some(3));
-    catalog.note_dropped_rows(now, &[DroppedRow::new("x", 4)]);
+    catalog.note_dropped_rows(now, &[DroppedRow::new("x", position(4))]);
+    catalog.apply_snapshot(
+        now,
+        &reading(now, std::slice::from_ref(&other)).with_position(position(4)),
+    );
     catalog.apply_snapshot(
         now,
-        &reading(now, std::slice::from_ref(&other)).with_version(4),
+        &reading(now, &[row(3), other]).with_position(position(5)),
     );
-    catalog.apply_snapshot(now, &reading(now, &[row(3), other]).with_version(5));
     assert!(catalog.entry("x").is_none());
 }
--- a/crates/place/tests/proofs.rs
+++ b/crates/place/tests/proofs.rs
@@ -328,14 +328,20 @@
 #[test]
 fn older_knowledge_keeps_its_own_proof() {
     let progress = |operator, proved| StoreProgress {
-        operator,
+        operator: StorePosition::new(0, operator),
         proved: StoreTime(proved),
         ..StoreProgress::default()
     };
     let mut known = progress(12, 73_000);
     known.replace_operator(&progress(11, 68_000));
-    assert_eq!((known.operator, known.proved), (11, StoreTime(68_000)));
+    assert_eq!(
+        (known.operator.version(), known.proved),
+        (11, StoreTime(68_000))
+    );
     known.replace_operator(&progress(12, 70_000));
     known.confirm_operator(&progress(12, 70_000));
-    assert_eq!((known.operator, known.proved), (12, StoreTime(70_000)));
+    assert_eq!(
+        (known.operator.version(), known.proved),
+        (12, StoreTime(70_000))
+    );
 }
--- a/crates/place/tests/registrations.rs
+++ b/crates/place/tests/registrations.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use common::{changes, domains, ms, reading, server};
+use common::{changes, domains, ms, position, reading, server};
 use place::catalog::DroppedRow;
 use place::fleet::log::{ReadScope, RegistryLog};
 use place::fleet::store_progress::StoreProgress;
@@ -41,13 +41,13 @@
         let mut snapshot = reading(started_at, &[]);
         snapshot.entries = known.entries().cloned().collect();
         let mut scope = changes();
-        let until = snapshot.version;
+        let until = snapshot.position.version();
         let changed = self.rows.iter();
         for (at, row, is_dropped) in changed.filter(|(at, ..)| (version + 1..=until).contains(at)) {
             let before = snapshot.entries.iter().position(|entry| entry.id == row.id);
             let last_entry = before.map(|index| snapshot.entries.remove(index));
             if *is_dropped {
-                let dropped = DroppedRow::new(&row.id, *at);
+                let dropped = DroppedRow::new(&row.id, position(*at));
                 scope.dropped.push(DroppedRow {
                     last_entry,
                     ..dropped
@@ -76,32 +76,32 @@
     let progress = |log: &RegistryLog, read: u64, at: Instant| StoreProgress {
         registry: log.version(),
         content: log.content(),
-        registry_read: read,
-        registry_listed: read,
+        registry_read: position(read),
+        registry_listed: position(read),
         registry_at: Some(at),
         ..StoreProgress::default()
     };
-    let mut known = progress(&deputy, first.version, start);
+    let mut known = progress(&deputy, first.position.version(), start);
     let written = reading(start + ms(1000), &[ready("x", 2), ready("y", 1)]);
     reader.apply_snapshot(&written, changes());
-    let confirmed = progress(&reader, written.version, start + ms(1000));
+    let confirmed = progress(&reader, written.position.version(), start + ms(1000));
     assert!(known.confirm(&confirmed));
     assert_eq!(known.registry_at, Some(start + ms(1000)));
     let feed = StoreFeed {
         rows: vec![
-            (written.version, ready("x", 2), false),
-            (written.version + 1000, ready("x", 2), true),
-            (written.version + 2000, ready("x", 2), false),
+            (written.position.version(), ready("x", 2), false),
+            (written.position.version() + 1000, ready("x", 2), true),
+            (written.position.version() + 2000, ready("x", 2), false),
         ],
     };
-    let mut version = known.registry_listed;
+    let mut version = known.registry_listed.version();
     for at in [1500, 2500, 3500] {
         let at = start + ms(at);
         let (snapshot, scope) = feed.read(&deputy, version, at);
         catalog.note_dropped_rows(at, &scope.dropped);
         catalog.apply_snapshot(at, &snapshot);
         deputy.apply_snapshot(&snapshot, scope);
-        version = snapshot.version;
+        version = snapshot.position.version();
     }
     assert!(!is_open(&catalog, "x"));
     assert!(is_open(&catalog, "y"));
@@ -154,7 +154,7 @@
         );
         let row = DroppedRow {
             last_entry: Some(ready("x", 1)),
-            ..DroppedRow::new("x", reading(gone_at, &[]).version)
+            ..DroppedRow::new("x", reading(gone_at, &[]).position)
         };
         read(
             &mut lead,
@@ -177,7 +177,7 @@
         }
         if !is_live {
             let at = gone_at + ms(listed_ms);
-            let dropped = DroppedRow::new("x", reading(at, &[]).version);
+            let dropped = DroppedRow::new("x", reading(at, &[]).position);
             read(
                 &mut lead,
                 &mut follower,
--- a/crates/place/tests/runs.rs
+++ b/crates/place/tests/runs.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 use std::time::Instant;
 
-use common::{changes, domains, ms, placer, reading, request, route, server};
+use common::{changes, domains, ms, placer, position, reading, request, route, server};
 use place::catalog::CatalogChange;
 use place::fleet::log::RegistryLog;
 use place::placing::load::short_id;
@@ -126,7 +126,7 @@
     for (step, entry) in [run("x", 1000, 9), fresh].into_iter().enumerate() {
         let at = now + ms(1000 * (step as u64 + 1));
         log.apply_snapshot(
-            &reading(at, &[entry]).with_version(step as u64 + 1),
+            &reading(at, &[entry]).with_position(position(step as u64 + 1)),
             changes(),
         );
         let delta = log.since(known);
@@ -162,7 +162,7 @@
             entries,
             foreign,
             started_at: at,
-            version: step as u64 + 1,
+            position: StorePosition::new(0, step as u64 + 1),
         };
         own.apply_snapshot(at, &snapshot);
         log.apply_snapshot(&snapshot, changes());
