--- a/bin/lh-soak/src/cli.rs
+++ b/bin/lh-soak/src/cli.rs
@@ -35,6 +35,9 @@
     /// Cuts entries off from all backend servers at times, in addition to the other faults.
     #[arg(long)]
     partitions: bool,
+    /// Lets the store come back from an older copy at times, in addition to the other faults.
+    #[arg(long)]
+    restorations: bool,
     /// Number of threads that spin to generate CPU load during the run.
     #[arg(long, default_value_t = 0)]
     busy: usize,
@@ -63,6 +66,7 @@
             servers: self.servers,
             late_heartbeats: self.late_words,
             partitions: self.partitions,
+            restorations: self.restorations,
             busy_threads: self.busy,
             entry_program,
             keep: self.keep,
--- a/bin/lh-soak/src/config.rs
+++ b/bin/lh-soak/src/config.rs
@@ -48,6 +48,8 @@
     pub late_heartbeats: f64,
     /// Whether entries lose their path to the backend servers.
     pub partitions: bool,
+    /// Whether the store comes back from older copies.
+    pub restorations: bool,
     /// Number of threads that spin to generate CPU load.
     pub busy_threads: usize,
     /// Path of the `lh-entry` binary.
--- a/bin/lh-soak/src/faults.rs
+++ b/bin/lh-soak/src/faults.rs
@@ -24,6 +24,15 @@
 /// Distinguishes the numbers drawn for these faults from those of the others.
 const PARTITION_SEED: u64 = 0x7061_7274;
 
+/// Range of the age of the copy from which the store comes back, in milliseconds.
+const COPY_AGE_MS: std::ops::Range<u64> = 1000..6000;
+/// Range of the time for which the store is down before, in milliseconds.
+const RESTORATION_MS: std::ops::Range<u64> = 200..2500;
+/// Range of the interval between two restorations, in milliseconds.
+const RESTORATION_INTERVAL_MS: std::ops::Range<u64> = 11_000..20_000;
+/// Distinguishes the numbers drawn for these faults from those of the others.
+const RESTORATION_SEED: u64 = 0x7265_7374;
+
 /// Kind of a fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FaultKind {
@@ -55,6 +64,8 @@
     StoreSlow(Duration),
     /// The store discards its change history.
     StoreForgets,
+    /// The store is down, then comes back from a copy that is this old.
+    StoreRestored(Duration),
 }
 
 impl FaultKind {
@@ -75,6 +86,7 @@
             Self::StoreLapses(_) => "store-lapses",
             Self::StoreSlow(_) => "store-slow",
             Self::StoreForgets => "store-forgets",
+            Self::StoreRestored(_) => "store-restored",
         }
     }
 }
@@ -128,6 +140,25 @@
     faults
 }
 
+/// Draws the times at which the store comes back from an older copy.
+pub fn draw_restorations(seed: u64, seconds: u64) -> Vec<PlannedFault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ RESTORATION_SEED);
+    let end = Duration::from_secs(seconds).saturating_sub(FAULT_FREE_END);
+    let mut at = FAULT_FREE_START;
+    let mut faults = Vec::new();
+    while at < end {
+        let age = Duration::from_millis(rng.random_range(COPY_AGE_MS));
+        faults.push(PlannedFault {
+            at,
+            duration: Duration::from_millis(rng.random_range(RESTORATION_MS)),
+            kind: FaultKind::StoreRestored(age),
+            target: FaultTarget::Store,
+        });
+        at += Duration::from_millis(rng.random_range(RESTORATION_INTERVAL_MS));
+    }
+    faults
+}
+
 /// Draws the times at which up to half of the `entries` entries can reach no backend server.
 pub fn draw_partitions(seed: u64, seconds: u64, entries: usize) -> Vec<PlannedFault> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ PARTITION_SEED);
--- a/bin/lh-soak/src/injector.rs
+++ b/bin/lh-soak/src/injector.rs
@@ -16,6 +16,8 @@
 
 /// Time over which expired servers register again after an outage of the store.
 const REREGISTER_DURATION: Duration = Duration::from_millis(1900);
+/// Tables whose rows are written again after the store lost them.
+const REWRITTEN_TABLES: [&str; 2] = ["op", "servers"];
 /// Alternating running and stopped times of a starved entry.
 const STARVED_RUN_TIME: Duration = Duration::from_millis(40);
 const STARVED_STOP_TIME: Duration = Duration::from_millis(360);
@@ -154,6 +156,7 @@
             sleep(duration).await;
             world.store.set_faults(FaultPlan::default());
         }
+        FaultKind::StoreRestored(age) => restore_store(world, age, duration).await,
         FaultKind::StoreLapses(percent) => {
             world.store.set_faults(FaultPlan::outage());
             let expired = world.server_pool.expire_rows(f64::from(percent) / 100.0);
@@ -169,6 +172,23 @@
     }
 }
 
+/// Lets the store come back from a copy that is `age` old after it was down for `duration`. The
+/// operator and the servers then write again what was lost.
+async fn restore_store(world: &World, age: Duration, duration: Duration) {
+    let copy = world.store.copy();
+    sleep(age).await;
+    world.store.set_faults(FaultPlan::outage());
+    sleep(duration).await;
+    let lost = world.store.changed_since(&copy, &REWRITTEN_TABLES);
+    world.store.restore(&copy);
+    world.store.set_faults(FaultPlan::default());
+    let step = REREGISTER_DURATION / u32::try_from(lost.len().max(1)).unwrap_or(1);
+    for row in lost {
+        sleep(step).await;
+        world.store.write_again(&row);
+    }
+}
+
 /// Registers the servers whose rows expired again, one after the other.
 async fn reregister(world: &World, expired: Vec<String>) {
     let step = REREGISTER_DURATION / u32::try_from(expired.len().max(1)).unwrap_or(1);
--- a/bin/lh-soak/src/soak.rs
+++ b/bin/lh-soak/src/soak.rs
@@ -83,6 +83,9 @@
             config.entries,
         ));
     }
+    if config.restorations {
+        planned.extend(faults::draw_restorations(config.seed, config.seconds));
+    }
     planned.sort_by_key(|fault| fault.at);
     for fault in planned {
         sleep(fault.at.saturating_sub(started.elapsed())).await;
--- a/bin/lh-soak/tests/soak.rs
+++ b/bin/lh-soak/tests/soak.rs
@@ -52,16 +52,17 @@
     );
 }
 
-/// Callers of entries that can reach no server are served through other entries, and what must
-/// hold under all faults does.
+/// Callers of entries that can reach no server are served through other entries, also while the
+/// store comes back from older copies, and what must hold under all faults does.
 #[test]
-fn callers_of_entries_without_a_path_are_served() {
+fn promises_hold_while_entries_are_cut_off_and_the_store_is_restored() {
     let program = Path::new(env!("CARGO_BIN_EXE_lh-soak"));
     let entry = program.with_file_name("lh-entry");
     let folder = tempfile::tempdir().unwrap();
     let output = Command::new(program)
         .args(["--seed", "2", "--seconds", SECONDS, "--entries", "12"])
-        .args(["--servers", "30", "--partitions", "--keep"])
+        .args(["--servers", "30", "--partitions", "--restorations"])
+        .arg("--keep")
         .arg(folder.path())
         .arg("--entry-program")
         .arg(&entry)
@@ -80,5 +81,7 @@
         &report.quota_violations,
     ];
     assert!(unconditional.iter().all(|kind| kind.is_empty()), "{stdout}");
-    assert!(report.faults.contains_key("partitioned"), "{stdout}");
+    for fault in ["partitioned", "store-restored"] {
+        assert!(report.faults.contains_key(fault), "{stdout}");
+    }
 }
