Quarantine: a suspicion that arrives late doesn't outlive its clearing

Leads suspected and cleared the same requests in turn, hundreds of times a second, and wrote and deleted quarantines until the store refused four in five calls. Cause: an age in a message leaves out the time that it travels, so that a suspicion looks newer at its receiver than the clearing that ended it, and the clearing newer than the suspicion at the next. Change: a status counts as newer than a clearing only from a second after it on, and a clearing received again within that time keeps the first one's time. Measured: a_cleared_request_does_not_alternate_between_leads 200 changes in 100 exchanges before, passes now; crashes and crash_load pass.

--- a/crates/place/src/crash/quarantine.rs
+++ b/crates/place/src/crash/quarantine.rs
@@ -19,6 +19,10 @@
 /// Two messages with the same status whose times differ by less than this describe the same
 /// event: each entry that forwards one adds the network latency to its age.
 const SAME_STATUS_TOLERANCE: Duration = Duration::from_secs(5);
+/// A status that seems to be newer than a clearing by less than this is older: messages delay what
+/// they report. Without it, leads that held one each suspected and cleared a request in turn, as
+/// fast as their messages arrived.
+const CLEARING_TOLERANCE: Duration = Duration::from_secs(1);
 /// Maximum number of tracked requests: a datagram of 3 kB holds them all. Suspects are evicted
 /// in favor of quarantined requests.
 const MAX_STATUSES: usize = 128;
@@ -94,7 +98,7 @@
         let is_void = self
             .cleared
             .get(&fingerprint)
-            .is_some_and(|at| *at >= since);
+            .is_some_and(|at| *at + CLEARING_TOLERANCE >= since);
         let known = self.records.get(&fingerprint).copied();
         let is_known = known.is_some_and(|known| {
             let is_older = since < known.since + SAME_STATUS_TOLERANCE;
@@ -117,8 +121,9 @@
         if known.is_none() && self.cleared.len() >= MAX_CLEARED {
             self.drop_oldest_cleared();
         }
-        let latest = known.map_or(at, |known| known.max(at));
-        self.cleared.insert(fingerprint, latest);
+        let is_same = known.is_some_and(|known| at < known + CLEARING_TOLERANCE);
+        let cleared_at = known.filter(|_| is_same).unwrap_or(at);
+        self.cleared.insert(fingerprint, cleared_at);
         let held = self.records.get(&fingerprint);
         let is_held = held.is_some_and(|held| held.since <= at);
         if is_held {
