Soak: a relayed request binds the entry that its caller asked, too

Cause: since arrivals are judged by the entry that sent them, Told no longer covered the caller's entry of a relayed request. The check had been narrowed without a trace that shows the case as allowed. Change: Told is checked for both entries. Measured: a_relayed_request_to_a_server_that_told_its_entry_is_a_violation fails without the change; tests of lh-soak pass.

--- a/bin/lh-soak/src/judge.rs
+++ b/bin/lh-soak/src/judge.rs
@@ -141,6 +141,11 @@
                 self.on_arrived(at, server, *entry, report);
                 self.check_limit(at, server, *entry, report);
                 self.check_told(at, server, *entry, report);
+                // A relayed request binds the entry that its caller asked, too.
+                let asked = servers::entry_of(request).filter(|asked| asked != entry);
+                if let Some(asked) = asked {
+                    self.check_told(at, server, asked, report);
+                }
                 self.check_rest(at, server, *entry, report);
                 let entry = self.entry_state(at, *entry);
                 self.promises.on_arrived(at, server, request, entry, report);
--- a/bin/lh-soak/tests/judge.rs
+++ b/bin/lh-soak/tests/judge.rs
@@ -342,3 +342,20 @@
             .all(|fault| fault.kind != faults::FaultKind::Partitioned)
     );
 }
+
+/// An entry that passed on that a server leaves must not have requests relayed there.
+#[test]
+fn a_relayed_request_to_a_server_that_told_its_entry_is_a_violation() {
+    let told = RunEvent::Told {
+        server: "i-0000".to_owned(),
+        request: "2-0-1".to_owned(),
+        statement: Statement::Leaving,
+    };
+    let report = report(&[
+        (1000, ran("i-0000", "2-0-1")),
+        (1001, told),
+        (1002, answered("2-0-1", 200, "")),
+        (9000, ran("i-0000", "2-0-2")),
+    ]);
+    assert_eq!(report.told_violations.len(), 1);
+}
