Registry copy: catalog and log of an entry learn of reads and messages in one place

Cause: the catalog and the log of the registry were updated side by side in the daemon, so that no test of decisions could play both as they work together. Nothing is decided differently.

--- a/bin/lh-entry/src/state/registry.rs
+++ b/bin/lh-entry/src/state/registry.rs
@@ -6,6 +6,7 @@
 use place::catalog::CatalogChange;
 use place::departure::Departure;
 use place::fleet::log::{ReadScope, RegistryDelta};
+use place::fleet::registry::RegistryCopy;
 use place::fleet::store_progress::StoreProgress;
 use place::prelude::*;
 
@@ -24,39 +25,24 @@
     pub(crate) fn on_registry_snapshot(
         &self,
         snapshot: &CatalogSnapshot,
-        mut scope: ReadScope,
+        scope: ReadScope,
     ) -> bool {
-        if self.placer.borrow().catalog.is_outdated(snapshot) {
+        let update =
+            self.change_registry(|now, mut copy| copy.apply_snapshot(now, snapshot, scope));
+        let Some(update) = update else {
             let (position, known) = (snapshot.position, self.fleet.known().registry_read);
             log::info!(position:%, known:%; "reading of the registry left out");
             return false;
-        }
-        let mut placer = self.placer.borrow_mut();
-        let is_first = placer.catalog.read_at().is_none();
-        let now = Instant::now();
-        placer.catalog.note_era(now, snapshot.position);
-        scope.has_gap = placer.catalog.has_gap(now);
-        placer.catalog.note_dropped_rows(now, &scope.dropped);
-        let changes = placer.catalog.apply_snapshot(now, snapshot);
-        scope.missing = placer.catalog.missing().map(str::to_owned).collect();
-        drop(placer);
-        let mut servers = self.servers.borrow_mut();
-        servers.apply_snapshot(snapshot, scope);
-        let (changed_at, content) = (servers.version(), servers.content());
-        drop(servers);
+        };
         let source = ChangeSource {
             by: "store",
             age: snapshot.started_at.elapsed(),
         };
-        self.report_versions(&changes, is_first);
-        self.on_catalog_changes(&changes, snapshot.foreign.len(), &source);
-        self.fleet.update_known(|known| {
-            known.registry = changed_at;
-            known.content = content;
-            known.registry_read = snapshot.position;
-            known.registry_listed = snapshot.position;
-            known.registry_at = known.registry_at.max(Some(snapshot.started_at));
-        });
+        self.report_versions(&update.changes, update.is_first);
+        self.on_catalog_changes(&update.changes, snapshot.foreign.len(), &source);
+        let log = self.servers.borrow();
+        self.fleet
+            .update_known(|known| known.on_snapshot(snapshot, &log));
         true
     }
 
@@ -69,42 +55,29 @@
         delta: &RegistryDelta,
         is_whole: bool,
     ) {
-        let mut servers = self.servers.borrow_mut();
         let Some(begun) = progress.registry_at else {
             return;
         };
-        if delta.version <= servers.version() && !is_whole {
+        if delta.version <= self.servers.borrow().version() && !is_whole {
             return;
         }
-        servers.apply_delta(delta);
-        let content = servers.content();
-        drop(servers);
-        let mut placer = self.placer.borrow_mut();
-        let is_first = placer.catalog.read_at().is_none();
-        let changes = placer.catalog.apply_delta(Instant::now(), begun, delta);
-        drop(placer);
+        let update = self.change_registry(|now, mut copy| copy.apply_delta(now, begun, delta));
         let source = ChangeSource {
             by: &lead.to_string(),
             age: begun.elapsed(),
         };
-        self.report_versions(&changes, is_first);
-        self.on_catalog_changes(&changes, delta.foreign.len(), &source);
-        self.fleet.update_known(|known| {
-            known.registry = delta.version;
-            known.content = content;
-            known.registry_read = progress.registry_read;
-            known.registry_listed = progress.registry_listed;
-            known.registry_at = Some(begun);
-        });
+        self.report_versions(&update.changes, update.is_first);
+        self.on_catalog_changes(&update.changes, delta.foreign.len(), &source);
+        let log = self.servers.borrow();
+        self.fleet
+            .update_known(|known| known.on_delta(progress, &log));
+        drop(log);
         self.report_pending_removals();
     }
 
     /// Handles that another entry confirmed the local copy of the registry as of `read_at`.
     pub(crate) fn on_registry_confirmed(&self, read_at: Instant) {
-        let mut placer = self.placer.borrow_mut();
-        placer.catalog.confirm(read_at);
-        let changes = placer.catalog.admit_relisted(Instant::now(), read_at);
-        drop(placer);
+        let changes = self.change_registry(|now, mut copy| copy.confirm(now, read_at));
         let source = ChangeSource {
             by: "confirmation",
             age: read_at.elapsed(),
@@ -117,21 +90,26 @@
 
     /// Applies the departed servers as reported by a lead that has been running longer.
     pub(crate) fn on_peer_departures(&self, lead: SocketAddr, departures: &[Departure]) {
-        let mut servers = self.servers.borrow_mut();
-        servers.apply_departures(departures);
-        let changed_at = servers.version();
-        drop(servers);
-        let mut placer = self.placer.borrow_mut();
-        let changes = placer.catalog.apply_departures(Instant::now(), departures);
-        drop(placer);
+        let changes = self.change_registry(|now, mut copy| copy.apply_departures(now, departures));
         let by = &lead.to_string();
         for change in &changes {
             let age = Duration::ZERO;
             log_change(change, &ChangeSource { by, age });
         }
+        let changed_at = self.servers.borrow().version();
         self.fleet.update_known(|known| known.registry = changed_at);
     }
 
+    /// Applies `change` to this entry's copy of the registry.
+    fn change_registry<T>(&self, change: impl FnOnce(Instant, RegistryCopy<'_>) -> T) -> T {
+        let mut placer = self.placer.borrow_mut();
+        let mut log = self.servers.borrow_mut();
+        change(
+            Instant::now(),
+            RegistryCopy::new(&mut placer.catalog, &mut log),
+        )
+    }
+
     /// Informs the fleet when servers whose rows are missing will finally be removed.
     pub(crate) fn report_pending_removals(&self) {
         let next_removal_at = self.placer.borrow().catalog.next_removal_at();
--- a/crates/place/src/fleet/mod.rs
+++ b/crates/place/src/fleet/mod.rs
@@ -26,6 +26,7 @@
 pub mod read_intervals;
 pub mod reading;
 pub mod regions;
+pub mod registry;
 pub mod roster;
 pub mod search;
 pub mod store_progress;
