Registry outages: reads of others show that the store works, whatever they know

Cause: a lead that the store refuses keeps rows that vanish, as after an outage of the store. Reads of other entries prevent that, but they only counted while those knew the same servers, and they don't as soon as one server comes or goes. Besides, an answer that waited at a suspended process was judged by when it was read, so that the wait for a row was over before anyone had looked. Ruled out: that the failed calls alone matter. The length of the time in which nobody was answered decides now; a failure in between only marks that it was an outage. Change: RegistryOutage keeps the newest read that was answered to anyone; each digest tells it (FleetAction::RegistryAnswered). Rows are judged as of the read's start. Measured: late_answer_ends_no_grace_period and reads_of_entries_that_know_other_servers_show_no_outage fail on the code before (the latter without the new call); all tests of place pass.

--- a/bin/lh-entry/src/fleet.rs
+++ b/bin/lh-entry/src/fleet.rs
@@ -312,6 +312,9 @@
                     tokio::task::spawn_local(quarantine::delete_rows(Rc::clone(state), prints));
                 }
                 FleetAction::ConfirmRegistry(at) => state.on_registry_confirmed(at),
+                FleetAction::RegistryAnswered(at) => {
+                    state.placer.borrow_mut().catalog.on_peer_read(at);
+                }
                 FleetAction::ListsChanged => state.refresh_entries(),
                 FleetAction::Log(change) => log_fleet_change(state, &change),
             }
--- a/crates/place/src/catalog/mod.rs
+++ b/crates/place/src/catalog/mod.rs
@@ -98,6 +98,12 @@
         self.outage.on_failed(now);
     }
 
+    /// Records that the registry answered a read of another entry that began at `started_at`,
+    /// whatever that entry knows.
+    pub fn on_peer_read(&mut self, started_at: Instant) {
+        self.outage.on_answered(started_at);
+    }
+
     /// Notes that the registry was read at `position`, before what was read is applied. A store
     /// that came back from an older copy lacks rows of live servers until they write them again,
     /// as it does after an outage.
@@ -125,7 +131,9 @@
         if self.is_outdated(snapshot) {
             return Vec::new();
         }
-        let settled = self.outage.on_answered(now);
+        self.outage.on_answered(snapshot.started_at);
+        // An answer that was read late shows what was missing when it began.
+        let settled = self.outage.is_settled(snapshot.started_at);
         let mut changes = Vec::new();
         for entry in &snapshot.entries {
             self.apply_entry(now, snapshot.started_at, entry, &mut changes);
@@ -136,7 +144,7 @@
         let own = snapshot.entries.iter().map(|entry| entry.id.as_str());
         let foreign = snapshot.foreign.iter().map(String::as_str);
         let listed: HashSet<&str> = own.chain(foreign).collect();
-        self.remove_missing(now, &listed, settled, &mut changes);
+        self.remove_missing(now, snapshot.started_at, &listed, settled, &mut changes);
         self.read_at = self.read_at.max(Some(snapshot.started_at));
         self.registrations_at = self.registrations_at.max(Some(snapshot.started_at));
         self.position = snapshot.position;
@@ -191,7 +199,7 @@
             // If the copy is older than the known state, a row that it lacks wasn't necessarily
             // dropped.
             if store_position(delta.version) >= self.position {
-                self.remove_missing(now, &listed, true, &mut changes);
+                self.remove_missing(now, started_at, &listed, true, &mut changes);
             } else {
                 self.remove_unlisted(&listed, &mut changes);
             }
@@ -224,7 +232,7 @@
     /// Another entry confirmed the known state as of `started_at`.
     pub fn confirm(&mut self, started_at: Instant) {
         self.read_at = self.read_at.max(Some(started_at));
-        self.outage.on_peer_snapshot(started_at);
+        self.outage.on_answered(started_at);
     }
 
     /// Takes in servers that are listed again after their departure, as far as a read that began
--- a/crates/place/src/catalog/outage.rs
+++ b/crates/place/src/catalog/outage.rs
@@ -11,10 +11,10 @@
 /// The registry is assumed to have recovered at most this long before its first answer: half
 /// the interval between two attempts.
 const MAX_RETURN_OFFSET: Duration = Duration::from_millis(400);
-/// While another entry's snapshot is no older than this, the registry works although it
-/// doesn't answer this entry. An outage this short makes no row lapse.
-const PEER_SNAPSHOT_MAX_AGE: Duration = Duration::from_millis(1500);
 
+/// Shortest time without an answer in which rows may lapse: longer than the interval between two
+/// reads.
+const MIN_OUTAGE_TIME: Duration = Duration::from_millis(1200);
 /// Rows lapse after several heartbeats, so a row that disappears after a shorter time without a
 /// read did not lapse.
 pub(super) const MIN_LAPSE_TIME: Duration = Duration::from_millis(1500);
@@ -28,15 +28,18 @@
     pub(super) missing_since: Instant,
 }
 
-/// Registry outages, as seen by this entry and others.
+/// Registry outages. The registry is out if it answers nobody: an entry that it refuses, or whose
+/// way to it is disturbed, learns of the reads of others.
 #[derive(Debug)]
 pub(super) struct RegistryOutage {
-    /// When the registry last failed to answer, until it answers again.
+    /// Start of the newest read that the registry answered, to this entry or another.
+    answered_at: Option<Instant>,
+    /// When a read failed after that, most recently.
     failed_at: Option<Instant>,
     /// When all live servers are listed again after the last outage.
     settled_at: Option<Instant>,
-    /// Start of the newest snapshot that another entry reported.
-    peer_read_at: Option<Instant>,
+    /// When the registry was last found to have lost rows.
+    restored_at: Option<Instant>,
     /// Time after the registry's recovery until all live servers are listed again.
     relist_time: Duration,
 }
@@ -47,41 +50,44 @@
         self.relist_time = RELIST_TIME.min(drain_time.saturating_sub(RELIST_MARGIN));
     }
 
-    /// Records that the registry did not answer a read. If it answers other entries, no row
-    /// has lapsed: a lead that waited for lapsed rows kept a server that had left.
+    /// Records that the registry did not answer a read.
     pub(super) fn on_failed(&mut self, now: Instant) {
-        let is_answered = |at| now.saturating_duration_since(at) < PEER_SNAPSHOT_MAX_AGE;
-        if self.peer_read_at.is_some_and(is_answered) {
-            return;
-        }
         self.failed_at = Some(now);
-        self.settled_at = None;
     }
 
-    /// Records that the registry lost rows that it had acknowledged.
+    /// Records that the registry lost rows that it had acknowledged, which live servers write
+    /// again.
     pub(super) fn on_restored(&mut self, now: Instant) {
-        self.failed_at = Some(now);
-        self.settled_at = None;
+        self.settled_at = self.settled_at.max(Some(now + self.relist_time));
+        self.restored_at = Some(now);
     }
 
-    /// Records that the registry answered a read. Returns whether rows that are missing now are
-    /// gone.
-    pub(super) fn on_answered(&mut self, now: Instant) -> bool {
-        if let Some(failed_at) = self.failed_at.take() {
-            self.settled_at = Some(self.settle_time(failed_at, now));
+    /// Records that the registry answered a read that began at `started_at`, to this entry or
+    /// another. It was out if calls failed and nobody else's were answered meanwhile.
+    pub(super) fn on_answered(&mut self, started_at: Instant) {
+        if self.answered_at.is_some_and(|at| started_at <= at) {
+            return;
+        }
+        let failed_at = self.failed_at.filter(|failed_at| *failed_at <= started_at);
+        if let Some(failed_at) = failed_at {
+            self.failed_at = None;
+            let unanswered = self.answered_at.map(|at| started_at - at);
+            if unanswered.is_none_or(|time| time >= MIN_OUTAGE_TIME) {
+                let settled_at = self.settle_time(failed_at, started_at);
+                self.settled_at = self.settled_at.max(Some(settled_at));
+            }
         }
+        self.answered_at = Some(started_at);
+    }
+
+    /// Whether rows that are missing from a read that ends now are gone.
+    pub(super) fn is_settled(&self, now: Instant) -> bool {
         self.settled_at.is_none_or(|at| now >= at)
     }
 
-    /// Records that another entry reported a snapshot as of `started_at`. This ends an outage
-    /// that only this entry saw: without it, a lead that read again after 12 s kept a server
-    /// that had left for 3.5 s.
-    pub(super) fn on_peer_snapshot(&mut self, started_at: Instant) {
-        self.peer_read_at = self.peer_read_at.max(Some(started_at));
-        if let Some(failed_at) = self.failed_at.filter(|failed_at| *failed_at <= started_at) {
-            self.failed_at = None;
-            self.settled_at = Some(self.settle_time(failed_at, started_at));
-        }
+    /// When the registry was last found to have lost rows.
+    pub(super) fn restored_at(&self) -> Option<Instant> {
+        self.restored_at
     }
 
     /// When rows that are still missing are removed after an outage.
@@ -112,9 +118,10 @@
 impl Default for RegistryOutage {
     fn default() -> Self {
         Self {
+            answered_at: None,
             failed_at: None,
             settled_at: None,
-            peer_read_at: None,
+            restored_at: None,
             relist_time: RELIST_TIME,
         }
     }
--- a/crates/place/src/catalog/update.rs
+++ b/crates/place/src/catalog/update.rs
@@ -95,11 +95,12 @@
         self.table.insert(record);
     }
 
-    /// Removes the servers that a snapshot lacks, or keeps them while their rows may have
-    /// lapsed.
+    /// Removes the servers that a snapshot as of `read_at` lacks, or keeps them while their rows
+    /// may have lapsed.
     pub(super) fn remove_missing(
         &mut self,
         now: Instant,
+        read_at: Instant,
         listed: &HashSet<&str>,
         settled: bool,
         changes: &mut Vec<CatalogChange>,
@@ -113,13 +114,13 @@
             }
             if record.missing_since.is_none() {
                 record.missing_since = Some(now);
-                record.listed_at = self.read_at;
+                record.listed_at = self.read_at.max(self.outage.restored_at());
                 if !settled {
                     changes.push(CatalogChange::Missing(record.entry.id.clone()));
                 }
             }
             let row = vanished_row(record);
-            if settled || row.is_some_and(|row| now >= self.outage.removal_time(row)) {
+            if settled || row.is_some_and(|row| read_at >= self.outage.removal_time(row)) {
                 let was_kept = record.missing_since != Some(now);
                 gone.push((record.entry.id.clone(), has_gap || was_kept));
             }
--- a/crates/place/src/fleet/member/mod.rs
+++ b/crates/place/src/fleet/member/mod.rs
@@ -134,6 +134,8 @@
     DeleteQuarantineRows(Vec<RequestFingerprint>),
     /// The local copy of the registry was confirmed to be current as of this time.
     ConfirmRegistry(Instant),
+    /// The store answered another entry's read of the registry that began at this time.
+    RegistryAnswered(Instant),
     /// The set of entries that receive requests changed.
     ListsChanged,
     /// Log a change.
--- a/crates/place/src/fleet/member/receive.rs
+++ b/crates/place/src/fleet/member/receive.rs
@@ -121,6 +121,9 @@
             // related to it yet.
             received.proved = StoreTime::default();
         }
+        if let Some(at) = received.registry_at {
+            actions.push(FleetAction::RegistryAnswered(at));
+        }
         if self.store_progress.confirm(&received)
             && let Some(at) = self.store_progress.registry_at
         {
--- a/crates/place/tests/fleet_world/mod.rs
+++ b/crates/place/tests/fleet_world/mod.rs
@@ -469,7 +469,9 @@
                 }
             }
             FleetAction::Log(note) => self.entries[entry].notes.push(note),
-            FleetAction::ConfirmRegistry(_) | FleetAction::ListsChanged => {}
+            FleetAction::ConfirmRegistry(_)
+            | FleetAction::RegistryAnswered(_)
+            | FleetAction::ListsChanged => {}
         }
     }
 
--- a/crates/place/tests/relisting.rs
+++ b/crates/place/tests/relisting.rs
@@ -70,6 +70,44 @@
     }
 }
 
+/// The same if those entries know other servers, as they do after each change that this entry
+/// misses: their reads show that the store works all the same.
+#[test]
+fn reads_of_entries_that_know_other_servers_show_no_outage() {
+    let start = Instant::now();
+    let mut catalog = ServerCatalog::new(placer_config().domains).with_drain(DRAIN);
+    let both = [server("x", "a1"), server("y", "a1")];
+    catalog.apply_snapshot(start, &reading(start, &both));
+    for turn in 1..=20 {
+        let now = start + ms(300 * turn);
+        catalog.on_peer_read(now - ms(40));
+        catalog.on_read_failed(now);
+    }
+    let now = start + ms(6200);
+    catalog.apply_snapshot(now, &reading(now, &both[..1]));
+    assert_eq!(catalog.iter().count(), 1);
+}
+
+/// An answer that waited at a suspended process shows what was missing before: a row that it lacks
+/// after an outage had no time to come back until then.
+#[test]
+fn late_answer_ends_no_grace_period() {
+    let start = Instant::now();
+    let mut catalog = ServerCatalog::new(placer_config().domains).with_drain(DRAIN);
+    let both = [server("x", "a1"), server("y", "a1")];
+    catalog.apply_snapshot(start, &reading(start, &both));
+    for after in (500..5000).step_by(500) {
+        catalog.on_read_failed(start + ms(after));
+    }
+    let back = start + ms(5000);
+    catalog.apply_snapshot(back, &reading(back, &both[..1]));
+    let (asked, read) = (back + ms(300), back + ms(6000));
+    catalog.apply_snapshot(read, &reading(asked, &both[..1]));
+    assert_eq!(catalog.iter().count(), 2);
+    catalog.apply_snapshot(read + ms(10), &reading(read, &both[..1]));
+    assert_eq!(catalog.iter().count(), 1);
+}
+
 /// If the store refuses only this entry, as other entries' reads show, nothing expires: a
 /// server whose row disappears must be gone immediately.
 #[test]
