Registry: a server's word that it leaves counts although a heartbeat overwrote it

Callers saw: requests at servers until 6 s after these had said that they leave. Cause: of several writes to a row between two reads, the client kept the last one only. Where an earlier heartbeat is performed right after a server said that it leaves, no reader that asks after both learns of the leaving; its region keeps the server until the row goes. Ruled out: deletions between two reads, which are told since the change of feeds. Change: RegistryRows and ReadScope hold the contents that were replaced; a replaced word of leaving is a departure that the catalog knows.

--- a/bin/lh-entry/src/watch.rs
+++ b/bin/lh-entry/src/watch.rs
@@ -224,6 +224,7 @@
             let scope = ReadScope {
                 whole: rows.whole,
                 dropped: rows.dropped,
+                replaced: rows.replaced,
                 missing: Vec::new(),
                 has_gap: false,
             };
--- a/crates/place/src/catalog/mod.rs
+++ b/crates/place/src/catalog/mod.rs
@@ -152,6 +152,25 @@
         changes
     }
 
+    /// Notes contents of rows that were written again since the previous snapshot; call it before
+    /// applying the next one, which lists `entries`. A row that said that its server leaves may
+    /// have been overwritten by an earlier heartbeat that the registry applied late.
+    pub fn note_replaced_rows(
+        &mut self,
+        now: Instant,
+        rows: &[ServerEntry],
+        entries: &[ServerEntry],
+    ) {
+        for row in rows {
+            let is_overwritten =
+                |entry: &ServerEntry| entry.id == row.id && entry.state != EntryState::Draining;
+            if row.state == EntryState::Draining && entries.iter().any(is_overwritten) {
+                let departure = Departure::of(row);
+                self.departures.record(now, &departure);
+            }
+        }
+    }
+
     /// Notes the rows that were dropped since the previous snapshot; call it before applying
     /// the next one. A server entry that is listed again later and isn't newer than the dropped
     /// row is stale.
--- a/crates/place/src/fleet/log.rs
+++ b/crates/place/src/fleet/log.rs
@@ -49,6 +49,8 @@
     pub whole: bool,
     /// Rows that were dropped since the previous read.
     pub dropped: Vec<DroppedRow>,
+    /// Contents of rows that were written again since the previous read, in that order.
+    pub replaced: Vec<ServerEntry>,
     /// Servers that the read lacks but that may still exist.
     pub missing: Vec<String>,
     /// Whether registrations may have been written and dropped since the previous read.
--- a/crates/place/tests/departed.rs
+++ b/crates/place/tests/departed.rs
@@ -11,6 +11,7 @@
 use place::fleet::log::{ReadScope, RegistryDelta, RegistryLog};
 use place::fleet::read_intervals::ReadIntervals;
 use place::fleet::reading::{ReadOutcome, ReadRole, ReadScheduler};
+use place::fleet::registry::RegistryCopy;
 use place::fleet::store_progress::StoreProgress;
 use place::prelude::*;
 
@@ -374,6 +375,30 @@
     }
 }
 
+/// A server's announcement that it leaves may be overwritten by an earlier heartbeat before
+/// anybody reads it: the server must get no requests all the same.
+#[test]
+fn announcement_overwritten_between_reads_is_known() {
+    let start = Instant::now();
+    let (mut catalog, mut log) = (catalog(), RegistryLog::default());
+    let other = ready("y", 3);
+    let rows = [ready("x", 10), other];
+    for after in [0, 1000, 2000] {
+        let at = start + ms(after);
+        let scope = ReadScope {
+            replaced: match after {
+                1000 => vec![ready("x", 10), leaving("x", 11)],
+                _ => Vec::new(),
+            },
+            ..changes()
+        };
+        let snapshot = reading(at, &rows);
+        RegistryCopy::new(&mut catalog, &mut log).apply_snapshot(at, &snapshot, scope);
+        assert_eq!(is_open(&catalog, "x"), after == 0, "after {after} ms");
+        assert!(is_open(&catalog, "y"));
+    }
+}
+
 /// A read that reports a row's drop late, after another entry sent a newer registration, must
 /// not keep the live server out.
 #[test]
