Registry: a lead reads the store itself instead of the changes of what others sent

Cause: an entry that starts to read continues from the rows in its log. Several entries send these, and they give up or keep a vanished row at different times, which versions and content don't show. Ruled out: comparing contents; a vanished row counts until it is given up, on purpose. Change: RegistryRead::resumes is false for reader and deputy. They keep what they have read themselves; a new lead reads all rows once. Other entries, of which a region may have hundreds, still ask for changes only.

--- a/bin/lh-entry/src/watch.rs
+++ b/bin/lh-entry/src/watch.rs
@@ -190,8 +190,16 @@
         .registry
         .take()
         .unwrap_or_else(|| StoreClient::new(state.config.store, STORE_TIMEOUT));
-    resume(&state, &mut client);
-    let RegistryRead { wait, whole } = call;
+    let RegistryRead {
+        wait,
+        whole,
+        resumes,
+    } = call;
+    if resumes {
+        resume(&state, &mut client);
+    } else {
+        client.discard_resumed();
+    }
     let is_whole = whole || client.servers_position().is_none();
     let begun = Instant::now();
     let result = if whole {
--- a/crates/place/src/fleet/reading.rs
+++ b/crates/place/src/fleet/reading.rs
@@ -37,6 +37,10 @@
     pub wait: Duration,
     /// Whether to read all rows, whatever is known already.
     pub whole: bool,
+    /// Whether to ask for the changes of what leads sent, if that is newer than the last read. A
+    /// lead doesn't, because others rely on its reads: a row that one of several senders had given
+    /// up or kept may be listed wrongly in what they sent.
+    pub resumes: bool,
 }
 
 /// Returns the time as of which the store's answer is valid. The call began at `started_at`, the
@@ -188,7 +192,12 @@
         self.started_at = Some(now);
         self.is_reading = true;
         self.overdue_at = now + wait + OVERDUE_AFTER;
-        Some(RegistryRead { wait, whole })
+        let resumes = !matches!(role, ReadRole::Reader | ReadRole::Deputy);
+        Some(RegistryRead {
+            wait,
+            whole,
+            resumes,
+        })
     }
 
     /// Returns whether the current read takes too long.
--- a/crates/place/tests/reading.rs
+++ b/crates/place/tests/reading.rs
@@ -46,3 +46,30 @@
     let early = started_at + Duration::from_millis(300);
     assert_eq!(answer_as_of(started_at, wait, early, false), started_at);
 }
+
+/// A lead must read the store itself, all of it if need be; what other entries know of a row may
+/// come from several of them, which saw it vanish at different times.
+#[test]
+fn leads_rely_on_their_own_reads() {
+    let start = Instant::now();
+    let follower = ReadRole::Follower {
+        substitute: true,
+        stuck: true,
+    };
+    let alone = ReadRole::Alone {
+        used: true,
+        first: start,
+    };
+    let cases = [
+        (ReadRole::Reader, false),
+        (ReadRole::Deputy, false),
+        (follower, true),
+        (alone, true),
+    ];
+    for (role, resumes) in cases {
+        let mut scheduler =
+            ReadScheduler::new(start, ReadIntervals::new(Duration::from_secs(3)), 1);
+        let call = scheduler.begin_read(start + Duration::from_secs(9), role, Some(start), false);
+        assert_eq!(call.map(|call| call.resumes), Some(resumes), "{role:?}");
+    }
+}
