Departures: catalog and log of an entry, and all entries, decide alike on listed rows

Simulated histories with rows show it each time. Cause, one class: what a listed row means was decided in several places, each with its own memory. The log noted no departure for a row that was kept as missing when it was dropped, the catalog did; contents covered rows, so that an entry that knew a row to be obsolete and one that took it for a live server's agreed; a sequence number above all that an entry had read counted as proof of life, though it only shows when the heartbeat was sent; a copy didn't tell that the store had come back from an older one, so that live servers were given up. Ruled out: the sequence number alone (unread heartbeats), the time since the last read (has_gap, removed: a gap in what was read isn't one in time). Change: the catalog decides, the log takes its departures over (ReadScope::departures). A departed run is taken in only when its row has outlasted a late heartbeat over reads at short intervals; where rows may have lapsed, a newer registration still counts at once. Departures bear the store's position, so that one told late doesn't undo what was proved since. Obsolete rows don't count in contents; leads that differ ask each other for departures; whole copies tell those of listed runs. Copies note the store's era, keep what this entry misses, and are left out if read earlier. An entry that had to read all rows asks for departures. RelistedRows is the one place that admits.

--- a/bin/lh-entry/src/fleet.rs
+++ b/bin/lh-entry/src/fleet.rs
@@ -311,7 +311,9 @@
                 FleetAction::DeleteQuarantineRows(prints) => {
                     tokio::task::spawn_local(quarantine::delete_rows(Rc::clone(state), prints));
                 }
-                FleetAction::ConfirmRegistry(at) => state.on_registry_confirmed(at),
+                FleetAction::ConfirmRegistry(at, position) => {
+                    state.on_registry_confirmed(at, position);
+                }
                 FleetAction::RegistryAnswered(at) => {
                     state.placer.borrow_mut().catalog.on_peer_read(at);
                 }
--- a/bin/lh-entry/src/state/registry.rs
+++ b/bin/lh-entry/src/state/registry.rs
@@ -27,6 +27,7 @@
         snapshot: &CatalogSnapshot,
         scope: ReadScope,
     ) -> bool {
+        let is_whole = scope.whole;
         let update =
             self.change_registry(|now, mut copy| copy.apply_snapshot(now, snapshot, scope));
         let Some(update) = update else {
@@ -43,6 +44,9 @@
         let log = self.servers.borrow();
         self.fleet
             .update_known(|known| known.on_snapshot(snapshot, &log));
+        if is_whole && !update.is_first {
+            self.fleet.on_event(FleetEvent::HistoryMissed);
+        }
         true
     }
 
@@ -58,7 +62,11 @@
         let Some(begun) = progress.registry_at else {
             return;
         };
-        if delta.version <= self.servers.borrow().version() && !is_whole {
+        if !self
+            .fleet
+            .known()
+            .accepts(progress, delta.version, is_whole)
+        {
             return;
         }
         let update = self.change_registry(|now, mut copy| copy.apply_delta(now, begun, delta));
@@ -75,9 +83,10 @@
         self.report_pending_removals();
     }
 
-    /// Handles that another entry confirmed the local copy of the registry as of `read_at`.
-    pub(crate) fn on_registry_confirmed(&self, read_at: Instant) {
-        let changes = self.change_registry(|now, mut copy| copy.confirm(now, read_at));
+    /// Handles that another entry confirmed the local copy of the registry as of `read_at`, when
+    /// the store was at `position`.
+    pub(crate) fn on_registry_confirmed(&self, read_at: Instant, position: StorePosition) {
+        let changes = self.change_registry(|now, mut copy| copy.confirm(now, read_at, position));
         let source = ChangeSource {
             by: "confirmation",
             age: read_at.elapsed(),
@@ -96,8 +105,8 @@
             let age = Duration::ZERO;
             log_change(change, &ChangeSource { by, age });
         }
-        let changed_at = self.servers.borrow().version();
-        self.fleet.update_known(|known| known.registry = changed_at);
+        let log = self.servers.borrow();
+        self.fleet.update_known(|known| known.on_departures(&log));
     }
 
     /// Applies `change` to this entry's copy of the registry.
--- a/bin/lh-entry/src/watch.rs
+++ b/bin/lh-entry/src/watch.rs
@@ -233,8 +233,7 @@
                 whole: rows.whole,
                 dropped: rows.dropped,
                 replaced: rows.replaced,
-                missing: Vec::new(),
-                has_gap: false,
+                ..ReadScope::default()
             };
             let is_taken = state.on_registry_snapshot(&snapshot, scope);
             let is_same = state.servers.borrow().version() == before;
--- a/crates/place/src/catalog/mod.rs
+++ b/crates/place/src/catalog/mod.rs
@@ -15,7 +15,7 @@
 use std::time::{Duration, Instant};
 
 use crate::catalog::index::{ServiceIndex, TopServersByLocality};
-use crate::catalog::outage::{MIN_LAPSE_TIME, RegistryOutage, VanishedRow};
+use crate::catalog::outage::{RegistryOutage, VanishedRow};
 use crate::catalog::relisted::RelistedRows;
 use crate::catalog::table::RecordTable;
 use crate::departure::{Departure, DepartureTable};
@@ -44,8 +44,8 @@
     outage: RegistryOutage,
     departures: DepartureTable,
     relisted: RelistedRows,
-    /// As of when every registration, with its sequence number, is known.
-    registrations_at: Option<Instant>,
+    /// Servers whose rows were dropped since the last snapshot.
+    dropped: Vec<String>,
 }
 
 impl ServerCatalog {
@@ -104,12 +104,13 @@
         self.outage.on_answered(started_at);
     }
 
-    /// Notes that the registry was read at `position`, before what was read is applied. A store
-    /// that came back from an older copy lacks rows of live servers until they write them again,
-    /// as it does after an outage.
+    /// Notes that the registry was at `position`, before what is known of it then is applied. A
+    /// store that came back from an older copy lacks rows of live servers until they write them
+    /// again, as it does after an outage.
     pub fn note_era(&mut self, now: Instant, position: StorePosition) {
         if self.position.is_known() && position.era() > self.position.era() {
             self.outage.on_restored(now);
+            self.relisted.on_restored(now);
         }
     }
 
@@ -132,9 +133,17 @@
             return Vec::new();
         }
         self.outage.on_answered(snapshot.started_at);
+        self.relisted.on_read(snapshot.started_at);
         // An answer that was read late shows what was missing when it began.
         let settled = self.outage.is_settled(snapshot.started_at);
+        self.position = snapshot.position;
         let mut changes = Vec::new();
+        for id in std::mem::take(&mut self.dropped) {
+            if settled {
+                // Even if it is listed again: its row can't have lapsed.
+                self.remove(now, &id, &mut changes);
+            }
+        }
         for entry in &snapshot.entries {
             self.apply_entry(now, snapshot.started_at, entry, &mut changes);
         }
@@ -146,8 +155,6 @@
         let listed: HashSet<&str> = own.chain(foreign).collect();
         self.remove_missing(now, snapshot.started_at, &listed, settled, &mut changes);
         self.read_at = self.read_at.max(Some(snapshot.started_at));
-        self.registrations_at = self.registrations_at.max(Some(snapshot.started_at));
-        self.position = snapshot.position;
         self.applied_at = Some(now);
         changes
     }
@@ -165,34 +172,43 @@
             let is_overwritten =
                 |entry: &ServerEntry| entry.id == row.id && entry.state != EntryState::Draining;
             if row.state == EntryState::Draining && entries.iter().any(is_overwritten) {
-                let departure = Departure::of(row);
+                let departure = Departure::of(row).with_position(self.position);
                 self.departures.record(now, &departure);
             }
         }
     }
 
+    /// Returns whether the server of `departure` proved to be alive after it.
+    pub fn is_refuted(&self, departure: &Departure) -> bool {
+        self.departures.is_refuted(departure)
+    }
+
     /// Notes the rows that were dropped since the previous snapshot; call it before applying
     /// the next one. A server entry that is listed again later and isn't newer than the dropped
     /// row is stale.
     pub fn note_dropped_rows(&mut self, now: Instant, rows: &[DroppedRow]) {
         for row in rows {
+            self.relisted.remove(&row.id);
             if row.position <= self.position {
                 // The known state is newer.
                 continue;
             }
             let known = self.table.by_id(&row.id).map(|record| &record.entry);
             for entry in known.into_iter().chain(&row.last_entry) {
-                let departure = Departure::of(entry).with_gap(self.has_gap(now));
+                let departure = Departure::of(entry).with_position(row.position);
                 self.departures.record(now, &departure);
             }
+            self.dropped.push(row.id.clone());
         }
     }
 
-    /// Whether a read at `now` may lack registrations that were written and dropped since the
-    /// last one.
-    pub fn has_gap(&self, now: Instant) -> bool {
-        let is_old = |at| now.saturating_duration_since(at) >= MIN_LAPSE_TIME;
-        self.registrations_at.is_some_and(is_old)
+    /// The departures because of which servers that `entries` lists get no requests.
+    pub fn departures_of(&self, now: Instant, entries: &[ServerEntry]) -> Vec<Departure> {
+        let closed = entries.iter().filter(|entry| {
+            self.departures.supersedes(now, entry) || self.table.by_id(&entry.id).is_none()
+        });
+        let departures = closed.filter_map(|entry| self.departures.of_run(now, entry));
+        departures.cloned().collect()
     }
 
     /// Applies a delta that another entry sent, as of `started_at`, and returns the changes. The
@@ -204,10 +220,22 @@
         delta: &RegistryDelta,
     ) -> Vec<CatalogChange> {
         let mut changes = Vec::new();
+        self.note_era(now, store_position(delta.version));
         self.apply_delta_departures(now, delta, &mut changes);
+        let missing = self.missing_times(now, &delta.missing);
         for entry in &delta.entries {
+            let is_missing = delta.missing.contains(&entry.id);
+            if is_missing && self.departures.of_run(now, entry).is_some() {
+                // The row that the sender still waits for isn't listed again.
+                self.relisted.remove(&entry.id);
+                continue;
+            }
             self.apply_entry(now, started_at, entry, &mut changes);
         }
+        self.mark_missing(&missing);
+        for id in &delta.missing {
+            self.relisted.remove(id);
+        }
         for id in &delta.foreign {
             self.mark_overwritten(id, &mut changes);
         }
@@ -218,14 +246,15 @@
             // If the copy is older than the known state, a row that it lacks wasn't necessarily
             // dropped.
             if store_position(delta.version) >= self.position {
-                self.remove_missing(now, started_at, &listed, true, &mut changes);
+                // A sender that doesn't know them may have started after a restoration.
+                let settled = self.outage.is_settled(started_at);
+                self.remove_missing(now, started_at, &listed, settled, &mut changes);
             } else {
                 self.remove_unlisted(&listed, &mut changes);
             }
         }
         self.position = store_position(delta.version);
         self.applied_at = Some(now);
-        self.registrations_at = self.registrations_at.max(Some(started_at));
         self.confirm(started_at);
         changes.extend(self.admit_relisted(now, started_at));
         changes
@@ -240,9 +269,13 @@
         let mut changes = Vec::new();
         for departure in departures {
             self.departures.record(now, departure);
-            let known = self.table.by_id(&departure.id);
-            if known.is_some_and(|record| self.departures.supersedes(now, &record.entry)) {
+            let Some(record) = self.table.by_id(&departure.id) else {
+                continue;
+            };
+            if self.departures.supersedes(now, &record.entry) {
                 self.remove(now, &departure.id, &mut changes);
+            } else if departure.is_of_run(&record.entry) {
+                self.departures.on_registered(&departure.id);
             }
         }
         changes
@@ -252,6 +285,17 @@
     pub fn confirm(&mut self, started_at: Instant) {
         self.read_at = self.read_at.max(Some(started_at));
         self.outage.on_answered(started_at);
+        self.relisted.on_read(started_at);
+    }
+
+    /// Another entry confirmed the known state as of `started_at`, when the registry was at
+    /// `position`.
+    pub fn confirm_at(&mut self, now: Instant, started_at: Instant, position: StorePosition) {
+        self.note_era(now, position);
+        if position.era() > self.position.era() {
+            self.position = position;
+        }
+        self.confirm(started_at);
     }
 
     /// Takes in servers that are listed again after their departure, as far as a read that began
@@ -266,7 +310,8 @@
 
     /// When the next server with a missing row is due for removal, if any is missing.
     pub fn next_removal_at(&self) -> Option<Instant> {
-        let rows = self.table.iter().filter_map(vanished_row);
+        let own = self.table.iter().filter(|record| !record.kept_by_peer);
+        let rows = own.filter_map(vanished_row);
         let first = rows.map(|row| self.outage.removal_time(row)).min()?;
         let settled_at = self.outage.settled_at();
         Some(settled_at.map_or(first, |at| at.min(first)))
--- a/crates/place/src/catalog/relisted.rs
+++ b/crates/place/src/catalog/relisted.rs
@@ -1,11 +1,11 @@
 //! Servers that are listed again although they had left.
 //!
-//! The reader of a departure may have missed the last registration of the run, if it hadn't
-//! read the registry shortly before. The store then lists a departed server again by applying
-//! that registration late, which looks like the return of a live server. Only a row that
-//! outlasts a late registration belongs to a live server.
+//! The registry lists a departed server again if it applies a heartbeat late, or comes back from
+//! an older copy. Whether any entry had read that heartbeat before doesn't matter: a sequence
+//! number above all that were read shows when it was sent, not that the server is alive. Only a
+//! row that outlasts a late heartbeat belongs to a live server.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashSet};
 use std::time::{Duration, Instant};
 
 use crate::server::ServerEntry;
@@ -13,21 +13,45 @@
 /// Time after which a row that no server renews has expired, including the delay until the
 /// readers learn of it. Servers write every 1.5 s, and rows expire after three times that.
 const ROW_LIFETIME: Duration = Duration::from_millis(6000);
+/// Longest interval between two reads in which a row can't have disappeared unnoticed, nor have
+/// been kept by an outage of the registry for longer than it lives.
+const MAX_READ_INTERVAL: Duration = Duration::from_millis(1400);
 
-/// A row that may be a late registration of a departed server.
+/// A row of a departed server.
 #[derive(Debug)]
 struct RelistedRow {
     entry: ServerEntry,
     listed_since: Instant,
 }
 
-/// The listed rows that may be late registrations of departed servers.
+/// The listed rows of departed servers.
 #[derive(Debug, Default)]
 pub(super) struct RelistedRows {
-    by_id: HashMap<String, RelistedRow>,
+    by_id: BTreeMap<String, RelistedRow>,
+    /// Start of the newest read, of this entry or of another that knows the same.
+    read_at: Option<Instant>,
+    /// Since when the registry has been read at short intervals.
+    read_since: Option<Instant>,
 }
 
 impl RelistedRows {
+    /// Records that a read began at `read_at`.
+    pub(super) fn on_read(&mut self, read_at: Instant) {
+        if self.read_at.is_some_and(|at| read_at <= at) {
+            return;
+        }
+        let is_continued = |at| read_at - at < MAX_READ_INTERVAL;
+        if !self.read_at.is_some_and(is_continued) {
+            self.read_since = Some(read_at);
+        }
+        self.read_at = Some(read_at);
+    }
+
+    /// Records that the registry came back from an older copy: rows that expired may be listed.
+    pub(super) fn on_restored(&mut self, now: Instant) {
+        self.read_since = Some(now);
+    }
+
     /// Records at `now` that `entry` is listed as of `read_at`. Returns whether it has been
     /// listed for long enough to belong to a live server.
     pub(super) fn on_listed(
@@ -42,13 +66,13 @@
             listed_since: now,
         });
         row.entry.clone_from(entry);
-        row.is_proven(read_at)
+        row.is_proven(read_at, self.read_since)
     }
 
     /// Returns the entries that a confirmation as of `read_at` proves to belong to live servers.
     pub(super) fn proven(&self, read_at: Instant) -> Vec<ServerEntry> {
         let rows = self.by_id.values();
-        let proven = rows.filter(|row| row.is_proven(read_at));
+        let proven = rows.filter(|row| row.is_proven(read_at, self.read_since));
         proven.map(|row| row.entry.clone()).collect()
     }
 
@@ -64,7 +88,8 @@
 }
 
 impl RelistedRow {
-    fn is_proven(&self, read_at: Instant) -> bool {
-        read_at.saturating_duration_since(self.listed_since) >= ROW_LIFETIME
+    fn is_proven(&self, read_at: Instant, read_since: Option<Instant>) -> bool {
+        let since = read_since.map_or(self.listed_since, |at| at.max(self.listed_since));
+        read_at.saturating_duration_since(since) >= ROW_LIFETIME
     }
 }
--- a/crates/place/src/catalog/update.rs
+++ b/crates/place/src/catalog/update.rs
@@ -24,14 +24,16 @@
         }
         if self.departures.supersedes(now, entry) {
             self.on_refused(now, entry, changes);
+        }
+        if self.departures.is_final(now, entry) {
             return;
         }
         let is_known = self.table.by_id(&entry.id).is_some();
-        if !is_known
-            && self.departures.may_be_last(now, entry)
-            && !self.relisted.on_listed(now, started_at, entry)
-        {
-            return;
+        if !is_known && self.departures.of_run(now, entry).is_some() {
+            if !self.relisted.on_listed(now, started_at, entry) {
+                return;
+            }
+            self.departures.on_alive(&entry.id, self.position);
         }
         self.relisted.remove(&entry.id);
         let Some(record) = self.table.by_id_mut(&entry.id) else {
@@ -59,6 +61,9 @@
             return;
         }
         update_record(started_at, record, entry, changes);
+        if self.departures.of_run(now, entry).is_some() {
+            self.departures.on_registered(&entry.id);
+        }
     }
 
     /// Handles a server entry from before the server's departure, listed by the registry or sent
@@ -106,12 +111,12 @@
         changes: &mut Vec<CatalogChange>,
     ) {
         self.relisted.retain_listed(listed);
-        let has_gap = self.has_gap(now);
         let mut gone = Vec::new();
         for record in self.table.iter_mut() {
             if listed.contains(record.entry.id.as_str()) {
                 continue;
             }
+            record.kept_by_peer = false;
             if record.missing_since.is_none() {
                 record.missing_since = Some(now);
                 record.listed_at = self.read_at.max(self.outage.restored_at());
@@ -121,21 +126,42 @@
             }
             let row = vanished_row(record);
             if settled || row.is_some_and(|row| read_at >= self.outage.removal_time(row)) {
-                let was_kept = record.missing_since != Some(now);
-                gone.push((record.entry.id.clone(), has_gap || was_kept));
+                gone.push(record.entry.id.clone());
             }
         }
-        for (id, has_gap) in gone {
-            if has_gap && let Some(record) = self.table.by_id(&id) {
-                let departure = Departure::of(&record.entry).with_gap(true);
-                self.departures.record(now, &departure);
-            }
+        for id in gone {
             self.remove(now, &id, changes);
         }
     }
 
-    /// Applies the departures of a delta. A server that the same delta lists again is the same
-    /// run, so its record is kept.
+    /// Since when the rows `ids`, which another entry keeps as missing, are missing here: since
+    /// now, unless they were before.
+    pub(super) fn missing_times(&self, now: Instant, ids: &[String]) -> Vec<(String, Instant)> {
+        let since = |id: &String| self.table.by_id(id).and_then(|record| record.missing_since);
+        let times = ids.iter();
+        times
+            .map(|id| (id.clone(), since(id).unwrap_or(now)))
+            .collect()
+    }
+
+    /// Marks rows as missing, so that a read of this entry that lacks them doesn't take them for
+    /// rows of servers that left. The entry that keeps them decides when they are gone, unless
+    /// this entry reads the registry.
+    pub(super) fn mark_missing(&mut self, missing: &[(String, Instant)]) {
+        for (id, since) in missing {
+            let Some(record) = self.table.by_id_mut(id) else {
+                continue;
+            };
+            if record.missing_since.is_none() {
+                record.listed_at = self.read_at.max(self.outage.restored_at());
+                record.kept_by_peer = true;
+            }
+            record.missing_since = Some(*since);
+        }
+    }
+
+    /// Applies the departures of a delta. A departure that isn't known to be that of the record's
+    /// run ends it only if the same delta doesn't list the server again.
     pub(super) fn apply_delta_departures(
         &mut self,
         now: Instant,
@@ -149,16 +175,20 @@
         let listed: HashMap<&str, &ServerEntry> =
             listed.map(|entry| (entry.id.as_str(), entry)).collect();
         for departure in &delta.departures {
-            self.departures.record(now, departure);
-            self.relisted.remove(&departure.id);
+            let relisted = listed.get(departure.id.as_str());
+            if self.departures.record(now, departure) || relisted.is_none() {
+                self.relisted.remove(&departure.id);
+            }
             let Some(record) = self.table.by_id(&departure.id) else {
                 continue;
             };
-            let relisted = listed.get(departure.id.as_str());
-            let is_back = relisted.is_some_and(|entry| {
-                entry.is_same_run(&record.entry) && !self.departures.supersedes(now, entry)
-            });
-            if !is_back {
+            let is_obsolete = departure.is_known()
+                && (self.departures.supersedes(now, &record.entry)
+                    || self.departures.of_run(now, &record.entry).is_some());
+            let is_back = relisted.is_some_and(|entry| entry.is_same_run(&record.entry));
+            // Whatever run was known to the sender, its row is gone since.
+            let is_dropped = !departure.is_known() || departure.position > self.position;
+            if is_obsolete || is_dropped && !is_back {
                 self.remove(now, &departure.id, changes);
             }
         }
@@ -187,7 +217,8 @@
         let Some(record) = self.table.by_id(id) else {
             return;
         };
-        self.departures.record(now, &Departure::of(&record.entry));
+        let departure = Departure::of(&record.entry).with_position(self.position);
+        self.departures.record(now, &departure);
         self.table.remove(id);
         changes.push(CatalogChange::Gone(id.to_owned()));
     }
@@ -201,6 +232,7 @@
     changes: &mut Vec<CatalogChange>,
 ) {
     record.missing_since = None;
+    record.kept_by_peer = false;
     if record.overwritten {
         record.overwritten = false;
         changes.push(CatalogChange::Reclaimed(entry.id.clone()));
--- a/crates/place/src/departure.rs
+++ b/crates/place/src/departure.rs
@@ -7,6 +7,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
+use crate::fleet::position::StorePosition;
 use crate::rank::{pair_weight, stable_hash};
 use crate::server::{EntryState, ServerEntry};
 
@@ -32,8 +33,8 @@
         pub seq: u64,
         /// Whether the server had announced that it leaves.
         pub announced: bool,
-        /// Whether a later registration of the run may have been missed.
-        pub has_gap: bool,
+        /// The store's position by which the run was known to have ended.
+        pub position: StorePosition,
     }
 }
 
@@ -46,14 +47,14 @@
             run: run_identity(entry),
             seq: entry.seq,
             announced: entry.state == EntryState::Draining,
-            has_gap: false,
+            position: StorePosition::default(),
         }
     }
 
-    /// Sets whether a later registration of the run may have been missed.
+    /// Sets the store's position by which the run was known to have ended.
     #[must_use]
-    pub fn with_gap(mut self, has_gap: bool) -> Self {
-        self.has_gap = has_gap;
+    pub fn with_position(mut self, position: StorePosition) -> Self {
+        self.position = position;
         self
     }
 
@@ -81,12 +82,24 @@
         entry.started < self.started || (is_late && run_identity(entry) == self.run)
     }
 
+    /// Returns whether `entry` is a registration of the run that ended.
+    pub fn is_of_run(&self, entry: &ServerEntry) -> bool {
+        entry.id == self.id && run_identity(entry) == self.run
+    }
+
+    /// Returns whether this tells all that `other` tells of the same run.
+    pub fn includes(&self, other: &Self) -> bool {
+        let is_same = self.id == other.id && self.run == other.run;
+        let is_newest = self.seq >= other.seq && self.position >= other.position;
+        is_same && is_newest && (self.announced || !other.announced)
+    }
+
     /// Merges what `other` knows of the same run. A later run replaces an earlier one.
     pub fn merge(&mut self, other: &Self) {
         if other.run == self.run {
             self.seq = self.seq.max(other.seq);
             self.announced |= other.announced;
-            self.has_gap |= other.has_gap;
+            self.position = self.position.max(other.position);
         } else if other.is_known() && other.started >= self.started {
             self.clone_from(other);
         }
@@ -109,26 +122,37 @@
     insertion: u64,
     /// Whether a registration has been rejected because of this departure.
     has_rejected: bool,
+    /// The store's position at which the run proved to be alive after all.
+    alive_at: Option<StorePosition>,
 }
 
 impl DepartureTable {
-    /// Records `departure`; the oldest ones are dropped beyond `MAX_DEPARTURES`.
-    pub(crate) fn record(&mut self, now: Instant, departure: &Departure) {
-        if !departure.is_known() {
-            return;
+    /// Records `departure`; the oldest ones are dropped beyond `MAX_DEPARTURES`. Returns whether
+    /// it wasn't known.
+    pub(crate) fn record(&mut self, now: Instant, departure: &Departure) -> bool {
+        let known = self.by_id.get_mut(&departure.id);
+        let is_refuted = |known: &&mut DepartureRecord| known.is_refuted(departure);
+        if !departure.is_known() || known.as_ref().is_some_and(is_refuted) {
+            return false;
         }
         self.insertion += 1;
         let insertion = self.insertion;
-        let known = self.by_id.get_mut(&departure.id);
         if let Some(known) = known {
+            let is_included = known.departure.includes(departure);
             known.departure.merge(departure);
-            (known.recorded_at, known.insertion, known.has_rejected) = (now, insertion, false);
+            if is_included {
+                return false;
+            }
+            (known.recorded_at, known.insertion) = (now, insertion);
+            known.has_rejected = false;
+            known.alive_at = None;
         } else {
             let entry = DepartureRecord {
                 departure: departure.clone(),
                 recorded_at: now,
                 insertion,
                 has_rejected: false,
+                alive_at: None,
             };
             self.by_id.insert(departure.id.clone(), entry);
         }
@@ -136,6 +160,7 @@
         while self.order.len() > MAX_DEPARTURES {
             self.drop_oldest();
         }
+        true
     }
 
     /// Returns whether `entry` is an obsolete registration of a server that left.
@@ -144,20 +169,47 @@
         known.is_some_and(|known| {
             let age = now.saturating_duration_since(known.recorded_at);
             let holds = known.departure.announced || age < UNANNOUNCED_TTL;
-            holds && known.departure.supersedes(entry)
+            holds && known.alive_at.is_none() && known.departure.supersedes(entry)
         })
     }
 
-    /// Returns whether `entry`, which isn't obsolete, may be the last registration of a departed
-    /// run, because the reader of the departure may have missed it.
-    pub(crate) fn may_be_last(&self, now: Instant, entry: &ServerEntry) -> bool {
-        let known = self.by_id.get(&entry.id);
-        known.is_some_and(|known| {
-            let age = now.saturating_duration_since(known.recorded_at);
-            known.departure.has_gap
-                && age < UNANNOUNCED_TTL
-                && run_identity(entry) == known.departure.run
-        })
+    /// Returns whether the run of `entry` can't come back: it announced that it leaves, or a
+    /// later run followed.
+    pub(crate) fn is_final(&self, now: Instant, entry: &ServerEntry) -> bool {
+        let known = self.by_id.get(&entry.id).map(|known| &known.departure);
+        self.supersedes(now, entry)
+            && known.is_some_and(|known| known.announced || !known.is_of_run(entry))
+    }
+
+    /// Returns the departure of the run of `entry`, unless the run has proved to be alive.
+    pub(crate) fn of_run(&self, now: Instant, entry: &ServerEntry) -> Option<&Departure> {
+        let known = self.by_id.get(&entry.id)?;
+        let age = now.saturating_duration_since(known.recorded_at);
+        let holds = known.departure.announced || age < UNANNOUNCED_TTL;
+        let is_alive = known.alive_at.is_some();
+        (holds && !is_alive && known.departure.is_of_run(entry)).then_some(&known.departure)
+    }
+
+    /// Records that the run of the server `id` has registered again since its recorded departure,
+    /// as a server does whose row had lapsed.
+    pub(crate) fn on_registered(&mut self, id: &str) {
+        if let Some(known) = self.by_id.get_mut(id) {
+            known.alive_at = known.alive_at.max(Some(known.departure.position));
+        }
+    }
+
+    /// Records that the run of the server `id` proved to be alive at `position`, although it
+    /// counted as ended.
+    pub(crate) fn on_alive(&mut self, id: &str, position: StorePosition) {
+        if let Some(known) = self.by_id.get_mut(id) {
+            known.alive_at = Some(position);
+        }
+    }
+
+    /// Returns whether the run of `departure` proved to be alive after it.
+    pub(crate) fn is_refuted(&self, departure: &Departure) -> bool {
+        let known = self.by_id.get(&departure.id);
+        known.is_some_and(|known| known.is_refuted(departure))
     }
 
     /// Records that a registration of the server `id` was rejected. Returns whether it is the
@@ -181,6 +233,14 @@
     }
 }
 
+impl DepartureRecord {
+    /// Whether `departure` is older than the proof that its run is alive.
+    fn is_refuted(&self, departure: &Departure) -> bool {
+        let is_older = self.alive_at.is_some_and(|at| departure.position <= at);
+        is_older && !departure.announced && departure.run == self.departure.run
+    }
+}
+
 /// Hash that identifies a run among all runs of all servers. It covers service, address and
 /// failure domain because some registries don't provide the start time: there, a row that
 /// differs in one of these belongs to another run.
--- a/crates/place/src/fleet/leads.rs
+++ b/crates/place/src/fleet/leads.rs
@@ -1,6 +1,6 @@
 //! Leads known from their digests.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -37,7 +37,7 @@
 /// All known leads.
 #[derive(Debug, Default)]
 pub struct LeadTable {
-    leads: HashMap<String, LeadRecord>,
+    leads: BTreeMap<String, LeadRecord>,
 }
 
 impl LeadRecord {
--- a/crates/place/src/fleet/log.rs
+++ b/crates/place/src/fleet/log.rs
@@ -6,17 +6,15 @@
 
 mod departures;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 use crate::departure::Departure;
 use crate::fleet::content_hash::ContentHash;
+use crate::fleet::log::departures::DepartureLog;
 use crate::fleet::position::StorePosition;
 use crate::server::{EntryState, ServerEntry};
 use crate::snapshot::{CatalogSnapshot, DroppedRow};
 
-/// Maximum number of departures in the log: a third of the largest fleet may be replaced while
-/// an entry receives nothing.
-const MAX_DEPARTURES: usize = 1024;
 /// Local log versions between two versions of the store. An entry may detect changes on its own
 /// that the store has no version for, such as a server that didn't come back in time. Without
 /// this gap, such a change took the number of the store's next change, which other entries then
@@ -53,8 +51,8 @@
     pub replaced: Vec<ServerEntry>,
     /// Servers that the read lacks but that may still exist.
     pub missing: Vec<String>,
-    /// Whether registrations may have been written and dropped since the previous read.
-    pub has_gap: bool,
+    /// Departures because of which servers that are listed get no requests.
+    pub departures: Vec<Departure>,
 }
 
 /// Returns the log version of a read as of the store's `position`.
@@ -89,7 +87,7 @@
     content: ContentHash,
     /// Number of rows that were written anew with the same content.
     rewrites: u64,
-    departures: VecDeque<(u64, Departure)>,
+    departures: DepartureLog,
     foreign: Vec<String>,
     missing: Vec<String>,
 }
@@ -122,7 +120,7 @@
         self.update_missing_entries(&scope);
         let mut is_changed = self.foreign != snapshot.foreign || self.missing != scope.missing;
         let was_out = |id: &String| self.foreign.contains(id) || self.missing.contains(id);
-        let mut dropped_departures = self.dropped_departures(&scope);
+        let mut dropped_departures = self.dropped_departures(snapshot, &scope);
         let mut remaining = std::mem::take(&mut self.entries);
         for entry in &snapshot.entries {
             let is_back = was_out(&entry.id) || dropped_departures.contains_key(&entry.id);
@@ -159,14 +157,20 @@
                 self.entries.insert(id, record);
                 continue;
             }
-            let has_gap = scope.has_gap || self.missing.contains(&id);
             let departure = dropped_departures.entry(id).or_default();
-            departure.merge(&Departure::of(&record.entry).with_gap(has_gap));
+            departure.merge(&Departure::of(&record.entry).with_position(snapshot.position));
         }
         for departure in dropped_departures.into_values() {
             is_changed = true;
             self.record_departure(new_version, departure);
         }
+        for departure in scope.departures {
+            let known = self.departures.get(&departure.id);
+            if !known.is_some_and(|known| known.includes(&departure)) {
+                is_changed = true;
+                self.record_departure(new_version, departure);
+            }
+        }
         self.foreign.clone_from(&snapshot.foreign);
         self.missing = scope.missing;
         if is_changed || is_first {
@@ -194,7 +198,7 @@
         };
         let departures = self.departures.iter().filter(|(at, departure)| {
             if whole {
-                self.has_ended(departure)
+                self.has_ended(departure) || self.is_listed_run(departure)
             } else {
                 is_newer(*at) || is_obsolete_entry(departure)
             }
@@ -220,32 +224,58 @@
     /// registration get a new version, so that followers receive the departure too.
     pub fn apply_departures(&mut self, departures: &[Departure]) {
         for departure in departures {
-            let mut known = self.departures.iter().map(|(_, known)| known);
-            if known.any(|known| known == departure) {
+            if self.departures.get(&departure.id) == Some(departure) {
                 continue;
             }
             let listed = self.entries.get_mut(&departure.id);
             if let Some(record) = listed.filter(|record| departure.supersedes(&record.entry)) {
                 self.version += 1;
                 record.changed = self.version;
+                self.drop_missing(&departure.id);
             }
             self.record_departure(self.version, departure.clone());
         }
+        self.update_content_hash();
+    }
+
+    /// Forgets the row of a departed server if it is missing anyway.
+    fn drop_missing(&mut self, id: &str) {
+        if let Some(index) = self.missing.iter().position(|known| known == id) {
+            self.missing.remove(index);
+            self.entries.remove(id);
+        }
     }
 
     /// Applies changes received from another entry.
     pub fn apply_delta(&mut self, delta: &RegistryDelta) {
+        self.apply_delta_with_missing(delta, &[]);
+    }
+
+    /// Applies changes received from another entry. The rows `missing` are kept although they
+    /// are missing, in addition to those that the sender keeps: otherwise they would count as
+    /// listed, and a read of this entry that starts from the listed rows would list them, too.
+    pub fn apply_delta_with_missing(&mut self, delta: &RegistryDelta, missing: &[String]) {
         let mut before = BTreeMap::new();
         if delta.whole {
             before = std::mem::take(&mut self.entries);
             self.history_start = delta.version;
+            let (kept, omitted) = before.into_iter().partition(|(id, _)| missing.contains(id));
+            (self.entries, before) = (kept, omitted);
             if delta.version >= self.version {
                 self.record_omitted(delta, &before);
             }
         }
         // Rows of other writers hide the entries they replaced, so the hash can't be updated
         // incrementally.
-        let is_incremental = !delta.whole && self.foreign.is_empty() && delta.foreign.is_empty();
+        // Neither can it if departures decide which rows count.
+        let is_incremental = !delta.whole
+            && delta.departures.is_empty()
+            && self.foreign.is_empty()
+            && delta.foreign.is_empty()
+            && delta
+                .entries
+                .iter()
+                .all(|entry| self.departures.get(&entry.id).is_none());
         for departure in &delta.departures {
             let mut departure = departure.clone();
             if let Some(record) = self.entries.remove(&departure.id) {
@@ -255,7 +285,8 @@
                 let is_listed =
                     listed.any(|entry| entry.id == departure.id && entry.seq >= record.entry.seq);
                 if !is_listed {
-                    departure.merge(&Departure::of(&record.entry));
+                    let ended_at = Departure::of(&record.entry).with_position(departure.position);
+                    departure.merge(&ended_at);
                 }
             }
             self.record_departure(delta.version, departure);
@@ -269,7 +300,16 @@
             }
         }
         self.foreign.clone_from(&delta.foreign);
-        self.missing.clone_from(&delta.missing);
+        let own = missing.iter().filter(|id| self.entries.contains_key(*id));
+        self.missing = delta.missing.iter().chain(own).cloned().collect();
+        self.missing.sort_unstable();
+        self.missing.dedup();
+        for id in self.missing.clone() {
+            let record = self.entries.get(&id);
+            if record.is_some_and(|record| self.is_obsolete(&record.entry)) {
+                self.drop_missing(&id);
+            }
+        }
         self.version = delta.version;
         if !is_incremental {
             self.update_content_hash();
@@ -278,7 +318,8 @@
 
     /// Hash of all servers and of the rows that weren't written by their server. A row that may
     /// have expired counts until it is given up, because entries notice its absence at
-    /// different times.
+    /// different times. An obsolete registration of a server that left doesn't count: entries
+    /// that know of the departure differ from those that take the row for a live server's.
     pub fn content(&self) -> ContentHash {
         self.content
     }
@@ -293,7 +334,7 @@
         let none = ContentHash::default();
         let own = self.entries.values().filter(|record| {
             // Only some entries know what stood in a row before another writer replaced it.
-            !self.foreign.contains(&record.entry.id)
+            !self.foreign.contains(&record.entry.id) && !self.is_obsolete(&record.entry)
         });
         let own = own.fold(none, |sum, record| sum.with(record.hash));
         let foreign = self.foreign.iter().map(|id| ContentHash::of_foreign(id));
--- a/crates/place/src/fleet/member/fetch.rs
+++ b/crates/place/src/fleet/member/fetch.rs
@@ -23,9 +23,9 @@
 const REFETCH_BACKOFF: Duration = Duration::from_millis(500);
 
 impl FleetMember {
-    /// Compares the local registry content with that of the leads. A lead trusts no other
-    /// entry and reads the store again; a follower accepts the content of its leads if
-    /// all of them disagree with it.
+    /// Compares the local registry content with that of the leads. A lead asks the other for
+    /// departed servers and reads the store again; a follower accepts the content of its leads
+    /// if all of them disagree with it.
     pub(super) fn check_conflict(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
         let mut contradicting = self.leads.contradicting(now, &self.store_progress);
         let first = if self.lead_since.is_some() {
@@ -42,6 +42,9 @@
                 .filter(|_| region_leads.len() == all)
         };
         let lead = first.map(|lead| lead.candidate.node.clone());
+        if let Some(lead) = first.filter(|_| self.lead_since.is_some()) {
+            self.pulls.on_conflict(now, lead.view_address());
+        }
         if self.conflict.on_check(now, lead.is_some())
             && let Some(lead) = lead
         {
--- a/crates/place/src/fleet/member/mod.rs
+++ b/crates/place/src/fleet/member/mod.rs
@@ -24,6 +24,7 @@
 use crate::fleet::leads::LeadTable;
 use crate::fleet::list::EntryList;
 use crate::fleet::message::PeerMessage;
+use crate::fleet::position::StorePosition;
 use crate::fleet::pull::{PullState, PullTarget};
 use crate::fleet::read_intervals::ReadIntervals;
 use crate::fleet::reading::{ReadOutcome, ReadScheduler, RegistryRead};
@@ -94,6 +95,8 @@
     Suspended(Duration),
     /// Result of a registry read requested by [`FleetAction::ReadRegistry`].
     RegistryRead(ReadOutcome),
+    /// A read of the registry showed all rows instead of the changes since the last one.
+    HistoryMissed,
     /// Time at which servers missing from the registry become final removals, if there
     /// are any.
     NextRemovalAt(Option<Instant>),
@@ -132,8 +135,9 @@
     WriteQuarantineRows(Vec<(RequestFingerprint, Duration)>),
     /// Delete requests that are no longer quarantined from the store.
     DeleteQuarantineRows(Vec<RequestFingerprint>),
-    /// The local copy of the registry was confirmed to be current as of this time.
-    ConfirmRegistry(Instant),
+    /// The local copy of the registry was confirmed to be current as of this time, at this
+    /// position of the store.
+    ConfirmRegistry(Instant, StorePosition),
     /// The store answered another entry's read of the registry that began at this time.
     RegistryAnswered(Instant),
     /// The set of entries that receive requests changed.
@@ -267,11 +271,12 @@
             FleetEvent::RegistryRead(outcome) => {
                 let is_answered = outcome != ReadOutcome::Failed;
                 if is_answered && !self.store_reachable {
-                    self.pulls.on_store_regained();
+                    self.pulls.on_departures_missed();
                 }
                 self.store_reachable = is_answered;
                 self.read_scheduler.on_read_finished(now, outcome);
             }
+            FleetEvent::HistoryMissed => self.pulls.on_departures_missed(),
             FleetEvent::NextRemovalAt(at) => self.read_scheduler.set_next_removal(at),
             FleetEvent::WatchFinished(done) => self.store_reachable = done,
             FleetEvent::Lists(lists) => {
--- a/crates/place/src/fleet/member/receive.rs
+++ b/crates/place/src/fleet/member/receive.rs
@@ -127,7 +127,8 @@
         if self.store_progress.confirm(&received)
             && let Some(at) = self.store_progress.registry_at
         {
-            actions.push(FleetAction::ConfirmRegistry(at));
+            let position = self.store_progress.registry_read;
+            actions.push(FleetAction::ConfirmRegistry(at, position));
         }
         let is_own_region = digest.region == self.config.region;
         if self.lead_since.is_none()
--- a/crates/place/src/fleet/pull.rs
+++ b/crates/place/src/fleet/pull.rs
@@ -29,8 +29,10 @@
 /// considered wrong. Reads by different entries are a second apart.
 const MAX_TIME_AHEAD: Duration = Duration::from_millis(3000);
 
+/// Minimum interval between two pulls of departed servers from leads that know other servers.
+const CONFLICT_PULL_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of leads an entry asks for departed servers after its start, and after each time in
-/// which it couldn't read the store. It asks those that have run longest; one of them may be wrong or as new as the entry itself.
+/// which it may have missed some. It asks those that have run longest; one of them may be wrong or as new as the entry itself.
 const MAX_DEPARTURE_PULLS: usize = 3;
 
 /// The data requested from a lead.
@@ -87,6 +89,9 @@
     ahead_since: Option<Instant>,
     /// Leads that were asked for departed servers.
     departures_asked: Vec<SocketAddr>,
+    /// A lead that knows other servers, to be asked for departed ones.
+    conflicting_lead: Option<SocketAddr>,
+    conflict_pull_at: Option<Instant>,
 }
 
 impl PullState {
@@ -96,12 +101,22 @@
         self.failed_lead = (!done).then_some((view_address, now));
     }
 
-    /// Handles that the store answers this entry again: a server may have left meanwhile and be
+    /// Handles that this entry may have missed departures: the store answers it again, or showed
+    /// all rows instead of the changes since its last read. A server that left meanwhile may be
     /// listed again by an earlier heartbeat, which only those know that read its departure.
-    pub fn on_store_regained(&mut self) {
+    pub fn on_departures_missed(&mut self) {
         self.departures_asked.clear();
     }
 
+    /// Handles that the lead at `view_address` has read as much of the store but knows other
+    /// servers: one of the two may take the obsolete row of a departed server for a live one's.
+    pub fn on_conflict(&mut self, now: Instant, view_address: SocketAddr) {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < CONFLICT_PULL_INTERVAL;
+        if !self.conflict_pull_at.is_some_and(is_recent) {
+            self.conflicting_lead = Some(view_address);
+        }
+    }
+
     /// Whether leads hold newer data but none has delivered it for too long.
     pub fn is_stuck(&self, now: Instant) -> bool {
         let since = self.behind_since;
@@ -186,10 +201,14 @@
     ) -> Option<PullTarget> {
         let is_early = |at: Instant| now.saturating_duration_since(at) < MIN_PULL_INTERVAL;
         let is_asking = self.active_pull.is_some() || self.last_pull_at.is_some_and(is_early);
-        if self.departures_asked.len() >= MAX_DEPARTURE_PULLS
-            || is_asking
-            || known.registry_at.is_none()
-        {
+        if is_asking || known.registry_at.is_none() {
+            return None;
+        }
+        if let Some(view_address) = self.conflicting_lead.take() {
+            self.conflict_pull_at = Some(now);
+            return Some(self.departure_pull(now, view_address));
+        }
+        if self.departures_asked.len() >= MAX_DEPARTURE_PULLS {
             return None;
         }
         let heard_leads = leads.live_leads(now).filter(|lead| {
@@ -200,12 +219,16 @@
             .min_by_key(|lead| lead.incarnation())?
             .view_address();
         self.departures_asked.push(view_address);
+        Some(self.departure_pull(now, view_address))
+    }
+
+    fn departure_pull(&mut self, now: Instant, view_address: SocketAddr) -> PullTarget {
         self.active_pull = Some(view_address);
         self.last_pull_at = Some(now);
-        Some(PullTarget {
+        PullTarget {
             view_address,
             scope: PullScope::Departures,
-        })
+        }
     }
 
     /// Whether the local state has been ahead of the store at all leads for too long.
--- a/crates/place/src/fleet/registry.rs
+++ b/crates/place/src/fleet/registry.rs
@@ -7,6 +7,7 @@
 use crate::catalog::{CatalogChange, CatalogSnapshot, ServerCatalog};
 use crate::departure::Departure;
 use crate::fleet::log::{ReadScope, RegistryDelta, RegistryLog};
+use crate::fleet::position::StorePosition;
 use crate::fleet::store_progress::StoreProgress;
 
 /// What an entry knows of the registry.
@@ -43,13 +44,14 @@
         }
         let is_first = self.catalog.read_at().is_none();
         self.catalog.note_era(now, snapshot.position);
-        scope.has_gap = self.catalog.has_gap(now);
         self.catalog
             .note_replaced_rows(now, &scope.replaced, &snapshot.entries);
         self.catalog.note_dropped_rows(now, &scope.dropped);
         let changes = self.catalog.apply_snapshot(now, snapshot);
         scope.missing = self.catalog.missing().map(str::to_owned).collect();
+        scope.departures = self.catalog.departures_of(now, &snapshot.entries);
         self.log.apply_snapshot(snapshot, scope);
+        self.remove_refuted();
         Some(RegistryUpdate { changes, is_first })
     }
 
@@ -61,8 +63,10 @@
         delta: &RegistryDelta,
     ) -> RegistryUpdate {
         let is_first = self.catalog.read_at().is_none();
-        self.log.apply_delta(delta);
         let changes = self.catalog.apply_delta(now, started_at, delta);
+        let missing: Vec<String> = self.catalog.missing().map(str::to_owned).collect();
+        self.log.apply_delta_with_missing(delta, &missing);
+        self.remove_refuted();
         RegistryUpdate { changes, is_first }
     }
 
@@ -73,17 +77,43 @@
         departures: &[Departure],
     ) -> Vec<CatalogChange> {
         self.log.apply_departures(departures);
-        self.catalog.apply_departures(now, departures)
+        let changes = self.catalog.apply_departures(now, departures);
+        self.remove_refuted();
+        changes
     }
 
-    /// Notes that another entry confirmed the copy as of `read_at`.
-    pub fn confirm(&mut self, now: Instant, read_at: Instant) -> Vec<CatalogChange> {
-        self.catalog.confirm(read_at);
+    /// Notes that another entry confirmed the copy as of `read_at`, when the store was at
+    /// `position`.
+    pub fn confirm(
+        &mut self,
+        now: Instant,
+        read_at: Instant,
+        position: StorePosition,
+    ) -> Vec<CatalogChange> {
+        self.catalog.confirm_at(now, read_at, position);
         self.catalog.admit_relisted(now, read_at)
     }
+
+    /// Lets the log forget the departures of servers that the catalog takes in again.
+    fn remove_refuted(&mut self) {
+        let catalog = &self.catalog;
+        self.log
+            .remove_refuted(|departure| catalog.is_refuted(departure));
+    }
 }
 
 impl StoreProgress {
+    /// Whether changes up to the log version `version`, sent by an entry with the progress
+    /// `sender`, are newer than what is known. A copy of everything (`is_whole`) replaces it even if
+    /// its version is lower, since the known one may never have been the store's, but not if it was
+    /// read before.
+    pub fn accepts(&self, sender: &Self, version: u64, is_whole: bool) -> bool {
+        if !is_whole {
+            return version > self.registry;
+        }
+        sender.registry_at >= self.registry_at || sender.registry_read >= self.registry_read
+    }
+
     /// Records that `snapshot` was applied to the copy with the log `log`.
     pub fn on_snapshot(&mut self, snapshot: &CatalogSnapshot, log: &RegistryLog) {
         self.registry = log.version();
@@ -93,6 +123,12 @@
         self.registry_at = self.registry_at.max(Some(snapshot.started_at));
     }
 
+    /// Records that departures were applied to the copy with the log `log`.
+    pub fn on_departures(&mut self, log: &RegistryLog) {
+        self.registry = log.version();
+        self.content = log.content();
+    }
+
     /// Records that changes of an entry with the progress `sender` were applied to the copy with
     /// the log `log`.
     pub fn on_delta(&mut self, sender: &Self, log: &RegistryLog) {
--- a/crates/place/src/fleet/roster.rs
+++ b/crates/place/src/fleet/roster.rs
@@ -1,6 +1,6 @@
 //! Entries known from their heartbeats.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -24,7 +24,7 @@
 /// All entries that have sent heartbeats.
 #[derive(Debug, Default)]
 pub struct EntryRoster {
-    entries: HashMap<String, EntryRecord>,
+    entries: BTreeMap<String, EntryRecord>,
 }
 
 /// Effect of a heartbeat on the roster.
--- a/crates/place/src/server.rs
+++ b/crates/place/src/server.rs
@@ -123,6 +123,8 @@
     pub missing_since: Option<Instant>,
     /// Time of the last read in which it was listed before it went missing.
     pub listed_at: Option<Instant>,
+    /// Whether only another entry found it missing, which decides when the server is gone.
+    pub kept_by_peer: bool,
     /// Whether another writer replaced the server's row in the registry. The server gets no
     /// requests until it writes its own row again.
     pub overwritten: bool,
@@ -153,6 +155,7 @@
             presumed_cold_until: None,
             missing_since: None,
             listed_at: None,
+            kept_by_peer: false,
             overwritten: false,
             round_trip: 0.0,
             in_flight: 0,
--- a/crates/place/tests/fleet_world/mod.rs
+++ b/crates/place/tests/fleet_world/mod.rs
@@ -2,6 +2,9 @@
 //! with latency and partitions, and a store reduced to version numbers.
 #![allow(dead_code, unreachable_pub, missing_docs)]
 
+pub mod histories;
+pub mod rows;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::SocketAddr;
@@ -18,6 +21,7 @@
 use place::fleet::pull::{PullScope, PullTarget};
 use place::fleet::reading::{ReadOutcome, RegistryRead};
 use place::prelude::*;
+use rows::{RowsAnswer, SimRegistry, StoreRows, WaitingRead};
 
 /// One-way latency within a region and between regions.
 const LOCAL_LATENCY: Duration = Duration::from_millis(1);
@@ -51,6 +55,15 @@
         started_at: Instant,
         call: RegistryRead,
     },
+    /// The wait of a read of the store's rows is over.
+    WaitOver {
+        number: u64,
+    },
+    /// A read of the store's rows ended; without an answer if it failed.
+    RowsRead {
+        read: WaitingRead,
+        answer: Option<RowsAnswer>,
+    },
     PullAnswered {
         from: usize,
         scope: PullScope,
@@ -106,6 +119,10 @@
     pub store_rejects: bool,
     /// Whether its store calls time out.
     pub store_times_out: bool,
+    /// Delay of the store's answers to it.
+    pub store_delay: Duration,
+    /// Its copy of the store's rows.
+    pub registry: SimRegistry,
     /// Whether its pulls from leads fail although datagrams arrive.
     pub pulls_fail: bool,
     /// Entries of different groups cannot reach each other.
@@ -149,6 +166,8 @@
     pub proof_within: Option<Duration>,
     /// Times at which the operator's rows changed, with the versions.
     pub changes: Vec<(Instant, u64)>,
+    /// Rows of servers; without them the registry is reduced to version numbers.
+    pub rows: Option<StoreRows>,
     sent: u64,
     row: Vec<(String, SocketAddr)>,
     /// Quarantined requests in the store: when the quarantine began, and whether it was
@@ -201,6 +220,7 @@
             delays: None,
             proof_within: None,
             changes: Vec::new(),
+            rows: None,
             sent: 0,
             row: Vec::new(),
             quarantine_rows: BTreeMap::new(),
@@ -217,6 +237,8 @@
                 run: 1,
                 store_rejects: false,
                 store_times_out: false,
+                store_delay: Duration::ZERO,
+                registry: SimRegistry::new(),
                 pulls_fail: false,
                 group: 0,
                 datagrams: 0,
@@ -310,6 +332,10 @@
                     operator: self.operator,
                     time: self.store_time(),
                 },
+                Delivery::Datagram(PeerMessage::Digest(mut digest)) => {
+                    digest.store = digest.store.delayed_by(until - self.now);
+                    Delivery::Datagram(PeerMessage::Digest(digest))
+                }
                 other => other,
             };
             self.push(until, to, waits);
@@ -330,6 +356,8 @@
                 self.deliver_event(to, FleetEvent::Tick);
             }
             Delivery::ReadFinished { started_at, call } => self.end_read(to, started_at, call),
+            Delivery::WaitOver { number } => self.end_wait(to, number),
+            Delivery::RowsRead { read, answer } => self.end_rows_read(to, &read, answer.as_ref()),
             Delivery::PullAnswered {
                 from,
                 scope,
@@ -415,6 +443,10 @@
                 };
                 self.push(self.now + delay, entry, ends);
             }
+            FleetAction::ReadRegistry(call) if self.rows.is_some() => {
+                self.calls += 1;
+                self.begin_rows_read(entry, call);
+            }
             FleetAction::ReadRegistry(call) => {
                 self.calls += 1;
                 let wait = call.wait;
@@ -469,9 +501,13 @@
                 }
             }
             FleetAction::Log(note) => self.entries[entry].notes.push(note),
-            FleetAction::ConfirmRegistry(_)
-            | FleetAction::RegistryAnswered(_)
-            | FleetAction::ListsChanged => {}
+            FleetAction::ConfirmRegistry(at, position) => {
+                self.confirm_rows(entry, at, position);
+            }
+            FleetAction::RegistryAnswered(at) => {
+                self.entries[entry].registry.catalog.on_peer_read(at);
+            }
+            FleetAction::ListsChanged => {}
         }
     }
 
@@ -560,7 +596,9 @@
         self.deliver_event(entry, FleetEvent::StoreTime(started_at, latest));
         let mut known = *self.entries[entry].member.store_progress();
         let whole = scope.is_whole();
-        if whole || known.is_behind_registry(&peer_progress) {
+        if self.rows.is_some() {
+            self.pull_rows(entry, from, scope, &mut known);
+        } else if whole || known.is_behind_registry(&peer_progress) {
             let peer_servers = self.entries[from].servers.clone();
             let servers = &mut self.entries[entry].servers;
             if whole {
@@ -602,8 +640,12 @@
 
     fn end_watch(&mut self, entry: usize, answer: Option<(u64, StoreTime)>) {
         self.entries[entry].watching = false;
-        if let Some((operator, time)) = answer {
-            self.learn_operator(entry, operator, time);
+        match answer {
+            Some((operator, time)) => self.learn_operator(entry, operator, time),
+            None => {
+                let now = self.local_time(entry, self.now);
+                self.entries[entry].registry.catalog.on_read_failed(now);
+            }
         }
         self.deliver_event(entry, FleetEvent::WatchFinished(answer.is_some()));
         if self.entries[entry].watches && !self.entries[entry].watching {
@@ -733,6 +775,7 @@
         known.own = LocalEntryState::default();
         known.notes.clear();
         known.servers.clear();
+        known.registry = SimRegistry::new();
         known.clock = None;
         known.watches = false;
         known.watching = false;
--- a/crates/place/tests/registrations.rs
+++ b/crates/place/tests/registrations.rs
@@ -8,6 +8,7 @@
 use common::{changes, domains, ms, position, reading, server};
 use place::catalog::DroppedRow;
 use place::fleet::log::{ReadScope, RegistryLog};
+use place::fleet::registry::RegistryCopy;
 use place::fleet::store_progress::StoreProgress;
 use place::prelude::*;
 
@@ -131,13 +132,10 @@
             let snapshot = reading(at, rows);
             let scope = ReadScope {
                 dropped: dropped.to_vec(),
-                has_gap: lead.has_gap(at),
                 ..changes()
             };
             let before = log.version();
-            lead.note_dropped_rows(at, dropped);
-            lead.apply_snapshot(at, &snapshot);
-            log.apply_snapshot(&snapshot, scope);
+            RegistryCopy::new(lead, &mut log).apply_snapshot(at, &snapshot, scope);
             if log.version() > before {
                 follower.apply_delta(at, at, &log.since(before));
             } else {
