Quotas: entries that start together count each other's first requests

Cause: the first count of a peer whose run began earlier is taken as a baseline, which keeps old totals out. Among entries that start at the same time each ignores the first count of all that began a moment before it, so that the last one knows of hardly any request. Change: runs that began up to a second before count in full. Where an entry and most of its peers have just started, and one request at each is more than the quota tolerates, each keeps to its part of the tolerance and the room since, with a jitter by run and team. Open: a herd at more entries than the quota tolerates, long after a start or before the entries have met (a_small_quota_holds_over_many_entries, listed).

--- a/crates/tally/src/lib.rs
+++ b/crates/tally/src/lib.rs
@@ -15,6 +15,9 @@
 /// that started before the run. An older run may have been tracked earlier and dropped since,
 /// so its first count of each key is only a baseline.
 const NEW_RUN_AGE: Duration = Duration::from_secs(10);
+/// Runs that began up to this long before an entry's own count in full: entries that start at the
+/// same time would otherwise ignore the first counts of those that were a moment earlier.
+const CONCURRENT_START: Duration = Duration::from_secs(1);
 
 /// The totals of one entry since its start, as sent to its peers.
 #[derive(Debug, Clone, PartialEq)]
@@ -129,7 +132,7 @@
             let tracked = PeerCounter {
                 run: report.run,
                 last_report_at: now,
-                needs_baseline: report.age > self.age(now).min(NEW_RUN_AGE),
+                needs_baseline: report.age > self.age(now).min(NEW_RUN_AGE) + CONCURRENT_START,
                 counts: HashMap::new(),
             };
             self.peers.insert(peer, tracked);
--- a/crates/tally/tests/tally.rs
+++ b/crates/tally/tests/tally.rs
@@ -50,6 +50,21 @@
     );
 }
 
+/// Entries that start at the same time must count what the others report first, also those that
+/// started a moment earlier.
+#[test]
+fn runs_that_began_at_the_same_time_count_in_full() {
+    let start = Instant::now();
+    let mut tally = PeerTally::new(REPORT_TTL).with_start(start);
+    let now = start + Duration::from_millis(400);
+    for (peer, age) in [(1, 380), (2, 403), (3, 900)] {
+        assert!(tally.on_report(now, peer, &report(7, age, &[])).is_empty());
+        let first = report(7, age + 100, &[(0, 1)]);
+        let later = now + Duration::from_millis(100);
+        assert_eq!(tally.on_report(later, peer, &first), [(0, 1)], "{age} ms");
+    }
+}
+
 /// A peer that was dropped and reports again must not be counted twice.
 #[test]
 fn a_returning_peer_is_not_counted_twice() {
--- a/crates/team/src/bucket.rs
+++ b/crates/team/src/bucket.rs
@@ -112,6 +112,11 @@
         (self.entries - self.silent.min(self.entries - 1)) as f64 / self.entries as f64
     }
 
+    /// Number of entries, including this one.
+    pub fn entry_count(&self) -> usize {
+        self.entries
+    }
+
     fn entry_fraction(&self) -> f64 {
         1.0 / self.entries as f64
     }
@@ -140,6 +145,22 @@
         }
     }
 
+    /// Returns what an entry may admit in the first `age` of its run if all entries have started at
+    /// the same time: its part of what is tolerated and of the room since. `None` if one request at
+    /// each entry is tolerated.
+    pub fn young_part(
+        &self,
+        bounds: &QuotaBounds,
+        share: FleetShare,
+        age: Duration,
+    ) -> Option<f64> {
+        if share.entries as f64 <= bounds.tolerance(self.quota) {
+            return None;
+        }
+        let room = bounds.unknown_tolerance(self.quota) + self.quota.rate * age.as_secs_f64();
+        Some(room * share.entry_fraction())
+    }
+
     /// Updates the team's quota.
     pub fn set_quota(
         &mut self,
--- a/crates/team/src/quota.rs
+++ b/crates/team/src/quota.rs
@@ -27,6 +27,10 @@
 const RESERVATION_TIME: Duration = Duration::from_secs(60);
 /// Fleet size assumed by an entry that has not met any of its peers.
 const ASSUMED_FLEET_SIZE: usize = 8;
+/// Age up to which an entry keeps to its own part of a quota that is small for the number of
+/// entries, if most of its peers are no older: all of them may have been restarted while the quota
+/// was used up, and each would let a request pass before it receives the reports of the others.
+const YOUNG_AGE: Duration = Duration::from_millis(1500);
 /// Time for which a changed count is included in reports, so that it survives the loss of some.
 const REPORT_CHANGE_FOR: Duration = Duration::from_millis(1000);
 
@@ -64,6 +68,8 @@
     changed: HashMap<TeamId, Instant>,
     /// The other entries in service, with the time since which they are listed.
     listed: HashMap<u64, Instant>,
+    /// Other entries that have run for longer than [`YOUNG_AGE`].
+    mature: HashSet<u64>,
     has_others: bool,
     silent_after: Duration,
     /// Other entries that admit nothing until their next report.
@@ -86,6 +92,7 @@
             tally: PeerTally::new(SILENT_AFTER).with_start(now),
             changed: HashMap::new(),
             listed: HashMap::new(),
+            mature: HashSet::new(),
             has_others,
             silent_after: SILENT_AFTER,
             stopped: HashSet::new(),
@@ -151,9 +158,17 @@
         let id = team_id(name);
         let share = self.share(now);
         let unreported = self.tally.estimate_unreported(now, id);
+        let young_age = self.young_age(now);
+        let (own_total, jitter) = (self.tally.own_total(id), unit_hash(self.run, id));
         let Some(bucket) = self.buckets.get_mut(&id) else {
             return Ok(());
         };
+        if let Some(age) = young_age
+            && let Some(part) = bucket.young_part(&self.bounds, share, age)
+            && f64::from(own_total) + 1.0 > part + jitter
+        {
+            return Err(YOUNG_AGE.saturating_sub(age));
+        }
         bucket.try_take(now, &self.bounds, share, unreported)?;
         self.tally.add(now, id);
         self.changed.insert(id, now);
@@ -216,6 +231,11 @@
             .or_else(|| self.listed.get(&peer).copied());
         let silent_for = last_report_at.map(|at| now.saturating_duration_since(at));
         let silent_for = silent_for.filter(|span| *span >= self.silent_after);
+        if Duration::from_millis(report.age) >= YOUNG_AGE {
+            self.mature.insert(peer);
+        } else {
+            self.mature.remove(&peer);
+        }
         let (share, stops) = (self.share, report.stops);
         let report = report.to_count_report(teams);
         for (id, added) in self.tally.on_report(now, peer, &report) {
@@ -239,6 +259,14 @@
         }
     }
 
+    /// Returns how long this entry has run, if it and most of its peers have just started.
+    fn young_age(&self, now: Instant) -> Option<Duration> {
+        let age = self.tally.age(now);
+        let is_young =
+            self.has_others && age < YOUNG_AGE && self.mature.len() * 2 < self.share.entry_count();
+        is_young.then_some(age)
+    }
+
     /// Charges the estimated admissions of entries that have just fallen silent.
     fn charge_silent(&mut self, now: Instant, silent: &HashSet<u64>) {
         for peer in silent.difference(&self.silent) {
@@ -310,6 +338,13 @@
     }
 }
 
+/// Number from 0 to 1 that differs between runs of entries and between teams.
+fn unit_hash(run: u64, id: TeamId) -> f64 {
+    let mixed = (run ^ id.rotate_left(32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let mixed = (mixed ^ (mixed >> 31)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    (mixed >> 11) as f64 / (1_u64 << 53) as f64
+}
+
 /// FNV-1a hash of the team's name, equal at all entries.
 fn team_id(name: &str) -> TeamId {
     let mut hash = 0xcbf2_9ce4_8422_2325_u64;
--- a/crates/team/tests/quota.rs
+++ b/crates/team/tests/quota.rs
@@ -198,3 +198,112 @@
     assert_eq!(limiter.report(now).counts.len(), 40);
     assert_eq!(limiter.report(now + ms(1500)).counts.len(), 0);
 }
+
+/// Number of requests that `entries` entries admit in the first `span` after all of them start,
+/// while a team asks `rate` times a second at each. They learn of each other one after the other.
+fn admitted_after_start(entries: u64, rate: f64, quota: (f64, f64), span: u64) -> u32 {
+    const REPORT_DELAY: u64 = 60;
+    let start = Instant::now();
+    let report_interval = ms(REPORT_DELAY);
+    let mut limiters: Vec<QuotaLimiter> = (0..entries)
+        .map(|entry| {
+            let started = start + ms(entry * 3);
+            QuotaLimiter::new(started, BOUNDS, 77 + entry * 1_000_003, true)
+        })
+        .collect();
+    let mut count = 0;
+    let mut reports: Vec<(u64, u64, QuotaReport)> = Vec::new();
+    for at in (0..span).step_by(20) {
+        let now = start + ms(at);
+        for (entry, limiter) in (0..entries).zip(&mut limiters) {
+            if at == 200 {
+                limiter.set_teams(now, &[team("red", quota.0, quota.1)]);
+            }
+            // The own region first, the others later.
+            let known = match at {
+                300 => 3,
+                400 => entries / 3,
+                600 => entries,
+                _ => 0,
+            };
+            if known > 0 {
+                let others: Vec<u64> = (0..known).filter(|other| *other != entry).collect();
+                limiter.set_entries(now, &others, report_interval);
+            }
+            for (_, from, report) in reports.iter().filter(|(due, ..)| *due == at) {
+                if *from != entry && at >= 300 {
+                    limiter.on_report(now, *from, report);
+                }
+            }
+            // All entries at the same moments, which is the worst case.
+            let asked = |at: u64| (at as f64 * rate / 1000.0) as u64;
+            let tries = asked(at).saturating_sub(asked(at.saturating_sub(20)));
+            if at >= 200 {
+                count += admitted(limiter, now, tries as u32);
+            }
+        }
+        reports.retain(|(due, ..)| *due > at);
+        if at.is_multiple_of(REPORT_DELAY) {
+            let sent = (0..entries).zip(&mut limiters);
+            reports.extend(sent.map(|(entry, limiter)| {
+                let now = start + ms(at);
+                (at + REPORT_DELAY, entry, limiter.report(now))
+            }));
+        }
+    }
+    count
+}
+
+/// Checks that what `entries` entries admit in the first `span` after they start, of a team that
+/// asks `asked` times a second at each, fits into the quota of 4 a second with a burst of 8.
+fn check_start(entries: u64, asked: f64, span: u64) {
+    let (rate, burst) = (4.0, 8.0);
+    let allowed = (rate * 5.0 + burst) * 1.1 + BOUNDS.slack;
+    let admitted = admitted_after_start(entries, asked, (rate, burst), span);
+    // What was admitted before and still lies in the window: the burst, and the rate for the rest of
+    // the window.
+    let before = burst + rate * (5.0 - span as f64 / 1000.0);
+    let sum = f64::from(admitted) + before;
+    assert!(
+        sum <= allowed,
+        "{entries}, {asked}, {span} ms: {admitted} and {before}"
+    );
+}
+
+/// All entries may be killed at once while a team has just used up its quota and burst. What they
+/// admit when they start anew must fit into what is tolerated, however many they are and although
+/// none knows of the others yet.
+#[test]
+fn a_quota_holds_when_all_entries_start_at_once() {
+    for entries in [2, 8, 24, 60, 100, 400] {
+        for asked in [0.8, 1.5] {
+            check_start(entries, asked, 1500);
+        }
+    }
+    for entries in [2, 8, 24] {
+        check_start(entries, 3.0, 1500);
+    }
+    for entries in [2, 8, 24] {
+        check_start(entries, 36.0 / entries as f64, 4000);
+    }
+}
+
+/// A team that asks at each of many entries at the same moment must not get more than its quota:
+/// neither before the entries have met, nor when all of them have run for long.
+#[test]
+fn a_small_quota_holds_over_many_entries() {
+    for entries in [60, 100, 400] {
+        check_start(entries, 3.0, 1500);
+        check_start(entries, 0.6, 4000);
+    }
+}
+
+/// A team that asks for less than its quota must be admitted soon after all entries start.
+#[test]
+fn a_calm_team_is_admitted_soon_after_all_entries_start() {
+    for entries in [2, 8, 24] {
+        let asked = 60.0 / entries as f64;
+        let admitted = admitted_after_start(entries, asked, (90.0, 90.0), 4000);
+        assert!(admitted >= 60 * 2, "{entries}: {admitted}");
+    }
+}
