Rollouts: an entry's own standstill is no evidence against a version

Callers saw: a_rollout_survives_a_restart_of_all_entries waited 60 s for a good version to be completed, once, at load 44 on 12 processors. Its state wasn't kept; the test says it now, and ends at once where the outcome is another one. Cause: a request in flight counts as slow when the entry handles its answer late, whoever was late. An entry that gets no processor time for 0.2 s while all traffic is on the new version finds all its requests in flight slow at the same moment: 8 are more evidence than a bad version ever needs, and a good version is rolled back for good. Evidence: a_standstill_of_the_entry_ends_no_rollout fails each time on the code before, at 200 ms, 500 ms and 3 s, whether the check or the answers come first. That the run in question had this cause is suspected: nothing of it is left. Change: SendTracker notes when the entry runs. Tests: slow_answers_end_a_rollout; overdue_requests_count_as_slow ticks as the entry does, with the same times before and after which the verdict is due.

--- a/bin/lh-entry/src/app.rs
+++ b/bin/lh-entry/src/app.rs
@@ -56,6 +56,7 @@
     spawn_local(watch::watch_operator(Rc::clone(&state)));
     spawn_local(watch::watch_blocks(Rc::clone(&state)));
     spawn_local(rollout::maintain_rows(Rc::clone(&state)));
+    spawn_local(rollout::check_overdue(Rc::clone(&state)));
     spawn_local(fleet::run(Rc::clone(&state), beats));
     for name in INTERNAL_LISTENERS {
         let listener = services.find::<TcpListener>(name)?;
--- a/bin/lh-entry/src/rollout.rs
+++ b/bin/lh-entry/src/rollout.rs
@@ -15,6 +15,7 @@
 use rollout::controller::RolloutEvent;
 use rollout::evidence::ALL_ROUTES;
 use rollout::prelude::*;
+use rollout::sends::CHECK_INTERVAL;
 use store::{CommitOutcome, ENTRY_TABLE, ROLLOUT_PREFIX, Row, RowWrite, TableService};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -25,6 +26,8 @@
 use crate::state::InstanceState;
 use crate::watch::STORE_TIMEOUT;
 
+/// Interval at which an entry without an active rollout looks for one.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval at which a lead checks whether an unfinished rollout can advance.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval at which the row of an unfinished rollout is read again, since another lead may
@@ -215,9 +218,6 @@
     if !state.rollouts.controller().is_active() {
         return;
     }
-    state
-        .rollouts
-        .change(|now, controller| controller.check_overdue(now));
     let Some(report) = state.rollouts.controller().report(Instant::now()) else {
         return;
     };
@@ -241,6 +241,24 @@
     send(socket, &targets, &PeerMessage::Rollout(message)).await;
 }
 
+/// Looks for overdue requests while a rollout is active. Runs until the process ends.
+pub(crate) async fn check_overdue(state: Rc<InstanceState>) {
+    loop {
+        let is_active = state.rollouts.controller().is_active();
+        if is_active {
+            state
+                .rollouts
+                .change(|now, controller| controller.check_overdue(now));
+        }
+        let interval = if is_active {
+            CHECK_INTERVAL
+        } else {
+            IDLE_CHECK_INTERVAL
+        };
+        tokio::time::sleep(interval).await;
+    }
+}
+
 /// Keeps the rows of unfinished rollouts up to date while this entry is a lead. Runs until the
 /// process ends.
 pub(crate) async fn maintain_rows(state: Rc<InstanceState>) {
--- a/bin/lh-entry/tests/rollouts.rs
+++ b/bin/lh-entry/tests/rollouts.rs
@@ -109,11 +109,28 @@
 
     async fn wait_for_state(&self, state: &str) {
         until(&format!("the rollout is {state}"), async || {
-            self.reported_state() == state
+            let reported = self.reported_state();
+            let is_final = ["completed", "rolled_back"].contains(&reported.as_str());
+            if is_final && reported != state {
+                // Waiting on wouldn't change it.
+                panic!("the rollout is {reported}; {}", self.describe());
+            }
+            reported == state
         })
         .await;
     }
 
+    /// What the store holds on the rollout, for whoever reads a failure.
+    fn describe(&self) -> String {
+        let row = |table, key| self.world.store.row(table, key);
+        let (order, record) = (
+            row("op", "rollout/board"),
+            row(store::ENTRY_TABLE, "rollout/board"),
+        );
+        let (old, new) = (self.old_requests(), self.new_requests());
+        format!("order {order:?}, record {record:?}, requests {old} old, {new} new")
+    }
+
     fn new_requests(&self) -> usize {
         self.new.iter().map(|backend| backend.seen().len()).sum()
     }
--- a/crates/rollout/src/controller/mod.rs
+++ b/crates/rollout/src/controller/mod.rs
@@ -273,8 +273,9 @@
         }
     }
 
-    /// Counts requests that are overdue as slow. Call it several times a second while
-    /// [`Self::is_active`].
+    /// Counts requests that are overdue as slow. Call it every
+    /// [`CHECK_INTERVAL`](crate::sends::CHECK_INTERVAL) while
+    /// [`Self::is_active`]: a longer gap counts as a standstill of this entry.
     pub fn check_overdue(&mut self, now: Instant) {
         for classified in self.sends.overdue(now) {
             self.count(now, &classified);
--- a/crates/rollout/src/sends.rs
+++ b/crates/rollout/src/sends.rs
@@ -11,6 +11,11 @@
 /// schedulers alone may cause it.
 const MIN_SLOW_DELAY: Duration = Duration::from_millis(150);
 
+/// Interval at which the entry looks for overdue requests while a rollout is active.
+pub const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Delay of such a check from which on the entry counts as having stood still.
+const MIN_STANDSTILL: Duration = Duration::from_millis(100);
+
 /// A request that is sent to a server.
 #[derive(Debug, Clone, Copy)]
 pub struct VersionSend<'a> {
@@ -76,11 +81,14 @@
 pub struct SendTracker {
     next: u64,
     in_flight: HashMap<u64, InFlightSend>,
+    /// When this entry was last known to run.
+    ran_at: Option<Instant>,
 }
 
 impl SendTracker {
     /// Records that a request is sent to a server, of the new version if `is_new`.
     pub fn start(&mut self, now: Instant, send: &VersionSend<'_>, is_new: bool) -> SendToken {
+        self.note_time(now);
         let slack = send.expected.mul_f64(SLOW_FACTOR - 1.0).max(MIN_SLOW_DELAY);
         let id = self.next;
         self.next += 1;
@@ -107,6 +115,7 @@
         token: SendToken,
         outcome: SendOutcome,
     ) -> Option<ClassifiedSend> {
+        self.note_time(now);
         let send = self.in_flight.remove(&token.0)?;
         if send.is_classified {
             return None;
@@ -127,6 +136,7 @@
     /// Classifies requests that are overdue as slow, each only once. Waiting for the answers of
     /// a slow version would expose more requests to it.
     pub fn overdue(&mut self, now: Instant) -> Vec<ClassifiedSend> {
+        self.note_time(now);
         let mut classified = Vec::new();
         for send in self.in_flight.values_mut() {
             if send.is_classified || send.is_cold || now < send.due {
@@ -138,6 +148,21 @@
         classified
     }
 
+    /// Notes that this entry runs at `now`. If it stood still before, because its process was
+    /// suspended or got no processor time, answers that arrived in time have waited unread: all
+    /// requests in flight get that much longer.
+    fn note_time(&mut self, now: Instant) {
+        let ran_at = self.ran_at.replace(now).unwrap_or(now);
+        let gap = now.saturating_duration_since(ran_at);
+        let standstill = gap.saturating_sub(CHECK_INTERVAL);
+        if standstill < MIN_STANDSTILL {
+            return;
+        }
+        for send in self.in_flight.values_mut() {
+            send.due += standstill;
+        }
+    }
+
     /// Returns the number of requests of `service` in flight at its old versions.
     pub fn in_flight_on_old(&self, service: &str) -> u32 {
         let in_flight = self.in_flight.values();
--- a/crates/rollout/tests/parts.rs
+++ b/crates/rollout/tests/parts.rs
@@ -240,11 +240,14 @@
     for server in 0..20 {
         controller.on_sent(now, &send(server)).unwrap();
     }
-    controller.check_overdue(now + ms(800));
+    for after in (100..=800).step_by(50) {
+        controller.check_overdue(now + ms(after));
+    }
     assert_eq!(
         controller.record("board").unwrap().phase,
         RolloutPhase::Running
     );
+    controller.check_overdue(now + ms(850));
     controller.check_overdue(now + ms(900));
     assert_eq!(
         controller.record("board").unwrap().phase,
@@ -423,3 +426,70 @@
     let all = counts.iter().find(|(route, ..)| *route == ALL_ROUTES);
     assert_eq!(all.unwrap().3, 60_000);
 }
+
+/// Starts a running rollout and lets the new version answer `count` requests well.
+fn running(now: Instant, count: u64) -> (RolloutController, Instant) {
+    let mut controller = controller(now);
+    controller.on_order(now, &order("v2", 5));
+    let running = record(order("v2", 5), RolloutPhase::Running);
+    controller.on_record(now, &running, Some(now), true);
+    for number in 0..count {
+        let at = now + ms(50 * number);
+        let (token, _) = controller.on_sent(at, &new_send(number)).unwrap();
+        controller.check_overdue(at + ms(20));
+        controller.on_outcome(at + ms(30), token, SendOutcome::Answered);
+    }
+    (controller, now + ms(50 * count))
+}
+
+fn new_send(number: u64) -> VersionSend<'static> {
+    VersionSend {
+        service: "board",
+        version: "v2",
+        route: 7,
+        server: number % 4,
+        is_cold: false,
+        expected: ms(30),
+    }
+}
+
+/// An entry that stands still for a moment finds all answers late that arrived meanwhile, whatever
+/// the version. That is no evidence against the version.
+#[test]
+fn a_standstill_of_the_entry_ends_no_rollout() {
+    for standstill in [200, 500, 3000] {
+        for is_checked_first in [true, false] {
+            let (mut controller, now) = running(Instant::now(), 100);
+            let in_flight: Vec<SendToken> = (0..8)
+                .map(|number| controller.on_sent(now, &new_send(number)).unwrap().0)
+                .collect();
+            controller.check_overdue(now + ms(10));
+            let late = now + ms(10 + standstill);
+            if is_checked_first {
+                controller.check_overdue(late);
+            }
+            for token in in_flight {
+                controller.on_outcome(late, token, SendOutcome::Answered);
+            }
+            let phase = controller.record("board").unwrap().phase;
+            assert_eq!(phase, RolloutPhase::Running, "{standstill} ms");
+        }
+    }
+}
+
+/// Answers that are late while the entry runs are.
+#[test]
+fn slow_answers_end_a_rollout() {
+    let (mut controller, now) = running(Instant::now(), 100);
+    let in_flight: Vec<SendToken> = (0..8)
+        .map(|number| controller.on_sent(now, &new_send(number)).unwrap().0)
+        .collect();
+    for after in (0..500).step_by(50) {
+        controller.check_overdue(now + ms(after));
+    }
+    for token in in_flight {
+        controller.on_outcome(now + ms(500), token, SendOutcome::Answered);
+    }
+    let phase = controller.record("board").unwrap().phase;
+    assert_eq!(phase, RolloutPhase::RolledBack);
+}
