Rollouts: a start that was unknown at first is learned with the same record

Callers would see: a rollout that stays at its first share for good. Cause: an entry keeps the start of a rollout by its own clock. Where a record arrives before the store's clock is known to the entry, as from another entry just after a start, the start stays unknown: the same record, read again with a known start, changed nothing. Change: the start is taken over if none is known. Tests: an_unknown_start_is_learned_later (failed before).

--- a/crates/rollout/src/controller/mod.rs
+++ b/crates/rollout/src/controller/mod.rs
@@ -154,6 +154,7 @@
             self.refresh_exclusions(now, service);
         } else if *record == known.record {
             known.is_stored |= is_stored;
+            known.begun = known.begun.or(begun);
         }
     }
 
--- a/crates/rollout/tests/parts.rs
+++ b/crates/rollout/tests/parts.rs
@@ -493,3 +493,18 @@
     let phase = controller.record("board").unwrap().phase;
     assert_eq!(phase, RolloutPhase::RolledBack);
 }
+
+/// A record may arrive before its start can be related to this entry's clock. It is learned with
+/// the same record later: a rollout whose start stays unknown never advances.
+#[test]
+fn an_unknown_start_is_learned_later() {
+    let now = Instant::now();
+    let mut controller = controller(now);
+    let running = record(order("v2", 5), RolloutPhase::Running);
+    // It receives no counts of others, so that only the start decides.
+    controller.set_entries(1, false);
+    controller.on_record(now, &running, None, false);
+    controller.on_record(now + ms(100), &running, Some(now - ms(19_000)), true);
+    assert!(allows(&mut controller, now + ms(200), "v2"));
+    assert!(!allows(&mut controller, now + ms(200), "v1"));
+}
