Quotas: an entry that has met nobody yet assumes a larger fleet

Cause: the part of a young entry takes effect where the fleet is larger than what the quota tolerates; until it meets its peers it assumed 8 entries, so that at slow starts each let a request pass as before. Change: 32 entries are assumed only before it has met any.

--- a/crates/team/src/bucket.rs
+++ b/crates/team/src/bucket.rs
@@ -147,18 +147,14 @@
 
     /// Returns what an entry may admit in the first `age` of its run if all entries have started at
     /// the same time: its part of what is tolerated and of the room since. `None` if one request at
-    /// each entry is tolerated.
-    pub fn young_part(
-        &self,
-        bounds: &QuotaBounds,
-        share: FleetShare,
-        age: Duration,
-    ) -> Option<f64> {
-        if share.entries as f64 <= bounds.tolerance(self.quota) {
+    /// each of the `entries` entries is tolerated.
+    pub fn young_part(&self, bounds: &QuotaBounds, entries: usize, age: Duration) -> Option<f64> {
+        let entries = entries as f64;
+        if entries <= bounds.tolerance(self.quota) {
             return None;
         }
         let room = bounds.unknown_tolerance(self.quota) + self.quota.rate * age.as_secs_f64();
-        Some(room * share.entry_fraction())
+        Some(room / entries)
     }
 
     /// Updates the team's quota.
--- a/crates/team/src/quota.rs
+++ b/crates/team/src/quota.rs
@@ -31,6 +31,8 @@
 /// entries, if most of its peers are no older: all of them may have been restarted while the quota
 /// was used up, and each would let a request pass before it receives the reports of the others.
 const YOUNG_AGE: Duration = Duration::from_millis(1500);
+/// Fleet size that an entry assumes at that age before it has met any of its peers.
+const UNMET_FLEET_SIZE: usize = 32;
 /// Time for which a changed count is included in reports, so that it survives the loss of some.
 const REPORT_CHANGE_FOR: Duration = Duration::from_millis(1000);
 
@@ -159,12 +161,17 @@
         let share = self.share(now);
         let unreported = self.tally.estimate_unreported(now, id);
         let young_age = self.young_age(now);
+        let entries = if self.has_met_others() {
+            share.entry_count()
+        } else {
+            UNMET_FLEET_SIZE
+        };
         let (own_total, jitter) = (self.tally.own_total(id), unit_hash(self.run, id));
         let Some(bucket) = self.buckets.get_mut(&id) else {
             return Ok(());
         };
         if let Some(age) = young_age
-            && let Some(part) = bucket.young_part(&self.bounds, share, age)
+            && let Some(part) = bucket.young_part(&self.bounds, entries, age)
             && f64::from(own_total) + 1.0 > part + jitter
         {
             return Err(YOUNG_AGE.saturating_sub(age));
@@ -259,6 +266,10 @@
         }
     }
 
+    fn has_met_others(&self) -> bool {
+        !self.listed.is_empty() || self.tally.peers().next().is_some()
+    }
+
     /// Returns how long this entry has run, if it and most of its peers have just started.
     fn young_age(&self, now: Instant) -> Option<Duration> {
         let age = self.tally.age(now);
--- a/crates/team/tests/quota.rs
+++ b/crates/team/tests/quota.rs
@@ -280,11 +280,11 @@
             check_start(entries, asked, 1500);
         }
     }
-    for entries in [2, 8, 24] {
-        check_start(entries, 3.0, 1500);
-    }
     for entries in [2, 8, 24] {
         check_start(entries, 36.0 / entries as f64, 4000);
+        // The first requests come before the entries have met.
+        check_start(entries, 3.0, 1500);
+        check_start(entries, 4.5, 1500);
     }
 }
 
