Departures: a newer registration counts at once where no gap speaks against it

Cause: let every departed run wait until its row had stood for 6 s. A heartbeat that is performed late and one of a server whose row expired look the same there, and nearly all are the latter.

--- a/crates/place/src/catalog/mod.rs
+++ b/crates/place/src/catalog/mod.rs
@@ -15,7 +15,7 @@
 use std::time::{Duration, Instant};
 
 use crate::catalog::index::{ServiceIndex, TopServersByLocality};
-use crate::catalog::outage::{RegistryOutage, VanishedRow};
+use crate::catalog::outage::{MIN_LAPSE_TIME, RegistryOutage, VanishedRow};
 use crate::catalog::relisted::RelistedRows;
 use crate::catalog::table::RecordTable;
 use crate::departure::{Departure, DepartureTable};
@@ -44,8 +44,8 @@
     outage: RegistryOutage,
     departures: DepartureTable,
     relisted: RelistedRows,
-    /// Servers whose rows were dropped since the last snapshot.
-    dropped: Vec<String>,
+    /// As of when every registration, with its sequence number, is known.
+    registrations_at: Option<Instant>,
 }
 
 impl ServerCatalog {
@@ -138,12 +138,6 @@
         let settled = self.outage.is_settled(snapshot.started_at);
         self.position = snapshot.position;
         let mut changes = Vec::new();
-        for id in std::mem::take(&mut self.dropped) {
-            if settled {
-                // Even if it is listed again: its row can't have lapsed.
-                self.remove(now, &id, &mut changes);
-            }
-        }
         for entry in &snapshot.entries {
             self.apply_entry(now, snapshot.started_at, entry, &mut changes);
         }
@@ -155,6 +149,7 @@
         let listed: HashSet<&str> = own.chain(foreign).collect();
         self.remove_missing(now, snapshot.started_at, &listed, settled, &mut changes);
         self.read_at = self.read_at.max(Some(snapshot.started_at));
+        self.registrations_at = self.registrations_at.max(Some(snapshot.started_at));
         self.applied_at = Some(now);
         changes
     }
@@ -195,13 +190,21 @@
             }
             let known = self.table.by_id(&row.id).map(|record| &record.entry);
             for entry in known.into_iter().chain(&row.last_entry) {
-                let departure = Departure::of(entry).with_position(row.position);
+                let departure = Departure::of(entry)
+                    .with_gap(self.has_gap(now))
+                    .with_position(row.position);
                 self.departures.record(now, &departure);
             }
-            self.dropped.push(row.id.clone());
         }
     }
 
+    /// Whether a read at `now` may lack registrations that were written and dropped since the
+    /// last one.
+    pub fn has_gap(&self, now: Instant) -> bool {
+        let is_old = |at| now.saturating_duration_since(at) >= MIN_LAPSE_TIME;
+        self.registrations_at.is_some_and(is_old)
+    }
+
     /// The departures because of which servers that `entries` lists get no requests.
     pub fn departures_of(&self, now: Instant, entries: &[ServerEntry]) -> Vec<Departure> {
         let closed = entries.iter().filter(|entry| {
@@ -255,6 +258,7 @@
         }
         self.position = store_position(delta.version);
         self.applied_at = Some(now);
+        self.registrations_at = self.registrations_at.max(Some(started_at));
         self.confirm(started_at);
         changes.extend(self.admit_relisted(now, started_at));
         changes
--- a/crates/place/src/catalog/outage.rs
+++ b/crates/place/src/catalog/outage.rs
@@ -17,7 +17,7 @@
 const MIN_OUTAGE_TIME: Duration = Duration::from_millis(1200);
 /// Rows lapse after several heartbeats, so a row that disappears after a shorter time without a
 /// read did not lapse.
-const MIN_LAPSE_TIME: Duration = Duration::from_millis(1500);
+pub(super) const MIN_LAPSE_TIME: Duration = Duration::from_millis(1500);
 
 /// A row that is missing from the registry.
 #[derive(Debug, Clone, Copy)]
--- a/crates/place/src/catalog/relisted.rs
+++ b/crates/place/src/catalog/relisted.rs
@@ -1,9 +1,9 @@
 //! Servers that are listed again although they had left.
 //!
 //! The registry lists a departed server again if it applies a heartbeat late, or comes back from
-//! an older copy. Whether any entry had read that heartbeat before doesn't matter: a sequence
-//! number above all that were read shows when it was sent, not that the server is alive. Only a
-//! row that outlasts a late heartbeat belongs to a live server.
+//! an older copy. That heartbeat may be one that no entry has read, if the departure was read
+//! after a gap or in an earlier history of the registry; its sequence number then doesn't show
+//! that the server is alive. Only a row that outlasts a late heartbeat belongs to a live server.
 
 use std::collections::{BTreeMap, HashSet};
 use std::time::{Duration, Instant};
--- a/crates/place/src/catalog/update.rs
+++ b/crates/place/src/catalog/update.rs
@@ -5,7 +5,7 @@
 
 use crate::catalog::{CatalogChange, ServerCatalog, vanished_row};
 use crate::departure::Departure;
-use crate::fleet::log::RegistryDelta;
+use crate::fleet::log::{RegistryDelta, store_position};
 use crate::server::{EntryState, ServerEntry, ServerRecord};
 
 impl ServerCatalog {
@@ -29,7 +29,7 @@
             return;
         }
         let is_known = self.table.by_id(&entry.id).is_some();
-        if !is_known && self.departures.of_run(now, entry).is_some() {
+        if !is_known && self.departures.is_doubtful(now, entry, self.position) {
             if !self.relisted.on_listed(now, started_at, entry) {
                 return;
             }
@@ -111,6 +111,7 @@
         changes: &mut Vec<CatalogChange>,
     ) {
         self.relisted.retain_listed(listed);
+        let has_gap = self.has_gap(now);
         let mut gone = Vec::new();
         for record in self.table.iter_mut() {
             if listed.contains(record.entry.id.as_str()) {
@@ -126,10 +127,17 @@
             }
             let row = vanished_row(record);
             if settled || row.is_some_and(|row| read_at >= self.outage.removal_time(row)) {
-                gone.push(record.entry.id.clone());
+                let was_kept = record.missing_since != Some(now);
+                gone.push((record.entry.id.clone(), has_gap || was_kept));
             }
         }
-        for id in gone {
+        for (id, has_gap) in gone {
+            if has_gap && let Some(record) = self.table.by_id(&id) {
+                let departure = Departure::of(&record.entry)
+                    .with_gap(true)
+                    .with_position(self.position);
+                self.departures.record(now, &departure);
+            }
             self.remove(now, &id, changes);
         }
     }
@@ -171,6 +179,7 @@
         if delta.departures.is_empty() {
             return;
         }
+        let position = store_position(delta.version);
         let listed = delta.entries.iter();
         let listed: HashMap<&str, &ServerEntry> =
             listed.map(|entry| (entry.id.as_str(), entry)).collect();
@@ -184,7 +193,7 @@
             };
             let is_obsolete = departure.is_known()
                 && (self.departures.supersedes(now, &record.entry)
-                    || self.departures.of_run(now, &record.entry).is_some());
+                    || self.departures.is_doubtful(now, &record.entry, position));
             let is_back = relisted.is_some_and(|entry| entry.is_same_run(&record.entry));
             // Whatever run was known to the sender, its row is gone since.
             let is_dropped = !departure.is_known() || departure.position > self.position;
--- a/crates/place/src/departure.rs
+++ b/crates/place/src/departure.rs
@@ -33,6 +33,8 @@
         pub seq: u64,
         /// Whether the server had announced that it leaves.
         pub announced: bool,
+        /// Whether a later registration of the run may have been missed.
+        pub has_gap: bool,
         /// The store's position by which the run was known to have ended.
         pub position: StorePosition,
     }
@@ -47,6 +49,7 @@
             run: run_identity(entry),
             seq: entry.seq,
             announced: entry.state == EntryState::Draining,
+            has_gap: false,
             position: StorePosition::default(),
         }
     }
@@ -58,6 +61,13 @@
         self
     }
 
+    /// Sets whether a later registration of the run may have been missed.
+    #[must_use]
+    pub fn with_gap(mut self, has_gap: bool) -> Self {
+        self.has_gap = has_gap;
+        self
+    }
+
     /// The departure of an unknown run of the server `id`.
     pub fn unknown(id: &str) -> Self {
         Self {
@@ -91,7 +101,8 @@
     pub fn includes(&self, other: &Self) -> bool {
         let is_same = self.id == other.id && self.run == other.run;
         let is_newest = self.seq >= other.seq && self.position >= other.position;
-        is_same && is_newest && (self.announced || !other.announced)
+        let has_all = (self.announced || !other.announced) && (self.has_gap || !other.has_gap);
+        is_same && is_newest && has_all
     }
 
     /// Merges what `other` knows of the same run. A later run replaces an earlier one.
@@ -99,6 +110,7 @@
         if other.run == self.run {
             self.seq = self.seq.max(other.seq);
             self.announced |= other.announced;
+            self.has_gap |= other.has_gap;
             self.position = self.position.max(other.position);
         } else if other.is_known() && other.started >= self.started {
             self.clone_from(other);
@@ -181,6 +193,21 @@
             && known.is_some_and(|known| known.announced || !known.is_of_run(entry))
     }
 
+    /// Returns whether `entry`, read at `position`, may be a heartbeat from before the departure of
+    /// its run: it isn't newer than the last registration known, the reader of the departure may
+    /// have missed that one, or the store came back from an older copy since.
+    pub(crate) fn is_doubtful(
+        &self,
+        now: Instant,
+        entry: &ServerEntry,
+        position: StorePosition,
+    ) -> bool {
+        self.of_run(now, entry).is_some_and(|departure| {
+            let is_restored = position.era() > departure.position.era();
+            departure.has_gap || is_restored || departure.supersedes(entry)
+        })
+    }
+
     /// Returns the departure of the run of `entry`, unless the run has proved to be alive.
     pub(crate) fn of_run(&self, now: Instant, entry: &ServerEntry) -> Option<&Departure> {
         let known = self.by_id.get(&entry.id)?;
--- a/crates/place/src/fleet/log.rs
+++ b/crates/place/src/fleet/log.rs
@@ -53,6 +53,8 @@
     pub missing: Vec<String>,
     /// Departures because of which servers that are listed get no requests.
     pub departures: Vec<Departure>,
+    /// Whether registrations may have been written and dropped since the previous read.
+    pub has_gap: bool,
 }
 
 /// Returns the log version of a read as of the store's `position`.
@@ -157,8 +159,13 @@
                 self.entries.insert(id, record);
                 continue;
             }
+            let has_gap = scope.has_gap || self.missing.contains(&id);
             let departure = dropped_departures.entry(id).or_default();
-            departure.merge(&Departure::of(&record.entry).with_position(snapshot.position));
+            departure.merge(
+                &Departure::of(&record.entry)
+                    .with_gap(has_gap)
+                    .with_position(snapshot.position),
+            );
         }
         for departure in dropped_departures.into_values() {
             is_changed = true;
--- a/crates/place/src/fleet/log/departures.rs
+++ b/crates/place/src/fleet/log/departures.rs
@@ -109,7 +109,11 @@
             if row.position > store_position(self.version) {
                 let known = self.entries.get(&row.id).map(|record| &record.entry);
                 for entry in known.into_iter().chain(&row.last_entry) {
-                    departure.merge(&Departure::of(entry).with_position(row.position));
+                    departure.merge(
+                        &Departure::of(entry)
+                            .with_gap(scope.has_gap)
+                            .with_position(row.position),
+                    );
                 }
             }
             let mut listed = snapshot.entries.iter();
--- a/crates/place/src/fleet/registry.rs
+++ b/crates/place/src/fleet/registry.rs
@@ -44,6 +44,7 @@
         }
         let is_first = self.catalog.read_at().is_none();
         self.catalog.note_era(now, snapshot.position);
+        scope.has_gap = self.catalog.has_gap(now);
         self.catalog
             .note_replaced_rows(now, &scope.replaced, &snapshot.entries);
         self.catalog.note_dropped_rows(now, &scope.dropped);
