--- a/crates/place/src/fleet/reading.rs
+++ b/crates/place/src/fleet/reading.rs
@@ -37,9 +37,9 @@
     pub wait: Duration,
     /// Whether to read all rows, whatever is known already.
     pub whole: bool,
-    /// Whether to ask for the changes of what leads sent, if that is newer than the last read. A
-    /// lead doesn't, because others rely on its reads: a row that one of several senders had given
-    /// up or kept may be listed wrongly in what they sent.
+    /// Whether to continue from what leads sent, if that is newer than the last read. A lead
+    /// continues from its own reads, or reads all rows, because others rely on it: several senders
+    /// may have given up or kept a vanished row at different times.
     pub resumes: bool,
 }
 
