Quotas: entries that left are no longer remembered as mature

The set of entries that have run for a while was never reduced: some bytes for each entry that is replaced. It is now kept as long as the counts of the entry, like the set of those that admit nothing. No verdict changes; only the first 1.5 s of a run look at it.

--- a/crates/team/src/quota.rs
+++ b/crates/team/src/quota.rs
@@ -147,8 +147,9 @@
                 || now.saturating_duration_since(last_report_at) < RESERVATION_TIME
         });
         let tally = &self.tally;
-        self.stopped
-            .retain(|peer| tally.last_report_at(*peer).is_some());
+        let is_tracked = |peer: &u64| tally.last_report_at(*peer).is_some();
+        self.stopped.retain(is_tracked);
+        self.mature.retain(is_tracked);
         self.refresh_share(now);
     }
 
