--- a/bin/lh-soak/src/callers.rs
+++ b/bin/lh-soak/src/callers.rs
@@ -8,6 +8,7 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Method, Request};
 use hyper_util::rt::TokioIo;
+use platform_standin::CallerRequest;
 use tokio::net::TcpStream;
 
 use crate::history::{RunEvent, RunRecorder};
@@ -18,6 +19,8 @@
 const RECONNECT_DELAY: Duration = Duration::from_millis(100);
 /// Time within which a complete response must arrive.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Deadline that callers state.
+const DEADLINE: Duration = Duration::from_secs(3);
 /// Number of distinct objects that are requested.
 const OBJECT_COUNT: u64 = 997;
 /// Every nth request of a caller is an at-most-once request.
@@ -127,6 +130,17 @@
     Some(response.status().as_u16())
 }
 
+/// A request to the service that all callers use.
+pub(crate) fn board_request<'a>(path: &'a str, id: &'a str, object: u64) -> CallerRequest<'a> {
+    CallerRequest {
+        path,
+        host: "board.example",
+        id,
+        object,
+        deadline: DEADLINE,
+    }
+}
+
 async fn connect(address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
     let stream = TcpStream::connect(address).await.ok()?;
     let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
@@ -139,13 +153,10 @@
     sender: &mut SendRequest<Full<Bytes>>,
     draft: RequestDraft<'_>,
 ) -> Option<(u16, String)> {
-    let mut request = Request::builder()
-        .method(draft.method)
-        .uri(draft.path)
-        .header("host", "board.example")
-        .header("request-id", draft.id)
-        .header("affinity-key", draft.object)
-        .header("deadline-ms", "3000");
+    let mut request = Request::builder().method(draft.method).uri(draft.path);
+    for (name, value) in board_request(draft.path, draft.id, draft.object).headers() {
+        request = request.header(name, value);
+    }
     if let Some(key) = draft.key {
         request = request.header("authorization", format!("Token {key}"));
     }
--- a/bin/lh-soak/src/cli.rs
+++ b/bin/lh-soak/src/cli.rs
@@ -31,7 +31,7 @@
     servers: usize,
     /// Share of the departed servers for which the store applies an earlier heartbeat late.
     #[arg(long, default_value_t = 0.35, value_name = "SHARE")]
-    late_words: f64,
+    late_heartbeats: f64,
     /// Cuts entries off from all backend servers at times, in addition to the other faults.
     #[arg(long)]
     partitions: bool,
@@ -64,7 +64,7 @@
             seconds: self.seconds,
             entries: self.entries,
             servers: self.servers,
-            late_heartbeats: self.late_words,
+            late_heartbeats: self.late_heartbeats,
             partitions: self.partitions,
             restorations: self.restorations,
             busy_threads: self.busy,
--- a/bin/lh-soak/src/history.rs
+++ b/bin/lh-soak/src/history.rs
@@ -18,7 +18,7 @@
             server: String,
         },
         /// An earlier heartbeat of a departed server was written to the store late.
-        LateWord {
+        LateHeartbeat {
             /// The server.
             server: String,
         },
@@ -38,13 +38,13 @@
             /// The limit in thousandths of a request per second.
             milli: Option<u32>,
         },
-        /// A server responded to a request, and said something of itself.
-        Told {
+        /// A server made a statement on itself in the response to a request.
+        Stated {
             /// The server.
             server: String,
             /// Id of the request.
             request: String,
-            /// What it said.
+            /// The statement.
             statement: Statement,
         },
         /// A server turned a request away and asked its entry for rest.
--- a/bin/lh-soak/src/judge.rs
+++ b/bin/lh-soak/src/judge.rs
@@ -2,19 +2,19 @@
 //!
 //! - **Drain.** No request reaches a server later than [`DRAIN_TIMEOUT`] after the store
 //!   acknowledged its departure, if the entry and the store have been free of faults for
-//!   [`STABLE_WINDOW`]. Late requests are counted separately if the store lists an earlier
+//!   [`STABLE_WINDOW`](crate::config::STABLE_WINDOW). Late requests are counted separately if the store lists an earlier
 //!   heartbeat of the server and every process that had seen it leave before that has ended:
 //!   then no entry can know better.
 //! - **Return.** An entry that logged the departure of a server does not take it in again in the
 //!   same run, and sends it no request [`DRAIN_TIMEOUT`] later. This holds under all faults.
-//! - **Told.** No request reaches a server later than [`DRAIN_TIMEOUT`] after its entry passed on
+//! - **Leaving.** No request reaches a server later than [`DRAIN_TIMEOUT`] after its entry passed on
 //!   a response in which the server says that it leaves. Only a restart or a freeze of the entry
 //!   since then excuses it.
 //! - **Rest.** A server that turned a request of an entry away and asked it for rest gets two
 //!   requests at most from it in that time, but for the first half second. Any fault of the entry
 //!   since then excuses it.
 //! - **Limit.** A server that names a rate limit gets no more than it tolerates, beginning with
-//!   [`STABLE_WINDOW`] after that, from entries that it has told and that had no fault.
+//!   [`STABLE_WINDOW`](crate::config::STABLE_WINDOW) after that, from entries that know of it and that had no fault.
 //! - **Once.** An at-most-once request is executed at most once. A request that was answered as
 //!   not run has not been executed. A successful response is the complete response of a server
 //!   that executed the request. This holds under all faults.
@@ -23,16 +23,18 @@
 
 use std::collections::{HashMap, HashSet};
 
-use crate::config::{DRAIN_TIMEOUT, STABLE_WINDOW};
+use crate::config::DRAIN_TIMEOUT;
 use crate::faults::PARTITION_FAULT;
 use crate::history::{RunEvent, RunHistory, ServerChange, Statement, millis};
 use crate::judge_desired::EntryState;
+use crate::judge_faults::FaultState;
 use crate::judge_limits::LimitJudge;
 use crate::judge_paths::PathJudge;
 use crate::judge_promises::PromiseJudge;
 use crate::judge_rests::RestJudge;
+use crate::judge_statements::StatementJudge;
 pub use crate::report::SoakReport;
-use crate::{callers, servers};
+use crate::{callers, server_connections};
 
 /// Status code of a successful response.
 const STATUS_OK: u16 = 200;
@@ -41,34 +43,6 @@
 /// Name of the fault in which an entry is suspended.
 const FREEZE_FAULT: &str = "frozen";
 
-/// Current faults of an entry or of the store.
-#[derive(Debug, Default, Clone, Copy)]
-struct FaultState {
-    active_faults: u32,
-    fault_free_since: u64,
-}
-
-impl FaultState {
-    fn begin(&mut self) {
-        self.active_faults += 1;
-    }
-
-    fn end(&mut self, at: u64) {
-        self.active_faults = self.active_faults.saturating_sub(1);
-        self.fault_free_since = at;
-    }
-
-    /// Whether at `at` there has been no fault for [`STABLE_WINDOW`].
-    fn is_stable(&self, at: u64) -> bool {
-        self.active_faults == 0 && at >= self.stable_since()
-    }
-
-    /// When there had been no fault for [`STABLE_WINDOW`] since the last one.
-    fn stable_since(&self) -> u64 {
-        self.fault_free_since + millis(STABLE_WINDOW)
-    }
-}
-
 /// Entry number and run number.
 type EntryRun = (usize, u32);
 
@@ -93,11 +67,7 @@
     rests: RestJudge,
     paths: PathJudge,
     promises: PromiseJudge,
-    /// When each run of an entry first passed on a response of a server that says that it
-    /// leaves.
-    told_leaving_at: HashMap<(usize, u32, String), u64>,
-    /// What servers said of themselves in the responses to requests that callers still wait for.
-    told: HashMap<String, Vec<(String, Statement)>>,
+    statements: StatementJudge,
 }
 
 /// Checks `history` against the guarantees.
@@ -126,7 +96,7 @@
             RunEvent::Left { server } => {
                 self.left_at.entry(server.clone()).or_insert(at);
             }
-            RunEvent::LateWord { server } => {
+            RunEvent::LateHeartbeat { server } => {
                 let aware_runs = self.runs_aware_of(server);
                 self.late_heartbeats
                     .insert(server.clone(), (at, aware_runs));
@@ -140,11 +110,11 @@
                 self.on_executed(server, request, report);
                 self.on_arrived(at, server, *entry, report);
                 self.check_limit(at, server, *entry, report);
-                self.check_told(at, server, *entry, report);
+                self.check_leaving(at, server, *entry, report);
                 // A relayed request binds the entry that its caller asked, too.
-                let asked = servers::entry_of(request).filter(|asked| asked != entry);
+                let asked = server_connections::entry_of(request).filter(|asked| asked != entry);
                 if let Some(asked) = asked {
-                    self.check_told(at, server, asked, report);
+                    self.check_leaving(at, server, asked, report);
                 }
                 self.check_rest(at, server, *entry, report);
                 let entry = self.entry_state(at, *entry);
@@ -160,14 +130,11 @@
                 self.rests.on_asked(at, (*entry, run), server, *rest_ms);
             }
             RunEvent::Limit { server, milli } => self.limits.on_limit(at, server, *milli),
-            RunEvent::Told {
+            RunEvent::Stated {
                 server,
                 request,
                 statement,
-            } => {
-                let told = self.told.entry(request.clone()).or_default();
-                told.push((server.clone(), *statement));
-            }
+            } => self.statements.on_stated(server, request, *statement),
             RunEvent::Started { entry, run } => {
                 self.runs.insert(*entry, *run);
             }
@@ -185,8 +152,7 @@
             RunEvent::Fault { name, entry } => {
                 *report.faults.entry(name.clone()).or_default() += 1;
                 if name == FREEZE_FAULT {
-                    self.told_leaving_at
-                        .retain(|(frozen, _, _), _| Some(*frozen) != *entry);
+                    self.statements.excuse(*entry);
                 }
                 match entry {
                     Some(entry) => {
@@ -222,7 +188,7 @@
                 body,
             } => {
                 self.on_passed_on(at, request, *status);
-                if let Some(entry) = servers::entry_of(request) {
+                if let Some(entry) = server_connections::entry_of(request) {
                     let state = *self.fault_state(Some(entry));
                     let faults = (state.active_faults, state.is_stable(at));
                     let is_served = *status == STATUS_OK;
@@ -299,18 +265,11 @@
         report.limit_violations.extend(violation);
     }
 
-    fn check_told(&mut self, at: u64, server: &str, entry: usize, report: &mut SoakReport) {
+    fn check_leaving(&mut self, at: u64, server: &str, entry: usize, report: &mut SoakReport) {
         let run = self.runs.get(&entry).copied().unwrap_or_default();
-        let key = (entry, run, server.to_owned());
-        let bound = millis(DRAIN_TIMEOUT) + self.max_lag_ms;
-        if let Some(told_at) = self.told_leaving_at.get(&key)
-            && at > told_at + bound
-        {
-            report.told_violations.push(format!(
-                "told: {server} got a request at {at} ms from entry {entry}, which it had told at \
-                 {told_at} ms that it leaves"
-            ));
-        }
+        let bound_ms = millis(DRAIN_TIMEOUT) + self.max_lag_ms;
+        let violation = self.statements.check(at, (entry, run), server, bound_ms);
+        report.leaving_violations.extend(violation);
     }
 
     fn check_rest(&mut self, at: u64, server: &str, entry: usize, report: &mut SoakReport) {
@@ -322,18 +281,16 @@
 
     /// Handles that an entry passed on what servers said in their responses to `request`.
     fn on_passed_on(&mut self, at: u64, request: &str, status: u16) {
-        let told = self.told.remove(request).unwrap_or_default();
-        let Some(entry) = servers::entry_of(request).filter(|_| status != 0) else {
+        let statements = self.statements.take(request);
+        let Some(entry) = server_connections::entry_of(request).filter(|_| status != 0) else {
             return;
         };
         let run = self.runs.get(&entry).copied().unwrap_or_default();
-        for (server, statement) in told {
+        for (server, statement) in statements {
+            let run = (entry, run);
             match statement {
-                Statement::Limited => self.limits.on_told(at, (entry, run), &server),
-                Statement::Leaving => {
-                    let key = (entry, run, server);
-                    self.told_leaving_at.entry(key).or_insert(at);
-                }
+                Statement::Limited => self.limits.on_limit_known(at, run, &server),
+                Statement::Leaving => self.statements.on_leaving_known(at, run, server),
             }
         }
     }
@@ -363,7 +320,8 @@
             STATUS_OK => {
                 report.responses.0 += 1;
                 let mut servers = ran_on.into_iter().flatten();
-                if !servers.any(|server| servers::response_body(request, server) == body) {
+                if !servers.any(|server| server_connections::response_body(request, server) == body)
+                {
                     let text = format!("once: {request} was answered with '{body}'");
                     report.once_violations.push(text);
                 }
--- a/bin/lh-soak/src/judge_limits.rs
+++ b/bin/lh-soak/src/judge_limits.rs
@@ -7,7 +7,7 @@
 /// Time that entries have to come within a limit that was not named before, in milliseconds.
 const SETTLE_MS: u64 = 4000;
 /// Time from a response that names the limit until its entry must keep it, in milliseconds.
-const TELL_MS: u64 = 500;
+const LEARN_MS: u64 = 500;
 /// Requests that a server tolerates in a window: this multiple of its limit, and some more.
 const TOLERANCE_FACTOR: f64 = 1.5;
 const TOLERANCE_REQUESTS: f64 = 5.0;
@@ -19,7 +19,7 @@
     named_at: u64,
     /// Requests of all entries after they had settled.
     used: usize,
-    /// Requests by entries that the server had told.
+    /// Requests by entries that knew the limit.
     arrivals: VecDeque<u64>,
 }
 
@@ -27,8 +27,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct LimitJudge {
     limits: HashMap<String, NamedLimit>,
-    /// When each run of an entry was first told of the limit of a server.
-    told_at: HashMap<(usize, u32, String), u64>,
+    /// When each run of an entry first knew the limit of a server.
+    known_at: HashMap<(usize, u32, String), u64>,
     /// Requests that the ended limits allowed after the entries had settled, and those that came.
     pub(crate) room: f64,
     pub(crate) used: usize,
@@ -42,7 +42,7 @@
             self.room += f64::from(before.milli) * settled_ms as f64 / 1e6;
             self.used += before.used;
         }
-        self.told_at.retain(|(_, _, told_by), _| told_by != server);
+        self.known_at.retain(|(_, _, limited), _| limited != server);
         if let Some(milli) = milli {
             let limit = NamedLimit {
                 milli,
@@ -55,9 +55,9 @@
     }
 
     /// Handles that the run `run` of `entry` passed on a response with the limit of `server`.
-    pub(crate) fn on_told(&mut self, at: u64, (entry, run): (usize, u32), server: &str) {
+    pub(crate) fn on_limit_known(&mut self, at: u64, (entry, run): (usize, u32), server: &str) {
         let key = (entry, run, server.to_owned());
-        self.told_at.entry(key).or_insert(at);
+        self.known_at.entry(key).or_insert(at);
     }
 
     /// Handles a request from the run `run` of `entry`. Returns a violation. `lag_ms` is the
@@ -75,8 +75,8 @@
             return None;
         }
         limit.used += 1;
-        let told_at = self.told_at.get(&(entry, run, server.to_owned()))?;
-        if is_faulty || at < told_at + TELL_MS + lag_ms {
+        let known_at = self.known_at.get(&(entry, run, server.to_owned()))?;
+        if is_faulty || at < known_at + LEARN_MS + lag_ms {
             return None;
         }
         limit.arrivals.push_back(at);
@@ -97,7 +97,7 @@
         limit.arrivals.clear();
         Some(format!(
             "limit: {server}, which takes {rate} requests a second, got {count} in {WINDOW_MS} ms \
-             until {at} ms from entries that it had told; {tolerated:.0} are tolerated"
+             until {at} ms from entries that knew this; {tolerated:.0} are tolerated"
         ))
     }
 }
--- a/bin/lh-soak/src/pipelines.rs
+++ b/bin/lh-soak/src/pipelines.rs
@@ -7,6 +7,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
+use crate::callers::board_request;
 use crate::history::{RunEvent, RunRecorder};
 
 /// Interval between two series of requests.
@@ -40,12 +41,10 @@
     bytes: &mut Vec<u8>,
 ) -> std::io::Result<()> {
     let mut stream = TcpStream::connect(address).await?;
-    let requests = sent.iter().zip(0_u64..).map(|(id, object)| {
-        format!(
-            "GET /board/{object} HTTP/1.1\r\nHost: board.example\r\nRequest-Id: {id}\r\n\
-             Affinity-Key: {object}\r\nDeadline-Ms: 3000\r\n\r\n"
-        )
-    });
+    let requests = sent
+        .iter()
+        .zip(0_u64..)
+        .map(|(id, object)| board_request(&format!("/board/{object}"), id, object).to_text());
     stream
         .write_all(requests.collect::<String>().as_bytes())
         .await?;
--- a/bin/lh-soak/src/report.rs
+++ b/bin/lh-soak/src/report.rs
@@ -25,8 +25,9 @@
     /// Violations of **Once**: requests that were executed twice or in spite of a refusal, or got
     /// the wrong response.
     pub once_violations: Vec<String>,
-    /// Violations of **Told**: late requests to servers that had told the entry that they leave.
-    pub told_violations: Vec<String>,
+    /// Violations of **Leaving**: late requests to servers that had said in a response through the
+    /// entry that they leave.
+    pub leaving_violations: Vec<String>,
     /// Violations of **Rest**.
     pub rest_violations: Vec<String>,
     /// Violations of **Limit**.
@@ -70,7 +71,7 @@
             &self.drain_violations,
             &self.readmissions,
             &self.once_violations,
-            &self.told_violations,
+            &self.leaving_violations,
             &self.rest_violations,
             &self.limit_violations,
             &self.desired_violations,
@@ -96,7 +97,7 @@
         write!(
             f,
             "seed {}: {} arrivals, {} servers left, answers {} good {} other, faults [{}]; \
-             drain {}, returned {}, once {}, told {}, rest {}, limit {} (used {} %), desired {}, key {}, evacuation {}, home {}, order {}, quota {}, rollout {}, path {}, \
+             drain {}, returned {}, once {}, leaving {}, rest {}, limit {} (used {} %), desired {}, key {}, evacuation {}, home {}, order {}, quota {}, rollout {}, path {}, \
              forgotten by all {}, late under faults {} (latest {} ms)",
             self.seed,
             self.arrivals,
@@ -107,7 +108,7 @@
             self.drain_violations.len(),
             self.readmissions.len(),
             self.once_violations.len(),
-            self.told_violations.len(),
+            self.leaving_violations.len(),
             self.rest_violations.len(),
             self.limit_violations.len(),
             self.limits_used_percent,
--- a/bin/lh-soak/src/servers.rs
+++ b/bin/lh-soak/src/servers.rs
@@ -2,34 +2,22 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full};
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper::{HeaderMap, Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
 use platform_standin::{FakeStore, Partition, server_entry_in};
 use serde_json::{Value, json};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 
 use crate::config::{region_and_domain, server_id};
 use crate::error::Result;
-use crate::fleet;
-use crate::history::{RunEvent, RunRecorder, Statement};
+use crate::history::{RunEvent, RunRecorder};
 use crate::rollouts;
+use crate::server_connections::{self, ServerIdentity};
 use crate::statements::StatementBoard;
 
 /// Name of the service that all servers offer.
 pub(crate) const SERVICE: &str = "board";
 /// Store table with the registrations of servers.
 const TABLE: &str = "servers";
-/// Processing time of a request.
-const SERVICE_TIME: Duration = Duration::from_millis(30);
-/// Path of the health check.
-const HEALTH_PATH: &str = "/health";
 
 /// How a server leaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -102,7 +90,7 @@
             statements: self.statements.clone(),
             partition: self.partition.clone(),
         };
-        tokio::spawn(accept(listener, identity));
+        tokio::spawn(server_connections::accept(listener, identity));
         self.store
             .put(TABLE, &server.id, &server.registration("ready", 1));
         self.live().push(server);
@@ -131,7 +119,7 @@
             statements: self.statements.clone(),
             partition: self.partition.clone(),
         };
-        tokio::spawn(accept(listener, identity));
+        tokio::spawn(server_connections::accept(listener, identity));
         self.store.put(TABLE, id, &row);
         Ok(())
     }
@@ -210,7 +198,7 @@
     /// Applies a heartbeat that `server` sent before it left, with its old sequence number.
     pub(crate) fn write_late_heartbeat(&self, server: &SoakServer) {
         let id = server.id.clone();
-        self.recorder.record(RunEvent::LateWord { server: id });
+        self.recorder.record(RunEvent::LateHeartbeat { server: id });
         let registration = server.registration("ready", server.seq - 1);
         self.store.put(TABLE, &server.id, &registration);
     }
@@ -244,170 +232,3 @@
         self.live.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// A server as its connections see it.
-#[derive(Debug, Clone)]
-struct ServerIdentity {
-    id: String,
-    recorder: RunRecorder,
-    statements: StatementBoard,
-    partition: Partition,
-}
-
-impl ServerIdentity {
-    /// Responds that the request was not executed and that the server wants to rest.
-    fn turn_away(
-        &self,
-        sender: Option<usize>,
-        builder: hyper::http::response::Builder,
-        rest_ms: u64,
-    ) -> Response<Full<Bytes>> {
-        if let Some(entry) = sender {
-            self.recorder.record(RunEvent::TurnedAway {
-                server: self.id.clone(),
-                entry,
-                rest_ms,
-            });
-        }
-        let rest_secs = rest_ms as f64 / 1000.0;
-        let builder = builder
-            .status(StatusCode::SERVICE_UNAVAILABLE)
-            .header("not-executed", "1")
-            .header("retry-after", rest_secs.to_string());
-        response_with_body(builder, "")
-    }
-
-    /// Records that the response to `request` says `statement`.
-    fn record_told(&self, request: &str, statement: Statement) {
-        self.recorder.record(RunEvent::Told {
-            server: self.id.clone(),
-            request: request.to_owned(),
-            statement,
-        });
-    }
-}
-
-async fn accept(listener: TcpListener, server: ServerIdentity) {
-    while let Ok((stream, _)) = listener.accept().await {
-        if server.statements.get(&server.id).is_stopped {
-            return;
-        }
-        if server.partition.resets(&stream) {
-            continue;
-        }
-        tokio::spawn(serve_connection(stream, server.clone()));
-    }
-}
-
-async fn serve_connection(stream: TcpStream, server: ServerIdentity) {
-    let _ = stream.set_nodelay(true);
-    let Ok(client) = stream.peer_addr() else {
-        return;
-    };
-    // An entry that can't reach servers relays its callers' requests through others.
-    let sender = fleet::entry_at(client.ip());
-    let partition = server.partition.clone();
-    let service = service_fn(move |request| {
-        let server = server.clone();
-        async move {
-            let response = handle_request(&server, sender, request).await;
-            if server.statements.get(&server.id).is_stopped {
-                return Err(std::io::Error::from(std::io::ErrorKind::ConnectionAborted));
-            }
-            Ok(response)
-        }
-    });
-    // Connection errors are left to the entry, which reconnects.
-    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-    tokio::select! {
-        _ = connection => {}
-        () = partition.separated(client.ip()) => {}
-    }
-}
-
-async fn handle_request(
-    server: &ServerIdentity,
-    sender: Option<usize>,
-    request: Request<Incoming>,
-) -> Response<Full<Bytes>> {
-    let ServerIdentity { id, recorder, .. } = server;
-    let request_id = header_text(request.headers(), "request-id").to_owned();
-    let expected = header_text(request.headers(), "expect-instance");
-    let mut builder = Response::builder()
-        .header("request-id", &request_id)
-        .header("instance-id", id.as_str())
-        .header("server-load", "0,0,8");
-    if request.uri().path() == HEALTH_PATH {
-        return response_with_body(builder, "");
-    }
-    if !expected.is_empty() && expected != id.as_str() {
-        builder = builder.status(StatusCode::MISDIRECTED_REQUEST);
-        return response_with_body(builder, "");
-    }
-    let statement = server.statements.get(id);
-    if statement.is_stopped {
-        return response_with_body(builder, "");
-    }
-    if let Some(rest_ms) = statement.rest_ms {
-        return server.turn_away(sender, builder, rest_ms);
-    }
-    if let Some(entry) = sender {
-        recorder.record(RunEvent::Arrived {
-            server: id.clone(),
-            entry,
-            request: request_id.clone(),
-        });
-    }
-    let _ = request.into_body().collect().await;
-    tokio::time::sleep(SERVICE_TIME).await;
-    let statement = server.statements.get(id);
-    if statement.leaving {
-        builder = builder.header("server-leaving", "1");
-        server.record_told(&request_id, Statement::Leaving);
-    }
-    if let Some(milli) = statement.limit_milli {
-        let rate = f64::from(milli) / 1000.0;
-        builder = builder.header("server-limit", rate.to_string());
-        server.record_told(&request_id, Statement::Limited);
-    }
-    if statement.is_bad && is_failure(&request_id) {
-        let server = id.clone();
-        recorder.record(RunEvent::BadResponse { server });
-        builder = builder.status(StatusCode::INTERNAL_SERVER_ERROR);
-    }
-    response_with_body(
-        builder.header("server-stamp", "soak"),
-        &response_body(&request_id, id),
-    )
-}
-
-fn response_with_body(
-    builder: hyper::http::response::Builder,
-    body: &str,
-) -> Response<Full<Bytes>> {
-    let body = Bytes::copy_from_slice(body.as_bytes());
-    let response = builder.body(Full::new(body));
-    response.unwrap_or_else(|_| Response::new(Full::new(Bytes::new())))
-}
-
-/// The body with which `server` responds to `request`.
-pub(crate) fn response_body(request: &str, server: &str) -> String {
-    format!("{request} ran at {server}")
-}
-
-/// Parses the number of the entry to which the caller sent the request from the request id.
-pub(crate) fn entry_of(request_id: &str) -> Option<usize> {
-    request_id.split('-').next()?.parse().ok()
-}
-
-/// Whether a bad version responds to the request with a failure.
-fn is_failure(request_id: &str) -> bool {
-    let number = request_id.rsplit('-').next();
-    let number: Option<u64> = number.and_then(|number| number.parse().ok());
-    number.is_some_and(|number| number.is_multiple_of(2))
-}
-
-fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
-    let value = headers.get(name).and_then(|value| value.to_str().ok());
-    value.unwrap_or("")
-}
--- a/bin/lh-soak/tests/judge.rs
+++ b/bin/lh-soak/tests/judge.rs
@@ -118,7 +118,7 @@
 /// Otherwise the request is reported as late.
 #[test]
 fn late_heartbeat_excuses_only_unseen_departures() {
-    let late_heartbeat = RunEvent::LateWord {
+    let late_heartbeat = RunEvent::LateHeartbeat {
         server: "x".to_owned(),
     };
     let with = |knows: &[(u64, RunEvent)]| {
@@ -137,15 +137,15 @@
     assert_eq!(with(&[logged_departure, ended]).forgotten, 1);
 }
 
-fn told(request: &str, statement: Statement) -> RunEvent {
-    RunEvent::Told {
+fn stated(request: &str, statement: Statement) -> RunEvent {
+    RunEvent::Stated {
         server: "x".to_owned(),
         request: request.to_owned(),
         statement,
     }
 }
 
-/// More requests than a limited server tolerates are reported: of entries that it has told, once
+/// More requests than a limited server tolerates are reported: of entries that know its limit, once
 /// these had time to settle, unless they are faulty.
 #[test]
 fn requests_beyond_a_limit_are_reported() {
@@ -156,7 +156,7 @@
     let tell = [
         (900, ran("x", "1-0-0")),
         (1000, limit(Some(1000))),
-        (1100, told("1-0-0", Statement::Limited)),
+        (1100, stated("1-0-0", Statement::Limited)),
         (1200, answered("1-0-0", 200, "1-0-0 ran at x")),
     ];
     // 1.5 times 1 a second in 4 s, and 5 more.
@@ -170,7 +170,7 @@
     assert_eq!(count(&tell, &requests(5000, 11)), 0);
     assert_eq!(count(&tell, &requests(5000, 12)), 1);
     assert_eq!(count(&tell, &requests(1000, 12)), 0, "not settled");
-    assert_eq!(count(&tell[..3], &requests(5000, 12)), 0, "not told");
+    assert_eq!(count(&tell[..3], &requests(5000, 12)), 0, "limit not known");
     let faulty = [&tell[..], &[(4000, fault(Some(1)))]].concat();
     assert_eq!(count(&faulty, &requests(5000, 12)), 0, "faulty");
     let other = [&tell[..], &[(4000, fault(Some(2)))]].concat();
@@ -179,19 +179,19 @@
     assert_eq!(count(&lifted, &requests(5000, 12)), 0, "no limit any more");
 }
 
-/// A late request to a server that had told the entry that it leaves is reported, also while the
+/// A late request to a server that had said in a response through the entry that it leaves is reported, also while the
 /// store or the entry's link is faulty. A restart or a freeze of the entry excuses it.
 #[test]
 fn requests_to_a_server_that_told_its_leaving_are_reported() {
     let tell = [
         (900, ran("x", "1-0-0")),
-        (1100, told("1-0-0", Statement::Leaving)),
+        (1100, stated("1-0-0", Statement::Leaving)),
         (1200, answered("1-0-0", 200, "1-0-0 ran at x")),
     ];
     let count = |events: &[(u64, RunEvent)]| {
         let late = [(4300, arrived(1))];
         report(&[&tell, events, &late].concat())
-            .told_violations
+            .leaving_violations
             .len()
     };
     assert_eq!(
@@ -210,7 +210,7 @@
     assert_eq!(count(&restarted), 0);
     assert_eq!(
         report(&[&tell[..2], &[(4300, arrived(1))]].concat())
-            .told_violations
+            .leaving_violations
             .len(),
         0
     );
@@ -346,16 +346,16 @@
 /// An entry that passed on that a server leaves must not have requests relayed there.
 #[test]
 fn a_relayed_request_to_a_server_that_told_its_entry_is_a_violation() {
-    let told = RunEvent::Told {
+    let stated = RunEvent::Stated {
         server: "i-0000".to_owned(),
         request: "2-0-1".to_owned(),
         statement: Statement::Leaving,
     };
     let report = report(&[
         (1000, ran("i-0000", "2-0-1")),
-        (1001, told),
+        (1001, stated),
         (1002, answered("2-0-1", 200, "")),
         (9000, ran("i-0000", "2-0-2")),
     ]);
-    assert_eq!(report.told_violations.len(), 1);
+    assert_eq!(report.leaving_violations.len(), 1);
 }
