--- a/bin/lh-entry/src/metrics.rs
+++ b/bin/lh-entry/src/metrics.rs
@@ -150,7 +150,7 @@
         }
         let operator_age = Gauge::new(
             "laurelhill_desired_age_seconds",
-            "Time since the store or a lead last told the operator's rows",
+            "Time since the store or a lead last sent the operator's rows",
         )?;
         let proof_age = Gauge::new(
             "laurelhill_proof_age_seconds",
@@ -189,8 +189,8 @@
         )?;
         let registry_copies = IntCounterVec::new(
             Opts::new(
-                "laurelhill_registry_told_total",
-                "Copies of the registry told to other entries",
+                "laurelhill_registry_copies_total",
+                "Copies of the registry sent to other entries",
             ),
             &["copy"],
         )?;
--- a/bin/lh-entry/src/watch.rs
+++ b/bin/lh-entry/src/watch.rs
@@ -257,11 +257,11 @@
 /// starts reading requests only changes. Those since a read that was merely confirmed by another
 /// entry are requested again, for the sequence numbers that this entry lacks.
 fn resume(state: &InstanceState, client: &mut StoreClient) {
-    let told = state.fleet.known().registry_listed;
-    if client.servers_position().is_none_or(|read| read < told) && told.is_known() {
+    let listed = state.fleet.known().registry_listed;
+    if client.servers_position().is_none_or(|read| read < listed) && listed.is_known() {
         let servers = state.servers.borrow();
         let entries = servers.entries().cloned().collect();
-        client.resume_servers(told, entries, servers.foreign());
+        client.resume_servers(listed, entries, servers.foreign());
     }
 }
 
--- a/bin/lh-entry/tests/copies.rs
+++ b/bin/lh-entry/tests/copies.rs
@@ -11,7 +11,7 @@
 
 async fn full_copies_sent(entry: &EntryProcess) -> f64 {
     let metrics = entry.metrics().await;
-    let name = "laurelhill_registry_told_total{copy=\"whole\"}";
+    let name = "laurelhill_registry_copies_total{copy=\"whole\"}";
     let line = metrics.lines().find(|line| line.starts_with(name));
     line.map_or(0.0, |line| {
         line.rsplit(' ').next().unwrap().parse().unwrap()
--- a/bin/lh-entry/tests/rests.rs
+++ b/bin/lh-entry/tests/rests.rs
@@ -100,7 +100,7 @@
     let world = World::new(2).await;
     world.backends.iter().for_each(ask_for_rest);
     let entry = EntryProcess::ready(&world, "n1").await;
-    let (mut index, mut told) = (0, Vec::new());
+    let (mut index, mut waits) = (0, Vec::new());
     let rests = |server: &FakeBackend| first_rejection(server).map(|first| first + REST);
     loop {
         let ends = world.backends.iter().filter_map(rests).min();
@@ -111,7 +111,7 @@
         assert_eq!(status, 503);
         index += 1;
         let left = ends.map(|ends| (ends - Instant::now()).as_secs_f64());
-        told.extend(left.map(|left| (left, retry_after)));
+        waits.extend(left.map(|left| (left, retry_after)));
         tokio::time::sleep(REQUEST_INTERVAL).await;
     }
     for server in &world.backends {
@@ -119,8 +119,8 @@
         assert!(count <= MAX_REQUESTS, "{count} requests at rest");
     }
     let is_true = |(left, retry_after): &&(f64, f64)| *retry_after + 0.2 >= *left;
-    let true_times = told.iter().skip(2).filter(is_true).count();
-    assert!(true_times * 10 >= told.len() * 9, "{told:?}");
+    let true_times = waits.iter().skip(2).filter(is_true).count();
+    assert!(true_times * 10 >= waits.len() * 9, "{waits:?}");
     world.backends.iter().for_each(end_rest);
     until("a server is used again", async || {
         index += 1;
--- a/bin/lh-load/src/quota.rs
+++ b/bin/lh-load/src/quota.rs
@@ -89,7 +89,7 @@
     let leased = simulate_quotas(scenario, |_, entry, _| {
         LeasedShares::new(entry as u64 + 1, 1)
     });
-    [("told", shared), ("equal", equal), ("leased", leased)]
+    [("shared", shared), ("equal", equal), ("leased", leased)]
 }
 
 fn print_row(name: &str, entries: usize, seed: u64, strategy: &str, outcome: &QuotaOutcome) {
--- a/crates/emulate/src/report.rs
+++ b/crates/emulate/src/report.rs
@@ -44,8 +44,8 @@
         /// Largest number of requests that an entry sent to a server within a rest that the
         /// server had asked it for, from half a second after that.
         pub sent_in_rest: u32,
-        /// Requests that entries sent to servers later than the drain time after these had told
-        /// them that they leave.
+        /// Requests that entries sent to servers later than the drain time after these had
+        /// said in a response to them that they leave.
         pub sent_to_leaving: u32,
         /// Requests at servers with rate limits, as a share of what the limits allowed.
         pub limit_use: f64,
--- a/crates/emulate/src/run.rs
+++ b/crates/emulate/src/run.rs
@@ -255,7 +255,8 @@
         let attempt = &self.attempts[index];
         let entry = self.requests[attempt.request].entry;
         if statement.leaving {
-            self.departures.on_told(self.now, entry, attempt.server);
+            self.departures
+                .on_leaving_response(self.now, entry, attempt.server);
         }
         if let Some(span) = statement.rest {
             let pair = (entry, attempt.server);
--- a/crates/place/src/fleet/member/announce.rs
+++ b/crates/place/src/fleet/member/announce.rs
@@ -184,11 +184,11 @@
     pub(super) fn peer_leads(&mut self, now: Instant) -> Vec<SocketAddr> {
         // All live leads, not just those their region reports: if a region has more than
         // one pair, each pair learns of the other this way.
-        let heard_leads = self
+        let peer_addresses = self
             .leads
             .live_leads(now)
             .map(|lead| lead.candidate.peer_address);
-        let mut addresses: Vec<SocketAddr> = heard_leads.collect();
+        let mut addresses: Vec<SocketAddr> = peer_addresses.collect();
         let mut is_lost = !self.has_live_lead(now);
         for region in self.regions.other_regions() {
             let candidates = self.regions.candidates(region).iter();
--- a/crates/place/src/fleet/pull.rs
+++ b/crates/place/src/fleet/pull.rs
@@ -211,11 +211,11 @@
         if self.departures_asked.len() >= MAX_DEPARTURE_PULLS {
             return None;
         }
-        let heard_leads = leads.live_leads(now).filter(|lead| {
+        let asked_leads = leads.live_leads(now).filter(|lead| {
             let is_asked = context.leads || lead.region == context.region;
             is_asked && !self.departures_asked.contains(&lead.view_address())
         });
-        let view_address = heard_leads
+        let view_address = asked_leads
             .min_by_key(|lead| lead.incarnation())?
             .view_address();
         self.departures_asked.push(view_address);
--- a/crates/place/src/returns/ledger.rs
+++ b/crates/place/src/returns/ledger.rs
@@ -30,7 +30,7 @@
     deadline: Instant,
 }
 
-/// The promises of this entry and those that others told it.
+/// The promises of this entry and those that others reported.
 #[derive(Debug, Default)]
 pub struct PromiseLedger {
     held: HashMap<u32, Vec<HeldPromise>>,
@@ -61,12 +61,12 @@
 
     /// Applies the report of another entry.
     pub fn on_report(&mut self, received_at: Instant, report: &ReturnReport) {
-        for told in &report.promises {
+        for reported in &report.promises {
             let promise = HeldPromise {
-                due: received_at + Duration::from_millis(told.due_in_ms.into()),
-                deadline: received_at + Duration::from_millis(told.remaining_ms.into()),
+                due: received_at + Duration::from_millis(reported.due_in_ms.into()),
+                deadline: received_at + Duration::from_millis(reported.remaining_ms.into()),
             };
-            self.hold(received_at, told.key, promise);
+            self.hold(received_at, reported.key, promise);
         }
     }
 
--- a/crates/place/src/statement/table.rs
+++ b/crates/place/src/statement/table.rs
@@ -43,7 +43,7 @@
 
 #[derive(Debug)]
 struct RunStatements {
-    heard_at: Instant,
+    updated_at: Instant,
     limit: Option<KnownLimit>,
     leaving: Option<KnownLeaving>,
     /// The rest that the run asked this entry for, until it takes requests again.
@@ -54,7 +54,7 @@
 #[derive(Debug, Clone, Copy)]
 struct KnownLeaving {
     since: Instant,
-    /// Whether the run told this entry.
+    /// Whether the run said so in a response to this entry.
     is_first_hand: bool,
 }
 
@@ -281,15 +281,15 @@
         is_new
     }
 
-    /// The statements of `run`, from which something was heard now.
+    /// The statements of `run`, which said something now.
     fn statements_mut(&mut self, now: Instant, run: u64) -> &mut RunStatements {
         let statements = self.runs.entry(run).or_insert(RunStatements {
-            heard_at: now,
+            updated_at: now,
             limit: None,
             leaving: None,
             rest: None,
         });
-        statements.heard_at = now;
+        statements.updated_at = now;
         statements
     }
 
@@ -325,7 +325,7 @@
 
     fn remove_obsolete(&mut self, now: Instant, is_registered: impl Fn(u64) -> bool) {
         self.runs.retain(|run, statements| {
-            let age = now.saturating_duration_since(statements.heard_at);
+            let age = now.saturating_duration_since(statements.updated_at);
             // A row may lapse and come back within a rest.
             let is_resting = statements.rest.is_some_and(|rest| rest.is_running(now));
             age < RETENTION || is_resting || is_registered(*run)
@@ -338,7 +338,7 @@
             return;
         }
         let runs = self.runs.iter();
-        let oldest = runs.min_by_key(|(_, statements)| statements.heard_at);
+        let oldest = runs.min_by_key(|(_, statements)| statements.updated_at);
         if let Some(run) = oldest.map(|(run, _)| *run) {
             self.runs.remove(&run);
         }
--- a/crates/place/tests/departed.rs
+++ b/crates/place/tests/departed.rs
@@ -522,7 +522,7 @@
             follower.apply_delta(start, start, &lead.since(known));
             known = lead.version();
             lead.apply_departures(&ends);
-            assert!(lead.version() > known, "the followers must be told");
+            assert!(lead.version() > known, "the followers must learn of it");
         }
         lead.apply_snapshot(&late, changes());
         follower.apply_delta(start, start, &lead.since(known));
--- a/crates/place/tests/fleet_world/histories/judge.rs
+++ b/crates/place/tests/fleet_world/histories/judge.rs
@@ -80,11 +80,11 @@
     pub fn story(&self, id: &str) -> String {
         let start = self.world.start;
         let mut lines: Vec<(Instant, String)> = Vec::new();
-        let told = self
+        let logged = self
             .log
             .iter()
             .filter(|(_, text)| text.contains(id) || !text.starts_with("i-"));
-        lines.extend(told.cloned());
+        lines.extend(logged.cloned());
         for (entry, sim) in self.world.entries.iter().enumerate() {
             let about = sim
                 .registry
--- a/crates/place/tests/leaving_statements.rs
+++ b/crates/place/tests/leaving_statements.rs
@@ -69,14 +69,14 @@
     assert!(!placer.may_send(now, &mut waiting));
 }
 
-/// The others are told, so that they needn't find out by requests. They don't pass it on.
+/// The others receive a report, so that they needn't find out by requests. They don't pass it on.
 #[test]
 fn other_entries_learn_that_a_run_leaves() {
     let now = Instant::now();
     let browse = route("browse", "/");
-    let mut told = placer(now, &two_servers());
-    let leaving = hear_leaving(now, &mut told, &browse);
-    let report = told.own_statements(now + ms(80));
+    let mut informed = placer(now, &two_servers());
+    let leaving = hear_leaving(now, &mut informed, &browse);
+    let report = informed.own_statements(now + ms(80));
     assert_eq!(report.leaving.len(), 1);
     let mut other = RequestPlacer::new(PlacerConfig {
         own: 78,
@@ -94,7 +94,7 @@
     }
     assert_eq!(other.own_statements(at), StatementReport::default());
     let later = now + Duration::from_secs(60);
-    assert_eq!(told.own_statements(later), StatementReport::default());
+    assert_eq!(informed.own_statements(later), StatementReport::default());
 }
 
 /// Where all servers leave, requests are refused at once, until another server is listed.
--- a/crates/place/tests/registry_copies.rs
+++ b/crates/place/tests/registry_copies.rs
@@ -88,7 +88,7 @@
     lead.read(late, &[x, y], changes());
     follower.follow(late, &lead);
     assert!(!lead.is_open("x"));
-    assert!(!follower.is_open("x"), "the follower wasn't told");
+    assert!(!follower.is_open("x"), "the follower didn't learn of it");
     assert!(follower.is_open("y"));
 }
 
@@ -185,7 +185,7 @@
 }
 
 /// A departure that another entry noticed must not close a server that has registered again since,
-/// as after an outage of the store; nor one that proved to be alive, however often it is told.
+/// as after an outage of the store; nor one that proved to be alive, however often that is reported.
 #[test]
 fn departure_before_a_newer_registration_closes_no_server() {
     let start = Instant::now();
--- a/crates/place/tests/server_limits.rs
+++ b/crates/place/tests/server_limits.rs
@@ -37,7 +37,7 @@
     /// What `named` says of itself.
     limit: LimitStatement,
     reports: Vec<(Instant, usize, StatementReport)>,
-    /// Times at which `named` got requests, and whether it had told the sender of its limit.
+    /// Times at which `named` got requests, and whether a response had named its limit to the sender.
     arrivals: Vec<(Instant, bool)>,
     placed: usize,
     refused: Vec<Refusal>,
@@ -171,8 +171,8 @@
                 assert!(entry.placer.may_send(self.now, &mut placement));
                 if placement.id == "named" {
                     let told_at = entry.told_at;
-                    let was_told = told_at.is_some_and(|at| self.now >= at + TELL_TIME);
-                    self.arrivals.push((self.now, was_told));
+                    let knows_limit = told_at.is_some_and(|at| self.now >= at + TELL_TIME);
+                    self.arrivals.push((self.now, knows_limit));
                 }
                 self.placed += 1;
                 entry.open.push((self.now + ANSWER_TIME, placement));
@@ -211,10 +211,10 @@
     }
 
     /// Most requests at the limited server in a window that begins at `from` or later, from
-    /// entries that it had told.
+    /// entries that know its limit.
     fn most_in_window(&self, from: Instant) -> usize {
-        let told = self.arrivals.iter().filter(|(_, was_told)| *was_told);
-        most_in_window(told.map(|(at, _)| *at).filter(|at| *at >= from))
+        let informed = self.arrivals.iter().filter(|(_, knows_limit)| *knows_limit);
+        most_in_window(informed.map(|(at, _)| *at).filter(|at| *at >= from))
     }
 
     /// The same for requests from all entries.
--- a/crates/rollout/src/controller/service.rs
+++ b/crates/rollout/src/controller/service.rs
@@ -115,13 +115,13 @@
         &self,
         now: Instant,
         schedule: &impl ShareSchedule,
-        hears_counts: bool,
+        receives_counts: bool,
     ) -> RolloutStage {
         let response_time = Duration::from_secs_f64(self.response_time);
         let duration = self.record.order.duration;
         let stage = schedule.stage(self.elapsed(now), duration, response_time);
         let is_full = matches!(stage, RolloutStage::Preferred | RolloutStage::Exclusive);
-        if is_full && hears_counts && self.evidence.answers() < MIN_ANSWERS {
+        if is_full && receives_counts && self.evidence.answers() < MIN_ANSWERS {
             return RolloutStage::Share(UNPROVEN_SHARE);
         }
         stage
