--- a/bin/lh-entry/src/app.rs
+++ b/bin/lh-entry/src/app.rs
@@ -16,7 +16,7 @@
 use crate::logs::LogQueue;
 use crate::metrics::EntryMetrics;
 use crate::state::InstanceState;
-use crate::{accept, fleet, internal, paths, rollout, stop, watch};
+use crate::{accept, fleet, internal, paths, rollout, rollout_rows, stop, watch};
 
 /// Names of the listeners for everything but callers' requests.
 const INTERNAL_LISTENERS: [&str; 4] = ["readiness", "look-ups", "metrics", PEER_LISTENER];
@@ -55,7 +55,7 @@
     let beats = services.find::<UdpSocket>("beats")?;
     spawn_local(watch::watch_operator(Rc::clone(&state)));
     spawn_local(watch::watch_blocks(Rc::clone(&state)));
-    spawn_local(rollout::maintain_rows(Rc::clone(&state)));
+    spawn_local(rollout_rows::maintain_rows(Rc::clone(&state)));
     spawn_local(rollout::check_overdue(Rc::clone(&state)));
     spawn_local(fleet::run(Rc::clone(&state), beats));
     for name in INTERNAL_LISTENERS {
--- a/bin/lh-entry/src/lib.rs
+++ b/bin/lh-entry/src/lib.rs
@@ -40,6 +40,7 @@
 mod reply;
 mod returns;
 mod rollout;
+mod rollout_rows;
 mod state;
 mod statements;
 mod status;
--- a/bin/lh-entry/src/rollout.rs
+++ b/bin/lh-entry/src/rollout.rs
@@ -1,5 +1,5 @@
 //! Rollouts: selects the version that processes a request and exchanges request counts with
-//! other entries. Leads also maintain the rows that hold the agreed phase of each rollout.
+//! other entries.
 
 use std::cell::{Ref, RefCell};
 use std::net::SocketAddr;
@@ -10,36 +10,26 @@
 use place::fleet::message::{PeerMessage, RolloutMessage};
 use place::prelude::*;
 use place::rank::stable_hash;
-use platform::rollouts::status_write;
-use platform::tables::PlatformClient;
 use rollout::controller::RolloutEvent;
 use rollout::evidence::ALL_ROUTES;
 use rollout::prelude::*;
 use rollout::sends::CHECK_INTERVAL;
-use store::{CommitOutcome, ENTRY_TABLE, ROLLOUT_PREFIX, Row, RowWrite, TableService};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
-use tokio::time::timeout;
 
 use crate::config::EntryConfig;
 use crate::fleet::send;
 use crate::state::InstanceState;
-use crate::watch::STORE_TIMEOUT;
 
 /// Interval at which an entry without an active rollout looks for one.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Interval at which a lead checks whether an unfinished rollout can advance.
-const UPDATE_INTERVAL: Duration = Duration::from_millis(250);
-/// Interval at which the row of an unfinished rollout is read again, since another lead may
-/// have written it.
-const REREAD_INTERVAL: Duration = Duration::from_secs(1);
 
 /// State of the known rollouts.
 #[derive(Debug)]
 pub(crate) struct RolloutState {
     controller: RefCell<RolloutController>,
     /// Notified when a change has to be written to the store.
-    wake: Notify,
+    pub(crate) wake: Notify,
     /// Notified when a version is found to be bad and other entries have to be informed.
     pub(crate) verdict: Notify,
 }
@@ -259,142 +249,6 @@
     }
 }
 
-/// Keeps the rows of unfinished rollouts up to date while this entry is a lead. Runs until the
-/// process ends.
-pub(crate) async fn maintain_rows(state: Rc<InstanceState>) {
-    let mut last_read_at = Instant::now();
-    loop {
-        let _ = timeout(UPDATE_INTERVAL, state.rollouts.wake.notified()).await;
-        if !state.fleet.leads() {
-            continue;
-        }
-        let is_reread_due = last_read_at.elapsed() >= REREAD_INTERVAL;
-        if is_reread_due {
-            last_read_at = Instant::now();
-        }
-        let services = state.rollouts.controller().unfinished_services();
-        for service in services {
-            if is_reread_due || next_record(&state, &service).is_some() {
-                update_row(&state, &service).await;
-            }
-        }
-    }
-}
-
-async fn update_row(state: &InstanceState, service: &str) {
-    let client = PlatformClient::new(state.config.store).with_answer_timeout(STORE_TIMEOUT);
-    let Some(row) = read_row(state, &client, service).await else {
-        return;
-    };
-    let Some(record) = next_record(state, service) else {
-        return;
-    };
-    let stored = row.as_ref().and_then(decode_record);
-    if stored.is_some_and(|stored| !record.is_newer(&stored)) {
-        return;
-    }
-    let revision = row.map_or(0, |row| row.revision);
-    if write_record(state, &client, &record, revision).await {
-        // The entry acts on the stored record only, and the row's version informs other entries
-        // of the change.
-        read_row(state, &client, service).await;
-    }
-}
-
-/// Returns the record to store for the rollout of `service`; `None` if it needs no change.
-fn next_record(state: &InstanceState, service: &str) -> Option<RolloutRecord> {
-    let controller = state.rollouts.controller();
-    let version = &controller.record(service)?.order.version;
-    let mut counts = ServerCounts::default();
-    let placer = state.placer.borrow();
-    for (_, server) in placer.catalog.open_servers(service) {
-        if server.entry.version == *version {
-            counts.new += 1;
-        } else {
-            counts.old += 1;
-        }
-    }
-    let store_now = state.fleet.latest_store_time();
-    if !store_now.is_some() {
-        return None;
-    }
-    controller.next_record(Instant::now(), service, counts, store_now.0)
-}
-
-/// Reads and applies the row of the rollout of `service`; `None` if the store doesn't respond.
-async fn read_row(
-    state: &InstanceState,
-    client: &PlatformClient,
-    service: &str,
-) -> Option<Option<Row>> {
-    let key = format!("{ROLLOUT_PREFIX}{service}");
-    let result = client.read(ENTRY_TABLE, &key).await;
-    let error = result.as_ref().err().map(store::Error::kind);
-    state.metrics.on_store_call("rollout", error);
-    let row = match result {
-        Ok(row) => row,
-        Err(error) => {
-            log::info!(service, error:%; "can't read the row of a rollout");
-            return None;
-        }
-    };
-    if let Some(row) = &row
-        && let Some(record) = decode_record(row)
-    {
-        let latest = state.fleet.latest_store_time();
-        state.rollouts.on_record(&record, latest, true);
-        state.fleet.update_known(|known| {
-            let position = StorePosition::new(known.operator_read.era(), row.revision);
-            known.operator = known.operator.max(position);
-        });
-    }
-    Some(row)
-}
-
-/// Writes `record` if its row still has the revision `revision`. Returns whether the store may
-/// have done so.
-async fn write_record(
-    state: &InstanceState,
-    client: &PlatformClient,
-    record: &RolloutRecord,
-    revision: u64,
-) -> bool {
-    let text = match serde_json::to_string(record) {
-        Ok(text) => text,
-        Err(error) => {
-            log::error!(error:%; "can't encode a rollout");
-            return false;
-        }
-    };
-    let key = format!("{ROLLOUT_PREFIX}{}", record.order.service);
-    let mut writes = vec![RowWrite::new(ENTRY_TABLE, &key, &text).with_expected(revision)];
-    match status_write(record) {
-        Ok(status) => writes.extend(status),
-        Err(error) => log::error!(error:%; "can't encode the status of a rollout"),
-    }
-    let result = client.commit(&writes).await;
-    let error = result.as_ref().err().map(store::Error::kind);
-    state.metrics.on_store_call("rollout", error);
-    let service = record.order.service.as_str();
-    let phase = record.phase.as_str();
-    match result {
-        Ok(CommitOutcome::Done) => log::info!(service, phase; "rollout written"),
-        Ok(CommitOutcome::Conflict) => log::info!(service, phase; "another lead wrote the rollout"),
-        Err(error) => log::info!(service, phase, error:%; "rollout may not have been written"),
-    }
-    true
-}
-
-fn decode_record(row: &Row) -> Option<RolloutRecord> {
-    match serde_json::from_str(&row.value) {
-        Ok(record) => Some(record),
-        Err(error) => {
-            log::warn!(key = row.key.as_str(), error:%; "ignoring an invalid row of a rollout");
-            None
-        }
-    }
-}
-
 fn log_event(event: &RolloutEvent) {
     let (service, version) = (event.service.as_str(), event.version.as_str());
     let phase = event.phase.as_str();
