--- a/crates/place/src/catalog/update.rs
+++ b/crates/place/src/catalog/update.rs
@@ -146,10 +146,8 @@
     /// now, unless they were before.
     pub(super) fn missing_times(&self, now: Instant, ids: &[String]) -> Vec<(String, Instant)> {
         let since = |id: &String| self.table.by_id(id).and_then(|record| record.missing_since);
-        let times = ids.iter();
-        times
-            .map(|id| (id.clone(), since(id).unwrap_or(now)))
-            .collect()
+        let times = ids.iter().map(|id| (id.clone(), since(id).unwrap_or(now)));
+        times.collect()
     }
 
     /// Marks rows as missing, so that a read of this entry that lacks them doesn't take them for
--- a/crates/place/src/departure.rs
+++ b/crates/place/src/departure.rs
@@ -178,11 +178,7 @@
     /// Returns whether `entry` is an obsolete registration of a server that left.
     pub(crate) fn supersedes(&self, now: Instant, entry: &ServerEntry) -> bool {
         let known = self.by_id.get(&entry.id);
-        known.is_some_and(|known| {
-            let age = now.saturating_duration_since(known.recorded_at);
-            let holds = known.departure.announced || age < UNANNOUNCED_TTL;
-            holds && known.alive_at.is_none() && known.departure.supersedes(entry)
-        })
+        known.is_some_and(|known| known.holds(now) && known.departure.supersedes(entry))
     }
 
     /// Returns whether the run of `entry` can't come back: it announced that it leaves, or a
@@ -211,10 +207,7 @@
     /// Returns the departure of the run of `entry`, unless the run has proved to be alive.
     pub(crate) fn of_run(&self, now: Instant, entry: &ServerEntry) -> Option<&Departure> {
         let known = self.by_id.get(&entry.id)?;
-        let age = now.saturating_duration_since(known.recorded_at);
-        let holds = known.departure.announced || age < UNANNOUNCED_TTL;
-        let is_alive = known.alive_at.is_some();
-        (holds && !is_alive && known.departure.is_of_run(entry)).then_some(&known.departure)
+        (known.holds(now) && known.departure.is_of_run(entry)).then_some(&known.departure)
     }
 
     /// Records that the run of the server `id` has registered again since its recorded departure,
@@ -261,6 +254,13 @@
 }
 
 impl DepartureRecord {
+    /// Whether the departure still counts at `now`: the run hasn't proved to be alive, and
+    /// registrations that are applied late may still come.
+    fn holds(&self, now: Instant) -> bool {
+        let age = now.saturating_duration_since(self.recorded_at);
+        self.alive_at.is_none() && (self.departure.announced || age < UNANNOUNCED_TTL)
+    }
+
     /// Whether `departure` is older than the proof that its run is alive.
     fn is_refuted(&self, departure: &Departure) -> bool {
         let is_older = self.alive_at.is_some_and(|at| departure.position <= at);
