--- a/bin/lhctl/src/revoke.rs
+++ b/bin/lhctl/src/revoke.rs
@@ -106,7 +106,7 @@
             .collect();
         println!(
             "{}",
-            json!({"version": version, "heard": updated, "dark": stale})
+            json!({"version": version, "updated": updated, "stale": stale})
         );
         return;
     }
--- a/crates/place/src/statement/message.rs
+++ b/crates/place/src/statement/message.rs
@@ -10,7 +10,7 @@
     pub struct StatementReport {
         /// The limits.
         pub limits: Vec<LimitReport>,
-        /// Runs that told the entry that they are leaving. Short ids aren't enough: if two
+        /// Runs that said in a response to the entry that they are leaving. Short ids aren't enough: if two
         /// servers share one, the other would never get requests again.
         pub leaving: Vec<u64>,
     }
--- a/crates/place/src/statement/table.rs
+++ b/crates/place/src/statement/table.rs
@@ -144,7 +144,7 @@
         limit.into_iter().chain(leaving).collect()
     }
 
-    /// Records that the entry that sent a report was told by `run` that it is leaving. Returns
+    /// Records that another entry reported that `run` is leaving. Returns
     /// whether that is new.
     pub fn on_peer_leaving(&mut self, now: Instant, run: u64) -> bool {
         self.set_leaving(now, run, false)
@@ -363,7 +363,7 @@
         self.limit.as_ref()?.bucket.as_ref()
     }
 
-    /// Whether the others are told that the run is leaving: some time after it said so here.
+    /// Whether reports to the others say that the run is leaving: some time after it said so here.
     fn is_leaving_reported(&self, now: Instant, timing: &BucketTiming) -> bool {
         self.leaving.is_some_and(|known| {
             let age = now.saturating_duration_since(known.since);
