--- a/bin/lh-soak/src/callers.rs
+++ b/bin/lh-soak/src/callers.rs
@@ -57,9 +57,10 @@
             object,
             key: None,
         };
-        if let Some((status, body)) = connection.exchange(draft).await {
-            recorder.record(answered(request, status, body));
-        }
+        recorder.record(match connection.exchange(draft).await {
+            Some((status, body)) => answered(request, status, body),
+            None => RunEvent::Unconnected { request },
+        });
     }
 }
 
--- a/bin/lh-soak/src/churn.rs
+++ b/bin/lh-soak/src/churn.rs
@@ -35,6 +35,9 @@
     loop {
         sleep(Duration::from_millis(rng.random_range(LEAVE_INTERVAL_MS))).await;
         for _ in 0..rng.random_range(1..=MAX_LEAVING_AT_ONCE) {
+            if world.server_pool.live_count() == 0 {
+                continue;
+            }
             let index = rng.random_range(0..world.server_pool.live_count());
             let kind = if rng.random_bool(UNANNOUNCED_SHARE) {
                 LeaveKind::Unannounced
--- a/bin/lh-soak/src/cli.rs
+++ b/bin/lh-soak/src/cli.rs
@@ -1,6 +1,7 @@
 //! Command-line interface.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
 use clap::Parser;
 
@@ -38,6 +39,15 @@
     /// Lets the store come back from an older copy at times, in addition to the other faults.
     #[arg(long)]
     restorations: bool,
+    /// Lets all entries and servers lose power towards the end of the run; no other fault follows.
+    #[arg(long)]
+    power_losses: bool,
+    /// Time in milliseconds that a server works on a request.
+    #[arg(long, default_value_t = 30, value_name = "MS")]
+    service_ms: u64,
+    /// Share of a processor that each entry gets, in turns of a tenth of a second.
+    #[arg(long, default_value_t = 1.0, value_name = "SHARE")]
+    processor_share: f64,
     /// Number of threads that spin to generate CPU load during the run.
     #[arg(long, default_value_t = 0)]
     busy: usize,
@@ -67,6 +77,9 @@
             late_heartbeats: self.late_heartbeats,
             partitions: self.partitions,
             restorations: self.restorations,
+            power_losses: self.power_losses,
+            service_time: Duration::from_millis(self.service_ms),
+            processor_share: self.processor_share,
             busy_threads: self.busy,
             entry_program,
             keep: self.keep,
--- a/bin/lh-soak/src/config.rs
+++ b/bin/lh-soak/src/config.rs
@@ -25,6 +25,12 @@
 pub const EXPOSURE_SLACK: f64 = 50.0;
 /// Time after too many bad responses from which a version gets no more requests.
 pub const ROLLBACK: Duration = Duration::from_millis(5000);
+/// Time for which a server that has lost power is cold after its return.
+pub const COLD_WARMUP: Duration = Duration::from_secs(3);
+/// Requests that a cold server gets in one second at most: its rate of 7.6 by the factor 1.5, and 8.
+pub const COLD_BURST: usize = 19;
+/// Time after the return of all machines from which requests are served as before.
+pub const RECOVERY: Duration = Duration::from_secs(15);
 /// Region in which the route with a home may run.
 pub const HOME_REGION: &str = REGIONS[0];
 /// Time without faults after which the time bounds apply again.
@@ -33,6 +39,9 @@
 /// machine.
 const MAX_ENTRIES: usize = 250;
 
+/// Shortest run in which the recovery from a loss of power can be judged.
+const MIN_POWER_LOSS_RUN: Duration = Duration::from_secs(45);
+
 /// Configuration of a run.
 #[derive(Debug, Clone)]
 pub struct SoakConfig {
@@ -50,6 +59,12 @@
     pub partitions: bool,
     /// Whether the store comes back from older copies.
     pub restorations: bool,
+    /// Whether all entries and servers lose power towards the end.
+    pub power_losses: bool,
+    /// Time that a server works on a request.
+    pub service_time: Duration,
+    /// Share of a processor that each entry gets, more than 0 and at most 1.
+    pub processor_share: f64,
     /// Number of threads that spin to generate CPU load.
     pub busy_threads: usize,
     /// Path of the `lh-entry` binary.
@@ -73,10 +88,19 @@
             let text = format!("give at least {domains} servers with --servers");
             return Err(Error::Usage(text));
         }
+        if self.power_losses && Duration::from_secs(self.seconds) < MIN_POWER_LOSS_RUN {
+            let seconds = MIN_POWER_LOSS_RUN.as_secs();
+            let text = format!("give at least {seconds} seconds with --power-losses");
+            return Err(Error::Usage(text));
+        }
         if !(0.0..=1.0).contains(&self.late_heartbeats) {
             let text = "give a share from 0 to 1 with --late-words";
             return Err(Error::Usage(text.to_owned()));
         }
+        if !(0.01..=1.0).contains(&self.processor_share) {
+            let text = "give a share from 0.01 to 1 with --processor-share";
+            return Err(Error::Usage(text.to_owned()));
+        }
         if !self.entry_program.exists() {
             let text = format!(
                 "no program {}: build it with `cargo build --release -p lh-entry`",
--- a/bin/lh-soak/src/history.rs
+++ b/bin/lh-soak/src/history.rs
@@ -138,6 +138,21 @@
             /// Ids in the responses, in the order in which they arrived.
             answered: Vec<String>,
         },
+        /// All entries and servers lost power, or the last of them is back.
+        Power {
+            /// Whether all of them are back.
+            is_back: bool,
+        },
+        /// A cold server got more requests than it bears, and ended.
+        Crashed {
+            /// The server.
+            server: String,
+        },
+        /// A caller got no connection for a request.
+        Unconnected {
+            /// Id of the request.
+            request: String,
+        },
         /// The tasks of the soak process itself were delayed.
         Lag {
             /// Delay in milliseconds.
--- a/bin/lh-soak/src/injector.rs
+++ b/bin/lh-soak/src/injector.rs
@@ -27,6 +27,8 @@
 const STOP_TIMEOUT: Duration = Duration::from_secs(7);
 /// Interval between two checks whether stopped processes have exited.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Period in which an entry gets its share of a processor.
+const QUOTA_PERIOD: Duration = Duration::from_millis(100);
 /// Time for which a broken link refuses connections.
 const LINK_BREAK_DURATION: Duration = Duration::from_millis(30);
 
@@ -197,3 +199,26 @@
         world.server_pool.reregister(&[id]);
     }
 }
+
+/// Lets each entry run only in the share `share` of each [`QUOTA_PERIOD`], as if it had used up a
+/// processor quota.
+pub(crate) async fn limit_processor(world: Arc<World>, share: f64) {
+    let run_time = QUOTA_PERIOD.mul_f64(share);
+    let count = world.entries.len();
+    let step = QUOTA_PERIOD / u32::try_from(count.max(1)).unwrap_or(u32::MAX);
+    for index in 0..count {
+        let world = Arc::clone(&world);
+        tokio::spawn(async move {
+            loop {
+                let result = world.entry(index).signal(Signal::CONT);
+                sleep(run_time).await;
+                let result = result.and(world.entry(index).signal(Signal::STOP));
+                if let Err(error) = result {
+                    eprintln!("the processor share of entry {index} isn't limited: {error}");
+                }
+                sleep(QUOTA_PERIOD - run_time).await;
+            }
+        });
+        sleep(step).await;
+    }
+}
--- a/bin/lh-soak/src/judge.rs
+++ b/bin/lh-soak/src/judge.rs
@@ -31,6 +31,7 @@
 use crate::judge_limits::LimitJudge;
 use crate::judge_paths::PathJudge;
 use crate::judge_promises::PromiseJudge;
+use crate::judge_recovery::RecoveryJudge;
 use crate::judge_rests::RestJudge;
 use crate::judge_statements::StatementJudge;
 pub use crate::report::SoakReport;
@@ -67,6 +68,7 @@
     rests: RestJudge,
     paths: PathJudge,
     promises: PromiseJudge,
+    recovery: RecoveryJudge,
     statements: StatementJudge,
 }
 
@@ -82,6 +84,10 @@
     }
     judge.promises.finish(&mut report);
     report.path_violations.extend(judge.paths.violation());
+    report
+        .recovery_violations
+        .extend(judge.recovery.violations());
+    report.served_percent = judge.recovery.served_percent();
     report.servers_left = judge.left_at.len();
     if judge.limits.room > 0.0 {
         let share = judge.limits.used as f64 / judge.limits.room;
@@ -181,12 +187,19 @@
                 let is_store_stable = self.store.is_stable(at);
                 self.promises.on_event(at, event, is_store_stable, report);
             }
+            RunEvent::Power { is_back } => self.recovery.on_power(at, *is_back),
+            RunEvent::Crashed { server } => {
+                let text = format!("cold: {server} got more requests than it bears at {at} ms");
+                report.cold_violations.push(text);
+            }
+            RunEvent::Unconnected { request } => self.recovery.on_ended(at, request, false),
             RunEvent::Lag { ms } => self.max_lag_ms = self.max_lag_ms.max(*ms),
             RunEvent::Answered {
                 request,
                 status,
                 body,
             } => {
+                self.recovery.on_ended(at, request, *status == STATUS_OK);
                 self.on_passed_on(at, request, *status);
                 if let Some(entry) = server_connections::entry_of(request) {
                     let state = *self.fault_state(Some(entry));
--- a/bin/lh-soak/src/operator.rs
+++ b/bin/lh-soak/src/operator.rs
@@ -172,9 +172,9 @@
     }
 }
 
-/// The store acknowledges nothing while it is faulty.
+/// The store acknowledges nothing while it is faulty, and nothing is ordered without power.
 pub(crate) async fn wait_for_store(world: &World) {
-    while world.is_store_faulty() {
+    while world.is_store_faulty() || !world.has_power() {
         sleep(RETRY_INTERVAL).await;
     }
 }
--- /dev/null
+++ b/bin/lh-soak/src/power.rs
@@ -0,0 +1,170 @@
+//! Losses of power: all entries and backend servers end at once and come back one after the other.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::{Rng as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use tokio::time::sleep;
+
+use crate::error::Result;
+use crate::history::RunEvent;
+use crate::servers::SoakServer;
+use crate::world::World;
+
+/// Makes the draws independent of those of faults and departures.
+const SEED_MASK: u64 = 0x0b1a_c000;
+/// Largest number of losses in a series.
+const MAX_LOSSES: usize = 3;
+/// Range of the time between two losses of a series, from the return, in milliseconds.
+const SERIES_INTERVAL_MS: std::ops::Range<u64> = 200..4000;
+/// Range of the time for which the power is lost, in milliseconds.
+const DOWN_MS: std::ops::Range<u64> = 500..3000;
+/// Largest time between the ends of the entries and of the servers, in milliseconds.
+const MAX_END_GAP_MS: u64 = 800;
+/// Ranges of the time over which entries, and servers, come back, in milliseconds. The second one
+/// is that of slow returns.
+const RETURN_MS: std::ops::Range<u64> = 100..2500;
+const SLOW_RETURN_MS: std::ops::Range<u64> = 6000..10_000;
+/// Share of the returns that are slow.
+const SLOW_SHARE: f64 = 0.2;
+/// Name of the fault, as recorded in the history.
+const POWER_FAULT: &str = "power-lost";
+/// Delay after which a server that crashed starts again.
+const CRASH_RESTART_DELAY: Duration = Duration::from_secs(1);
+/// Interval between two looks for servers that have crashed.
+const CRASH_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Attempts to start a server whose former connections still hold its address, and the pause
+/// between them.
+const START_ATTEMPTS: usize = 100;
+const START_RETRY_DELAY: Duration = Duration::from_millis(100);
+
+/// One loss of power and the return.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PowerLoss {
+    /// Time since the return from the loss before, or since the start of the series.
+    pub after: Duration,
+    /// Whether the servers end before the entries.
+    pub servers_first: bool,
+    /// Time between the ends of the two.
+    pub end_gap: Duration,
+    /// Time without power.
+    pub down: Duration,
+    /// Time over which the entries come back.
+    pub entry_return: Duration,
+    /// Time over which the servers come back.
+    pub server_return: Duration,
+}
+
+/// Draws a series of losses of power.
+pub fn draw_losses(seed: u64) -> Vec<PowerLoss> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ SEED_MASK);
+    let count = rng.random_range(1..=MAX_LOSSES);
+    let mut draw = || PowerLoss {
+        after: Duration::from_millis(rng.random_range(SERIES_INTERVAL_MS)),
+        servers_first: rng.random(),
+        end_gap: Duration::from_millis(rng.random_range(0..MAX_END_GAP_MS)),
+        down: Duration::from_millis(rng.random_range(DOWN_MS)),
+        entry_return: draw_return(&mut rng),
+        server_return: draw_return(&mut rng),
+    };
+    (0..count).map(|_| draw()).collect()
+}
+
+fn draw_return(rng: &mut ChaCha8Rng) -> Duration {
+    let range = if rng.random_bool(SLOW_SHARE) {
+        SLOW_RETURN_MS
+    } else {
+        RETURN_MS
+    };
+    Duration::from_millis(rng.random_range(range))
+}
+
+/// Plays a series of losses. Returns when all machines are back from the last one.
+pub(crate) async fn lose_power(world: Arc<World>, losses: &[PowerLoss]) -> Result<()> {
+    for loss in losses {
+        sleep(loss.after).await;
+        world.set_power(false);
+        world.recorder.record(RunEvent::Power { is_back: false });
+        for entry in 0..world.entries.len() {
+            world.record_fault(POWER_FAULT, Some(entry));
+        }
+        let servers = cut(&world, loss).await?;
+        sleep(loss.down).await;
+        let (entries, servers) = tokio::join!(
+            return_entries(&world, loss.entry_return),
+            return_servers(&world, &servers, loss.server_return),
+        );
+        entries?;
+        servers?;
+        for entry in 0..world.entries.len() {
+            world.record_fault_end(Some(entry));
+        }
+        world.recorder.record(RunEvent::Power { is_back: true });
+        world.set_power(true);
+    }
+    Ok(())
+}
+
+async fn cut(world: &World, loss: &PowerLoss) -> Result<Vec<SoakServer>> {
+    if loss.servers_first {
+        let servers = world.server_pool.cut_power();
+        sleep(loss.end_gap).await;
+        world.stop_entries()?;
+        return Ok(servers);
+    }
+    world.stop_entries()?;
+    sleep(loss.end_gap).await;
+    Ok(world.server_pool.cut_power())
+}
+
+async fn return_entries(world: &World, spread: Duration) -> Result<()> {
+    let count = world.entries.len();
+    let step = spread / u32::try_from(count.max(1)).unwrap_or(u32::MAX);
+    for index in 0..count {
+        sleep(step).await;
+        world.entry(index).start()?;
+    }
+    Ok(())
+}
+
+async fn return_servers(world: &World, servers: &[SoakServer], spread: Duration) -> Result<()> {
+    let step = spread / u32::try_from(servers.len().max(1)).unwrap_or(u32::MAX);
+    for server in servers {
+        sleep(step).await;
+        restart(world, server).await?;
+    }
+    Ok(())
+}
+
+async fn restart(world: &World, server: &SoakServer) -> Result<()> {
+    if server.is_draining || world.server_pool.statements.get(&server.id).is_stopped {
+        return Ok(());
+    }
+    for _ in 1..START_ATTEMPTS {
+        if world.server_pool.restart_server(server).await.is_ok() {
+            return Ok(());
+        }
+        sleep(START_RETRY_DELAY).await;
+    }
+    world.server_pool.restart_server(server).await
+}
+
+/// Starts servers again that got too many requests while they were cold.
+pub(crate) async fn restart_crashed(world: Arc<World>) {
+    loop {
+        sleep(CRASH_POLL_INTERVAL).await;
+        if !world.has_power() {
+            continue;
+        }
+        for server in world.server_pool.take_ended() {
+            let world = Arc::clone(&world);
+            tokio::spawn(async move {
+                sleep(CRASH_RESTART_DELAY).await;
+                if let Err(error) = restart(&world, &server).await {
+                    eprintln!("server {} can't start again: {error}", server.id);
+                }
+            });
+        }
+    }
+}
--- a/bin/lh-soak/src/probes.rs
+++ b/bin/lh-soak/src/probes.rs
@@ -105,8 +105,9 @@
         };
         let request = id.clone();
         recorder.record(RunEvent::Sent { request });
-        if let Some((status, body)) = connection.exchange(draft).await {
-            recorder.record(callers::answered(id, status, body));
-        }
+        recorder.record(match connection.exchange(draft).await {
+            Some((status, body)) => callers::answered(id, status, body),
+            None => RunEvent::Unconnected { request: id },
+        });
     }
 }
--- a/bin/lh-soak/src/report.rs
+++ b/bin/lh-soak/src/report.rs
@@ -48,6 +48,13 @@
     pub path_violations: Vec<String>,
     /// Violations of **Rollout**.
     pub rollout_violations: Vec<String>,
+    /// Violations of **Recovery**.
+    pub recovery_violations: Vec<String>,
+    /// Violations of **Cold**.
+    pub cold_violations: Vec<String>,
+    /// Percentage of the requests that were served in each second since the return of power; empty
+    /// if it wasn't lost.
+    pub served_percent: Vec<u32>,
     /// Requests that servers with limits got, in percent of what the limits allowed.
     pub limits_used_percent: u32,
     /// Late requests to servers that the store lists with an earlier heartbeat, and whose departure
@@ -82,6 +89,8 @@
             &self.quota_violations,
             &self.rollout_violations,
             &self.path_violations,
+            &self.recovery_violations,
+            &self.cold_violations,
         ];
         kinds.into_iter().flatten()
     }
@@ -97,7 +106,7 @@
         write!(
             f,
             "seed {}: {} arrivals, {} servers left, answers {} good {} other, faults [{}]; \
-             drain {}, returned {}, once {}, leaving {}, rest {}, limit {} (used {} %), desired {}, key {}, evacuation {}, home {}, order {}, quota {}, rollout {}, path {}, \
+             drain {}, returned {}, once {}, leaving {}, rest {}, limit {} (used {} %), desired {}, key {}, evacuation {}, home {}, order {}, quota {}, rollout {}, path {}, recovery {}, cold {}, \
              forgotten by all {}, late under faults {} (latest {} ms)",
             self.seed,
             self.arrivals,
@@ -120,10 +129,19 @@
             self.quota_violations.len(),
             self.rollout_violations.len(),
             self.path_violations.len(),
+            self.recovery_violations.len(),
+            self.cold_violations.len(),
             self.forgotten,
             self.late_under_faults.0,
             self.late_under_faults.1,
         )?;
+        if !self.served_percent.is_empty() {
+            write!(
+                f,
+                "\n  served by seconds after the return, in %: {:?}",
+                self.served_percent
+            )?;
+        }
         for violation in self.violations().take(MAX_PRINTED_VIOLATIONS) {
             write!(f, "\n  {violation}")?;
         }
--- a/bin/lh-soak/src/rollouts.rs
+++ b/bin/lh-soak/src/rollouts.rs
@@ -53,6 +53,7 @@
         let share = rng.random_range(0.1..0.9);
         let is_taken_back = rng.random_bool(TAKEN_BACK_SHARE);
         let taken_back_at = is_taken_back.then(|| duration.mul_f64(share));
+        wait_for_power(&world).await;
         let new = start_version(&world, version, is_bad).await?;
         wait_for_store(&world).await;
         let order = json!({
@@ -105,6 +106,12 @@
     version.parse().ok()
 }
 
+async fn wait_for_power(world: &World) {
+    while !world.has_power() {
+        sleep(POLL_INTERVAL).await;
+    }
+}
+
 async fn start_version(world: &World, version: u64, is_bad: bool) -> Result<Vec<String>> {
     let mut servers = Vec::new();
     for index in 0..SERVERS_PER_VERSION {
@@ -157,8 +164,9 @@
         };
         let request = id.clone();
         recorder.record(RunEvent::Sent { request });
-        if let Some((status, body)) = connection.exchange(draft).await {
-            recorder.record(callers::answered(id, status, body));
-        }
+        recorder.record(match connection.exchange(draft).await {
+            Some((status, body)) => callers::answered(id, status, body),
+            None => RunEvent::Unconnected { request: id },
+        });
     }
 }
--- a/bin/lh-soak/src/server_connections.rs
+++ b/bin/lh-soak/src/server_connections.rs
@@ -1,5 +1,6 @@
 //! Connections of the backend servers, and their responses.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,10 +15,9 @@
 
 use crate::fleet;
 use crate::history::{RunEvent, RunRecorder, Statement};
+use crate::server_run::{Admission, ServerRun};
 use crate::statements::StatementBoard;
 
-/// Processing time of a request.
-const SERVICE_TIME: Duration = Duration::from_millis(30);
 /// Path of the health check.
 const HEALTH_PATH: &str = "/health";
 
@@ -28,6 +28,8 @@
     pub(crate) recorder: RunRecorder,
     pub(crate) statements: StatementBoard,
     pub(crate) partition: Partition,
+    pub(crate) run: Arc<ServerRun>,
+    pub(crate) service_time: Duration,
 }
 
 impl ServerIdentity {
@@ -65,7 +67,14 @@
 
 /// Serves connections until the server is stopped.
 pub(crate) async fn accept(listener: TcpListener, server: ServerIdentity) {
-    while let Ok((stream, _)) = listener.accept().await {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = server.run.wait_end() => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            return;
+        };
         if server.statements.get(&server.id).is_stopped {
             return;
         }
@@ -83,12 +92,12 @@
     };
     // An entry that can't reach servers relays its callers' requests through others.
     let sender = fleet::entry_at(client.ip());
-    let partition = server.partition.clone();
+    let (partition, run) = (server.partition.clone(), Arc::clone(&server.run));
     let service = service_fn(move |request| {
         let server = server.clone();
         async move {
             let response = handle_request(&server, sender, request).await;
-            if server.statements.get(&server.id).is_stopped {
+            if server.run.has_ended() || server.statements.get(&server.id).is_stopped {
                 return Err(std::io::Error::from(std::io::ErrorKind::ConnectionAborted));
             }
             Ok(response)
@@ -99,6 +108,7 @@
     tokio::select! {
         _ = connection => {}
         () = partition.separated(client.ip()) => {}
+        () = run.wait_end() => {}
     }
 }
 
@@ -113,7 +123,7 @@
     let mut builder = Response::builder()
         .header("request-id", &request_id)
         .header("instance-id", id.as_str())
-        .header("server-load", "0,0,8");
+        .header("server-load", server.run.load());
     if request.uri().path() == HEALTH_PATH {
         return response_with_body(builder, "");
     }
@@ -128,6 +138,19 @@
     if let Some(rest_ms) = statement.rest_ms {
         return server.turn_away(sender, builder, rest_ms);
     }
+    match server.run.admit() {
+        Admission::Accepted => {}
+        Admission::Full => {
+            builder = builder
+                .status(StatusCode::SERVICE_UNAVAILABLE)
+                .header("not-executed", "1");
+            return response_with_body(builder, "");
+        }
+        Admission::Crashed => {
+            recorder.record(RunEvent::Crashed { server: id.clone() });
+            server.run.end();
+        }
+    }
     if let Some(entry) = sender {
         recorder.record(RunEvent::Arrived {
             server: id.clone(),
@@ -136,7 +159,9 @@
         });
     }
     let _ = request.into_body().collect().await;
-    tokio::time::sleep(SERVICE_TIME).await;
+    let running = server.run.start_request().await;
+    tokio::time::sleep(server.service_time * server.run.slowdown()).await;
+    drop(running);
     let statement = server.statements.get(id);
     if statement.leaving {
         builder = builder.header("server-leaving", "1");
--- a/bin/lh-soak/src/servers.rs
+++ b/bin/lh-soak/src/servers.rs
@@ -2,16 +2,18 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use platform_standin::{FakeStore, Partition, server_entry_in};
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 
-use crate::config::{region_and_domain, server_id};
+use crate::config::{SoakConfig, region_and_domain, server_id};
 use crate::error::Result;
-use crate::history::{RunEvent, RunRecorder};
+use crate::history::{RunEvent, RunRecorder, millis};
 use crate::rollouts;
 use crate::server_connections::{self, ServerIdentity};
+use crate::server_run::ServerRun;
 use crate::statements::StatementBoard;
 
 /// Name of the service that all servers offer.
@@ -31,16 +33,30 @@
 /// A backend server.
 #[derive(Debug, Clone)]
 pub(crate) struct SoakServer {
-    id: String,
+    pub(crate) id: String,
     address: SocketAddr,
     domain: String,
+    service: &'static str,
+    version: String,
     /// Sequence number of its latest registration.
     seq: u64,
+    /// Start of its run in Unix milliseconds; `None` if it states none.
+    started: Option<u64>,
+    /// Whether it drains; a server that does so doesn't start again.
+    pub(crate) is_draining: bool,
+    pub(crate) run: Arc<ServerRun>,
 }
 
 impl SoakServer {
     fn registration(&self, state: &str, seq: u64) -> Value {
-        server_entry_in(&self.domain, SERVICE, self.address, state, seq)
+        let mut row = server_entry_in(&self.domain, self.service, self.address, state, seq);
+        row["version"] = json!(self.version);
+        let cold_ms = self.run.cold_remaining().as_millis();
+        row["coldRemaining"] = json!(format!("{cold_ms}ms"));
+        if let Some(started) = self.started {
+            row["born"] = json!(started);
+        }
+        row
     }
 }
 
@@ -50,7 +66,12 @@
     store: FakeStore,
     recorder: RunRecorder,
     live: Arc<Mutex<Vec<SoakServer>>>,
+    /// Servers of the versions of the service that is rolled out.
+    versions: Arc<Mutex<Vec<SoakServer>>>,
     started: Arc<Mutex<usize>>,
+    /// Whether the slots of servers are limited.
+    has_slots: bool,
+    service_time: Duration,
     /// What the servers say of themselves.
     pub(crate) statements: StatementBoard,
     /// Separates entries from the servers.
@@ -59,11 +80,14 @@
 
 impl ServerPool {
     /// Creates an empty pool.
-    pub(crate) fn new(store: FakeStore, recorder: RunRecorder) -> Self {
+    pub(crate) fn new(store: FakeStore, recorder: RunRecorder, config: &SoakConfig) -> Self {
         Self {
             store,
             recorder,
+            has_slots: config.power_losses,
+            service_time: config.service_time,
             live: Arc::default(),
+            versions: Arc::default(),
             started: Arc::default(),
             statements: StatementBoard::default(),
             partition: Partition::default(),
@@ -82,19 +106,30 @@
             id: server_id(index),
             address: listener.local_addr()?,
             domain: region_and_domain(index).1,
+            service: SERVICE,
+            version: "v1".to_owned(),
             seq: 1,
+            started: None,
+            is_draining: false,
+            run: Arc::new(ServerRun::new(self.has_slots)),
         };
+        self.serve(listener, &server);
+        self.store
+            .put(TABLE, &server.id, &server.registration("ready", 1));
+        self.live().push(server);
+        Ok(())
+    }
+
+    fn serve(&self, listener: TcpListener, server: &SoakServer) {
         let identity = ServerIdentity {
             id: server.id.clone(),
             recorder: self.recorder.clone(),
             statements: self.statements.clone(),
             partition: self.partition.clone(),
+            run: Arc::clone(&server.run),
+            service_time: self.service_time,
         };
         tokio::spawn(server_connections::accept(listener, identity));
-        self.store
-            .put(TABLE, &server.id, &server.registration("ready", 1));
-        self.live().push(server);
-        Ok(())
     }
 
     /// Starts and registers the server `id` of a version of the service that is rolled out.
@@ -106,21 +141,23 @@
         is_bad: bool,
     ) -> Result<()> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let (_, domain) = region_and_domain(index);
-        let address = listener.local_addr()?;
-        let mut row = server_entry_in(&domain, rollouts::SERVICE, address, "ready", 1);
-        row["version"] = json!(version);
         if is_bad {
             self.statements.set_bad(id);
         }
-        let identity = ServerIdentity {
+        let server = SoakServer {
             id: id.to_owned(),
-            recorder: self.recorder.clone(),
-            statements: self.statements.clone(),
-            partition: self.partition.clone(),
+            address: listener.local_addr()?,
+            domain: region_and_domain(index).1,
+            service: rollouts::SERVICE,
+            version: version.to_owned(),
+            seq: 1,
+            started: None,
+            is_draining: false,
+            run: Arc::new(ServerRun::new(false)),
         };
-        tokio::spawn(server_connections::accept(listener, identity));
-        self.store.put(TABLE, id, &row);
+        self.serve(listener, &server);
+        self.store.put(TABLE, id, &server.registration("ready", 1));
+        self.versions().push(server);
         Ok(())
     }
 
@@ -129,6 +166,9 @@
         let Some(mut row) = self.store.row(TABLE, id) else {
             return;
         };
+        for version_server in self.versions().iter_mut() {
+            version_server.is_draining |= version_server.id == id;
+        }
         row["state"] = json!("draining");
         row["seq"] = json!(2);
         let server = id.to_owned();
@@ -139,9 +179,54 @@
     /// Ends the server `id` of a version.
     pub(crate) fn stop_version_server(&self, id: &str) {
         self.statements.set_stopped(id);
+        self.versions().retain(|server| server.id != id);
         self.store.delete_row(TABLE, id);
     }
 
+    /// Ends the runs of all servers at once. Their rows stay. Returns the servers.
+    pub(crate) fn cut_power(&self) -> Vec<SoakServer> {
+        let mut servers: Vec<SoakServer> = self.live().drain(..).collect();
+        servers.extend(self.versions().drain(..));
+        for server in &servers {
+            server.run.end();
+            self.statements.clear(&server.id);
+        }
+        servers
+    }
+
+    /// Starts `server` again, cold, at its address and under its id. It registers with the start
+    /// of its new run.
+    ///
+    /// # Errors
+    /// If its address can't be bound.
+    pub(crate) async fn restart_server(&self, server: &SoakServer) -> Result<()> {
+        let listener = TcpListener::bind(server.address).await?;
+        let run = ServerRun::new(self.has_slots && server.service == SERVICE).with_cold_start();
+        let server = SoakServer {
+            run: Arc::new(run),
+            seq: 1,
+            started: Some(unix_millis()),
+            ..server.clone()
+        };
+        self.serve(listener, &server);
+        let row = server.registration("ready", 1);
+        self.store.put(TABLE, &server.id, &row);
+        if server.service == SERVICE {
+            self.live().push(server);
+        } else {
+            self.versions().push(server);
+        }
+        Ok(())
+    }
+
+    /// Removes and returns the servers whose runs have ended.
+    pub(crate) fn take_ended(&self) -> Vec<SoakServer> {
+        let ended = |server: &mut SoakServer| server.run.has_ended();
+        let mut servers: Vec<SoakServer> = self.live().extract_if(.., ended).collect();
+        servers.extend(self.versions().extract_if(.., ended));
+        servers
+    }
+
     /// Number of servers that have not left.
     pub(crate) fn live_count(&self) -> usize {
         self.live().len()
@@ -228,7 +313,16 @@
         }
     }
 
+    fn versions(&self) -> MutexGuard<'_, Vec<SoakServer>> {
+        self.versions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn live(&self) -> MutexGuard<'_, Vec<SoakServer>> {
         self.live.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+fn unix_millis() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    millis(now.unwrap_or_default())
+}
--- a/bin/lh-soak/src/soak.rs
+++ b/bin/lh-soak/src/soak.rs
@@ -13,13 +13,16 @@
 use crate::error::{Error, Result};
 use crate::faults;
 use crate::history::{RunEvent, RunHistory, RunRecorder, millis};
-use crate::injector::inject;
+use crate::injector::{inject, limit_processor};
 use crate::judge;
 use crate::operator::{change_desired, evacuate_domains};
+use crate::power::{draw_losses, lose_power, restart_crashed};
 use crate::rollouts::roll_out;
 use crate::statements::{ask_for_rest, leave_by_responses, state_limits};
 use crate::world::World;
 
+/// Time without faults after the last return of power, in which the recovery is judged.
+const CALM_AFTER_RETURN: Duration = Duration::from_secs(22);
 /// Interval between two measurements of the scheduling delay of this process.
 const LAG_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -72,19 +75,28 @@
     let desired = tokio::spawn(change_desired(Arc::clone(&world), config.clone()));
     let evacuations = tokio::spawn(evacuate_domains(Arc::clone(&world), config.clone()));
     let rolling = tokio::spawn(roll_out(Arc::clone(&world), config.clone()));
+    let fault_seconds = if config.power_losses {
+        tokio::spawn(restart_crashed(Arc::clone(&world)));
+        config.seconds.saturating_sub(CALM_AFTER_RETURN.as_secs())
+    } else {
+        config.seconds
+    };
+    if config.processor_share < 1.0 {
+        tokio::spawn(limit_processor(Arc::clone(&world), config.processor_share));
+    }
     let started = Instant::now();
     let mut injections = Vec::new();
     let mut planned =
-        faults::draw_faults(config.seed, config.seconds, config.entries, REGIONS.len());
+        faults::draw_faults(config.seed, fault_seconds, config.entries, REGIONS.len());
     if config.partitions {
         planned.extend(faults::draw_partitions(
             config.seed,
-            config.seconds,
+            fault_seconds,
             config.entries,
         ));
     }
     if config.restorations {
-        planned.extend(faults::draw_restorations(config.seed, config.seconds));
+        planned.extend(faults::draw_restorations(config.seed, fault_seconds));
     }
     planned.sort_by_key(|fault| fault.at);
     for fault in planned {
@@ -94,6 +106,13 @@
     for injection in injections {
         injection.await.map_err(std::io::Error::other)??;
     }
+    if config.power_losses {
+        limits.abort();
+        leaving.abort();
+        rests.abort();
+        lose_power(Arc::clone(&world), &draw_losses(config.seed)).await?;
+        sleep(CALM_AFTER_RETURN).await;
+    }
     let run_time = Duration::from_secs(config.seconds);
     sleep(run_time.saturating_sub(started.elapsed())).await;
     churn.abort();
--- a/bin/lh-soak/src/statements.rs
+++ b/bin/lh-soak/src/statements.rs
@@ -89,6 +89,17 @@
         by_server.entry(server.to_owned()).or_default().is_stopped = true;
     }
 
+    /// Forgets what `server` says of itself, but not whether its version is bad.
+    pub(crate) fn clear(&self, server: &str) {
+        if let Some(statement) = self.lock().get_mut(server) {
+            *statement = ServerStatement {
+                is_bad: statement.is_bad,
+                is_stopped: statement.is_stopped,
+                ..ServerStatement::default()
+            };
+        }
+    }
+
     /// Lets `server` say that it is leaving.
     fn set_leaving(&self, server: &str) {
         let mut by_server = self.lock();
--- a/bin/lh-soak/src/world.rs
+++ b/bin/lh-soak/src/world.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -37,6 +37,7 @@
     pub(crate) step: DesiredStep,
     /// Number of active faults of the store.
     store_faults: AtomicU32,
+    has_power: AtomicBool,
 }
 
 impl World {
@@ -46,7 +47,7 @@
         let step = DesiredStep::default();
         write_step(&store, &step, 1, FIRST_VERSION);
         recorder.record(RunEvent::Desired { step: 1 });
-        let server_pool = ServerPool::new(store.clone(), recorder.clone());
+        let server_pool = ServerPool::new(store.clone(), recorder.clone(), config);
         for _ in 0..config.servers {
             server_pool.start_server().await?;
         }
@@ -67,6 +68,7 @@
             recorder,
             step,
             store_faults: AtomicU32::default(),
+            has_power: AtomicBool::new(true),
         };
         world.wait_ready().await?;
         Ok(world)
@@ -147,6 +149,15 @@
         self.recorder.record(RunEvent::Calm { entry });
     }
 
+    /// Sets whether entries and servers have power.
+    pub(crate) fn set_power(&self, has_power: bool) {
+        self.has_power.store(has_power, Ordering::Relaxed);
+    }
+
+    pub(crate) fn has_power(&self) -> bool {
+        self.has_power.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn is_store_faulty(&self) -> bool {
         self.store_faults.load(Ordering::Relaxed) > 0
     }
