Quotas: metric and line of the silent entries whose parts are reserved; soak: callers by look-up

Cause: nothing tells how many entries share the quotas at an entry, nor how many parts are reserved for silent ones, which would show whether a fleet that comes back holds back most of its quotas. The soak's callers ignored look-ups.

--- a/bin/lh-entry/src/fleet.rs
+++ b/bin/lh-entry/src/fleet.rs
@@ -200,6 +200,7 @@
             _ = measure.tick() => {
                 let rate = state.request_meter.borrow_mut().measure(HEARTBEAT_INTERVAL.as_secs_f64());
                 state.advertised_rate.set(rate.round() as u32);
+                observe_quota_entries(&state);
             }
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((length, from)) => {
@@ -214,6 +215,14 @@
     }
 }
 
+fn observe_quota_entries(state: &InstanceState) {
+    let mut quota = state.quota.borrow_mut();
+    if quota.has_quotas() {
+        let (entries, silent) = quota.entry_counts(Instant::now());
+        state.metrics.teams.set_quota_entries(entries, silent);
+    }
+}
+
 /// Passes changes of this entry's own state to the fleet.
 pub(crate) fn update_local_state(state: &InstanceState) {
     let stamp = if state.has_own_routes() {
--- a/bin/lh-entry/src/team_metrics.rs
+++ b/bin/lh-entry/src/team_metrics.rs
@@ -1,9 +1,9 @@
-//! Request metrics by team, with a bounded number of series.
+//! Metrics of teams: requests with a bounded number of series, and the entries that share quotas.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 
-use prometheus::{IntCounterVec, Opts, Registry};
+use prometheus::{IntCounterVec, IntGaugeVec, Opts, Registry};
 
 use crate::error::Result;
 
@@ -20,6 +20,9 @@
 pub(crate) struct TeamMetrics {
     requests: IntCounterVec,
     labeled_teams: RefCell<HashSet<String>>,
+    quota_entries: IntGaugeVec,
+    /// Number of silent entries that share the quotas, as last logged.
+    logged_silent: Cell<usize>,
 }
 
 impl TeamMetrics {
@@ -35,10 +38,20 @@
             ),
             &["team", "outcome"],
         )?;
+        let quota_entries = IntGaugeVec::new(
+            Opts::new(
+                "laurelhill_quota_entries",
+                "Entries that share the quotas, and those of them whose parts are reserved because they are silent",
+            ),
+            &["state"],
+        )?;
         registry.register(Box::new(requests.clone()))?;
+        registry.register(Box::new(quota_entries.clone()))?;
         Ok(Self {
             requests,
             labeled_teams: RefCell::default(),
+            quota_entries,
+            logged_silent: Cell::default(),
         })
     }
 
@@ -48,6 +61,18 @@
         self.requests.with_label_values(&[name, outcome]).inc();
     }
 
+    /// Sets how many entries share the quotas, and how many of these are silent. Logs changes of
+    /// the latter.
+    pub(crate) fn set_quota_entries(&self, entries: usize, silent: usize) {
+        for (state, count) in [("all", entries), ("silent", silent)] {
+            let gauge = self.quota_entries.with_label_values(&[state]);
+            gauge.set(count as i64);
+        }
+        if self.logged_silent.replace(silent) != silent {
+            log::info!(entries, silent; "parts of quotas reserved for silent entries");
+        }
+    }
+
     fn team_label<'a>(&self, team: &'a str) -> &'a str {
         let mut labeled_teams = self.labeled_teams.borrow_mut();
         if labeled_teams.contains(team) {
--- a/bin/lh-soak/src/callers.rs
+++ b/bin/lh-soak/src/callers.rs
@@ -131,6 +131,19 @@
     Some(response.status().as_u16())
 }
 
+/// Returns the body of the successful response to `GET path` at `address`.
+pub(crate) async fn get_body(address: SocketAddr, path: &str) -> Option<Bytes> {
+    let mut sender = connect(address).await?;
+    let request = Request::get(path)
+        .header("host", "soak")
+        .body(Full::new(Bytes::new()))
+        .ok()?;
+    let response = sender.send_request(request).await.ok()?;
+    let is_ok = response.status().is_success();
+    let body = response.into_body().collect().await.ok()?;
+    is_ok.then(|| body.to_bytes())
+}
+
 /// A request to the service that all callers use.
 pub(crate) fn board_request<'a>(path: &'a str, id: &'a str, object: u64) -> CallerRequest<'a> {
     CallerRequest {
--- a/bin/lh-soak/src/fleet.rs
+++ b/bin/lh-soak/src/fleet.rs
@@ -70,6 +70,11 @@
         SocketAddr::new(self.ip, CALLER_PORT)
     }
 
+    /// Address for look-ups.
+    pub(crate) fn lookup_address(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, LOOKUP_PORT)
+    }
+
     /// Address of the readiness endpoint.
     pub(crate) fn ready_address(&self) -> SocketAddr {
         SocketAddr::new(self.ip, READY_PORT)
--- a/bin/lh-soak/src/judge_recovery.rs
+++ b/bin/lh-soak/src/judge_recovery.rs
@@ -124,6 +124,7 @@
     let (first, _) = rest.split_once('-')?;
     match first {
         "lift" => Some("lift"),
+        "team" => Some("team"),
         "probe" if rest.ends_with("-home") => Some("home"),
         "probe" | "pipeline" => None,
         _ if callers::is_at_most_once(request) => Some("desk"),
--- a/bin/lh-soak/src/lib.rs
+++ b/bin/lh-soak/src/lib.rs
@@ -24,6 +24,7 @@
 mod judge_rests;
 mod judge_rollouts;
 mod judge_statements;
+mod lookups;
 mod operator;
 mod pipelines;
 pub mod power;
--- a/bin/lh-soak/src/operator.rs
+++ b/bin/lh-soak/src/operator.rs
@@ -15,6 +15,7 @@
 
 use crate::config::{HOME_REGION, REGIONS, SoakConfig};
 use crate::history::RunEvent;
+use crate::lookups;
 use crate::probes::{QUOTA_KEY, key_of};
 use crate::rollouts;
 use crate::servers::SERVICE;
@@ -116,13 +117,26 @@
         burst: QUOTA_BURST,
         ..keyed
     };
+    let quotas: Vec<(String, String, f64, f64)> =
+        (0..lookups::TEAM_COUNT).map(lookups::team_quota).collect();
+    let quota_keys: Vec<[&str; 1]> = quotas.iter().map(|(_, key, ..)| [key.as_str()]).collect();
+    let mut teams = vec![keyed, limited];
+    for ((name, _, rate, burst), keys) in quotas.iter().zip(&quota_keys) {
+        teams.push(TeamFixture {
+            name,
+            keys,
+            rate: *rate,
+            burst: *burst,
+            ..keyed
+        });
+    }
     let mut state = desired_state(version, &routes);
     for resource in state["resources"].as_array_mut().into_iter().flatten() {
         if resource["metadata"]["name"] == HOME.name {
             resource["spec"]["allowedRegions"] = json!([HOME_REGION]);
         }
     }
-    with_teams(state, &[keyed, limited], &public)
+    with_teams(state, &teams, &public)
 }
 
 /// Changes the desired state again and again while the store is free of faults.
--- a/bin/lh-soak/src/power.rs
+++ b/bin/lh-soak/src/power.rs
@@ -1,5 +1,6 @@
 //! Losses of power: all entries and backend servers end at once and come back one after the other.
 
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -34,10 +35,11 @@
 const CRASH_RESTART_DELAY: Duration = Duration::from_secs(1);
 /// Interval between two looks for servers that have crashed.
 const CRASH_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Attempts to start a server whose former connections still hold its address, and the pause
-/// between them.
-const START_ATTEMPTS: usize = 100;
+/// Attempts to start a server whose address another socket holds, and the pause between them. Then
+/// it starts at another address.
+const START_ATTEMPTS: usize = 10;
 const START_RETRY_DELAY: Duration = Duration::from_millis(100);
+const ANY_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
 /// One loss of power and the return.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -141,13 +143,14 @@
     if server.is_draining || world.server_pool.statements.get(&server.id).is_stopped {
         return Ok(());
     }
-    for _ in 1..START_ATTEMPTS {
-        if world.server_pool.restart_server(server).await.is_ok() {
+    let pool = &world.server_pool;
+    for _ in 0..START_ATTEMPTS {
+        if pool.restart_server(server, server.address).await.is_ok() {
             return Ok(());
         }
         sleep(START_RETRY_DELAY).await;
     }
-    world.server_pool.restart_server(server).await
+    pool.restart_server(server, ANY_ADDRESS).await
 }
 
 /// Starts servers again that got too many requests while they were cold.
--- a/bin/lh-soak/src/servers.rs
+++ b/bin/lh-soak/src/servers.rs
@@ -34,7 +34,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct SoakServer {
     pub(crate) id: String,
-    address: SocketAddr,
+    pub(crate) address: SocketAddr,
     domain: String,
     service: &'static str,
     version: String,
@@ -194,16 +194,21 @@
         servers
     }
 
-    /// Starts `server` again, cold, at its address and under its id. It registers with the start
+    /// Starts `server` again, cold, at `address` and under its id. It registers with the start
     /// of its new run.
     ///
     /// # Errors
-    /// If its address can't be bound.
-    pub(crate) async fn restart_server(&self, server: &SoakServer) -> Result<()> {
-        let listener = TcpListener::bind(server.address).await?;
+    /// If the address can't be bound.
+    pub(crate) async fn restart_server(
+        &self,
+        server: &SoakServer,
+        address: SocketAddr,
+    ) -> Result<()> {
+        let listener = TcpListener::bind(address).await?;
         let run = ServerRun::new(self.has_slots && server.service == SERVICE).with_cold_start();
         let server = SoakServer {
             run: Arc::new(run),
+            address: listener.local_addr()?,
             seq: 1,
             started: Some(unix_millis()),
             ..server.clone()
--- a/crates/team/src/bucket.rs
+++ b/crates/team/src/bucket.rs
@@ -117,6 +117,11 @@
         self.entries
     }
 
+    /// Number of silent entries.
+    pub fn silent_count(&self) -> usize {
+        self.silent
+    }
+
     fn entry_fraction(&self) -> f64 {
         1.0 / self.entries as f64
     }
--- a/crates/team/src/quota.rs
+++ b/crates/team/src/quota.rs
@@ -214,6 +214,13 @@
         }
     }
 
+    /// Returns how many entries share the quotas, and for how many of them parts are reserved
+    /// because they are silent.
+    pub fn entry_counts(&mut self, now: Instant) -> (usize, usize) {
+        let share = self.share(now);
+        (share.entry_count(), share.silent_count())
+    }
+
     /// Whether any team has a quota.
     pub fn has_quotas(&self) -> bool {
         !self.buckets.is_empty()
