Keys: an entry accepts the store's clock again when it runs ahead

What callers saw: an entry whose clock falls behind the store's by more than 0.2 s (a machine that stood still without its clocks showing it, a store whose clock is set ahead) refused every key with 503 until it was restarted: no time of the store counted any more, since the bound of its clock could only fall. Cause: class 'a wait without an upper bound': what proves the bound wrong was dropped. Change: an answer of the store itself that shows more than the bound allows takes its place. It is a valid bound alone: the clock had not passed it when the call began. Bounds that other entries report stay upper bounds only.

--- a/bin/lh-entry/src/watch.rs
+++ b/bin/lh-entry/src/watch.rs
@@ -80,7 +80,7 @@
                 reports_time = rows.time.is_some();
                 state
                     .fleet
-                    .on_event(FleetEvent::StoreTime(begun, rows.time));
+                    .on_event(FleetEvent::StoreAnswered(begun, rows.time));
                 let has_rows = resume.is_none() || rows.has_rows;
                 let as_of = answer_as_of(begun, wait, Instant::now(), has_rows);
                 let is_restored = is_of_later_era(&state, &rows);
--- a/bin/lh-entry/tests/teams.rs
+++ b/bin/lh-entry/tests/teams.rs
@@ -2,6 +2,8 @@
 
 mod world;
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
@@ -13,6 +15,9 @@
 use serde_json::Value;
 use world::{Answer, BOARD, DESK, EntryProcess, World, exchange, request, until};
 
+/// Requests sent after the store's clock has jumped, and the interval between them.
+const REQUESTS_AFTER_JUMP: u32 = 40;
+const JUMP_INTERVAL: Duration = Duration::from_millis(100);
 const RED_KEY: &str = "red-key-4f1d9c";
 const BLUE_KEY: &str = "blue-key-77ab02";
 const RED: TeamFixture<'static> = TeamFixture {
@@ -398,3 +403,25 @@
         "{metrics}"
     );
 }
+
+/// An entry whose clock falls behind the store's, as after its machine stood still unnoticed,
+/// accepts keys again once the store has answered it, and asks the store no more than before.
+#[tokio::test]
+async fn a_store_clock_that_runs_ahead_leaves_no_key_refused() {
+    let world = world(1, &[RED]).await;
+    let bounds = "revoke = 2s\nrevoke_cut_off = true\nconfig_apply = 1500ms\n";
+    let entry = EntryProcess::start_with_bounds(world.store.address(), "n1", bounds);
+    entry.wait_ready().await;
+    world.store.advance_clock(Duration::from_secs(40));
+    let calls_before = world.store.calls("/rows-feed");
+    let mut served = 0;
+    for number in 0..REQUESTS_AFTER_JUMP {
+        tokio::time::sleep(JUMP_INTERVAL).await;
+        let id = format!("red-{number}");
+        let answer = send(&entry, request_with_key("/board/x", &id, RED_KEY)).await;
+        served += u32::from(answer.status == 200);
+    }
+    let calls = world.store.calls("/rows-feed") - calls_before;
+    assert!(served > REQUESTS_AFTER_JUMP / 2, "{served} served");
+    assert!(calls < 200, "{calls} calls");
+}
--- a/crates/place/src/fleet/clock.rs
+++ b/crates/place/src/fleet/clock.rs
@@ -45,7 +45,7 @@
 
 impl StoreClock {
     /// Handles the answer to a call that began at `started`: the store's clock showed at most
-    /// `store` at that time.
+    /// `store` at that time, according to the store or to another entry.
     pub fn on_answer(&mut self, started: Instant, store: StoreTime) {
         // The duration of a call during which this entry was suspended is unknown.
         let is_measured = self.suspended_at.is_none_or(|at| started > at);
@@ -59,6 +59,17 @@
         }
     }
 
+    /// Handles the store's own answer, received at `now`, to a call that began at `started`. One
+    /// that shows more than the bound allows proves the bound wrong: this entry's clock fell
+    /// behind, or the store's was set ahead. The answer then takes its place, since otherwise no
+    /// later time of the store would count.
+    pub fn on_store_answer(&mut self, now: Instant, started: Instant, store: StoreTime) {
+        if self.latest(now).is_some_and(|latest| store > latest) {
+            self.bound = None;
+        }
+        self.on_answer(started, store);
+    }
+
     /// Returns the upper bound of the store's clock at `now`.
     pub fn latest(&self, now: Instant) -> Option<StoreTime> {
         let bound = self.bound?;
--- a/crates/place/src/fleet/member/mod.rs
+++ b/crates/place/src/fleet/member/mod.rs
@@ -89,8 +89,11 @@
     /// The state of the store known here changed, from any source.
     StoreProgress(StoreProgress),
     /// Upper bound of the store's clock, with the local time at which the call began. It
-    /// comes from an answer of the store or from another entry.
+    /// comes from another entry.
     StoreTime(Instant, StoreTime),
+    /// Time of the store's clock in an answer of the store, with the local time at which the call
+    /// began.
+    StoreAnswered(Instant, StoreTime),
     /// The process was suspended for this long without its clock advancing.
     Suspended(Duration),
     /// Result of a registry read requested by [`FleetAction::ReadRegistry`].
@@ -263,7 +266,14 @@
             FleetEvent::Message(message) => self.on_message(now, message, actions),
             FleetEvent::LocalState(own) => self.on_local_state(now, own),
             FleetEvent::StoreProgress(known) => self.on_store_progress(now, known),
-            FleetEvent::StoreTime(started_at, time) => self.on_store_time(now, started_at, time),
+            FleetEvent::StoreTime(started_at, time) => {
+                self.clock.on_answer(started_at, time);
+                self.drop_unusable_proof(now);
+            }
+            FleetEvent::StoreAnswered(started_at, time) => {
+                self.clock.on_store_answer(now, started_at, time);
+                self.drop_unusable_proof(now);
+            }
             FleetEvent::Suspended(span) => {
                 self.clock.on_suspended(now, span);
                 self.store_progress.on_suspended(span);
@@ -381,10 +391,9 @@
         }
     }
 
-    fn on_store_time(&mut self, now: Instant, started_at: Instant, time: StoreTime) {
-        self.clock.on_answer(started_at, time);
+    /// Drops the proof if the store's clock can't have shown its time: the clock was reset.
+    fn drop_unusable_proof(&mut self, now: Instant) {
         if self.proof_age(now).is_none() {
-            // The store's clock was reset.
             self.store_progress.proved = StoreTime::default();
         }
     }
--- a/crates/place/tests/fleet_world/mod.rs
+++ b/crates/place/tests/fleet_world/mod.rs
@@ -658,7 +658,7 @@
 
     fn learn_operator(&mut self, entry: usize, operator: u64, time: StoreTime) {
         let started_at = self.entries[entry].watch_started_at;
-        self.deliver_event(entry, FleetEvent::StoreTime(started_at, time));
+        self.deliver_event(entry, FleetEvent::StoreAnswered(started_at, time));
         let mut known = *self.entries[entry].member.store_progress();
         known.operator = known.operator.max(StorePosition::new(0, operator));
         known.operator_read = StorePosition::new(0, self.version);
--- a/crates/place/tests/proofs.rs
+++ b/crates/place/tests/proofs.rs
@@ -244,6 +244,22 @@
     assert!(clock.age(later + ms(50), StoreTime(20)).unwrap() <= ms(37));
 }
 
+/// An answer of the store itself that shows more than the bound allows proves the bound wrong:
+/// without a new one no stamp would count any more.
+#[test]
+fn a_store_clock_that_runs_ahead_is_accepted() {
+    let start = std::time::Instant::now();
+    let mut clock = StoreClock::default();
+    clock.on_store_answer(start, start, StoreTime(1000));
+    let (begun, now) = (start + ms(500), start + ms(520));
+    clock.on_store_answer(now, begun, StoreTime(61_510));
+    let age = clock.age(now, StoreTime(61_510)).expect("a bound");
+    assert!(age >= ms(10) && age <= ms(25), "{age:?}");
+    // What another entry reports is an upper bound that may be far too high.
+    clock.on_answer(begun, StoreTime(99_000));
+    assert_eq!(clock.age(now, StoreTime(99_000)), None);
+}
+
 /// Faults and events of the fleet.
 #[derive(Debug, Clone, Copy)]
 enum Fault {
