Registry: a run that states an earlier start than the one it replaces is taken in

What callers saw: a server that came back under its id on a machine whose clock is behind got no request for as long as it ran; requests went to its former address. Cause: runs are ordered by the time of day that servers state. An earlier start was taken for a late heartbeat of an earlier run, however long its row was listed and rewritten. Change: such a row counts once it has been listed for 6 s, longer than a late heartbeat's: the check that listed rows of departed servers pass already. The lead tells followers by a departure of the former run that has no start time, so that it closes this run only. A run that announced that it leaves stays closed.

--- a/crates/place/src/catalog/mod.rs
+++ b/crates/place/src/catalog/mod.rs
@@ -19,7 +19,7 @@
 use crate::catalog::outage::{RegistryOutage, VanishedRow};
 use crate::catalog::relisted::RelistedRows;
 use crate::catalog::table::RecordTable;
-use crate::departure::DepartureTable;
+use crate::departure::{Departure, DepartureTable};
 use crate::fleet::log::{RegistryDelta, store_position};
 use crate::fleet::position::StorePosition;
 use crate::placing::candidates::RankScope;
@@ -45,6 +45,9 @@
     outage: RegistryOutage,
     departures: DepartureTable,
     relisted: RelistedRows,
+    /// Runs that a run with an earlier start has replaced, since the last call of
+    /// [`Self::take_overtaken`].
+    overtaken: Vec<Departure>,
     /// As of when every registration, with its sequence number, is known.
     registrations_at: Option<Instant>,
 }
@@ -222,6 +225,11 @@
         self.confirm(started_at);
     }
 
+    /// Returns the runs that a run with an earlier start has replaced since the last call.
+    pub fn take_overtaken(&mut self) -> Vec<Departure> {
+        std::mem::take(&mut self.overtaken)
+    }
+
     /// When the next server with a missing row is due for removal, if any is missing.
     pub fn next_removal_at(&self) -> Option<Instant> {
         let own = self.table.iter().filter(|record| !record.kept_by_peer);
--- a/crates/place/src/catalog/update.rs
+++ b/crates/place/src/catalog/update.rs
@@ -26,7 +26,11 @@
             self.on_refused(now, entry, changes);
         }
         if self.departures.is_final(now, entry) {
-            return;
+            let is_same_run = self.departures.of_run(now, entry).is_some();
+            if is_same_run || !self.relisted.on_listed(now, started_at, entry) {
+                return;
+            }
+            self.departures.on_alive(&entry.id, self.position);
         }
         let is_known = self.table.by_id(&entry.id).is_some();
         if !is_known && self.departures.is_doubtful(now, entry, self.position) {
@@ -35,15 +39,28 @@
             }
             self.departures.on_alive(&entry.id, self.position);
         }
-        self.relisted.remove(&entry.id);
-        let Some(record) = self.table.by_id_mut(&entry.id) else {
+        let Some(record) = self.table.by_id(&entry.id) else {
+            self.relisted.remove(&entry.id);
             self.insert(started_at, entry);
             changes.push(CatalogChange::Joined(Box::new(entry.clone())));
             return;
         };
         if entry.is_of_earlier_run(&record.entry) {
+            if !self.relisted.on_listed(now, started_at, entry) {
+                return;
+            }
+            // It outlasts a late heartbeat, so it is a later run on a machine whose clock is behind.
+            let overtaken = Departure::overtaken(&record.entry).with_position(self.position);
+            self.overtaken.push(overtaken);
+            self.table.remove(&entry.id);
+            self.insert(started_at, entry);
+            changes.push(CatalogChange::Restarted(entry.id.clone()));
             return;
         }
+        self.relisted.remove(&entry.id);
+        let Some(record) = self.table.by_id_mut(&entry.id) else {
+            return;
+        };
         if record.entry.is_of_earlier_run(entry) {
             self.table.remove(&entry.id);
             self.insert(started_at, entry);
--- a/crates/place/src/departure.rs
+++ b/crates/place/src/departure.rs
@@ -54,6 +54,16 @@
         }
     }
 
+    /// The departure of the run of `entry`, which a later run replaced that states an earlier
+    /// start. It closes this run only.
+    pub fn overtaken(entry: &ServerEntry) -> Self {
+        Self {
+            started: None,
+            announced: false,
+            ..Self::of(entry)
+        }
+    }
+
     /// Sets the store's position by which the run was known to have ended.
     #[must_use]
     pub fn with_position(mut self, position: StorePosition) -> Self {
@@ -112,7 +122,7 @@
             self.announced |= other.announced;
             self.has_gap |= other.has_gap;
             self.position = self.position.max(other.position);
-        } else if other.is_known() && other.started >= self.started {
+        } else if other.is_known() && (other.started.is_none() || other.started >= self.started) {
             self.clone_from(other);
         }
     }
--- a/crates/place/src/fleet/log.rs
+++ b/crates/place/src/fleet/log.rs
@@ -53,6 +53,8 @@
     pub missing: Vec<String>,
     /// Departures because of which servers that are listed get no requests.
     pub departures: Vec<Departure>,
+    /// Runs that a later run with an earlier start has replaced.
+    pub overtaken: Vec<Departure>,
     /// Whether registrations may have been written and dropped since the previous read.
     pub has_gap: bool,
 }
@@ -120,7 +122,13 @@
         let is_first = self.version == 0;
         let new_version = log_version(snapshot.position).max(self.version.saturating_add(1));
         self.update_missing_entries(&scope);
-        let mut is_changed = self.foreign != snapshot.foreign || self.missing != scope.missing;
+        for departure in &scope.overtaken {
+            self.entries.remove(&departure.id);
+            self.record_departure(new_version, departure.clone());
+        }
+        let mut is_changed = !scope.overtaken.is_empty()
+            || self.foreign != snapshot.foreign
+            || self.missing != scope.missing;
         let was_out = |id: &String| self.foreign.contains(id) || self.missing.contains(id);
         let mut dropped_departures = self.dropped_departures(snapshot, &scope);
         let mut remaining = std::mem::take(&mut self.entries);
--- a/crates/place/src/fleet/registry.rs
+++ b/crates/place/src/fleet/registry.rs
@@ -51,6 +51,7 @@
         let changes = self.catalog.apply_snapshot(now, snapshot);
         scope.missing = self.catalog.missing().map(str::to_owned).collect();
         scope.departures = self.catalog.departures_of(now, &snapshot.entries);
+        scope.overtaken = self.catalog.take_overtaken();
         self.log.apply_snapshot(snapshot, scope);
         self.remove_refuted();
         Some(RegistryUpdate { changes, is_first })
--- a/crates/place/tests/registry_copies.rs
+++ b/crates/place/tests/registry_copies.rs
@@ -50,6 +50,11 @@
         let mut open = self.catalog.open_servers("board");
         open.any(|(_, record)| record.entry.id == id)
     }
+
+    fn serves_at(&self, id: &str, port: u16) -> bool {
+        let mut open = self.catalog.open_servers("board");
+        open.any(|(_, record)| record.entry.id == id && record.entry.address.port() == port)
+    }
 }
 
 fn ready(id: &str, seq: u64) -> ServerEntry {
@@ -199,3 +204,44 @@
         assert!(here.log.departures().is_empty());
     }
 }
+
+/// A server that restarts on a machine whose clock is behind states an earlier start than the run
+/// that it replaces. It is taken in once its row has outlasted a late heartbeat of an earlier run,
+/// by the lead and by its followers, whether the former run announced that it leaves or not.
+#[test]
+fn run_with_an_earlier_start_is_taken_in_by_all() {
+    let start = Instant::now();
+    for state in [EntryState::Ready, EntryState::Draining] {
+        let (mut lead, mut follower) = (Entry::new(), Entry::new());
+        let other = ready("other", 1);
+        let former = ServerEntry {
+            started: Some(9),
+            state,
+            ..ready("x", 40)
+        };
+        lead.read(start, &[former, other.clone()], changes());
+        follower.follow(start, &lead);
+        for after in (1000..9000).step_by(500) {
+            let at = start + ms(after);
+            let restarted = ServerEntry {
+                address: "127.0.0.1:7".parse().unwrap(),
+                ..ready("x", after / 500)
+            };
+            lead.read(at, &[restarted, other.clone()], changes());
+            follower.follow(at, &lead);
+            for entry in [&lead, &follower] {
+                assert!(
+                    after >= 6000 || !entry.serves_at("x", 7),
+                    "after {after} ms"
+                );
+            }
+        }
+        for entry in [&lead, &follower] {
+            assert!(entry.serves_at("x", 7), "{state:?}");
+        }
+        assert_eq!(lead.log.content(), follower.log.content());
+        let mut newcomer = Entry::new();
+        newcomer.follow(start + ms(9000), &lead);
+        assert!(newcomer.serves_at("x", 7));
+    }
+}
