Fleet: an entry that restarts with its clock set back is heard again

An entry that restarted with its time of day set back had a lower incarnation; others ignored its heartbeats, digests and counts for up to 60 s, so that it got no requests, couldn't lead, and its part of all quotas stayed reserved.

--- a/crates/place/src/fleet/leads.rs
+++ b/crates/place/src/fleet/leads.rs
@@ -7,6 +7,7 @@
 use crate::fleet::candidate::{CandidateRank, LEADS_PER_REGION, LeadCandidate};
 use crate::fleet::list::ListVersion;
 use crate::fleet::message::RegionDigest;
+use crate::fleet::roster::LIVENESS_TIMEOUT;
 use crate::fleet::store_progress::StoreProgress;
 
 /// Time without a digest after which a lead counts as lost. Two digests in a row may be
@@ -64,10 +65,14 @@
 }
 
 impl LeadTable {
-    /// Applies a digest. Ignores a digest of an earlier incarnation and returns `false`.
+    /// Applies a digest. Ignores a digest of an earlier incarnation and returns `false`, unless the
+    /// later one has been silent: the clock by which they are numbered may have been set back.
     pub fn on_digest(&mut self, now: Instant, digest: &RegionDigest) -> bool {
         let known = self.leads.get(&digest.candidate.node);
-        if known.is_some_and(|lead| lead.incarnation > digest.incarnation) {
+        let is_live = |lead: &LeadRecord| {
+            now.saturating_duration_since(lead.last_digest_at) < LIVENESS_TIMEOUT
+        };
+        if known.is_some_and(|lead| is_live(lead) && lead.incarnation > digest.incarnation) {
             return false;
         }
         let own_summary = digest
--- a/crates/place/src/fleet/roster.rs
+++ b/crates/place/src/fleet/roster.rs
@@ -42,7 +42,10 @@
     /// Applies a heartbeat.
     pub fn on_heartbeat(&mut self, now: Instant, heartbeat: EntryHeartbeat) -> HeartbeatOutcome {
         let known = self.entries.get(&heartbeat.candidate.node);
-        if known.is_some_and(|known| known.heartbeat.incarnation > heartbeat.incarnation) {
+        // After a silence it isn't a late heartbeat of an earlier run: the clock by which runs
+        // are numbered may have been set back.
+        let is_earlier = |known: &EntryRecord| known.heartbeat.incarnation > heartbeat.incarnation;
+        if known.is_some_and(|known| is_live(now, known) && is_earlier(known)) {
             return HeartbeatOutcome::Ignored;
         }
         if known.is_none() && self.entries.len() >= MAX_ENTRIES {
--- a/crates/tally/src/lib.rs
+++ b/crates/tally/src/lib.rs
@@ -19,6 +19,10 @@
 /// same time would otherwise ignore the first counts of those that were a moment earlier.
 const CONCURRENT_START: Duration = Duration::from_secs(1);
 
+/// Silence of a run after which a run with a lower number isn't an earlier one: the clock by which
+/// runs are numbered may have been set back.
+const SUCCESSION_TIME: Duration = Duration::from_secs(3);
+
 /// The totals of one entry since its start, as sent to its peers.
 #[derive(Debug, Clone, PartialEq)]
 pub struct CountReport<K> {
@@ -122,12 +126,17 @@
 
     /// Records a report of the entry `peer` and returns the increments since its last one. For
     /// a run that began before it was tracked, the first count of a key is only a baseline.
-    /// Reports of earlier runs are ignored.
+    /// Reports of earlier runs are ignored while later ones report.
     pub fn on_report(&mut self, now: Instant, peer: u64, report: &CountReport<K>) -> Vec<(K, i64)> {
-        let known = self.peers.get(&peer).map(|known| known.run);
-        if known.is_some_and(|run| run > report.run) {
+        let tracked = self.peers.get(&peer);
+        let is_later = |known: &PeerCounter<K>| {
+            let silent_for = now.saturating_duration_since(known.last_report_at);
+            known.run > report.run && silent_for < SUCCESSION_TIME
+        };
+        if tracked.is_some_and(is_later) {
             return Vec::new();
         }
+        let known = tracked.map(|known| known.run);
         if known != Some(report.run) {
             let tracked = PeerCounter {
                 run: report.run,
--- a/crates/tally/tests/tally.rs
+++ b/crates/tally/tests/tally.rs
@@ -88,6 +88,20 @@
     );
 }
 
+/// A peer that restarts with its clock set back has a lower run number. Its reports count once the
+/// former run has been silent.
+#[test]
+fn a_run_with_a_lower_number_counts_after_silence() {
+    let start = Instant::now();
+    let mut tally = PeerTally::new(REPORT_TTL).with_start(start);
+    let at = |millis| start + Duration::from_millis(millis);
+    tally.on_report(at(0), 1, &report(7, 0, &[(0, 5)]));
+    let early = tally.on_report(at(1000), 1, &report(3, 100, &[(0, 1)]));
+    assert!(early.is_empty());
+    let late = tally.on_report(at(4000), 1, &report(3, 3100, &[(0, 4)]));
+    assert_eq!(late, [(0, 4)]);
+}
+
 /// Until a peer reports or expires, its unreported count is estimated by this entry's own.
 #[test]
 fn unreported_counts_are_estimated() {
