Quotas: a team within its quota is served in large fleets

Cause: what others have admitted and not yet reported is estimated by the entry's own requests since each report, times the measured distribution. Until it is measured, two requests are assumed at each other entry; of 67 that is 134, which the measured ones never outweigh, and reports of other regions are up to half a second old. Each request of the entry then counts as dozens. Ruled out: silent entries (none in the metric), quotas too small for single entries. Change: the assumption is made for 16 other entries at most.

--- a/crates/team/src/bucket.rs
+++ b/crates/team/src/bucket.rs
@@ -16,6 +16,9 @@
 const RECENT_DECAY_TIME: Duration = Duration::from_secs(2);
 /// Requests assumed at each entry before the distribution is known.
 const SPREAD_PRIOR: f64 = 2.0;
+/// Largest number of other entries at which they are assumed. In a large fleet a team's callers
+/// use few of the entries, and requests assumed at all of them would use up its quota.
+const PRIOR_ENTRIES: f64 = 16.0;
 /// Maximum retry delay: a quota that is exceeded many times over has room for few of the
 /// refused callers.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(3);
@@ -224,7 +227,7 @@
     fn spread(&self, now: Instant, share: FleetShare) -> f64 {
         let others = (share.entries - share.silent.min(share.entries - 1) - 1) as f64;
         let own = self.own.value(now) + SPREAD_PRIOR;
-        let measured = self.others.value(now) + SPREAD_PRIOR * others;
+        let measured = self.others.value(now) + SPREAD_PRIOR * others.min(PRIOR_ENTRIES);
         if others > 0.0 {
             measured / (own * others)
         } else {
--- a/crates/team/tests/quota.rs
+++ b/crates/team/tests/quota.rs
@@ -307,3 +307,90 @@
         assert!(admitted >= 60 * 2, "{entries}: {admitted}");
     }
 }
+
+/// Admits requests of a team once the entries have met, of which the first ones get `rates` a second
+/// each. All of them report. Returns how many were refused, and how many came.
+fn refused_in_steady_state(
+    entries: u64,
+    rates: &[f64],
+    report_interval: Duration,
+    quota: (f64, f64),
+) -> (u32, u32) {
+    const DURATION_MS: u64 = 20_000;
+    let start = Instant::now();
+    let peers: Vec<u64> = (0..entries).collect();
+    let mut limiters: Vec<QuotaLimiter> = peers
+        .iter()
+        .map(|own| {
+            let mut limiter = QuotaLimiter::new(start, BOUNDS, 1000 + own, true);
+            limiter.set_teams(
+                start,
+                &[team("red", quota.0, quota.1), team("other", 1e6, 1e6)],
+            );
+            let others: Vec<u64> = peers.iter().copied().filter(|peer| peer != own).collect();
+            limiter.set_entries(start, &others, report_interval);
+            limiter
+        })
+        .collect();
+    let interval_ms = |entry: usize| 1000.0 / rates[entry];
+    let mut next_at: Vec<f64> = (0..rates.len())
+        .map(|entry| 5000.0 + interval_ms(entry) * (entry as f64 + 0.5) / rates.len() as f64)
+        .collect();
+    let (mut refused, mut came) = (0, 0);
+    for at in 0..DURATION_MS {
+        let now = start + ms(at);
+        for (entry, due) in next_at.iter_mut().enumerate() {
+            if at as f64 >= *due {
+                *due += interval_ms(entry);
+                came += 1;
+                refused += u32::from(limiters[entry].admit(now, "red").is_err());
+            }
+        }
+        // The reports of the entries are spread over the interval.
+        let interval = report_interval.as_millis() as u64;
+        for sender in peers
+            .iter()
+            .filter(|sender| (at + **sender * 7) % interval == 0)
+        {
+            let index = usize::try_from(*sender).unwrap();
+            let report = limiters[index].report(now);
+            for (receiver, limiter) in limiters.iter_mut().enumerate() {
+                if receiver != index {
+                    limiter.on_report(now, *sender, &report);
+                }
+            }
+        }
+    }
+    (refused, came)
+}
+
+/// A team within its quota is served, however many entries serve others beside it: those without
+/// a request of the team must not count as if they admitted as many as the entry that is asked.
+#[test]
+fn a_calm_team_at_few_of_many_entries_is_admitted() {
+    let even = |count: usize| vec![15.0 / count as f64; count];
+    let uneven = vec![5.0, 5.0, 3.3, 1.7];
+    let cases = [
+        (9, even(9)),
+        (24, even(9)),
+        (68, even(9)),
+        (100, even(9)),
+        (68, even(68)),
+        (200, even(5)),
+        (24, uneven.clone()),
+        (68, uneven.clone()),
+        (200, uneven),
+        (68, vec![15.0]),
+    ];
+    for (entries, rates) in cases {
+        for intervals in [3, 8] {
+            let interval = REPORT_INTERVAL * intervals;
+            let (refused, came) = refused_in_steady_state(entries, &rates, interval, (24.0, 12.0));
+            assert!(
+                came > 200 && refused * 100 <= came,
+                "{entries} entries that report each {interval:?}, callers at {rates:?}: \
+                 {refused} of {came} refused"
+            );
+        }
+    }
+}
