Quotas: an entry that is back on standby says so to all regions

What callers saw: up to a part of the entries of the quotas held back for a minute after requests moved from many entries to few, as after a loss of all, when entries name themselves until there are lists. Cause: an entry that gets no requests any more says so in its last three reports, but only one in two to five reports goes to other regions. Whoever it doesn't reach takes it for silent, and reserves its part for 60 s. Evidence: standby_is_reported_to_all_regions failed before (3 and 64 entries: two final reports, none to other regions). Change: final reports go to all. Which reports are due is decided in place::placing::load::ReportSchedule, without sockets. Measured: the tests of place::load pass.

--- a/bin/lh-entry/src/load_reports.rs
+++ b/bin/lh-entry/src/load_reports.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use place::fleet::message::{LoadMessage, PeerMessage};
-use place::placing::load::{LoadReport, is_sent_to_other_regions, load_interval};
+use place::placing::load::{LoadReport, ReportSchedule, load_interval};
 use place::rank::stable_hash;
 use team::quota::QuotaReport;
 use tokio::net::UdpSocket;
@@ -26,17 +26,11 @@
 const UNLISTED_PEER_TTL: Duration = Duration::from_secs(2);
 /// Maximum number of unlisted entries that receive reports.
 const MAX_UNLISTED_PEERS: usize = 64;
-/// Number of reports in which an entry that is back on standby says so, since datagrams may be
-/// lost.
-const FINAL_REPORTS: u32 = 3;
 
 /// State of the exchange of load reports.
 #[derive(Debug, Default)]
 pub(crate) struct LoadReporter {
-    /// Number of reports sent.
-    round: RefCell<u32>,
-    /// Number of reports still to be sent after the last request.
-    final_reports: RefCell<u32>,
+    schedule: RefCell<ReportSchedule>,
     /// Entries that send reports without being listed, because callers still use them.
     unlisted_peers: RefCell<HashMap<SocketAddr, Instant>>,
     /// Notified when an entry that sends no reports gets a request.
@@ -61,29 +55,22 @@
     let is_listed = state.fleet.is_listed();
     let is_used = state.quota.borrow().has_changes();
     let is_needed = state.quota.borrow().has_quotas();
-    if is_listed || is_used {
-        state.load_reports.final_reports.replace(FINAL_REPORTS);
-    } else if !is_needed || state.load_reports.final_reports.take() == 0 {
-        return IDLE_CHECK_INTERVAL;
-    }
-    let left = *state.load_reports.final_reports.borrow();
-    state
-        .load_reports
-        .final_reports
-        .replace(left.saturating_sub(1));
     let (near, mut far) = recipients(state);
-    let round = state
-        .load_reports
-        .round
-        .replace_with(|round| round.wrapping_add(1));
     let count = near.len() as u32;
-    let is_for_all = is_sent_to_other_regions(round, count, far.len() as u32);
-    if !is_for_all {
+    let report = state.load_reports.schedule.borrow_mut().next(
+        (is_listed || is_used, is_needed),
+        count,
+        far.len() as u32,
+    );
+    let Some(due) = report else {
+        return IDLE_CHECK_INTERVAL;
+    };
+    if !due.is_for_all {
         far.clear();
     }
     let now = Instant::now();
     let quota = is_needed.then(|| QuotaReport {
-        stops: !is_listed && !is_used,
+        stops: due.is_final,
         ..state.quota.borrow_mut().report(now)
     });
     let report = state.placer.borrow_mut().own_load(now);
@@ -102,7 +89,7 @@
     let targets = [near, far].concat();
     statements::send_report(state, socket, &targets).await;
     returns::send_report(state, socket, &targets).await;
-    if is_for_all {
+    if due.is_for_all {
         region_shares::send_report(state, socket, &targets).await;
     }
     rollout::send_reports(state, socket, &targets).await;
--- a/crates/place/src/placing/load.rs
+++ b/crates/place/src/placing/load.rs
@@ -18,6 +18,9 @@
 /// Small fleets send every report there: with one report in three, callers got 0.533 of their
 /// worth instead of 0.541 where servers are spread unevenly (mean of 15 days with faults).
 const OTHER_REGION_LOAD_INTERVAL_PER_ENTRY: Duration = Duration::from_millis(6);
+/// Number of reports in which an entry that is back on standby says so, since datagrams may be
+/// lost.
+const FINAL_REPORTS: u32 = 3;
 /// Requests of one entry: short ids of servers, with counts.
 pub type LoadList = Vec<(u32, u16)>;
 
@@ -92,6 +95,52 @@
     reports.max(1)
 }
 
+/// Decides which load reports an entry sends.
+#[derive(Debug, Default)]
+pub struct ReportSchedule {
+    /// Number of reports sent.
+    round: u32,
+    /// Number of reports still to be sent after the last request.
+    final_reports: u32,
+}
+
+/// A report to be sent to the entries of the own region.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DueReport {
+    /// Whether it also goes to the entries of other regions.
+    pub is_for_all: bool,
+    /// Whether the entry is back on standby and admits nothing until its next report.
+    pub is_final: bool,
+}
+
+impl ReportSchedule {
+    /// Returns the report that an entry sends now; `None` if it sends none. `is_used` tells whether
+    /// it gets requests, and `has_quotas` whether others have to know when it gets none any more.
+    /// There are `in_region` other entries in its region and `in_other_regions` elsewhere.
+    pub fn next(
+        &mut self,
+        (is_used, has_quotas): (bool, bool),
+        in_region: u32,
+        in_other_regions: u32,
+    ) -> Option<DueReport> {
+        if is_used {
+            self.final_reports = FINAL_REPORTS;
+        } else if !has_quotas || self.final_reports == 0 {
+            self.final_reports = 0;
+            return None;
+        }
+        self.final_reports = self.final_reports.saturating_sub(1);
+        let is_final = !is_used;
+        let is_for_all =
+            is_final || is_sent_to_other_regions(self.round, in_region, in_other_regions);
+        self.round = self.round.wrapping_add(1);
+        Some(DueReport {
+            is_for_all,
+            is_final,
+        })
+    }
+}
+
 impl PeerLoads {
     /// Replaces the list of `entry`.
     pub fn apply_list(&mut self, now: Instant, entry: u64, list: LoadList) {
--- a/crates/place/tests/load.rs
+++ b/crates/place/tests/load.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use place::placing::load::{is_sent_to_other_regions, load_interval};
+use place::placing::load::{ReportSchedule, is_sent_to_other_regions, load_interval};
 
 /// In a region of up to 28 entries each gets the load of the others three times per second.
 /// Up to 110 entries of other regions get it once per second, and with every report in a
@@ -38,3 +38,25 @@
     let rounds = (0..300).filter(|round| is_sent_to_other_regions(*round, 13, 68));
     assert_eq!(rounds.count(), 100);
 }
+
+/// An entry that is back on standby says so to all: to those whom its last reports don't reach it
+/// would be a silent entry, whose part of all quotas they reserve for a minute.
+#[test]
+fn standby_is_reported_to_all_regions() {
+    for (in_region, in_other_regions) in [(2, 6), (3, 64), (22, 45), (13, 68)] {
+        for reports in 1..12 {
+            let mut schedule = ReportSchedule::default();
+            for _ in 0..reports {
+                schedule.next((true, true), in_region, in_other_regions);
+            }
+            let next = || schedule.next((false, true), in_region, in_other_regions);
+            let last: Vec<_> = std::iter::from_fn(next).collect();
+            assert!((1..10).contains(&last.len()));
+            assert!(
+                last.iter()
+                    .all(|report| report.is_final && report.is_for_all),
+                "{in_region} and {in_other_regions} entries, after {reports} reports: {last:?}"
+            );
+        }
+    }
+}
