--- a/bin/lh-soak/src/servers.rs
+++ b/bin/lh-soak/src/servers.rs
@@ -69,7 +69,7 @@
     /// Servers of the versions of the service that is rolled out.
     versions: Arc<Mutex<Vec<SoakServer>>>,
     started: Arc<Mutex<usize>>,
-    /// Whether the slots of servers are limited.
+    /// Whether the slots of servers are limited, and servers state their start.
     has_slots: bool,
     service_time: Duration,
     /// What the servers say of themselves.
@@ -109,7 +109,7 @@
             service: SERVICE,
             version: "v1".to_owned(),
             seq: 1,
-            started: None,
+            started: self.has_slots.then(unix_millis),
             is_draining: false,
             run: Arc::new(ServerRun::new(self.has_slots)),
         };
@@ -151,7 +151,7 @@
             service: rollouts::SERVICE,
             version: version.to_owned(),
             seq: 1,
-            started: None,
+            started: self.has_slots.then(unix_millis),
             is_draining: false,
             run: Arc::new(ServerRun::new(false)),
         };
--- a/bin/lh-soak/src/world.rs
+++ b/bin/lh-soak/src/world.rs
@@ -18,7 +18,7 @@
 use crate::operator::{DesiredStep, FIRST_VERSION, write_step};
 use crate::proxy::StoreProxy;
 use crate::servers::ServerPool;
-use crate::{pipelines, probes, rollouts};
+use crate::{lookups, pipelines, probes, rollouts};
 
 /// Time within which all entries must become ready.
 const START_TIMEOUT: Duration = Duration::from_secs(60);
@@ -104,6 +104,7 @@
             callers.push(tokio::spawn(pipelining));
             callers.push(tokio::spawn(rollouts::run_caller(index, address, recorder)));
         }
+        callers.extend(lookups::start_callers(self));
         callers
     }
 
