--- a/bin/lh-entry/src/team_metrics.rs
+++ b/bin/lh-entry/src/team_metrics.rs
@@ -47,6 +47,9 @@
         )?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(quota_entries.clone()))?;
+        for state in ["all", "silent"] {
+            quota_entries.with_label_values(&[state]);
+        }
         Ok(Self {
             requests,
             labeled_teams: RefCell::default(),
