Rollouts: an outcome is written again after the store came back older

Cause: a final record counts as stored for good, so that no lead looks at its row again. Evidence: a_restored_store_shows_the_outcome_of_a_rollout (real entry) failed before (60 s) and passes. Change: when an entry sees a later era of the store, no record counts as stored; leads read the rows and write what these lack. Leads' own rows are written again on a later era already; quarantines aren't (they lapse within their time). Measured: the six tests of rollouts.rs pass.

--- a/bin/lh-entry/src/rollout.rs
+++ b/bin/lh-entry/src/rollout.rs
@@ -101,6 +101,12 @@
         });
     }
 
+    /// Handles that the store came back from an older copy.
+    pub(crate) fn on_store_restored(&self) {
+        self.controller.borrow_mut().on_store_restored();
+        self.wake.notify_one();
+    }
+
     /// Handles another entry's request counts.
     pub(crate) fn on_peer_counts(&self, message: &RolloutMessage) {
         self.change(|now, controller| controller.on_report(now, message.entry, &message.report));
--- a/bin/lh-entry/src/watch.rs
+++ b/bin/lh-entry/src/watch.rs
@@ -125,6 +125,7 @@
         return;
     }
     state.metrics.store_era.set(era);
+    state.rollouts.on_store_restored();
     let known = state.fleet.known();
     if known.registry_read.is_known() {
         let (registry, operator) = (known.registry_read, known.operator_read);
--- a/bin/lh-entry/tests/rollouts.rs
+++ b/bin/lh-entry/tests/rollouts.rs
@@ -286,3 +286,21 @@
     service.stop_callers().await;
     assert_eq!(service.failures.load(Ordering::Relaxed), 0);
 }
+
+/// An outcome that was reported stands: a store that comes back from a copy older than that shows
+/// it again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restored_store_shows_the_outcome_of_a_rollout() {
+    let mut service = RolloutFixture::new().await;
+    let entry = EntryProcess::ready(&service.world, "n1").await;
+    service.start_callers(&entry);
+    service.start_new_servers(&Behavior::Run(WORK)).await;
+    service.start_rollout(8);
+    service.wait_for_state("running").await;
+    let copy = service.world.store.copy();
+    service.wait_for_state("completed").await;
+    service.world.store.restore(&copy);
+    assert_eq!(service.reported_state(), "running");
+    service.wait_for_state("completed").await;
+    service.stop_callers().await;
+}
--- a/crates/rollout/src/controller/mod.rs
+++ b/crates/rollout/src/controller/mod.rs
@@ -158,6 +158,14 @@
         }
     }
 
+    /// Records that the store came back from an older copy: it may lack any record, which is then
+    /// written again.
+    pub fn on_store_restored(&mut self) {
+        for rollout in self.rollouts.values_mut() {
+            rollout.is_stored = false;
+        }
+    }
+
     /// Returns all known rollouts.
     pub fn records(&self) -> impl Iterator<Item = &RolloutRecord> {
         self.rollouts.values().map(|rollout| &rollout.record)
