--- a/bin/lh-soak/tests/recovery.rs
+++ b/bin/lh-soak/tests/recovery.rs
@@ -64,7 +64,7 @@
 fn service_that_returns_in_part_is_a_violation() {
     let one_in = |part: u64| {
         move |after: u64| {
-            if after % (part * INTERVAL) == 0 {
+            if after.is_multiple_of(part * INTERVAL) {
                 503
             } else {
                 200
