Rollouts: entries that start together learn the phase of a rollout

Cause: an entry that starts reads the operator's order, and the record of its phase only if it leads. The lead sends followers the operator's rows as soon as it has read them; the record, read later, is older than these rows, so that no position tells followers of it. All but the lead kept the phase 'ordered' and sent the version nothing; the lead heard too little to complete it. After a completion they took the old version first. Class: what outlives its writer (a row) and is told on only when it changes. Change: an entry that reads all of the operator's rows reads the records of the rollouts that they order first. One call more for each rollout at a start. Measured: the seven tests of rollouts.rs pass.

--- a/bin/lh-entry/src/rollout_rows.rs
+++ b/bin/lh-entry/src/rollout_rows.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use place::prelude::*;
+use platform::desired::OperatorChange;
 use platform::rollouts::status_write;
 use platform::tables::PlatformClient;
 use rollout::prelude::*;
@@ -41,6 +42,17 @@
     }
 }
 
+/// Reads the rows of all rollouts that `changes` order: an entry that starts may find them in any
+/// phase.
+pub(crate) async fn read_ordered(state: &InstanceState, changes: &[OperatorChange]) {
+    let client = PlatformClient::new(state.config.store).with_answer_timeout(STORE_TIMEOUT);
+    for change in changes {
+        if let OperatorChange::Rollout(order) = change {
+            read_row(state, &client, &order.service).await;
+        }
+    }
+}
+
 async fn update_row(state: &InstanceState, service: &str) {
     let client = PlatformClient::new(state.config.store).with_answer_timeout(STORE_TIMEOUT);
     let Some(row) = read_row(state, &client, service).await else {
--- a/bin/lh-entry/src/watch.rs
+++ b/bin/lh-entry/src/watch.rs
@@ -18,6 +18,7 @@
 use store::{BLOCK_PREFIX, ENTRY_TABLE, LEAD_PREFIX, Row, RowWrite, TableService};
 
 use crate::quarantine;
+use crate::rollout_rows;
 use crate::state::InstanceState;
 
 /// Timeout of calls to the store. Responses that took up to a second have been observed; after
@@ -85,6 +86,11 @@
                 let as_of = answer_as_of(begun, wait, Instant::now(), has_rows);
                 let is_restored = is_of_later_era(&state, &rows);
                 let is_whole = resume.is_none() && !is_restored;
+                if is_whole {
+                    // Followers are sent the phases of rollouts with the operator's rows, and are
+                    // told of no change if this entry learns of them later.
+                    rollout_rows::read_ordered(&state, &rows.changes).await;
+                }
                 apply_operator_rows(&state, &rows, as_of, is_whole);
                 if is_restored {
                     reread_at = Some(Instant::now() + REWRITE_TIME);
--- a/bin/lh-entry/tests/rollouts.rs
+++ b/bin/lh-entry/tests/rollouts.rs
@@ -304,3 +304,41 @@
     service.wait_for_state("completed").await;
     service.stop_callers().await;
 }
+
+/// A good version is completed although all entries are lost in the middle of its rollout, where
+/// the time left allows it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_loss_of_all_entries_rolls_no_good_version_back() {
+    const ENTRIES: usize = 6;
+    let mut service = RolloutFixture::new().await;
+    let store = service.world.store.address();
+    let start = |seeds: &[std::net::IpAddr], run: usize| {
+        let names = (0..ENTRIES).map(|index| format!("n{run}-{index}"));
+        let entries = names.map(|name| EntryProcess::start(store, &name, seeds));
+        entries.collect::<Vec<_>>()
+    };
+    let first = EntryProcess::start(store, "seed", &[]);
+    let seeds = [first.ip];
+    let entries = start(&seeds, 1);
+    for entry in &entries {
+        entry.wait_ready().await;
+    }
+    service.start_new_servers(&Behavior::Run(WORK)).await;
+    service.start_rollout(14);
+    for entry in &entries {
+        service.start_callers(entry);
+    }
+    service.wait_for_state("running").await;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    service.stop_callers().await;
+    drop((entries, first));
+    tokio::time::sleep(Duration::from_millis(1200)).await;
+    service.stopped.store(false, Ordering::Relaxed);
+    let first = EntryProcess::start(store, "seed", &[]);
+    let entries = start(&[first.ip], 2);
+    for entry in &entries {
+        service.start_callers(entry);
+    }
+    service.wait_for_state("completed").await;
+    service.stop_callers().await;
+}
