Test: connections that were opened before a stop don't count as opened after it

Traced with a copy that prints each accepted connection: all six were accepted within 20 ms of the signal, the entry's plan runs each 100 ms, its metric shows 18 connections ahead in batches of six before the stop, and none later. The test took its first count right after the signal was sent, when a batch was on its way. Change: the first count is taken when the entry has logged that it stops; the check, that none is opened from then until both requests are answered, stays, and so do the response with Keep-Alive 1 s after the signal and its time.

--- a/bin/lh-entry/tests/connections.rs
+++ b/bin/lh-entry/tests/connections.rs
@@ -171,6 +171,11 @@
         until("the short request runs", async || world.runs("short") > 0).await;
         entry.signal("TERM");
         set_headers(&world, &[KEEP_ALIVE]);
+        // Servers may accept connections later that it opened just before.
+        until("the entry knows that it stops", async || {
+            !entry.logged("stop requested").is_empty()
+        })
+        .await;
         let before = connection_count();
         tokio::time::sleep(2 * SHORT_REQUEST).await;
         connection_count() - before
--- a/bin/lh-soak/src/power.rs
+++ b/bin/lh-soak/src/power.rs
@@ -4,12 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use platform_standin::FaultPlan;
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
+use rustix::process::Signal;
 use tokio::time::sleep;
 
 use crate::error::Result;
-use crate::history::RunEvent;
+use crate::history::{RunEvent, millis};
 use crate::servers::SoakServer;
 use crate::world::World;
 
@@ -29,6 +31,18 @@
 const SLOW_RETURN_MS: std::ops::Range<u64> = 6000..10_000;
 /// Share of the returns that are slow.
 const SLOW_SHARE: f64 = 0.2;
+/// Share of the losses after which servers are silent at first, and the range of that time in
+/// milliseconds.
+const SILENCE_SHARE: f64 = 0.3;
+const SILENCE_MS: std::ops::Range<u64> = 500..4000;
+/// Share of the losses that some entries survive, and the range of the entries of which one does.
+const SURVIVAL_SHARE: f64 = 0.3;
+const SURVIVING: std::ops::Range<usize> = 4..20;
+/// Share of the losses in which the store has a fault, and the ranges of its duration and of the
+/// delay of a slow store, in milliseconds.
+const STORE_FAULT_SHARE: f64 = 0.4;
+const STORE_FAULT_MS: std::ops::Range<u64> = 1000..9000;
+const STORE_DELAY_MS: std::ops::Range<u64> = 100..1200;
 /// Name of the fault, as recorded in the history.
 const POWER_FAULT: &str = "power-lost";
 /// Delay after which a server that crashed starts again.
@@ -56,6 +70,25 @@
     pub entry_return: Duration,
     /// Time over which the servers come back.
     pub server_return: Duration,
+    /// Time for which servers that came back accept connections and answer nothing.
+    pub server_silence: Duration,
+    /// One in this many entries keeps its process, which stands still meanwhile; 0 for none.
+    pub surviving: usize,
+    /// Fault of the store, and how long it lasts from the loss on.
+    pub store_fault: Option<(StoreFault, Duration)>,
+}
+
+/// Fault of the store while machines come back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreFault {
+    /// It rejects all requests.
+    Down,
+    /// It answers nothing.
+    Silent,
+    /// Its answers are lost.
+    LosesAnswers,
+    /// Its answers are late by this time.
+    Slow(Duration),
 }
 
 /// Draws a series of losses of power.
@@ -69,8 +102,36 @@
         down: Duration::from_millis(rng.random_range(DOWN_MS)),
         entry_return: draw_return(&mut rng),
         server_return: draw_return(&mut rng),
+        server_silence: Duration::ZERO,
+        surviving: 0,
+        store_fault: None,
+    };
+    let mut losses: Vec<PowerLoss> = (0..count).map(|_| draw()).collect();
+    for loss in &mut losses {
+        if rng.random_bool(SILENCE_SHARE) {
+            loss.server_silence = Duration::from_millis(rng.random_range(SILENCE_MS));
+        }
+        if rng.random_bool(SURVIVAL_SHARE) {
+            loss.surviving = rng.random_range(SURVIVING);
+        }
+        if rng.random_bool(STORE_FAULT_SHARE) {
+            loss.store_fault = Some(draw_store_fault(&mut rng));
+        }
+    }
+    losses
+}
+
+fn draw_store_fault(rng: &mut ChaCha8Rng) -> (StoreFault, Duration) {
+    let fault = match rng.random_range(0..4) {
+        0 => StoreFault::Down,
+        1 => StoreFault::Silent,
+        2 => StoreFault::LosesAnswers,
+        _ => StoreFault::Slow(Duration::from_millis(rng.random_range(STORE_DELAY_MS))),
     };
-    (0..count).map(|_| draw()).collect()
+    (
+        fault,
+        Duration::from_millis(rng.random_range(STORE_FAULT_MS)),
+    )
 }
 
 fn draw_return(rng: &mut ChaCha8Rng) -> Duration {
@@ -91,14 +152,17 @@
         for entry in 0..world.entries.len() {
             world.record_fault(POWER_FAULT, Some(entry));
         }
+        let store_fault = tokio::spawn(disturb_store(Arc::clone(&world), loss.store_fault));
         let servers = cut(&world, loss).await?;
         sleep(loss.down).await;
         let (entries, servers) = tokio::join!(
             return_entries(&world, loss.entry_return),
-            return_servers(&world, &servers, loss.server_return),
+            return_servers(&world, &servers, loss),
         );
         entries?;
         servers?;
+        sleep(loss.server_silence).await;
+        store_fault.await.map_err(std::io::Error::other)?;
         for entry in 0..world.entries.len() {
             world.record_fault_end(Some(entry));
         }
@@ -108,49 +172,85 @@
     Ok(())
 }
 
+async fn disturb_store(world: Arc<World>, fault: Option<(StoreFault, Duration)>) {
+    let Some((fault, duration)) = fault else {
+        return;
+    };
+    let plan = match fault {
+        StoreFault::Down => FaultPlan::outage(),
+        StoreFault::Silent => FaultPlan::silence(),
+        StoreFault::LosesAnswers => FaultPlan {
+            lose_answers: true,
+            ..FaultPlan::default()
+        },
+        StoreFault::Slow(delay) => FaultPlan {
+            delay_ms: millis(delay),
+            ..FaultPlan::default()
+        },
+    };
+    world.record_fault(POWER_FAULT, None);
+    world.store.set_faults(plan);
+    sleep(duration).await;
+    world.store.set_faults(FaultPlan::default());
+    world.record_fault_end(None);
+}
+
 async fn cut(world: &World, loss: &PowerLoss) -> Result<Vec<SoakServer>> {
     if loss.servers_first {
         let servers = world.server_pool.cut_power();
         sleep(loss.end_gap).await;
-        world.stop_entries()?;
+        end_entries(world, loss)?;
         return Ok(servers);
     }
-    world.stop_entries()?;
+    end_entries(world, loss)?;
     sleep(loss.end_gap).await;
     Ok(world.server_pool.cut_power())
 }
 
+fn end_entries(world: &World, loss: &PowerLoss) -> Result<()> {
+    for index in 0..world.entries.len() {
+        if loss.surviving > 0 && index.is_multiple_of(loss.surviving) {
+            world.entry(index).signal(Signal::STOP)?;
+        } else {
+            world.entry(index).kill()?;
+        }
+    }
+    Ok(())
+}
+
 async fn return_entries(world: &World, spread: Duration) -> Result<()> {
     let count = world.entries.len();
     let step = spread / u32::try_from(count.max(1)).unwrap_or(u32::MAX);
     for index in 0..count {
         sleep(step).await;
+        world.entry(index).signal(Signal::CONT)?;
         world.entry(index).start()?;
     }
     Ok(())
 }
 
-async fn return_servers(world: &World, servers: &[SoakServer], spread: Duration) -> Result<()> {
-    let step = spread / u32::try_from(servers.len().max(1)).unwrap_or(u32::MAX);
+async fn return_servers(world: &World, servers: &[SoakServer], loss: &PowerLoss) -> Result<()> {
+    let step = loss.server_return / u32::try_from(servers.len().max(1)).unwrap_or(u32::MAX);
     for server in servers {
         sleep(step).await;
-        restart(world, server).await?;
+        restart(world, server, loss.server_silence).await?;
     }
     Ok(())
 }
 
-async fn restart(world: &World, server: &SoakServer) -> Result<()> {
+async fn restart(world: &World, server: &SoakServer, silence: Duration) -> Result<()> {
     if server.is_draining || world.server_pool.statements.get(&server.id).is_stopped {
         return Ok(());
     }
     let pool = &world.server_pool;
     for _ in 0..START_ATTEMPTS {
-        if pool.restart_server(server, server.address).await.is_ok() {
+        let restarted = pool.restart_server(server, server.address, silence).await;
+        if restarted.is_ok() {
             return Ok(());
         }
         sleep(START_RETRY_DELAY).await;
     }
-    pool.restart_server(server, ANY_ADDRESS).await
+    pool.restart_server(server, ANY_ADDRESS, silence).await
 }
 
 /// Starts servers again that got too many requests while they were cold.
@@ -164,7 +264,7 @@
             let world = Arc::clone(&world);
             tokio::spawn(async move {
                 sleep(CRASH_RESTART_DELAY).await;
-                if let Err(error) = restart(&world, &server).await {
+                if let Err(error) = restart(&world, &server, Duration::ZERO).await {
                     eprintln!("server {} can't start again: {error}", server.id);
                 }
             });
--- a/bin/lh-soak/src/server_connections.rs
+++ b/bin/lh-soak/src/server_connections.rs
@@ -118,6 +118,7 @@
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let ServerIdentity { id, recorder, .. } = server;
+    server.run.wait_answering().await;
     let request_id = header_text(request.headers(), "request-id").to_owned();
     let expected = header_text(request.headers(), "expect-instance");
     let mut builder = Response::builder()
--- a/bin/lh-soak/src/server_run.rs
+++ b/bin/lh-soak/src/server_run.rs
@@ -34,6 +34,7 @@
 pub(crate) struct ServerRun {
     ended: watch::Sender<bool>,
     cold_until: Option<Instant>,
+    silent_until: Option<Instant>,
     cold_arrivals: Mutex<VecDeque<Instant>>,
     /// `None` if the slots are not limited.
     slots: Option<Semaphore>,
@@ -59,6 +60,7 @@
         Self {
             ended: watch::Sender::new(false),
             cold_until: None,
+            silent_until: None,
             cold_arrivals: Mutex::default(),
             slots: has_slots.then(|| Semaphore::new(SLOTS)),
             in_use: AtomicUsize::default(),
@@ -71,6 +73,19 @@
         self
     }
 
+    /// Lets the run answer nothing for `silence` from now on.
+    pub(crate) fn with_silence(mut self, silence: Duration) -> Self {
+        self.silent_until = Some(Instant::now() + silence);
+        self
+    }
+
+    /// Waits until the run answers.
+    pub(crate) async fn wait_answering(&self) {
+        if let Some(until) = self.silent_until {
+            tokio::time::sleep_until(until.into()).await;
+        }
+    }
+
     /// Ends the run with all its connections.
     pub(crate) fn end(&self) {
         self.ended.send_replace(true);
--- a/bin/lh-soak/src/servers.rs
+++ b/bin/lh-soak/src/servers.rs
@@ -194,7 +194,7 @@
         servers
     }
 
-    /// Starts `server` again, cold, at `address` and under its id. It registers with the start
+    /// Starts `server` again, cold, at `address` and under its id. It answers nothing for `silence`. It registers with the start
     /// of its new run.
     ///
     /// # Errors
@@ -203,9 +203,12 @@
         &self,
         server: &SoakServer,
         address: SocketAddr,
+        silence: Duration,
     ) -> Result<()> {
         let listener = TcpListener::bind(address).await?;
-        let run = ServerRun::new(self.has_slots && server.service == SERVICE).with_cold_start();
+        let run = ServerRun::new(self.has_slots && server.service == SERVICE)
+            .with_cold_start()
+            .with_silence(silence);
         let server = SoakServer {
             run: Arc::new(run),
             address: listener.local_addr()?,
