Status: what an entry that isn't ready waits for, and how long it took at its start

Change: waits_for in /v1/status and lhctl status; line 'ready for the first time' and laurelhill_readiness_seconds by requirement (desired state, servers, keys).

--- a/bin/lh-entry/src/fleet.rs
+++ b/bin/lh-entry/src/fleet.rs
@@ -181,6 +181,7 @@
     let mut last_turn_at = Instant::now();
     loop {
         update_local_state(&state);
+        state.metrics.readiness.observe(&state);
         perform_actions(&state, &socket).await;
         tokio::select! {
             () = tokio::time::sleep_until(next_report_at.into()) => {
--- a/bin/lh-entry/src/lib.rs
+++ b/bin/lh-entry/src/lib.rs
@@ -34,6 +34,7 @@
 mod pool;
 mod problem;
 mod quarantine;
+mod readiness;
 mod record;
 mod region_shares;
 mod relay;
--- a/bin/lh-entry/src/metrics.rs
+++ b/bin/lh-entry/src/metrics.rs
@@ -14,6 +14,7 @@
 
 use crate::connect::metrics::AheadMetrics;
 use crate::error::Result;
+use crate::readiness::ReadinessMonitor;
 use crate::region_shares::ShareMonitor;
 use crate::team_metrics::TeamMetrics;
 
@@ -38,6 +39,7 @@
     operator_age: Gauge,
     proof_age: Gauge,
     pub(crate) teams: TeamMetrics,
+    pub(crate) readiness: ReadinessMonitor,
     pub(crate) shares: ShareMonitor,
     servers: GaugeVec,
     server_requests: GaugeVec,
@@ -269,6 +271,7 @@
         registry.register(Box::new(operator_age.clone()))?;
         registry.register(Box::new(proof_age.clone()))?;
         let teams = TeamMetrics::new(&registry)?;
+        let readiness = ReadinessMonitor::new(&registry)?;
         let ahead = AheadMetrics::new(&registry)?;
         let shares = ShareMonitor::new(&registry)?;
         registry.register(Box::new(servers.clone()))?;
@@ -333,6 +336,7 @@
             operator_age,
             proof_age,
             teams,
+            readiness,
             shares,
             servers,
             server_requests,
--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -35,6 +35,7 @@
 use crate::metrics::EntryMetrics;
 use crate::operator::refusals::RefusalTable;
 use crate::pool::ConnectionPool;
+use crate::readiness::Requirement;
 use crate::relay::RelayState;
 use crate::rollout::RolloutState;
 use crate::statements::UrgentReporter;
@@ -181,6 +182,21 @@
         self.has_required_state() && self.serves_keys()
     }
 
+    /// Returns what this entry has to know before it is ready.
+    pub(crate) fn missing_requirements(&self) -> Vec<Requirement> {
+        let mut missing = Requirement::ALL.to_vec();
+        missing.retain(|requirement| self.lacks(*requirement));
+        missing
+    }
+
+    fn lacks(&self, requirement: Requirement) -> bool {
+        match requirement {
+            Requirement::DesiredState => self.version() == 0,
+            Requirement::Servers => self.placer.borrow().catalog.read_at().is_none(),
+            Requirement::Keys => self.version() == 0 || !self.serves_keys(),
+        }
+    }
+
     /// Returns whether this entry can reach hardly any server, so that others serve callers
     /// better.
     pub(crate) fn is_cut_off(&self) -> bool {
@@ -196,7 +212,7 @@
 
     /// Returns whether the desired state and the registry are known and no stop was requested.
     fn has_required_state(&self) -> bool {
-        let known = self.version() > 0 && self.placer.borrow().catalog.read_at().is_some();
+        let known = !self.lacks(Requirement::DesiredState) && !self.lacks(Requirement::Servers);
         known && self.stop.get() == StopPhase::Serving
     }
 
--- a/bin/lh-entry/src/status.rs
+++ b/bin/lh-entry/src/status.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 
 use crate::operator::refusals::RefusalStatus;
+use crate::readiness::Requirement;
 use crate::state::InstanceState;
 
 /// Path of the request.
@@ -22,6 +23,8 @@
     domain: &'a str,
     version: u64,
     ready: bool,
+    /// What this entry has to know before it is ready.
+    waits_for: Vec<&'static str>,
     stopping: bool,
     in_flight: usize,
     /// Live entries, this one included.
@@ -131,6 +134,11 @@
         domain: &state.config.domain,
         version: state.version(),
         ready: state.is_ready(),
+        waits_for: state
+            .missing_requirements()
+            .into_iter()
+            .map(Requirement::as_str)
+            .collect(),
         stopping: state.is_stopping(),
         in_flight: state.in_flight.get(),
         instances: state
--- a/bin/lh-entry/tests/power_losses.rs
+++ b/bin/lh-entry/tests/power_losses.rs
@@ -8,7 +8,7 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use platform_standin::{FakeBackend, server_entry};
+use platform_standin::{FakeBackend, FaultPlan, server_entry};
 use serde_json::{Value, json};
 use world::{EntryProcess, World, until};
 
@@ -71,3 +71,30 @@
     })
     .await;
 }
+
+/// An entry that starts while the store is away says what it waits for, and how long it took.
+#[tokio::test]
+async fn an_entry_that_is_not_ready_says_why() {
+    let world = World::new(1).await;
+    world.store.set_faults(FaultPlan::outage());
+    let entry = EntryProcess::start(world.store.address(), "n1", &[]);
+    until("the entry answers", async || {
+        entry.status("/ready").await == Some(503)
+    })
+    .await;
+    let status = entry.document("/v1/status").await;
+    let waits_for = json!(["desired-state", "servers", "keys"]);
+    assert_eq!(status["waits_for"], waits_for, "{status}");
+    world.store.set_faults(FaultPlan::default());
+    entry.wait_ready().await;
+    assert_eq!(entry.document("/v1/status").await["waits_for"], json!([]));
+    until("the entry logs that it is ready", async || {
+        !entry.logged("ready for the first time").is_empty()
+    })
+    .await;
+    let metrics = entry.metrics().await;
+    let line = |name: &str| format!("laurelhill_readiness_seconds{{requirement=\"{name}\"}} 0\n");
+    for requirement in ["desired-state", "servers", "keys"] {
+        assert!(!metrics.contains(&line(requirement)), "{metrics}");
+    }
+}
--- a/bin/lhctl/src/status.rs
+++ b/bin/lhctl/src/status.rs
@@ -107,6 +107,16 @@
     )))
 }
 
+/// Says what an instance that isn't ready waits for, if it tells.
+fn describe_wait(status: &Value) -> String {
+    let waits_for = status["waits_for"].as_array().into_iter().flatten();
+    let waits_for: Vec<&str> = waits_for.filter_map(Value::as_str).collect();
+    if waits_for.is_empty() {
+        return "not ready".to_owned();
+    }
+    format!("not ready, waits for {}", waits_for.join(" and "))
+}
+
 fn format_status(status: &Value) -> String {
     let text = |key: &str| status[key].as_str().unwrap_or("?").to_owned();
     let mut servers = 0;
@@ -116,9 +126,9 @@
         open += service["open"].as_u64().unwrap_or(0);
     }
     let state = match (&status["stopping"], &status["ready"]) {
-        (Value::Bool(true), _) => "stopping",
-        (_, Value::Bool(true)) => "ready",
-        _ => "not ready",
+        (Value::Bool(true), _) => "stopping".to_owned(),
+        (_, Value::Bool(true)) => "ready".to_owned(),
+        _ => describe_wait(status),
     };
     format!(
         "{} in {} ({}): {state}, version {}, {open} of {servers} backend servers open, \
