--- a/bin/lh-entry/src/watch.rs
+++ b/bin/lh-entry/src/watch.rs
@@ -87,8 +87,8 @@
                 let is_restored = is_of_later_era(&state, &rows);
                 let is_whole = resume.is_none() && !is_restored;
                 if is_whole {
-                    // Followers are sent the phases of rollouts with the operator's rows, and are
-                    // told of no change if this entry learns of them later.
+                    // Followers get the phases of rollouts with the operator's rows. No position
+                    // shows them that this entry learnt of a phase later.
                     rollout_rows::read_ordered(&state, &rows.changes).await;
                 }
                 apply_operator_rows(&state, &rows, as_of, is_whole);
--- a/bin/lh-soak/src/callers.rs
+++ b/bin/lh-soak/src/callers.rs
@@ -120,28 +120,17 @@
     request.ends_with(AT_MOST_ONCE_SUFFIX)
 }
 
-/// Returns the status code of `GET path` at `address`, or `None` without a response.
-pub(crate) async fn get_status(address: SocketAddr, path: &str) -> Option<u16> {
+/// Returns status and body of `GET path` at `address`, or `None` without a response.
+pub(crate) async fn get(address: SocketAddr, path: &str) -> Option<(u16, Bytes)> {
     let mut sender = connect(address).await?;
     let request = Request::get(path)
         .header("host", "soak")
         .body(Full::new(Bytes::new()))
         .ok()?;
     let response = sender.send_request(request).await.ok()?;
-    Some(response.status().as_u16())
-}
-
-/// Returns the body of the successful response to `GET path` at `address`.
-pub(crate) async fn get_body(address: SocketAddr, path: &str) -> Option<Bytes> {
-    let mut sender = connect(address).await?;
-    let request = Request::get(path)
-        .header("host", "soak")
-        .body(Full::new(Bytes::new()))
-        .ok()?;
-    let response = sender.send_request(request).await.ok()?;
-    let is_ok = response.status().is_success();
+    let status = response.status().as_u16();
     let body = response.into_body().collect().await.ok()?;
-    is_ok.then(|| body.to_bytes())
+    Some((status, body.to_bytes()))
 }
 
 /// A request to the service that all callers use.
--- a/bin/lh-soak/src/lib.rs
+++ b/bin/lh-soak/src/lib.rs
@@ -32,6 +32,7 @@
 mod proxy;
 pub mod report;
 mod rollouts;
+mod served_count;
 mod server_connections;
 mod server_run;
 mod servers;
--- a/bin/lh-soak/src/lookups.rs
+++ b/bin/lh-soak/src/lookups.rs
@@ -133,8 +133,10 @@
             let Some(address) = self.lookups.choose(&mut rand::rng()) else {
                 return;
             };
-            let body = timeout(LOOKUP_TIMEOUT, callers::get_body(*address, &path)).await;
-            let body = body.ok().flatten().unwrap_or_default();
+            let response = timeout(LOOKUP_TIMEOUT, callers::get(*address, &path)).await;
+            let Ok(Some((200, body))) = response else {
+                continue;
+            };
             let Ok(answer) = serde_json::from_slice::<LookupAnswer>(&body) else {
                 continue;
             };
--- a/bin/lh-soak/src/world.rs
+++ b/bin/lh-soak/src/world.rs
@@ -165,5 +165,5 @@
 }
 
 async fn is_ready(address: SocketAddr) -> bool {
-    callers::get_status(address, "/ready").await == Some(200)
+    matches!(callers::get(address, "/ready").await, Some((200, _)))
 }
