Review: an entry misses an evacuation for good

An entry whose connections to the store go silent while a roll-out is being completed never learns of an evacuation written in that time, and sends requests to the zone until the evacuation is taken back.

--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# An entry's open connections to the store go silent while a zone is evacuated. Needs the build of the
+# deploy file and review/build.sh.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")" || exit 2
+entry=../../target/release/lh-entry
+standins=../standins/target/release/review-standins
+[ -x "$entry" ] && [ -x "$standins" ] || { echo "not built" >&2; exit 2; }
+exec "$standins" orders . "$(realpath "$entry")"
--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -70,7 +70,7 @@
 /// Sends a request and waits for its answer until its deadline.
 pub fn ask(
     connection: &mut Connection,
-    (host, path, id): (&str, &str, &str),
+    (host, path, id, object): (&str, &str, &str, usize),
     deadline: Duration,
 ) -> Answer {
     let begun = Instant::now();
@@ -85,7 +85,7 @@
         closes: true,
     };
     let text = format!(
-        "GET {path} HTTP/1.1\r\nHost: {host}\r\nRequest-Id: {id}\r\nDeadline-Ms: {}\r\n\r\n",
+        "GET {path} HTTP/1.1\r\nHost: {host}\r\nRequest-Id: {id}\r\nAffinity-Key: {object}\r\nDeadline-Ms: {}\r\n\r\n",
         deadline.as_millis()
     );
     // The client leaves at its deadline.
--- a/review/standins/src/deployment.rs
+++ b/review/standins/src/deployment.rs
@@ -13,7 +13,7 @@
 use crate::store::Store;
 use crate::Setup;
 
-pub const HOST: &str = "archive.example";
+pub const HOST: &str = "service.example";
 pub const SERVICE: &str = "bundle-depot";
 pub const ZONES: [(&str, &str); 2] = [("tbilisi-a", "tbilisi"), ("tbilisi-b", "tbilisi")];
 /// Interval at which servers write their rows.
@@ -61,7 +61,7 @@
             store.put(
                 "servers",
                 &server.id,
-                &server.row(SERVICE, zone_of(number), 1),
+                &server.row(SERVICE, zone_of(number), "v1", 1),
             );
         }
         let network = free_network(ZONES.len() as u8);
@@ -100,7 +100,7 @@
                 for (number, server) in beating.iter().enumerate() {
                     // A machine without power sends nothing.
                     if !server.is_dark() {
-                        let row = server.row(SERVICE, zone_of(number), seq);
+                        let row = server.row(SERVICE, zone_of(number), "v1", seq);
                         store.put("servers", &server.id, &row);
                     }
                 }
@@ -138,6 +138,7 @@
     number: usize,
     directories: Vec<SocketAddr>,
     addresses: Vec<SocketAddr>,
+    place: (&'static str, &'static str),
     resolved_at: Option<Instant>,
     connection: Option<(SocketAddr, Connection)>,
     picks: usize,
@@ -147,9 +148,14 @@
 const TTL: Duration = Duration::from_secs(1);
 
 impl Route {
-    pub fn new(number: usize, directories: Vec<SocketAddr>) -> Self {
+    pub fn new(
+        number: usize,
+        place: (&'static str, &'static str),
+        directories: Vec<SocketAddr>,
+    ) -> Self {
         Self {
             number,
+            place,
             directories,
             addresses: Vec::new(),
             resolved_at: None,
@@ -163,7 +169,7 @@
         if self.resolved_at.is_none_or(|at| at.elapsed() >= TTL) {
             for turn in 0..self.directories.len() {
                 let index = (self.number + turn) % self.directories.len();
-                let (zone, region) = ZONES[self.number % ZONES.len()];
+                let (zone, region) = self.place;
                 let found = client::resolve(self.directories[index], HOST, region, zone);
                 if !found.is_empty() {
                     self.addresses = found;
--- a/review/standins/src/entry.rs
+++ b/review/standins/src/entry.rs
@@ -10,6 +10,8 @@
 
 /// An entry of the deployment.
 pub struct Entry {
+    pub name: String,
+    pub callers: SocketAddr,
     pub lookup: SocketAddr,
     pub ready: SocketAddr,
     settings: PathBuf,
@@ -53,7 +55,7 @@
              [store]\naddress = {store}\n\
              [bounds]\ngrace = 6s\ndrain = 2500ms\nretry_ratio = 0.2\nretry_slack = 58\n\
              retry_window = 10s\nshift_cap = 0.15\nconfig_apply = 2500ms\n\
-             lookup_ttl_most = 5s\nmemory_mb = 260\ndescriptors = 4100\n\
+             exposure_share = 0.1\nexposure_slack = 50\nlookup_ttl_most = 5s\nmemory_mb = 260\ndescriptors = 4100\n\
              processor_share = 0.2\nprocessor_speed = 1\nlink_megabits = {}\n{places}",
             machine.region,
             machine.zone,
@@ -64,6 +66,8 @@
         let settings = folder.join(format!("{name}.ini"));
         fs::write(&settings, text).expect("the settings can be written");
         Self {
+            name: name.to_owned(),
+            callers: at(8641),
             lookup: at(8644),
             ready: at(8640),
             settings,
@@ -97,6 +101,15 @@
         );
         answer.is_some_and(|(status, _)| status == 200)
     }
+
+    /// The lines of the log that contain one of `words`.
+    pub fn log_lines(&self, words: &[&str]) -> Vec<String> {
+        let text = fs::read_to_string(&self.log).unwrap_or_default();
+        let found = text
+            .lines()
+            .filter(|line| words.iter().any(|word| line.contains(word)));
+        found.map(str::to_owned).collect()
+    }
 }
 
 impl Drop for Entry {
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -8,6 +8,8 @@
 mod entry;
 mod http;
 mod json;
+mod orders;
+mod path;
 mod record;
 mod server;
 mod silent;
@@ -51,6 +53,7 @@
         has_trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let verdict = match case.as_str() {
+        "orders" => orders::run(&setup),
         "silent" => silent::run(&setup),
         _ => Verdict::NotRun("unknown case".to_owned()),
     };
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use crate::http::{Connection, Head};
@@ -32,6 +32,8 @@
     record: Record,
     running: Arc<AtomicUsize>,
     waiting: Arc<AtomicUsize>,
+    /// The requests that were begun, and when.
+    runs: Arc<Mutex<Vec<(String, Instant)>>>,
     /// Whether the machine has no power: nothing is accepted, read or sent.
     is_dark: Arc<AtomicBool>,
 }
@@ -51,6 +53,7 @@
             record: record.clone(),
             running: Arc::default(),
             waiting: Arc::default(),
+            runs: Arc::default(),
             is_dark: Arc::default(),
         };
         let accepting = server.clone();
@@ -84,9 +87,9 @@
     }
 
     /// The row by which the server registers.
-    pub fn row(&self, service: &str, zone: &str, seq: u64) -> String {
+    pub fn row(&self, service: &str, zone: &str, version: &str, seq: u64) -> String {
         format!(
-            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
+            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"{version}\",\
              \"slots\":{},\"state\":\"ready\",\"coldRemaining\":\"0ms\",\"seq\":{seq}}}",
             self.address, self.work.slots
         )
@@ -101,6 +104,11 @@
         self.is_dark.load(Ordering::SeqCst)
     }
 
+    /// The requests that the server began to work on, and when.
+    pub fn runs(&self) -> Vec<(String, Instant)> {
+        self.runs.lock().expect("the runs").clone()
+    }
+
     fn wait_for_power(&self) {
         while self.is_dark() {
             std::thread::sleep(POLL);
@@ -166,6 +174,8 @@
             return connection.send(text.as_bytes());
         }
         self.record.note(&format!("{} runs {request}", self.id));
+        let run = (request.clone(), Instant::now());
+        self.runs.lock().expect("the runs").push(run);
         std::thread::sleep(self.work.before);
         self.wait_for_power();
         let text = format!(
--- a/review/standins/src/silent.rs
+++ b/review/standins/src/silent.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use crate::client::{self, Answer};
-use crate::deployment::{Deployment, Route, HOST};
+use crate::deployment::{Deployment, Route, HOST, ZONES};
 use crate::server::Work;
 use crate::{Setup, Verdict};
 
@@ -49,7 +49,7 @@
         let (directories, is_over) = (deployment.directories(), Arc::clone(&deployment.is_over));
         clients.push(std::thread::spawn(move || {
             std::thread::sleep(INTERVAL * number as u32 / CLIENTS as u32);
-            let mut route = Route::new(number, directories);
+            let mut route = Route::new(number, ZONES[number % ZONES.len()], directories);
             let mut count = 0;
             while !is_over.load(Ordering::SeqCst) {
                 let begun = Instant::now();
@@ -58,7 +58,7 @@
                 if let Some((address, mut connection)) = route.connect() {
                     record.note(&format!("client {number} sends {id} to {address}"));
                     let path = format!("/bundles/{number}/{count}");
-                    let answer = client::ask(&mut connection, (HOST, &path, &id), DEADLINE);
+                    let answer = client::ask(&mut connection, (HOST, &path, &id, number), DEADLINE);
                     record.note(&format!("client {number} gets {id}: {}", answer.describe()));
                     if !answer.closes {
                         route.keep(address, connection);
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -48,6 +48,17 @@
         self.change(table, key, Some(base64(value.as_bytes())));
     }
 
+    pub fn delete(&self, table: &str, key: &str) {
+        self.change(table, key, None);
+    }
+
+    /// The value of a row.
+    pub fn value(&self, table: &str, key: &str) -> Option<String> {
+        let rows = self.rows.0.lock().expect("rows");
+        let (_, value) = rows.rows.get(&(table.to_owned(), key.to_owned()))?;
+        unbase64(value.as_ref()?)
+    }
+
     fn change(&self, table: &str, key: &str, value: Option<String>) {
         let mut rows = self.rows.0.lock().expect("rows");
         rows.version += 1;
@@ -205,8 +216,9 @@
     String::from_utf8_lossy(&plain).into_owned()
 }
 
+const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
 fn base64(bytes: &[u8]) -> String {
-    const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for part in bytes.chunks(3) {
         let mut word = 0u32;
@@ -224,3 +236,17 @@
     }
     text
 }
+
+fn unbase64(text: &str) -> Option<String> {
+    let (mut bytes, mut word, mut bits) = (Vec::new(), 0u32, 0);
+    for digit in text.bytes().filter(|byte| *byte != b'=') {
+        let value = DIGITS.iter().position(|known| *known == digit)? as u32;
+        word = word << 6 | value;
+        bits += 6;
+        if bits >= 8 {
+            bits -= 8;
+            bytes.push((word >> bits) as u8);
+        }
+    }
+    String::from_utf8(bytes).ok()
+}
