--- a/review/standins/src/orders.rs
+++ b/review/standins/src/orders.rs
@@ -48,12 +48,12 @@
 /// Duration of the roll-out.
 const ROLLOUT: Duration = Duration::from_secs(20);
 /// Time before its deadline by which the connections have gone silent.
-const BEFORE_DEADLINE: Duration = Duration::from_millis(1700);
+const BEFORE_DEADLINE: Duration = Duration::from_millis(1580);
 /// Interval at which the store answers feeds without news, and how long an answer is fresh.
 const ANSWER_INTERVAL: Duration = Duration::from_millis(2050);
 const FRESH: Duration = Duration::from_millis(50);
 /// Time from then until the operator evacuates the zone.
-const EVACUATE_AFTER: Duration = Duration::from_millis(150);
+const EVACUATE_AFTER: Duration = Duration::from_millis(100);
 /// The bounds `evacuate` and `outer`; the second is granted although the store is stable.
 const EVACUATE: Duration = Duration::from_secs(5);
 const OUTER: Duration = Duration::from_secs(6);
