Status page states the positions that an entry acts on

Cause: nothing showed an operator up to where an entry knows the operator's rows, so an entry that had missed a change looked like one that was late. Change: /v1/status gets `positions` (operator, operator_read, registry_read).

--- a/bin/lh-entry/src/status.rs
+++ b/bin/lh-entry/src/status.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use place::catalog::ServerCondition;
+use place::fleet::store_progress::StoreProgress;
 use place::prelude::RequestPlacer;
 use place::server::ServerRecord;
 use rollout::order::RolloutRecord;
@@ -32,6 +33,8 @@
     /// Whether this entry is a lead of its region (the reader or the deputy).
     leads: bool,
     evacuated: Vec<String>,
+    /// How much of the store's history this entry acts on.
+    positions: PositionStatus,
     rollouts: Vec<RolloutStatus>,
     /// Fingerprints of quarantined requests, which crash servers and are refused.
     quarantined: Vec<String>,
@@ -53,6 +56,28 @@
     servers: Option<Vec<ServerStatus>>,
 }
 
+/// Positions in the store's history, as `ERA:VERSION`. Entries whose positions differ for longer
+/// than a change takes to spread act on different states.
+#[derive(Serialize)]
+struct PositionStatus {
+    /// The newest change of the operator's rows that is applied.
+    operator: String,
+    /// The position from which this entry's feed of the operator's rows continues.
+    operator_read: String,
+    /// The latest read of the server registry.
+    registry_read: String,
+}
+
+impl PositionStatus {
+    fn new(known: &StoreProgress) -> Self {
+        Self {
+            operator: known.operator.to_string(),
+            operator_read: known.operator_read.to_string(),
+            registry_read: known.registry_read.to_string(),
+        }
+    }
+}
+
 #[derive(Serialize)]
 struct RolloutStatus {
     service: String,
@@ -152,6 +177,7 @@
             .map(ToString::to_string)
             .collect(),
         evacuated: state.evacuated.borrow().iter().cloned().collect(),
+        positions: PositionStatus::new(&state.fleet.known()),
         rollouts: rollouts(now, state),
         registry_age_ms: catalog
             .read_at()
