A rollout's row no longer hides operator's rows

Cause: a lead that read the row of a rollout raised `operator`, the position up to which every change of the operator's rows is applied, to that row's revision. Others then confirmed that nothing newer exists, and the feed went on after the change that it had missed. A lead that had read one of two rows of rollouts hid the other one from its followers in the same way. Evidence: the status page of an entry that missed version 13 stated operator 0:14, the revision of the rollout's row, and kept it (trial). Ruled out: an answer of the feed that was lost (none came), another entry's older list ("evacuation in force" was never logged). Change: rollouts have a position of their own, raised by a read of all of their rows as of one moment (one call a second instead of one a rollout). Followers ask for records when that position or the operator's is newer.

--- a/bin/lh-entry/src/rollout_rows.rs
+++ b/bin/lh-entry/src/rollout_rows.rs
@@ -8,7 +8,7 @@
 use platform::rollouts::status_write;
 use platform::tables::PlatformClient;
 use rollout::prelude::*;
-use store::{CommitOutcome, ENTRY_TABLE, ROLLOUT_PREFIX, Row, RowWrite, TableService};
+use store::{CommitOutcome, ENTRY_TABLE, ROLLOUT_PREFIX, Row, RowSet, RowWrite, TableService};
 use tokio::time::timeout;
 
 use crate::state::InstanceState;
@@ -34,45 +34,55 @@
             last_read_at = Instant::now();
         }
         let services = state.rollouts.controller().unfinished_services();
-        for service in services {
-            if is_reread_due || next_record(&state, &service).is_some() {
-                update_row(&state, &service).await;
-            }
+        let needs_write = |service: &String| next_record(&state, service).is_some();
+        if services
+            .iter()
+            .any(|service| is_reread_due || needs_write(service))
+        {
+            update_rows(&state, &services).await;
         }
     }
 }
 
-/// Reads the rows of all rollouts that `changes` order: an entry that starts may find them in any
-/// phase.
+/// Reads the rows of all rollouts if `changes` order any: an entry that starts may find them in
+/// any phase.
 pub(crate) async fn read_ordered(state: &InstanceState, changes: &[OperatorChange]) {
-    let client = PlatformClient::new(state.config.store).with_answer_timeout(STORE_TIMEOUT);
-    for change in changes {
-        if let OperatorChange::Rollout(order) = change {
-            read_row(state, &client, &order.service).await;
-        }
+    let is_order = |change: &OperatorChange| matches!(change, OperatorChange::Rollout(_));
+    if changes.iter().any(is_order) {
+        let client = PlatformClient::new(state.config.store).with_answer_timeout(STORE_TIMEOUT);
+        read_rows(state, &client).await;
     }
 }
 
-async fn update_row(state: &InstanceState, service: &str) {
+async fn update_rows(state: &InstanceState, services: &[String]) {
     let client = PlatformClient::new(state.config.store).with_answer_timeout(STORE_TIMEOUT);
-    let Some(row) = read_row(state, &client, service).await else {
-        return;
-    };
-    let Some(record) = next_record(state, service) else {
+    let Some(rows) = read_rows(state, &client).await else {
         return;
     };
-    let stored = row.as_ref().and_then(decode_record);
-    if stored.is_some_and(|stored| !record.is_newer(&stored)) {
-        return;
+    let mut is_written = false;
+    for service in services {
+        let Some(record) = next_record(state, service) else {
+            continue;
+        };
+        let row = rows.row(&row_key(service));
+        let stored = row.and_then(decode_record);
+        if stored.is_some_and(|stored| !record.is_newer(&stored)) {
+            continue;
+        }
+        let revision = row.map_or(0, |row| row.revision);
+        is_written |= write_record(state, &client, &record, revision).await;
     }
-    let revision = row.map_or(0, |row| row.revision);
-    if write_record(state, &client, &record, revision).await {
-        // The entry acts on the stored record only, and the row's version informs other entries
-        // of the change.
-        read_row(state, &client, service).await;
+    if is_written {
+        // The entry acts on stored records only, and their position informs other entries of the
+        // change.
+        read_rows(state, &client).await;
     }
 }
 
+fn row_key(service: &str) -> String {
+    format!("{ROLLOUT_PREFIX}{service}")
+}
+
 /// Returns the record to store for the rollout of `service`; `None` if it needs no change.
 fn next_record(state: &InstanceState, service: &str) -> Option<RolloutRecord> {
     let controller = state.rollouts.controller();
@@ -93,34 +103,29 @@
     controller.next_record(Instant::now(), service, counts, store_now.0)
 }
 
-/// Reads and applies the row of the rollout of `service`; `None` if the store doesn't respond.
-async fn read_row(
-    state: &InstanceState,
-    client: &PlatformClient,
-    service: &str,
-) -> Option<Option<Row>> {
-    let key = format!("{ROLLOUT_PREFIX}{service}");
-    let result = client.read(ENTRY_TABLE, &key).await;
+/// Reads and applies the rows of all rollouts; `None` if the store doesn't respond. All are read
+/// at once, since a position must stand for every change up to it: a single row's revision says
+/// nothing about other rows.
+async fn read_rows(state: &InstanceState, client: &PlatformClient) -> Option<RowSet> {
+    let result = client.list_prefix(ENTRY_TABLE, ROLLOUT_PREFIX).await;
     let error = result.as_ref().err().map(store::Error::kind);
     state.metrics.on_store_call("rollout", error);
-    let row = match result {
-        Ok(row) => row,
+    let rows = match result {
+        Ok(rows) => rows,
         Err(error) => {
-            log::info!(service, error:%; "can't read the row of a rollout");
+            log::info!(error:%; "can't read the rows of rollouts");
             return None;
         }
     };
-    if let Some(row) = &row
-        && let Some(record) = decode_record(row)
-    {
-        let latest = state.fleet.latest_store_time();
+    let latest = state.fleet.latest_store_time();
+    for record in rows.rows.iter().filter_map(decode_record) {
         state.rollouts.on_record(&record, latest, true);
-        state.fleet.update_known(|known| {
-            let position = StorePosition::new(known.operator_read.era(), row.revision);
-            known.operator = known.operator.max(position);
-        });
     }
-    Some(row)
+    let position = StorePosition::new(rows.era, rows.changed_at());
+    state
+        .fleet
+        .update_known(|known| known.rollouts = known.rollouts.max(position));
+    Some(rows)
 }
 
 /// Writes `record` if its row still has the revision `revision`. Returns whether the store may
@@ -138,7 +143,7 @@
             return false;
         }
     };
-    let key = format!("{ROLLOUT_PREFIX}{}", record.order.service);
+    let key = row_key(&record.order.service);
     let mut writes = vec![RowWrite::new(ENTRY_TABLE, &key, &text).with_expected(revision)];
     match status_write(record) {
         Ok(status) => writes.extend(status),
--- a/bin/lh-entry/src/status.rs
+++ b/bin/lh-entry/src/status.rs
@@ -62,6 +62,8 @@
 struct PositionStatus {
     /// The newest change of the operator's rows that is applied.
     operator: String,
+    /// The newest change of the records of rollouts that is applied.
+    rollouts: String,
     /// The position from which this entry's feed of the operator's rows continues.
     operator_read: String,
     /// The latest read of the server registry.
@@ -72,6 +74,7 @@
     fn new(known: &StoreProgress) -> Self {
         Self {
             operator: known.operator.to_string(),
+            rollouts: known.rollouts.to_string(),
             operator_read: known.operator_read.to_string(),
             registry_read: known.registry_read.to_string(),
         }
--- a/bin/lh-entry/src/view.rs
+++ b/bin/lh-entry/src/view.rs
@@ -51,6 +51,8 @@
         registry: u64,
         /// The store's position when the operator's rows last changed.
         operator: StorePosition,
+        /// The store's position when the records of rollouts last changed.
+        rollouts: StorePosition,
         /// Version of the desired state.
         desired: u64,
         /// Versions of the lists of entries.
@@ -77,7 +79,7 @@
         is_busy: bool,
         /// Evacuated failure domains, if any of the operator's rows changed.
         evacuated: Option<Vec<String>>,
-        /// Rollouts, if any of the operator's rows changed.
+        /// Rollouts, if any of their records or of the operator's rows changed.
         rollouts: Vec<RolloutRecord>,
         /// An encoded [`DesiredState`]; empty if the requesting entry has it.
         desired: Vec<u8>,
@@ -164,6 +166,8 @@
     }
     if known.operator > query.operator {
         answer.evacuated = Some(state.evacuated.borrow().iter().cloned().collect());
+    }
+    if known.operator > query.operator || known.rollouts > query.rollouts {
         answer.rollouts = state.rollouts.controller().records().cloned().collect();
     }
     if known.desired > query.desired
@@ -262,8 +266,11 @@
     for record in &answer.rollouts {
         state.rollouts.on_record(record, latest_store_time, false);
     }
+    let is_whole = target.scope == PullScope::All;
+    state
+        .fleet
+        .update_known(|known| known.adopt_rollouts(&progress, is_whole));
     if let Some(evacuated) = &answer.evacuated {
-        let is_whole = target.scope == PullScope::All;
         state.on_peer_operator(&progress, evacuated, is_whole);
     }
     if !answer.registry.is_empty() {
@@ -305,14 +312,18 @@
             self.sender = None;
         }
         let known = state.fleet.known();
-        let (registry, operator) = match target.scope {
-            PullScope::Newer | PullScope::Departures => (known.registry, known.operator),
-            PullScope::Registry => (0, known.operator),
-            PullScope::All => (0, StorePosition::default()),
+        let nothing = StorePosition::default();
+        let (registry, operator, rollouts) = match target.scope {
+            PullScope::Newer | PullScope::Departures => {
+                (known.registry, known.operator, known.rollouts)
+            }
+            PullScope::Registry => (0, known.operator, known.rollouts),
+            PullScope::All => (0, nothing, nothing),
         };
         let query = encode(&ViewQuery {
             registry,
             operator,
+            rollouts,
             desired: known.desired,
             lists: state.fleet.with_regions(|_, regions| regions.versions()),
             view: state.config.view_address,
--- a/bin/lh-entry/tests/world/mod.rs
+++ b/bin/lh-entry/tests/world/mod.rs
@@ -356,11 +356,25 @@
     exchange(&mut sender, request("GET", path, "check")).await
 }
 
-/// Proxy in front of a store. After it is silenced, it forwards no more data but keeps all
-/// connections open.
+/// Proxy in front of a store. Connections that it silences stay open and carry no more data.
 pub struct SilentProxy {
     pub address: SocketAddr,
-    silent: tokio::sync::watch::Sender<bool>,
+    silence: tokio::sync::watch::Sender<ProxySilence>,
+}
+
+/// Which connections of a proxy are silent.
+#[derive(Clone, Copy, Default)]
+struct ProxySilence {
+    /// All of them, including new ones.
+    all: bool,
+    /// Those opened in an earlier generation than this.
+    generation: usize,
+}
+
+impl ProxySilence {
+    fn covers(self, generation: usize) -> bool {
+        self.all || generation < self.generation
+    }
 }
 
 impl SilentProxy {
@@ -371,30 +385,39 @@
     pub async fn start_at(address: SocketAddr, target: SocketAddr) -> Self {
         let listener = tokio::net::TcpListener::bind(address).await.unwrap();
         let address = listener.local_addr().unwrap();
-        let (silent, listening) = tokio::sync::watch::channel(false);
+        let (silence, listening) = tokio::sync::watch::channel(ProxySilence::default());
         tokio::spawn(async move {
             while let Ok((inner, _)) = listener.accept().await {
                 let Ok(outer) = TcpStream::connect(target).await else {
                     continue;
                 };
+                let generation = listening.borrow().generation;
                 let (inner_read, inner_write) = inner.into_split();
                 let (outer_read, outer_write) = outer.into_split();
-                tokio::spawn(forward(inner_read, outer_write, listening.clone()));
-                tokio::spawn(forward(outer_read, inner_write, listening.clone()));
+                for (from, to) in [(inner_read, outer_write), (outer_read, inner_write)] {
+                    tokio::spawn(forward(from, to, generation, listening.clone()));
+                }
             }
         });
-        Self { address, silent }
+        Self { address, silence }
     }
 
+    /// Silences all connections, including new ones.
     pub fn silence(&self) {
-        self.silent.send_replace(true);
+        self.silence.send_modify(|silence| silence.all = true);
+    }
+
+    /// Silences the open connections for good; new ones work.
+    pub fn silence_open(&self) {
+        self.silence.send_modify(|silence| silence.generation += 1);
     }
 }
 
 async fn forward(
     mut from: tokio::net::tcp::OwnedReadHalf,
     mut to: tokio::net::tcp::OwnedWriteHalf,
-    silent: tokio::sync::watch::Receiver<bool>,
+    generation: usize,
+    silence: tokio::sync::watch::Receiver<ProxySilence>,
 ) {
     use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
     let mut chunk = vec![0; 16 << 10];
@@ -403,7 +426,7 @@
             Ok(0) | Err(_) => return,
             Ok(length) => length,
         };
-        if *silent.borrow() {
+        if silence.borrow().covers(generation) {
             std::future::pending::<()>().await;
         }
         if to.write_all(&chunk[..length]).await.is_err() {
--- a/crates/place/src/fleet/member/mod.rs
+++ b/crates/place/src/fleet/member/mod.rs
@@ -378,12 +378,15 @@
     }
 
     fn on_store_progress(&mut self, now: Instant, known: StoreProgress) {
-        let is_changed = (known.registry, known.operator, known.desired)
-            != (
-                self.store_progress.registry,
-                self.store_progress.operator,
-                self.store_progress.desired,
-            );
+        let versions = |progress: &StoreProgress| {
+            (
+                progress.registry,
+                progress.operator,
+                progress.rollouts,
+                progress.desired,
+            )
+        };
+        let is_changed = versions(&known) != versions(&self.store_progress);
         let is_read = known.registry_at > self.store_progress.registry_at;
         self.store_progress = known;
         if is_changed || is_read {
--- a/crates/place/src/fleet/store_progress.rs
+++ b/crates/place/src/fleet/store_progress.rs
@@ -22,6 +22,8 @@
         pub registry_age: u32,
         /// The store's position when the operator's rows last changed.
         pub operator: StorePosition,
+        /// The store's position when the records of rollouts last changed.
+        pub rollouts: StorePosition,
         /// The store's position at the latest answer about the operator's rows.
         pub operator_read: StorePosition,
         /// Milliseconds since that answer; `u32::MAX` before the first.
@@ -59,9 +61,14 @@
     pub registry_listed: StorePosition,
     /// When that read began.
     pub registry_at: Option<Instant>,
-    /// The store's position when the operator's rows last changed.
+    /// The store's position when the operator's rows last changed: every change up to there is
+    /// applied.
     pub operator: StorePosition,
-    /// The store's position at the latest answer about the operator's rows.
+    /// The store's position when the records of rollouts last changed: every change up to there
+    /// is applied. It tells nothing of the operator's rows.
+    pub rollouts: StorePosition,
+    /// The store's position at the latest answer about the operator's rows, from which their feed
+    /// continues.
     pub operator_read: StorePosition,
     /// When that answer arrived.
     pub operator_at: Option<Instant>,
@@ -87,6 +94,7 @@
             registry_listed: StorePosition::default(),
             registry_at: at(report.registry_age),
             operator: report.operator,
+            rollouts: report.rollouts,
             operator_read: report.operator_read,
             operator_at: at(report.operator_age),
             proved: report.proved,
@@ -105,6 +113,7 @@
             registry_read: self.registry_read,
             registry_age: age(self.registry_at),
             operator: self.operator,
+            rollouts: self.rollouts,
             operator_read: self.operator_read,
             operator_age: age(self.operator_at),
             proved: self.proved,
@@ -145,9 +154,12 @@
         log_version(self.registry_read.next()) > version
     }
 
-    /// Returns whether `other` knows a newer version of the operator's rows.
+    /// Returns whether `other` knows a newer version of the operator's rows, or of how far the
+    /// rollouts that they order have come.
     pub fn is_behind_operator(&self, other: &Self) -> bool {
-        other.desired > self.desired || other.operator > self.operator
+        other.desired > self.desired
+            || other.operator > self.operator
+            || other.rollouts > self.rollouts
     }
 
     /// Replaces what is known of the operator's rows with what `other` knows. If that is older,
@@ -161,6 +173,14 @@
         self.operator_at = other.operator_at;
     }
 
+    /// Records that the rollouts that `other` knows were applied. A copy of everything
+    /// (`is_whole`) counts even if it is older.
+    pub fn adopt_rollouts(&mut self, other: &Self, is_whole: bool) {
+        if is_whole || other.rollouts > self.rollouts {
+            self.rollouts = other.rollouts;
+        }
+    }
+
     /// Adopts the freshness that `other` confirms for the operator's rows. This is valid when
     /// `other` is no newer: whatever `other` lacks was set after its last confirmation.
     pub fn confirm_operator(&mut self, other: &Self) {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use config::{ConfigChange, ConfigHead, ConfigStore, PublishOutcome, StoredConfig};
 pub use error::{Error, Result};
-pub use platform::{CommitOutcome, ObjectStore, Row, RowWrite, TableService};
+pub use platform::{CommitOutcome, ObjectStore, Row, RowSet, RowWrite, TableService};
 pub use quarantine::QuarantineRow;
 
 /// Table with the client blocks and lead entries of each region, quarantined requests and
--- a/crates/store/src/platform.rs
+++ b/crates/store/src/platform.rs
@@ -16,6 +16,17 @@
         pub value: String,
     }
 
+    /// The rows of a table whose keys begin with a prefix.
+    #[derive(Eq)]
+    pub struct RowSet {
+        /// The rows, ordered by key.
+        pub rows: Vec<Row>,
+        /// Number of times that the store had come back from an older copy.
+        pub era: u64,
+        /// The store's version up to which the rows hold every change.
+        pub version: u64,
+    }
+
     /// One write of a transaction, optionally conditional on the row's revision.
     #[derive(Eq)]
     pub struct RowWrite {
@@ -40,6 +51,21 @@
     }
 }
 
+impl RowSet {
+    /// Returns the row with `key`.
+    pub fn row(&self, key: &str) -> Option<&Row> {
+        self.rows.iter().find(|row| row.key == key)
+    }
+
+    /// The store's version at the newest change of any of the rows, as far as the set holds every
+    /// change; 0 if there is no row.
+    pub fn changed_at(&self) -> u64 {
+        let revisions = self.rows.iter().map(|row| row.revision);
+        let complete = revisions.filter(|revision| *revision <= self.version);
+        complete.max().unwrap_or(0)
+    }
+}
+
 impl RowWrite {
     /// An unconditional write of `value`.
     pub fn new(table: &str, key: &str, value: &str) -> Self {
@@ -77,6 +103,10 @@
     /// Reads all rows of `table`, ordered by key.
     fn list(&self, table: &str) -> impl Future<Output = Result<Vec<Row>>> + Send;
 
+    /// Reads all rows of `table` whose keys begin with `prefix`, ordered by key.
+    fn list_prefix(&self, table: &str, prefix: &str)
+    -> impl Future<Output = Result<RowSet>> + Send;
+
     /// Applies all `writes` or none of them.
     fn commit(&self, writes: &[RowWrite]) -> impl Future<Output = Result<CommitOutcome>> + Send;
 }
