Answers of a feed apply only to what they continue

Cause: an entry that asks a lead for everything takes over that lead's position of the operator's rows, even if it is lower. An answer of its own feed, requested before from the higher one, then raised the position again without the changes between the two. Change: StoreProgress::continues_operator decides whether an answer is applied; one that is left out is logged, and the feed goes on from the lower position. Measured: feed_answers_apply_only_to_what_they_continue fails with a variant without the check; evacuations, restored_stores and readers pass.

--- a/bin/lh-entry/src/watch.rs
+++ b/bin/lh-entry/src/watch.rs
@@ -91,7 +91,16 @@
                     // shows them that this entry learnt of a phase later.
                     rollout_rows::read_ordered(&state, &rows.changes).await;
                 }
-                apply_operator_rows(&state, &rows, as_of, is_whole);
+                let is_current = state
+                    .fleet
+                    .known()
+                    .continues_operator(resume, rows.position);
+                if is_current {
+                    apply_operator_rows(&state, &rows, as_of, is_whole);
+                } else {
+                    let (position, known) = (rows.position, state.fleet.known().operator_read);
+                    log::info!(position:%, known:%; "answer about the operator's rows left out");
+                }
                 if is_restored {
                     reread_at = Some(Instant::now() + REWRITE_TIME);
                 } else if is_whole {
@@ -167,10 +176,6 @@
 
 /// Applies the operator's rows as of `as_of`: the complete set, or only those that changed.
 fn apply_operator_rows(state: &InstanceState, rows: &OperatorRows, as_of: Instant, is_whole: bool) {
-    if rows.position < state.fleet.known().operator {
-        // A lead sent newer rows while this response was in transit.
-        return;
-    }
     if is_whole {
         state.on_operator_rows(&rows.changes);
     } else {
--- a/crates/place/src/fleet/store_progress.rs
+++ b/crates/place/src/fleet/store_progress.rs
@@ -162,6 +162,18 @@
             || other.rollouts > self.rollouts
     }
 
+    /// Returns whether an answer about the operator's rows as of `position` may be applied: all
+    /// rows, or the changes since `after`. It may not if something newer is known, or if what is
+    /// known was replaced by an older copy since the call, so that changes up to `after` may be
+    /// lacking.
+    pub fn continues_operator(
+        &self,
+        after: Option<StorePosition>,
+        position: StorePosition,
+    ) -> bool {
+        position >= self.operator && after.is_none_or(|after| after <= self.operator_read)
+    }
+
     /// Replaces what is known of the operator's rows with what `other` knows. If that is older,
     /// the confirmation of the current version doesn't apply to it.
     pub fn replace_operator(&mut self, other: &Self) {
--- a/crates/place/tests/positions.rs
+++ b/crates/place/tests/positions.rs
@@ -52,3 +52,26 @@
     known.adopt_rollouts(&StoreProgress::default(), false);
     assert_eq!(known.rollouts, at(11));
 }
+
+/// Guards against missed operator's rows: an answer of a feed that began before the entry took over
+/// a lead's older copy must be left out, since the changes between the two are unknown.
+#[test]
+fn feed_answers_apply_only_to_what_they_continue() {
+    let mut known = StoreProgress {
+        operator: at(20),
+        operator_read: at(24),
+        ..StoreProgress::default()
+    };
+    let after = Some(known.operator_read);
+    assert!(known.continues_operator(after, at(26)));
+    assert!(!known.continues_operator(after, at(19)));
+    let older = StoreProgress {
+        operator: at(12),
+        operator_read: at(15),
+        ..StoreProgress::default()
+    };
+    known.replace_operator(&older);
+    assert!(!known.continues_operator(after, at(26)));
+    assert!(known.continues_operator(Some(at(15)), at(26)));
+    assert!(known.continues_operator(None, at(26)));
+}
