Connections with a request that was given up are reset

Cause: the connection was closed in good order, so the kernel delivered the unacknowledged bytes once a partition healed. TCP_USER_TIMEOUT ended with the close. Evidence: a proxy that holds bytes back saw one orderly close and no reset; the server ran the request when the proxy delivered them. Ruled out: a second attempt (none logged), placement (all late requests were sent before the evacuation). Change: the stream that a connection owns sets a linger time of zero when it is dropped while a request on it has no complete answer; a partition drops what it holds on a reset. The pool serves requests, relays and tickets alike.

--- a/bin/lh-entry/src/connect/mod.rs
+++ b/bin/lh-entry/src/connect/mod.rs
@@ -4,3 +4,4 @@
 pub(crate) mod dialer;
 pub(crate) mod metrics;
 pub(crate) mod reuse;
+pub(crate) mod stream;
--- a/bin/lh-entry/src/job/response.rs
+++ b/bin/lh-entry/src/job/response.rs
@@ -79,6 +79,8 @@
                 // the rest of it.
                 if parts.status.is_success() {
                     self.state.pool.release(lease, &parts.headers);
+                } else if sent.buffered().is_some() {
+                    lease.on_complete();
                 }
                 ResponseBody::buffered(bytes)
             }
--- a/bin/lh-entry/src/pool.rs
+++ b/bin/lh-entry/src/pool.rs
@@ -17,6 +17,7 @@
 
 use crate::body::RequestBody;
 use crate::connect::dialer::Dialer;
+use crate::connect::stream::{RequestMark, ServerStream};
 
 /// `TCP_USER_TIMEOUT` of connections to servers. It detects a server that lost power before most
 /// deadlines expire.
@@ -30,12 +31,13 @@
 const MAX_IDLE_PER_SERVER: usize = 16;
 
 /// A connection in use. It is closed when dropped, unless it is returned with
-/// [`ConnectionPool::release`].
+/// [`ConnectionPool::release`]; if a request on it has no complete response, it is reset.
 #[derive(Debug)]
 pub(crate) struct ConnectionLease {
     server: String,
     sender: Option<SendRequest<RequestBody>>,
     task: AbortHandle,
+    mark: RequestMark,
     /// Whether the connection has carried a request before.
     pub(crate) reused: bool,
     /// Counts the connection, if it was opened ahead and hasn't been used yet.
@@ -159,8 +161,9 @@
         {
             log::debug!(error:%; "failed to set TCP_USER_TIMEOUT");
         }
+        let mark = RequestMark::default();
         let (sender, connection) = Builder::new()
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(ServerStream::new(stream, &mark)))
             .await
             .map_err(|error| error.to_string())?;
         let task = tokio::task::spawn_local(async move {
@@ -172,6 +175,7 @@
             server: server.to_owned(),
             sender: Some(sender),
             task: task.abort_handle(),
+            mark,
             reused: false,
             ahead: None,
         })
@@ -180,6 +184,7 @@
     /// Returns `lease` to the pool for as long as the `headers` of its response allow.
     pub(crate) fn release(&self, lease: ConnectionLease, headers: &HeaderMap) {
         let Some(keep_alive) = parse_keep_alive(headers) else {
+            lease.on_complete();
             return;
         };
         self.release_for(lease, keep_alive);
@@ -188,6 +193,7 @@
     /// Returns `lease` to the pool for `keep_alive`.
     pub(crate) fn release_for(&self, mut lease: ConnectionLease, keep_alive: Duration) {
         lease.reused = true;
+        lease.on_complete();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(lease.server.clone()).or_default();
         if connections.len() >= MAX_IDLE_PER_SERVER {
@@ -216,11 +222,18 @@
 }
 
 impl ConnectionLease {
-    /// Returns the half that sends requests.
+    /// Returns the half that sends requests, for a request that is sent now.
     pub(crate) fn sender(&mut self) -> Option<&mut SendRequest<RequestBody>> {
+        self.mark.on_request();
         self.sender.as_mut()
     }
 
+    /// Records that the response to the request is complete: dropping the lease closes the
+    /// connection in good order.
+    pub(crate) fn on_complete(&self) {
+        self.mark.on_complete();
+    }
+
     fn is_usable(&self) -> bool {
         self.sender
             .as_ref()
@@ -239,7 +252,7 @@
         if let Some(counts) = self.ahead.take() {
             counts.unused.set(counts.unused.get() + 1);
         }
-        // Closes the connection immediately, so that the server cancels the request.
+        // Closes or resets the connection immediately, so that the server cancels the request.
         self.task.abort();
     }
 }
--- a/bin/lh-entry/tests/world/mod.rs
+++ b/bin/lh-entry/tests/world/mod.rs
@@ -2,6 +2,8 @@
 //! simulated callers.
 #![allow(dead_code, unreachable_pub, missing_docs)]
 
+pub mod holding;
+
 use std::net::{IpAddr, SocketAddr};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
