Large answers end at the request's deadline

Cause: read_response ran under the deadline, the rest of the body that it handed on had no limit of time, nor of size while bytes kept coming. The same held for answers of relays and of the entry of a ticket. Change: AnswerStream owns the rest of an answer, its connection and its limit, on all three paths. At the deadline it stops waiting, bytes that have arrived pass for 250 ms more; then the caller's connection is closed in the middle of the body and the server's is reset. Without a stated time limit only a silence of 30 s ends an answer. A metric counts the ends, and each early end is logged.

--- a/bin/lh-entry/src/body.rs
+++ b/bin/lh-entry/src/body.rs
@@ -9,7 +9,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use quick_error::quick_error;
 
-use crate::pool::ConnectionLease;
+use crate::answer_stream::{AnswerStream, StreamError};
 
 /// Adds an amount to a counter until it is dropped.
 #[derive(Debug)]
@@ -46,11 +46,7 @@
 #[derive(Debug)]
 enum ResponseContent {
     Buffered(Option<Bytes>),
-    Streamed {
-        first: Option<Bytes>,
-        rest: Incoming,
-        _lease: Option<ConnectionLease>,
-    },
+    Streamed(Box<AnswerStream>),
 }
 
 impl ResponseBody {
@@ -62,15 +58,10 @@
         }
     }
 
-    /// Creates a body that starts with `first` and continues with `rest` from the server. `lease`
-    /// keeps the connection open.
-    pub(crate) fn streamed(first: Bytes, rest: Incoming, lease: ConnectionLease) -> Self {
+    /// Creates a body that is forwarded as it arrives.
+    pub(crate) fn streamed(stream: AnswerStream) -> Self {
         Self {
-            content: ResponseContent::Streamed {
-                first: Some(first).filter(|bytes| !bytes.is_empty()),
-                rest,
-                _lease: Some(lease),
-            },
+            content: ResponseContent::Streamed(Box::new(stream)),
             guards: Vec::new(),
         }
     }
@@ -79,7 +70,7 @@
     pub(crate) fn bytes(&self) -> Option<Bytes> {
         match &self.content {
             ResponseContent::Buffered(bytes) => Some(bytes.clone().unwrap_or_default()),
-            ResponseContent::Streamed { .. } => None,
+            ResponseContent::Streamed(_) => None,
         }
     }
 
@@ -92,31 +83,24 @@
 
 impl Body for ResponseBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = StreamError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, StreamError>>> {
         match &mut self.content {
             ResponseContent::Buffered(bytes) => {
                 Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b))))
             }
-            ResponseContent::Streamed { first, rest, .. } => {
-                if let Some(bytes) = first.take() {
-                    return Poll::Ready(Some(Ok(Frame::data(bytes))));
-                }
-                Pin::new(rest).poll_frame(context)
-            }
+            ResponseContent::Streamed(stream) => stream.poll_frame(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match &self.content {
             ResponseContent::Buffered(bytes) => bytes.is_none(),
-            ResponseContent::Streamed { first, rest, .. } => {
-                first.is_none() && rest.is_end_stream()
-            }
+            ResponseContent::Streamed(stream) => stream.is_end_stream(),
         }
     }
 
@@ -125,13 +109,7 @@
             ResponseContent::Buffered(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            ResponseContent::Streamed { first, rest, .. } => {
-                let prefix_bytes = first.as_ref().map_or(0, |bytes| bytes.len() as u64);
-                match rest.size_hint().exact() {
-                    Some(length) => SizeHint::with_exact(length + prefix_bytes),
-                    None => SizeHint::default(),
-                }
-            }
+            ResponseContent::Streamed(stream) => stream.size_hint(),
         }
     }
 }
--- a/bin/lh-entry/src/job/response.rs
+++ b/bin/lh-entry/src/job/response.rs
@@ -7,6 +7,7 @@
 use platform::headers::{self, ServerHeaders};
 use tokio::time::timeout_at;
 
+use crate::answer_stream::{AnswerStream, StreamLimit};
 use crate::attempt::AttemptGuard;
 use crate::body::ResponseBody;
 use crate::body_reader::JobBody;
@@ -73,7 +74,11 @@
         guard.finish(ServerOutcome::Answered { good }, head.report.as_ref());
         self.record.on_response(parts.status, head.report.as_ref());
         let body = match rest {
-            Some(rest) => ResponseBody::streamed(bytes, rest, lease),
+            Some(rest) => {
+                let limit = self.stream_limit(route);
+                let stream = AnswerStream::new(&self.state, bytes, rest, lease, limit);
+                ResponseBody::streamed(stream)
+            }
             None => {
                 // A server that responds before it has read the whole upload may still wait for
                 // the rest of it.
@@ -96,6 +101,11 @@
         }
     }
 
+    /// The limit for a response that is forwarded while it arrives.
+    pub(crate) fn stream_limit(&self, route: &RouteSpec) -> StreamLimit {
+        StreamLimit::new(self.caller.deadline.or(route.timeout), self.deadline_at)
+    }
+
     /// Records the size of a response of which `read` bytes have arrived.
     pub(crate) fn record_response_size(&self, headers: &HeaderMap, read: usize) {
         let stated = headers.get(header::CONTENT_LENGTH);
--- a/bin/lh-entry/src/lib.rs
+++ b/bin/lh-entry/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod accept;
 mod admission;
+mod answer_stream;
 mod app;
 mod attempt;
 mod body;
--- a/bin/lh-entry/src/metrics.rs
+++ b/bin/lh-entry/src/metrics.rs
@@ -12,6 +12,7 @@
 use place::paths::relay::RelayOutcome;
 use place::prelude::RequestPlacer;
 
+use crate::answer_stream::StreamEnd;
 use crate::connect::metrics::AheadMetrics;
 use crate::error::Result;
 use crate::readiness::ReadinessMonitor;
@@ -57,6 +58,8 @@
     bad_datagrams: IntCounter,
     broken_off: IntCounterVec,
     relays: IntCounterVec,
+    /// Responses that were forwarded while they arrived.
+    streams: IntCounterVec,
     /// Number of times that the store came back from an older copy.
     pub(crate) store_era: IntGauge,
     /// Services whose servers this entry can't reach.
@@ -299,6 +302,17 @@
         for outcome in RelayOutcome::ALL {
             relays.with_label_values(&[outcome.as_str()]);
         }
+        let streams = IntCounterVec::new(
+            Opts::new(
+                "laurelhill_streamed_responses_total",
+                "Large responses that were forwarded while they arrived, by how they ended",
+            ),
+            &["end"],
+        )?;
+        registry.register(Box::new(streams.clone()))?;
+        for end in StreamEnd::ALL {
+            streams.with_label_values(&[end.as_str()]);
+        }
         let store_era = IntGauge::new(
             "laurelhill_store_era",
             "Times that the store came back from an older copy, by its answers to this entry",
@@ -353,6 +367,7 @@
             bad_datagrams,
             broken_off,
             relays,
+            streams,
             store_era,
             lost_paths,
             path_losses,
--- a/bin/lh-entry/src/metrics/events.rs
+++ b/bin/lh-entry/src/metrics/events.rs
@@ -2,6 +2,7 @@
 
 use place::paths::relay::RelayOutcome;
 
+use crate::answer_stream::StreamEnd;
 use crate::metrics::EntryMetrics;
 
 impl EntryMetrics {
@@ -16,6 +17,11 @@
         self.attempts.with_label_values(&[service, result]).inc();
     }
 
+    /// Records the end of a response that was forwarded while it arrived.
+    pub(crate) fn on_stream_end(&self, end: StreamEnd) {
+        self.streams.with_label_values(&[end.as_str()]).inc();
+    }
+
     /// Records the outcome of a request that was relayed through another entry.
     pub(crate) fn on_relayed(&self, outcome: RelayOutcome) {
         self.relays.with_label_values(&[outcome.as_str()]).inc();
--- a/bin/lh-entry/src/pool.rs
+++ b/bin/lh-entry/src/pool.rs
@@ -228,6 +228,11 @@
         self.sender.as_mut()
     }
 
+    /// Returns the id of the server, or the name of the entry at the other end.
+    pub(crate) fn server(&self) -> &str {
+        &self.server
+    }
+
     /// Records that the response to the request is complete: dropping the lease closes the
     /// connection in good order.
     pub(crate) fn on_complete(&self) {
--- a/bin/lh-entry/src/relay/mod.rs
+++ b/bin/lh-entry/src/relay/mod.rs
@@ -22,6 +22,7 @@
 use platform::headers;
 use tokio::time::timeout_at;
 
+use crate::answer_stream::AnswerStream;
 use crate::body::{RequestBody, ResponseBody};
 use crate::body_reader::JobBody;
 use crate::handler::outcome_of;
@@ -188,7 +189,11 @@
         strip_hop_by_hop_headers(headers);
         headers.remove(HeaderName::from_static(OUTCOME_HEADER));
         AttemptResult::Responded(response.map(|()| match rest {
-            Some(rest) => ResponseBody::streamed(bytes, rest, lease),
+            Some(rest) => {
+                let limit = self.stream_limit(route);
+                let stream = AnswerStream::new(&self.state, bytes, rest, lease, limit);
+                ResponseBody::streamed(stream)
+            }
             None => {
                 self.state.pool.release_for(lease, peers::KEEP_ALIVE);
                 ResponseBody::buffered(bytes)
--- a/bin/lh-entry/src/ticket_forward.rs
+++ b/bin/lh-entry/src/ticket_forward.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout_at;
 
 use crate::admission::RequestPolicy;
+use crate::answer_stream::{AnswerStream, StreamLimit};
 use crate::body::{RequestBody, ResponseBody};
 use crate::caller::{Caller, TicketHeaders};
 use crate::handler::outcome_of;
@@ -31,12 +32,14 @@
     request: (Parts, Option<Incoming>),
     deadline_at: Instant,
 ) -> Response<ResponseBody> {
+    let timeout = record.route.as_ref().and_then(|route| route.timeout);
     match exchange(
         state,
         &mut record,
         (ticket_headers, policy),
         request,
         deadline_at,
+        StreamLimit::new(caller.deadline.or(timeout), deadline_at),
     )
     .await
     {
@@ -57,6 +60,7 @@
     (ticket_headers, policy): (&TicketHeaders, &RequestPolicy),
     (parts, body): (Parts, Option<Incoming>),
     deadline_at: Instant,
+    limit: StreamLimit,
 ) -> Result<Response<ResponseBody>, Problem> {
     let node = &ticket_headers.ticket.node;
     let stale_ticket_problem = || stale_ticket(ticket_headers.first_attempt);
@@ -77,9 +81,9 @@
         ));
         stale_ticket_problem()
     })?;
-    let limit = state.limits.get().body_bytes;
+    let most_bytes = state.limits.get().body_bytes;
     let body = match body {
-        Some(body) => RequestBody::streamed(Bytes::new(), body, limit),
+        Some(body) => RequestBody::streamed(Bytes::new(), body, most_bytes),
         None => RequestBody::buffered(Bytes::new()),
     };
     let mut request = Request::new(body);
@@ -98,7 +102,8 @@
         Ok(Ok(response)) => response,
     };
     let (parts, body) = response.into_parts();
-    let mut response = Response::new(ResponseBody::streamed(Bytes::new(), body, lease));
+    let stream = AnswerStream::new(state, Bytes::new(), body, lease, limit);
+    let mut response = Response::new(ResponseBody::streamed(stream));
     *response.status_mut() = parts.status;
     *response.headers_mut() = parts.headers;
     strip_hop_by_hop_headers(response.headers_mut());
