Callers that read nothing of their response are left

Cause: a body that the caller doesn't take isn't asked for, so that no limit of the response is looked at; its server, connection and count were held until the caller closed. Found while listing the waits on a request's way. Change: a connection whose caller takes no byte for the idle timeout is closed, at the check that closes idle connections.

--- a/bin/lh-entry/src/accept.rs
+++ b/bin/lh-entry/src/accept.rs
@@ -115,7 +115,7 @@
             () = tokio::time::sleep(TIMEOUT_CHECK_INTERVAL) => {
                 let limits = state.limits.get();
                 match progress.expired(limits.header_timeout, limits.idle_timeout) {
-                    Some(ConnectionTimeout::Head) => break,
+                    Some(ConnectionTimeout::Head | ConnectionTimeout::Unread) => break,
                     Some(ConnectionTimeout::Idle) => connection.as_mut().graceful_shutdown(),
                     None => {}
                 }
--- a/bin/lh-entry/src/accept/caller_io.rs
+++ b/bin/lh-entry/src/accept/caller_io.rs
@@ -154,7 +154,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(context, bytes)
+        let polled = Pin::new(&mut self.io).poll_write(context, bytes);
+        self.progress.on_write(polled.is_ready());
+        polled
     }
 
     fn poll_flush(
@@ -180,6 +182,8 @@
         context: &mut Context<'_>,
         slices: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write_vectored(context, slices)
+        let polled = Pin::new(&mut self.io).poll_write_vectored(context, slices);
+        self.progress.on_write(polled.is_ready());
+        polled
     }
 }
--- a/bin/lh-entry/src/accept/progress.rs
+++ b/bin/lh-entry/src/accept/progress.rs
@@ -10,6 +10,8 @@
     Head,
     /// No next request has arrived.
     Idle,
+    /// The caller takes none of the bytes of its response.
+    Unread,
 }
 
 /// Tracks whether a connection is idle, receives headers, or waits for a response.
@@ -18,6 +20,8 @@
     since: Cell<Instant>,
     head_started: Cell<bool>,
     responding: Cell<bool>,
+    /// Since when the caller has taken none of the bytes that wait for it.
+    blocked_since: Cell<Option<Instant>>,
     /// Wakes the task that waits for the next request.
     reader: RefCell<Option<Waker>>,
 }
@@ -28,6 +32,7 @@
             since: Cell::new(Instant::now()),
             head_started: Cell::new(false),
             responding: Cell::new(false),
+            blocked_since: Cell::new(None),
             reader: RefCell::default(),
         }
     }
@@ -59,12 +64,23 @@
         }
     }
 
+    /// Records a write, and whether the caller took any bytes.
+    pub(super) fn on_write(&self, is_taken: bool) {
+        let since = self.blocked_since.get();
+        self.blocked_since
+            .set((!is_taken).then(|| since.unwrap_or_else(Instant::now)));
+    }
+
     /// Wakes `reader` after the next response: the request behind it may have been read already.
     pub(super) fn wake_after_response(&self, reader: &Waker) {
         self.reader.replace(Some(reader.clone()));
     }
 
     pub(super) fn expired(&self, head: Duration, idle: Duration) -> Option<ConnectionTimeout> {
+        let blocked_since = self.blocked_since.get();
+        if blocked_since.is_some_and(|since| since.elapsed() > idle) {
+            return Some(ConnectionTimeout::Unread);
+        }
         if self.responding.get() {
             return None;
         }
--- a/bin/lh-entry/tests/unending.rs
+++ b/bin/lh-entry/tests/unending.rs
@@ -5,7 +5,11 @@
 use std::net::{IpAddr, SocketAddr};
 
 use http_body_util::BodyExt as _;
-use platform_standin::{Behavior, EndlessPart, FakeBackend, RouteFixture, desired_state};
+use platform_standin::{
+    Behavior, EndlessPart, FakeBackend, RouteFixture, desired_state, with_idle_timeout,
+};
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpStream;
 use world::{BOARD, EntryProcess, WAIT_TIMEOUT, World, connect, request, until};
 
 /// Size of a response that is forwarded while it arrives, in bytes.
@@ -95,6 +99,25 @@
     .await;
 }
 
+/// Guards against callers that hold a server for good: one that reads nothing of its response is
+/// left after the idle timeout.
+#[tokio::test]
+async fn a_caller_that_reads_nothing_frees_its_server() {
+    let world = World::new(1).await;
+    let desired = with_idle_timeout(desired_state(6, &[BOARD]), "1s");
+    world.store.put("op", "config", &desired);
+    let entry = EntryProcess::ready(&world, "n1").await;
+    let backend = &world.backends[0];
+    backend.set_behavior(Behavior::Endless(EndlessPart::PlainBody));
+    let mut caller = TcpStream::connect(entry.callers()).await.unwrap();
+    let head = b"GET /board/x HTTP/1.1\r\nhost: board.example\r\nrequest-id: unread\r\n\r\n";
+    caller.write_all(head).await.unwrap();
+    until("the server is free again", async || {
+        is_cancelled(backend, "unread")
+    })
+    .await;
+}
+
 /// A server may send bytes without end wherever a reader waits for something else: each request
 /// ends, none looks complete that isn't, and the entry stays within its memory.
 #[tokio::test(flavor = "multi_thread")]
