A broken response without a length ends in a reset

Cause: to a caller of HTTP/1.0 a body without a length ends with its connection, so one that is broken off looked complete. Responses of servers that broke off had this fault before; those that end at the deadline would have had it, too. Change: such a connection is reset when a response on it was broken off. Other callers see the end in the body's framing. Measured: a_broken_response_without_a_length_ends_in_a_reset fails with a variant that closes in good order, and passes.

--- a/bin/lh-entry/src/accept.rs
+++ b/bin/lh-entry/src/accept.rs
@@ -77,8 +77,8 @@
     let io = CallerIo::new(stream, &progress, &pipeline, follows_requests);
     let served = Rc::clone(&state);
     let (served_progress, served_pipeline) = (Rc::clone(&progress), Rc::clone(&pipeline));
-    let service = service_fn(move |request| {
-        served_progress.on_request();
+    let service = service_fn(move |request: Request<Incoming>| {
+        served_progress.on_request(request.version());
         let state = Rc::clone(&served);
         let progress = Rc::clone(&served_progress);
         let pipeline = Rc::clone(&served_pipeline);
@@ -101,6 +101,9 @@
             ended = connection.as_mut() => {
                 if let Err(error) = ended {
                     log::debug!(error:%; "connection to a caller failed");
+                    if error.is_user() {
+                        progress.on_broken_off();
+                    }
                 }
                 break;
             }
--- a/bin/lh-entry/src/accept/caller_io.rs
+++ b/bin/lh-entry/src/accept/caller_io.rs
@@ -6,10 +6,12 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -109,6 +111,17 @@
     }
 }
 
+impl Drop for CallerIo {
+    fn drop(&mut self) {
+        if !self.progress.needs_reset() {
+            return;
+        }
+        if let Err(error) = SockRef::from(self.io.inner()).set_linger(Some(Duration::ZERO)) {
+            log::warn!(error:%; "a response that was broken off may look complete");
+        }
+    }
+}
+
 impl Read for CallerIo {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/bin/lh-entry/src/accept/progress.rs
+++ b/bin/lh-entry/src/accept/progress.rs
@@ -4,6 +4,8 @@
 use std::task::Waker;
 use std::time::{Duration, Instant};
 
+use hyper::Version;
+
 /// A timeout that has expired on a connection.
 pub(super) enum ConnectionTimeout {
     /// The headers of a request have started but not arrived completely.
@@ -22,6 +24,11 @@
     responding: Cell<bool>,
     /// Since when the caller has taken none of the bytes that wait for it.
     blocked_since: Cell<Option<Instant>>,
+    /// Whether the caller takes the end of the connection for the end of a response of unknown
+    /// length.
+    ends_by_close: Cell<bool>,
+    /// Whether a response was broken off.
+    is_broken_off: Cell<bool>,
     /// Wakes the task that waits for the next request.
     reader: RefCell<Option<Waker>>,
 }
@@ -33,6 +40,8 @@
             head_started: Cell::new(false),
             responding: Cell::new(false),
             blocked_since: Cell::new(None),
+            ends_by_close: Cell::new(false),
+            is_broken_off: Cell::new(false),
             reader: RefCell::default(),
         }
     }
@@ -50,7 +59,8 @@
         self.since.set(Instant::now());
     }
 
-    pub(super) fn on_request(&self) {
+    pub(super) fn on_request(&self, version: Version) {
+        self.ends_by_close.set(version < Version::HTTP_11);
         self.head_started.set(false);
         self.responding.set(true);
     }
@@ -71,6 +81,17 @@
             .set((!is_taken).then(|| since.unwrap_or_else(Instant::now)));
     }
 
+    /// Records that a response was broken off in the middle of its body.
+    pub(super) fn on_broken_off(&self) {
+        self.is_broken_off.set(true);
+    }
+
+    /// Whether the connection must be reset, since an ordinary close would make a response look
+    /// complete that isn't.
+    pub(super) fn needs_reset(&self) -> bool {
+        self.ends_by_close.get() && self.is_broken_off.get()
+    }
+
     /// Wakes `reader` after the next response: the request behind it may have been read already.
     pub(super) fn wake_after_response(&self, reader: &Waker) {
         self.reader.replace(Some(reader.clone()));
--- a/bin/lh-entry/tests/unending.rs
+++ b/bin/lh-entry/tests/unending.rs
@@ -8,7 +8,7 @@
 use platform_standin::{
     Behavior, EndlessPart, FakeBackend, RouteFixture, desired_state, with_idle_timeout,
 };
-use tokio::io::AsyncWriteExt as _;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 use world::{BOARD, EntryProcess, WAIT_TIMEOUT, World, connect, request, until};
 
@@ -99,6 +99,30 @@
     .await;
 }
 
+/// Guards against responses that look complete but aren't: a caller of an older version of HTTP
+/// takes an orderly close for the end of a body without a length.
+#[tokio::test]
+async fn a_broken_response_without_a_length_ends_in_a_reset() {
+    let world = short_world(1).await;
+    let entry = EntryProcess::ready(&world, "n1").await;
+    let backend = &world.backends[0];
+    backend.set_behavior(Behavior::Endless(EndlessPart::ChunkedBody));
+    let mut caller = TcpStream::connect(entry.callers()).await.unwrap();
+    let head = b"GET /board/x HTTP/1.0\r\nhost: board.example\r\nrequest-id: old\r\n\r\n";
+    caller.write_all(head).await.unwrap();
+    let mut chunk = vec![0; 64 << 10];
+    let mut read = 0;
+    let end = loop {
+        match caller.read(&mut chunk).await {
+            Ok(0) => break Ok(()),
+            Ok(length) => read += length,
+            Err(error) => break Err(error.kind()),
+        }
+    };
+    assert!(read > 0);
+    assert_eq!(end, Err(std::io::ErrorKind::ConnectionReset));
+}
+
 /// Guards against callers that hold a server for good: one that reads nothing of its response is
 /// left after the idle timeout.
 #[tokio::test]
