A returning region is listed once its leads have checked its list

Cause: the first digest of any lead of a region let the list from before the region's silence count again. Change: a summary states whether the list is current, which the region's lead decides when it publishes or checks it. After a silence a list counts only if its version is stated as current; a region that was cut off keeps its list. Measured: a_region_that_returns_in_part_names_no_dead_entry fails before and passes. Tests of place pass.

--- a/crates/place/src/fleet/member/announce.rs
+++ b/crates/place/src/fleet/member/announce.rs
@@ -59,6 +59,7 @@
             .list(region)
             .is_some_and(|list| list.entries == entries)
         {
+            self.regions.on_own_list_confirmed(version);
             return;
         }
         let named = entries.iter().filter(|entry| entry.named).count();
@@ -66,14 +67,16 @@
             entries.len(),
             named,
         )));
+        let version = ListVersion {
+            number: version.number + 1,
+            author: self.hash,
+        };
         self.regions.on_list(EntryList {
             region: region.clone(),
-            version: ListVersion {
-                number: version.number + 1,
-                author: self.hash,
-            },
+            version,
             entries,
         });
+        self.regions.on_own_list_confirmed(version);
         self.digest_due = now;
         actions.push(FleetAction::ListsChanged);
     }
--- a/crates/place/src/fleet/member/mod.rs
+++ b/crates/place/src/fleet/member/mod.rs
@@ -200,7 +200,7 @@
     lead_since: Option<Instant>,
     /// Current leads and substitutes of the region.
     candidates: Vec<LeadCandidate>,
-    active_regions: Vec<String>,
+    listed_regions: Vec<String>,
     is_isolated: bool,
     is_watching: bool,
     heartbeat_due: Instant,
@@ -240,7 +240,7 @@
             read_scheduler: ReadScheduler::new(now, ReadIntervals::new(config.drain), hash),
             lead_since: None,
             candidates: Vec::new(),
-            active_regions: Vec::new(),
+            listed_regions: Vec::new(),
             is_isolated: true,
             is_watching: false,
             heartbeat_due: now,
--- a/crates/place/src/fleet/member/receive.rs
+++ b/crates/place/src/fleet/member/receive.rs
@@ -111,6 +111,9 @@
         for summary in &digest.regions {
             if summary.region == self.config.region && self.lead_since.is_some() {
                 self.find_other_leads(now, &summary.candidates);
+                if summary.is_list_current && digest.region == self.config.region {
+                    self.regions.on_own_list_confirmed(summary.list);
+                }
                 continue;
             }
             self.regions.on_summary(now, summary);
--- a/crates/place/src/fleet/member/role.rs
+++ b/crates/place/src/fleet/member/role.rs
@@ -99,16 +99,16 @@
             self.regions
                 .on_own_region(now, live, self.candidates.clone());
         }
-        let active_regions: Vec<String> = self
+        let has_other_regions = self.regions.active_regions(now).nth(1).is_some();
+        let has_peers = self.roster.has_entries() || self.search.has_hints() || has_other_regions;
+        let is_first_contact = self.is_isolated && (has_peers || self.has_live_lead(now));
+        let listed_regions: Vec<String> = self
             .regions
-            .active_regions(now)
+            .listed_regions(now)
             .map(str::to_owned)
             .collect();
-        let has_peers =
-            self.roster.has_entries() || self.search.has_hints() || active_regions.len() > 1;
-        let is_first_contact = self.is_isolated && (has_peers || self.has_live_lead(now));
-        if active_regions != self.active_regions || is_first_contact {
-            self.active_regions = active_regions;
+        if listed_regions != self.listed_regions || is_first_contact {
+            self.listed_regions = listed_regions;
             self.is_isolated &= !is_first_contact;
             actions.push(FleetAction::ListsChanged);
         }
--- a/crates/place/src/fleet/message.rs
+++ b/crates/place/src/fleet/message.rs
@@ -132,6 +132,9 @@
         pub live_entries: u32,
         /// Version of the newest list of entries that receive requests.
         pub list: ListVersion,
+        /// Whether that list holds since the region's leads were last heard: they have published
+        /// or checked it. Leads that have just started may know one from before.
+        pub is_list_current: bool,
         /// The region's leads, and for the sender's own region also the substitutes.
         /// Empty for other regions in digests sent to entries that are not leads.
         pub candidates: Vec<LeadCandidate>,
--- a/crates/place/src/fleet/regions.rs
+++ b/crates/place/src/fleet/regions.rs
@@ -22,6 +22,10 @@
 #[derive(Debug, Default)]
 struct RegionRecord {
     list: EntryList,
+    /// Whether the region's leads have published or checked the list since they were last silent.
+    is_list_current: bool,
+    /// The version that they have, while the list isn't current.
+    awaited_list: Option<ListVersion>,
     last_contact_at: Option<Instant>,
     live_entries: u32,
     candidates: Vec<LeadCandidate>,
@@ -34,6 +38,15 @@
     regions: BTreeMap<String, RegionRecord>,
 }
 
+impl RegionRecord {
+    /// Records that the region's leads have published or checked the list `version`. A list from
+    /// before they were silent becomes current only if it is that one.
+    fn on_list_confirmed(&mut self, version: ListVersion) {
+        self.is_list_current |= version == self.list.version;
+        self.awaited_list = (!self.is_list_current).then_some(version);
+    }
+}
+
 impl RegionTable {
     /// Creates a table of `regions`; `own_region` is the local region.
     pub fn new(own_region: &str, regions: &[String]) -> Self {
@@ -61,6 +74,14 @@
         {
             return;
         }
+        let silent_since = record.last_contact_at.map(|at| at + REGION_TIMEOUT);
+        let was_silent = silent_since.is_some_and(|since| last_contact_at >= Some(since));
+        if was_silent {
+            record.is_list_current = false;
+        }
+        if summary.is_list_current {
+            record.on_list_confirmed(summary.list);
+        }
         record.last_contact_at = last_contact_at;
         record.live_entries = summary.live_entries;
         if !summary.candidates.is_empty() {
@@ -101,6 +122,13 @@
         }
     }
 
+    /// Records that a lead of the local region has published or checked the list `version`.
+    pub fn on_own_list_confirmed(&mut self, version: ListVersion) {
+        if let Some(record) = self.regions.get_mut(&self.own_region) {
+            record.on_list_confirmed(version);
+        }
+    }
+
     /// Applies a list; returns whether it is newer than the known one.
     pub fn on_list(&mut self, list: EntryList) -> bool {
         let Some(record) = self.regions.get_mut(&list.region) else {
@@ -112,7 +140,14 @@
         if list.version <= known || is_implausible {
             return false;
         }
+        if list.region == self.own_region {
+            // Another region may send what the own leads knew before they started again.
+            record.is_list_current = false;
+        }
         record.list = list;
+        if record.awaited_list == Some(record.list.version) {
+            record.on_list_confirmed(record.list.version);
+        }
         true
     }
 
@@ -165,14 +200,24 @@
         names.filter(move |name| *name == self.own_region || self.is_reachable(now, name))
     }
 
-    /// Returns the entries that receive requests, with their regions.
+    /// Returns the entries that receive requests, with their regions. A region that comes back,
+    /// for example from a loss of power, is left out until its leads know which of its entries
+    /// have come back with it.
     pub fn listed(&self, now: Instant) -> impl Iterator<Item = (&str, &ListedEntry)> {
-        self.active_regions(now).flat_map(move |name| {
+        self.listed_regions(now).flat_map(move |name| {
             let list = self.list(name).map_or(&[][..], |list| &list.entries);
             list.iter().map(move |entry| (name, entry))
         })
     }
 
+    /// Returns the regions whose entries are listed.
+    pub fn listed_regions(&self, now: Instant) -> impl Iterator<Item = &str> {
+        self.active_regions(now).filter(|name| {
+            let record = self.regions.get(*name);
+            *name == self.own_region || record.is_some_and(|record| record.is_list_current)
+        })
+    }
+
     /// Returns the number of live entries in all regions that count.
     pub fn live_entries(&self, now: Instant) -> u32 {
         let active_regions = self
@@ -204,6 +249,7 @@
                 .map_or(u32::MAX, |at| millis(now.saturating_duration_since(at))),
             live_entries: record.live_entries,
             list: record.list.version,
+            is_list_current: record.is_list_current,
             candidates: if to_leads || *name == self.own_region {
                 record.candidates.clone()
             } else {
--- a/crates/place/tests/fleet.rs
+++ b/crates/place/tests/fleet.rs
@@ -449,6 +449,7 @@
             age_ms: 0,
             live_entries: 9,
             list: Default::default(),
+            is_list_current: true,
             candidates: Vec::new(),
         },
         RegionSummary {
@@ -459,6 +460,7 @@
                 number: u64::MAX,
                 author: 3,
             },
+            is_list_current: true,
             candidates: Vec::new(),
         },
     ];
@@ -574,3 +576,62 @@
         assert_eq!(now_known, known.operator);
     }
 }
+
+/// Guards against directory answers that name dead entries: as soon as a lead of a region that had
+/// lost power was heard again, the region's list from before the loss counted until that lead had
+/// made a new one.
+#[test]
+fn a_region_that_returns_in_part_names_no_dead_entry() {
+    let mut world = settled(60);
+    let lost: Vec<usize> = (0..60).filter(|entry| region_of(*entry) == 1).collect();
+    for entry in &lost {
+        world.kill(*entry);
+    }
+    world.run(ms(8000));
+    let (back, dead) = lost.split_at(lost.len() / 2);
+    for entry in back {
+        world.restart(*entry);
+    }
+    let named = |world: &FleetWorld, observer: usize, entries: &[usize]| {
+        let regions = world.entries[observer].member.regions();
+        let mut listed = regions.listed(world.now);
+        listed.any(|(_, listed)| {
+            let mut entries = entries.iter();
+            entries.any(|entry| listed.node == format!("n{entry}"))
+        })
+    };
+    let observers: Vec<usize> = (0..60).filter(|entry| region_of(*entry) != 1).collect();
+    for _ in 0..300 {
+        world.run(ms(20));
+        for observer in &observers {
+            assert!(!named(&world, *observer, dead), "at entry {observer}");
+        }
+    }
+    assert!(
+        observers
+            .iter()
+            .all(|observer| named(&world, *observer, back))
+    );
+}
+
+/// A region that was only cut off is listed as soon as it is heard: its leads have kept its list.
+#[test]
+fn a_region_that_was_cut_off_is_listed_at_once() {
+    let mut world = settled(60);
+    for entry in 0..60 {
+        world.entries[entry].group = u32::from(region_of(entry) == 1);
+    }
+    world.run(ms(8000));
+    for entry in 0..60 {
+        world.entries[entry].group = 0;
+    }
+    for _ in 0..200 {
+        world.run(ms(20));
+        for entry in (0..60).filter(|entry| region_of(*entry) != 1) {
+            let regions = world.entries[entry].member.regions();
+            let is_active = regions.active_regions(world.now).any(|name| name == "r1");
+            let is_listed = regions.listed(world.now).any(|(name, _)| name == "r1");
+            assert_eq!(is_active, is_listed, "at entry {entry}");
+        }
+    }
+}
