--- a/bin/lh-entry/src/body.rs
+++ b/bin/lh-entry/src/body.rs
@@ -9,7 +9,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use quick_error::quick_error;
 
-use crate::answer_stream::{AnswerStream, StreamError};
+use crate::response_stream::{ResponseStream, StreamError};
 
 /// Adds an amount to a counter until it is dropped.
 #[derive(Debug)]
@@ -46,7 +46,7 @@
 #[derive(Debug)]
 enum ResponseContent {
     Buffered(Option<Bytes>),
-    Streamed(Box<AnswerStream>),
+    Streamed(Box<ResponseStream>),
 }
 
 impl ResponseBody {
@@ -59,7 +59,7 @@
     }
 
     /// Creates a body that is forwarded as it arrives.
-    pub(crate) fn streamed(stream: AnswerStream) -> Self {
+    pub(crate) fn streamed(stream: ResponseStream) -> Self {
         Self {
             content: ResponseContent::Streamed(Box::new(stream)),
             guards: Vec::new(),
--- a/bin/lh-entry/src/job/response.rs
+++ b/bin/lh-entry/src/job/response.rs
@@ -7,7 +7,6 @@
 use platform::headers::{self, ServerHeaders};
 use tokio::time::timeout_at;
 
-use crate::answer_stream::{AnswerStream, StreamLimit};
 use crate::attempt::AttemptGuard;
 use crate::body::ResponseBody;
 use crate::body_reader::JobBody;
@@ -15,6 +14,7 @@
 use crate::job::{AttemptResult, RequestJob};
 use crate::pool::ConnectionLease;
 use crate::reply::{describe_error, is_valid_response, read_response, strip_hop_by_hop_headers};
+use crate::response_stream::{ResponseStream, StreamLimit};
 use crate::statements;
 
 impl RequestJob {
@@ -76,7 +76,7 @@
         let body = match rest {
             Some(rest) => {
                 let limit = self.stream_limit(route);
-                let stream = AnswerStream::new(&self.state, bytes, rest, lease, limit);
+                let stream = ResponseStream::new(&self.state, bytes, rest, lease, limit);
                 ResponseBody::streamed(stream)
             }
             None => {
--- a/bin/lh-entry/src/lib.rs
+++ b/bin/lh-entry/src/lib.rs
@@ -8,7 +8,6 @@
 
 mod accept;
 mod admission;
-mod answer_stream;
 mod app;
 mod attempt;
 mod body;
@@ -40,6 +39,7 @@
 mod region_shares;
 mod relay;
 mod reply;
+mod response_stream;
 mod returns;
 mod rollout;
 mod rollout_rows;
--- a/bin/lh-entry/src/metrics.rs
+++ b/bin/lh-entry/src/metrics.rs
@@ -12,11 +12,11 @@
 use place::paths::relay::RelayOutcome;
 use place::prelude::RequestPlacer;
 
-use crate::answer_stream::StreamEnd;
 use crate::connect::metrics::AheadMetrics;
 use crate::error::Result;
 use crate::readiness::ReadinessMonitor;
 use crate::region_shares::ShareMonitor;
+use crate::response_stream::StreamEnd;
 use crate::team_metrics::TeamMetrics;
 
 /// Upper bounds of the latency buckets, in seconds, chosen around common latency objectives.
--- a/bin/lh-entry/src/metrics/events.rs
+++ b/bin/lh-entry/src/metrics/events.rs
@@ -2,8 +2,8 @@
 
 use place::paths::relay::RelayOutcome;
 
-use crate::answer_stream::StreamEnd;
 use crate::metrics::EntryMetrics;
+use crate::response_stream::StreamEnd;
 
 impl EntryMetrics {
     /// Records a response to a request of `route`.
--- a/bin/lh-entry/src/relay/mod.rs
+++ b/bin/lh-entry/src/relay/mod.rs
@@ -22,7 +22,6 @@
 use platform::headers;
 use tokio::time::timeout_at;
 
-use crate::answer_stream::AnswerStream;
 use crate::body::{RequestBody, ResponseBody};
 use crate::body_reader::JobBody;
 use crate::handler::outcome_of;
@@ -30,6 +29,7 @@
 use crate::pool::ConnectionLease;
 use crate::relay::head::{BEHIND, DECLINED_HEADER, NO_PATH, RelayHead};
 use crate::reply::{describe_error, read_response, strip_hop_by_hop_headers};
+use crate::response_stream::ResponseStream;
 use crate::state::InstanceState;
 
 pub(crate) use peers::RelayState;
@@ -191,7 +191,7 @@
         AttemptResult::Responded(response.map(|()| match rest {
             Some(rest) => {
                 let limit = self.stream_limit(route);
-                let stream = AnswerStream::new(&self.state, bytes, rest, lease, limit);
+                let stream = ResponseStream::new(&self.state, bytes, rest, lease, limit);
                 ResponseBody::streamed(stream)
             }
             None => {
--- a/bin/lh-entry/src/answer_stream.rs
+++ b/bin/lh-entry/src/response_stream.rs
@@ -110,7 +110,7 @@
 }
 
 /// A response whose start has arrived and whose rest is forwarded until a limit is reached.
-pub(crate) struct AnswerStream {
+pub(crate) struct ResponseStream {
     state: Rc<InstanceState>,
     first: Option<Bytes>,
     rest: Incoming,
@@ -122,7 +122,7 @@
     is_ended: bool,
 }
 
-impl AnswerStream {
+impl ResponseStream {
     /// Creates a stream of `first` and then `rest`, which arrives over the connection of `lease`.
     pub(crate) fn new(
         state: &Rc<InstanceState>,
@@ -221,14 +221,14 @@
     }
 }
 
-impl std::fmt::Debug for AnswerStream {
+impl std::fmt::Debug for ResponseStream {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let mut fields = formatter.debug_struct("AnswerStream");
+        let mut fields = formatter.debug_struct("ResponseStream");
         fields.field("limit", &self.limit).finish_non_exhaustive()
     }
 }
 
-impl Drop for AnswerStream {
+impl Drop for ResponseStream {
     fn drop(&mut self) {
         // A body of known length isn't polled again after its last byte.
         let is_complete = self.is_end_stream();
--- a/bin/lh-entry/src/ticket_forward.rs
+++ b/bin/lh-entry/src/ticket_forward.rs
@@ -13,13 +13,13 @@
 use tokio::time::timeout_at;
 
 use crate::admission::RequestPolicy;
-use crate::answer_stream::{AnswerStream, StreamLimit};
 use crate::body::{RequestBody, ResponseBody};
 use crate::caller::{Caller, TicketHeaders};
 use crate::handler::outcome_of;
 use crate::problem::Problem;
 use crate::record::RequestRecord;
 use crate::reply::{describe_error, strip_hop_by_hop_headers};
+use crate::response_stream::{ResponseStream, StreamLimit};
 use crate::state::InstanceState;
 use crate::ticket::{stale_ticket, unknown};
 
@@ -102,7 +102,7 @@
         Ok(Ok(response)) => response,
     };
     let (parts, body) = response.into_parts();
-    let stream = AnswerStream::new(state, Bytes::new(), body, lease, limit);
+    let stream = ResponseStream::new(state, Bytes::new(), body, lease, limit);
     let mut response = Response::new(ResponseBody::streamed(stream));
     *response.status_mut() = parts.status;
     *response.headers_mut() = parts.headers;
