lhctl status shows entries that differ at the same position

Cause: an entry that had missed an evacuation for good looked like any other; only its callers' requests showed it. Change: `lhctl status` compares version, evacuated domains and phases of rollouts of entries whose positions are equal, and prints CONTRADICTION with who acts on what.

--- a/bin/lhctl/src/lib.rs
+++ b/bin/lhctl/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod apply;
 mod cli;
+mod contradictions;
 mod drain;
 mod error;
 mod explain;
--- a/bin/lhctl/src/status.rs
+++ b/bin/lhctl/src/status.rs
@@ -11,6 +11,7 @@
 use serde_json::Value;
 
 use crate::cli::InstanceArguments;
+use crate::contradictions;
 use crate::error::{Error, Result};
 use crate::refusals;
 
@@ -94,6 +95,9 @@
         for status in &statuses {
             println!("{}", format_status(status));
         }
+        for line in contradictions::find(&statuses) {
+            println!("{line}");
+        }
         if let Some(service) = service {
             println!("{}", refusals::format(service, &statuses));
         }
