Two comments in the field's terms

Cause: a list 'since the leads were last heard' said the opposite of what is meant, a silence; 'as a word' was a figure. Change: comments only.

--- a/bin/lh-entry/src/response_stream.rs
+++ b/bin/lh-entry/src/response_stream.rs
@@ -80,7 +80,7 @@
         Self::CallerLeft,
     ];
 
-    /// Returns the end as a word, for logs and metrics.
+    /// Returns the name of the end, for logs and metrics.
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
             Self::Complete => "complete",
--- a/crates/place/src/fleet/message.rs
+++ b/crates/place/src/fleet/message.rs
@@ -132,7 +132,7 @@
         pub live_entries: u32,
         /// Version of the newest list of entries that receive requests.
         pub list: ListVersion,
-        /// Whether that list holds since the region's leads were last heard: they have published
+        /// Whether that list holds since the region's leads were last silent: they have published
         /// or checked it. Leads that have just started may know one from before.
         pub is_list_current: bool,
         /// The region's leads, and for the sender's own region also the substitutes.
