review: the header timeout cuts a streamed answer with a request behind it

A response counts as given when its head is there. The bytes of a pipelined request that are read while the body is streamed start the header timeout, which closes the connection in the middle of the answer.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -1,6 +1,7 @@
 //! Plays a case of the review: `review-case CASE RECORD`. Exits with 1 if the rule was broken, 0
 //! if it held, and 2 if the case couldn't run. With `TROUBLE=0` the disruption is left out.
 
+mod behind;
 mod client;
 mod http;
 mod rig;
@@ -19,6 +20,7 @@
 
 async fn play(name: &str, record: &Record, has_trouble: bool) -> Outcome<bool> {
     match name {
+        "behind" => behind::run(record, has_trouble).await,
         "stop" => stop::run(record, has_trouble).await,
         _ => Err("unknown case".into()),
     }
