review: requests of callers that have left are passed on

After a chunked request an entry hands all bytes of the connection to hyper as they come. A pipelined request in hyper's read buffer then hides that the caller has closed the connection: the server works on, and the request behind is passed on when the first one has its answer.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -4,6 +4,7 @@
 mod behind;
 mod client;
 mod http;
+mod left;
 mod rig;
 mod server;
 mod stop;
@@ -21,6 +22,7 @@
 async fn play(name: &str, record: &Record, has_trouble: bool) -> Outcome<bool> {
     match name {
         "behind" => behind::run(record, has_trouble).await,
+        "left" => left::run(record, has_trouble).await,
         "stop" => stop::run(record, has_trouble).await,
         _ => Err("unknown case".into()),
     }
