review: a stopping entry resets connections whose answers are on the way

The response that closes a connection while an entry stops is followed by a plain close of the socket. If pipelined requests lie unread in it, the connection is reset, and the part of the answer that the caller hasn't taken yet is lost.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -3,6 +3,7 @@
 
 mod behind;
 mod client;
+mod close;
 mod http;
 mod left;
 mod rig;
@@ -22,6 +23,7 @@
 async fn play(name: &str, record: &Record, has_trouble: bool) -> Outcome<bool> {
     match name {
         "behind" => behind::run(record, has_trouble).await,
+        "close" => close::run(record, has_trouble).await,
         "left" => left::run(record, has_trouble).await,
         "stop" => stop::run(record, has_trouble).await,
         _ => Err("unknown case".into()),
