review: a late heartbeat brings a server back after a kill of all entries

Entries remember only in memory which servers have left. After all of them were killed, the heartbeat of such a server that the store applies late counts as the row of a live one.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -5,6 +5,7 @@
 mod client;
 mod close;
 mod http;
+mod late;
 mod left;
 mod rig;
 mod server;
@@ -24,6 +25,7 @@
     match name {
         "behind" => behind::run(record, has_trouble).await,
         "close" => close::run(record, has_trouble).await,
+        "late" => late::run(record, has_trouble).await,
         "left" => left::run(record, has_trouble).await,
         "stop" => stop::run(record, has_trouble).await,
         _ => Err("unknown case".into()),
