--- /dev/null
+++ b/review/standins-3/src/main.rs
@@ -0,0 +1,37 @@
+//! Stand-ins and judges of the review's scripts. Each case starts a store, servers and clients
+//! in this process, and the project's entries as separate processes.
+
+mod entry;
+mod http;
+mod pipelined_stream;
+mod record;
+mod server;
+mod slow_reader;
+mod world;
+
+use std::path::PathBuf;
+use std::process::exit;
+
+fn main() {
+    let mut arguments = std::env::args().skip(1);
+    let case = arguments.next().unwrap_or_default();
+    let folder = PathBuf::from(arguments.next().unwrap_or_else(|| ".".to_owned()));
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let record = record::Record::new(&folder);
+    let result = match case.as_str() {
+        "slow-reader" => slow_reader::run(&record, trouble),
+        "pipelined-stream" => pipelined_stream::run(&record, trouble),
+        _ => Err(format!("unknown case {case:?}")),
+    };
+    let code = match result {
+        Ok(broken) => {
+            record.line(if broken { "RESULT: the rule was broken" } else { "RESULT: the rule held" });
+            i32::from(broken)
+        }
+        Err(reason) => {
+            record.line(&format!("RESULT: could not run: {reason}"));
+            2
+        }
+    };
+    exit(code);
+}
--- /dev/null
+++ b/review/standins-3/src/server.rs
@@ -0,0 +1,144 @@
+//! A backend server: one thread for each connection, one request at a time on it.
+
+use std::io::Write as _;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use crate::http::{Head, MessageReader, ReadPace};
+use crate::record::Record;
+
+/// How the server works on a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Work {
+    /// Time until the first bytes of the answer.
+    pub first: Duration,
+    /// Size of the part that is sent then.
+    pub first_bytes: usize,
+    /// Time over which the rest is produced and sent.
+    pub rest: Duration,
+    /// Size of the whole body.
+    pub bytes: usize,
+}
+
+/// What became of a request at the server.
+#[derive(Debug, Clone)]
+pub struct ServerRun {
+    pub id: String,
+    pub is_sent_whole: bool,
+}
+
+type WorkOf = Arc<dyn Fn(&Head) -> Work + Send + Sync>;
+
+#[derive(Clone)]
+pub struct Server {
+    pub id: String,
+    pub address: SocketAddr,
+    pub runs: Arc<Mutex<Vec<ServerRun>>>,
+}
+
+impl Server {
+    pub fn start(ip: &str, id: &str, record: &Record, work_of: WorkOf) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(format!("{ip}:0"))?;
+        let server = Self {
+            id: id.to_owned(),
+            address: listener.local_addr()?,
+            runs: Arc::default(),
+        };
+        let (served, record) = (server.clone(), record.clone());
+        std::thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let (served, record) = (served.clone(), record.clone());
+                let work_of = Arc::clone(&work_of);
+                std::thread::spawn(move || served.serve(stream, &record, &work_of));
+            }
+        });
+        Ok(server)
+    }
+
+    fn serve(&self, stream: TcpStream, record: &Record, work_of: &WorkOf) {
+        let _ = stream.set_nodelay(true);
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(10)));
+        let Ok(reading) = stream.try_clone() else { return };
+        let mut reader = MessageReader::new(reading, ReadPace::default());
+        while let Ok(head) = reader.head() {
+            if reader.body_of(&head).is_err() {
+                return;
+            }
+            let id = head.get("request-id").unwrap_or("").to_owned();
+            let is_probe = head.line.contains("/health");
+            let expected = head.get("expect-instance").is_none_or(|expected| expected == self.id);
+            if !expected {
+                let text = format!(
+                    "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                );
+                if (&stream).write_all(text.as_bytes()).is_err() {
+                    return;
+                }
+                continue;
+            }
+            if is_probe {
+                let text = format!(
+                    "HTTP/1.1 200 OK\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                    self.id
+                );
+                if (&stream).write_all(text.as_bytes()).is_err() {
+                    return;
+                }
+                continue;
+            }
+            record.line(&format!("server {} runs {id}", self.id));
+            let work = work_of(&head);
+            let sent = send_answer(&stream, &self.id, &id, work);
+            let is_sent_whole = sent.is_ok();
+            self.runs.lock().unwrap().push(ServerRun { id: id.clone(), is_sent_whole });
+            match sent {
+                Ok(()) => record.line(&format!("server {} has sent its whole answer to {id}", self.id)),
+                Err(error) => {
+                    record.line(&format!("server {} could not send all of {id}: {error}", self.id));
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Whether the server began to work on the request.
+    pub fn has_run(&self, id: &str) -> bool {
+        self.runs.lock().unwrap().iter().any(|run| run.id == id)
+    }
+
+    /// Whether the server handed over its whole answer to the request.
+    pub fn has_sent(&self, id: &str) -> bool {
+        let runs = self.runs.lock().unwrap();
+        runs.iter().any(|run| run.id == id && run.is_sent_whole)
+    }
+}
+
+/// The byte of a body at `position`.
+pub fn body_byte(position: usize) -> u8 {
+    b'a' + (position % 26) as u8
+}
+
+fn send_answer(
+    mut stream: &TcpStream,
+    server: &str,
+    id: &str,
+    work: Work,
+) -> std::io::Result<()> {
+    std::thread::sleep(work.first);
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: {server}.{id}\r\nServer-Load: 1,0,4\r\nKeep-Alive: timeout=10\r\nContent-Length: {}\r\n\r\n",
+        work.bytes
+    );
+    let body: Vec<u8> = (0..work.bytes).map(body_byte).collect();
+    let first_bytes = work.first_bytes.min(work.bytes);
+    stream.write_all(head.as_bytes())?;
+    stream.write_all(&body[..first_bytes])?;
+    let rest = &body[first_bytes..];
+    let steps = (work.rest.as_millis() / 100).max(1) as usize;
+    for piece in rest.chunks(rest.len().div_ceil(steps).max(1)) {
+        std::thread::sleep(work.rest / u32::try_from(steps).unwrap_or(1));
+        stream.write_all(piece)?;
+    }
+    Ok(())
+}
