--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -7,6 +7,7 @@
 mod record;
 mod server;
 mod slow_reader;
+mod unread_upload;
 mod world;
 
 use std::path::PathBuf;
@@ -21,6 +22,7 @@
     let result = match case.as_str() {
         "slow-reader" => slow_reader::run(&record, trouble),
         "pipelined-stream" => pipelined_stream::run(&record, trouble),
+        "unread-upload" => unread_upload::run(&record, trouble),
         _ => Err(format!("unknown case {case:?}")),
     };
     let code = match result {
--- a/review/standins-3/src/pipelined_stream.rs
+++ b/review/standins-3/src/pipelined_stream.rs
@@ -105,13 +105,15 @@
     let world = World::new()?;
     let factor = if trouble { SLOW_FACTOR } else { 1 };
     let large: Arc<dyn Fn(&Head) -> Work + Send + Sync> = Arc::new(move |_| Work {
-        first: Duration::from_millis(200),
+        before_body: Duration::ZERO,
+            first: Duration::from_millis(200),
         first_bytes: FIRST_BYTES,
         rest: WORK * factor - Duration::from_millis(200),
         bytes: LARGE_BYTES,
     });
     let small: Arc<dyn Fn(&Head) -> Work + Send + Sync> = Arc::new(|_| Work {
-        first: Duration::from_millis(100),
+        before_body: Duration::ZERO,
+            first: Duration::from_millis(100),
         first_bytes: 400,
         rest: Duration::ZERO,
         bytes: 400,
--- a/review/standins-3/src/server.rs
+++ b/review/standins-3/src/server.rs
@@ -11,6 +11,8 @@
 /// How the server works on a request.
 #[derive(Debug, Clone, Copy)]
 pub struct Work {
+    /// Time for which the server works before it reads the rest of the body.
+    pub before_body: Duration,
     /// Time until the first bytes of the answer.
     pub first: Duration,
     /// Size of the part that is sent then.
@@ -62,12 +64,13 @@
         let Ok(reading) = stream.try_clone() else { return };
         let mut reader = MessageReader::new(reading, ReadPace::default());
         while let Ok(head) = reader.head() {
-            if reader.body_of(&head).is_err() {
-                return;
-            }
             let id = head.get("request-id").unwrap_or("").to_owned();
             let is_probe = head.line.contains("/health");
             let expected = head.get("expect-instance").is_none_or(|expected| expected == self.id);
+            let is_run = expected && !is_probe;
+            if !is_run && reader.body_of(&head).is_err() {
+                return;
+            }
             if !expected {
                 let text = format!(
                     "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
@@ -89,6 +92,15 @@
             }
             record.line(&format!("server {} runs {id}", self.id));
             let work = work_of(&head);
+            std::thread::sleep(work.before_body);
+            if let Err((read, error)) = reader.body_of(&head) {
+                record.line(&format!(
+                    "server {} got {read} bytes of the body of {id}, then: {error}",
+                    self.id
+                ));
+                self.runs.lock().unwrap().push(ServerRun { id, is_sent_whole: false });
+                return;
+            }
             let sent = send_answer(&stream, &self.id, &id, work);
             let is_sent_whole = sent.is_ok();
             self.runs.lock().unwrap().push(ServerRun { id: id.clone(), is_sent_whole });
--- a/review/standins-3/src/slow_reader.rs
+++ b/review/standins-3/src/slow_reader.rs
@@ -93,6 +93,7 @@
     let work: Arc<dyn Fn(&crate::http::Head) -> Work + Send + Sync> = Arc::new(|head| {
         let is_large = head.line.contains("/bundles/large");
         Work {
+            before_body: Duration::ZERO,
             first: Duration::from_millis(100),
             first_bytes: ANSWER_BYTES,
             rest: Duration::ZERO,
