--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -12,6 +12,12 @@
 
 use std::path::PathBuf;
 use std::process::exit;
+use std::time::Duration;
+
+use crate::pipelined_stream::Trouble;
+
+/// Time of work on a large answer, in the case in which a server crashes meanwhile.
+const CRASH_WORK: Duration = Duration::from_millis(3000);
 
 fn main() {
     let mut arguments = std::env::args().skip(1);
@@ -21,7 +27,14 @@
     let record = record::Record::new(&folder);
     let result = match case.as_str() {
         "slow-reader" => slow_reader::run(&record, trouble),
-        "pipelined-stream" => pipelined_stream::run(&record, trouble),
+        "pipelined-stream" => {
+            let trouble = if trouble { Trouble::Slow } else { Trouble::None };
+            pipelined_stream::run(&record, pipelined_stream::WORK, trouble)
+        }
+        "pipelined-crash" => {
+            let trouble = if trouble { Trouble::Crash } else { Trouble::None };
+            pipelined_stream::run(&record, CRASH_WORK, trouble)
+        }
         "unread-upload" => unread_upload::run(&record, trouble),
         _ => Err(format!("unknown case {case:?}")),
     };
--- a/review/standins-3/src/pipelined_stream.rs
+++ b/review/standins-3/src/pipelined_stream.rs
@@ -1,5 +1,5 @@
 //! Clients that send a further request before the first is answered, while the servers of the
-//! first one are slow.
+//! first one are slow, or one of them crashes.
 
 use std::io::Write as _;
 use std::net::TcpStream;
@@ -17,7 +17,7 @@
 /// The part of it that a server sends first.
 const FIRST_BYTES: usize = 300_000;
 /// Time in which a server works on such a request.
-const WORK: Duration = Duration::from_millis(1600);
+pub const WORK: Duration = Duration::from_millis(1600);
 /// By how much slow servers are slower.
 const SLOW_FACTOR: u32 = 4;
 /// How long a client waits.
@@ -101,14 +101,29 @@
     Ok(answers)
 }
 
-pub fn run(record: &Record, trouble: bool) -> Result<bool, String> {
+/// What happens to the servers of the first requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Trouble {
+    None,
+    /// They turn slow.
+    Slow,
+    /// The one that works on most of the requests crashes.
+    Crash,
+}
+
+/// Number of servers of the first requests.
+const LARGE_SERVERS: u8 = 7;
+/// When a server crashes, after the first client has started.
+const CRASH_AT: Duration = Duration::from_millis(1500);
+
+pub fn run(record: &Record, work: Duration, trouble: Trouble) -> Result<bool, String> {
     let world = World::new()?;
-    let factor = if trouble { SLOW_FACTOR } else { 1 };
+    let factor = if trouble == Trouble::Slow { SLOW_FACTOR } else { 1 };
     let large: Arc<dyn Fn(&Head) -> Work + Send + Sync> = Arc::new(move |_| Work {
         before_body: Duration::ZERO,
             first: Duration::from_millis(200),
         first_bytes: FIRST_BYTES,
-        rest: WORK * factor - Duration::from_millis(200),
+        rest: work * factor - Duration::from_millis(200),
         bytes: LARGE_BYTES,
     });
     let small: Arc<dyn Fn(&Head) -> Work + Send + Sync> = Arc::new(|_| Work {
@@ -119,8 +134,8 @@
         bytes: 400,
     });
     let mut servers = Vec::new();
-    for number in 0..6u8 {
-        let (service, work) = if number < 3 {
+    for number in 0..LARGE_SERVERS + 3 {
+        let (service, work) = if number < LARGE_SERVERS {
             ("archive-builder", Arc::clone(&large))
         } else {
             ("status-desk", Arc::clone(&small))
@@ -148,15 +163,24 @@
     let entry = Entry::start("edge-1", &own_ip(2), world.address(), &[format!("{}:1", own_ip(3))])?;
     entry.wait_ready()?;
     std::thread::sleep(Duration::from_secs(5));
-    if trouble {
+    if trouble == Trouble::Slow {
         record.line(&format!("the servers of archive-builder are {SLOW_FACTOR} times as slow"));
     }
+    let begun = Instant::now();
     let mut clients = Vec::new();
     for number in 0..CLIENTS {
         let (address, record) = (entry.callers(), record.clone());
         clients.push(std::thread::spawn(move || run_client(number, address, &record)));
         std::thread::sleep(Duration::from_millis(130));
     }
+    if trouble == Trouble::Crash {
+        std::thread::sleep(CRASH_AT.saturating_sub(begun.elapsed()));
+        let busiest = servers.iter().max_by_key(|server| server.count("large-"));
+        let busiest = busiest.ok_or("no servers")?;
+        let requests = busiest.count("large-");
+        record.line(&format!("server {} crashes; it works on {requests} requests", busiest.id));
+        busiest.crash();
+    }
     let (mut unanswered, mut cut) = (0, 0);
     for client in clients {
         let answers = client.join().map_err(|_| "a client failed".to_owned())??;
--- a/review/standins-3/src/server.rs
+++ b/review/standins-3/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::io::Write as _;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -37,6 +38,9 @@
     pub id: String,
     pub address: SocketAddr,
     pub runs: Arc<Mutex<Vec<ServerRun>>>,
+    /// Requests that the server began to work on.
+    begun: Arc<Mutex<Vec<String>>>,
+    has_crashed: Arc<AtomicBool>,
 }
 
 impl Server {
@@ -46,10 +50,15 @@
             id: id.to_owned(),
             address: listener.local_addr()?,
             runs: Arc::default(),
+            begun: Arc::default(),
+            has_crashed: Arc::default(),
         };
         let (served, record) = (server.clone(), record.clone());
         std::thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
+                if served.has_crashed.load(Ordering::Relaxed) {
+                    break;
+                }
                 let (served, record) = (served.clone(), record.clone());
                 let work_of = Arc::clone(&work_of);
                 std::thread::spawn(move || served.serve(stream, &record, &work_of));
@@ -91,6 +100,7 @@
                 continue;
             }
             record.line(&format!("server {} runs {id}", self.id));
+            self.begun.lock().unwrap().push(id.clone());
             let work = work_of(&head);
             std::thread::sleep(work.before_body);
             if let Err((read, error)) = reader.body_of(&head) {
@@ -101,7 +111,7 @@
                 self.runs.lock().unwrap().push(ServerRun { id, is_sent_whole: false });
                 return;
             }
-            let sent = send_answer(&stream, &self.id, &id, work);
+            let sent = send_answer(&stream, self, &id, work);
             let is_sent_whole = sent.is_ok();
             self.runs.lock().unwrap().push(ServerRun { id: id.clone(), is_sent_whole });
             match sent {
@@ -116,7 +126,20 @@
 
     /// Whether the server began to work on the request.
     pub fn has_run(&self, id: &str) -> bool {
-        self.runs.lock().unwrap().iter().any(|run| run.id == id)
+        self.begun.lock().unwrap().iter().any(|begun| begun == id)
+    }
+
+    /// Number of requests that the server began to work on and whose ids begin with `prefix`.
+    pub fn count(&self, prefix: &str) -> usize {
+        let begun = self.begun.lock().unwrap();
+        begun.iter().filter(|id| id.starts_with(prefix)).count()
+    }
+
+    /// Ends the server: it accepts no connections and breaks off its answers.
+    pub fn crash(&self) {
+        self.has_crashed.store(true, Ordering::Relaxed);
+        // Lets the thread that accepts connections notice.
+        drop(TcpStream::connect(self.address));
     }
 
     /// Whether the server handed over its whole answer to the request.
@@ -133,14 +156,14 @@
 
 fn send_answer(
     mut stream: &TcpStream,
-    server: &str,
+    server: &Server,
     id: &str,
     work: Work,
 ) -> std::io::Result<()> {
     std::thread::sleep(work.first);
     let head = format!(
-        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: {server}.{id}\r\nServer-Load: 1,0,4\r\nKeep-Alive: timeout=10\r\nContent-Length: {}\r\n\r\n",
-        work.bytes
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: {}.{id}\r\nServer-Load: 1,0,4\r\nKeep-Alive: timeout=10\r\nContent-Length: {}\r\n\r\n",
+        server.id, work.bytes
     );
     let body: Vec<u8> = (0..work.bytes).map(body_byte).collect();
     let first_bytes = work.first_bytes.min(work.bytes);
@@ -150,6 +173,9 @@
     let steps = (work.rest.as_millis() / 100).max(1) as usize;
     for piece in rest.chunks(rest.len().div_ceil(steps).max(1)) {
         std::thread::sleep(work.rest / u32::try_from(steps).unwrap_or(1));
+        if server.has_crashed.load(Ordering::Relaxed) {
+            return Err(std::io::Error::other("the server has crashed"));
+        }
         stream.write_all(piece)?;
     }
     Ok(())
