--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and judges of the review's scripts. Each case starts a store, servers and clients
 //! in this process, and the project's entries as separate processes.
 
+mod closed_early;
 mod entry;
 mod http;
 mod pipelined_stream;
@@ -26,6 +27,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = record::Record::new(&folder);
     let result = match case.as_str() {
+        "closed-early" => closed_early::run(&record, trouble),
         "slow-reader" => slow_reader::run(&record, trouble),
         "pipelined-stream" => {
             let trouble = if trouble { Trouble::Slow } else { Trouble::None };
