--- a/review/standins-3/src/entry.rs
+++ b/review/standins-3/src/entry.rs
@@ -87,10 +87,6 @@
         let _ = Command::new("kill").arg(format!("-{name}")).arg(self.pid().to_string()).status();
     }
 
-    pub fn has_ended(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)))
-    }
-
     pub fn log(&self) -> String {
         std::fs::read_to_string(self.folder.join("log")).unwrap_or_default()
     }
--- a/review/standins-3/src/pipelined_stream.rs
+++ b/review/standins-3/src/pipelined_crash.rs
@@ -1,5 +1,5 @@
-//! Clients that send a further request before the first is answered, while the servers of the
-//! first one are slow, or one of them crashes.
+//! Clients that send a further request before the first is answered, while the server of the
+//! first one crashes in the middle of its answer.
 
 use std::io::Write as _;
 use std::net::TcpStream;
@@ -12,14 +12,12 @@
 use crate::server::{Server, Work, body_byte};
 use crate::world::{HOST, Route, World, own_ip};
 
-/// Size of an answer of the slow route.
+/// Size of an answer of the first route.
 const LARGE_BYTES: usize = 400_000;
 /// The part of it that a server sends first.
 const FIRST_BYTES: usize = 300_000;
 /// Time in which a server works on such a request.
-pub const WORK: Duration = Duration::from_millis(1600);
-/// By how much slow servers are slower.
-const SLOW_FACTOR: u32 = 4;
+const WORK: Duration = Duration::from_millis(3000);
 /// How long a client waits.
 const DEADLINE: Duration = Duration::from_millis(8000);
 /// Number of clients.
@@ -101,30 +99,20 @@
     Ok(answers)
 }
 
-/// What happens to the servers of the first requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Trouble {
-    None,
-    /// They turn slow.
-    Slow,
-    /// The one that works on most of the requests crashes.
-    Crash,
-}
-
 /// Number of servers of the first requests.
 const LARGE_SERVERS: u8 = 7;
 /// When a server crashes, after the first client has started.
 const CRASH_AT: Duration = Duration::from_millis(1500);
 
-pub fn run(record: &Record, work: Duration, trouble: Trouble) -> Result<bool, String> {
+pub fn run(record: &Record, trouble: bool) -> Result<bool, String> {
     let world = World::new()?;
-    let factor = if trouble == Trouble::Slow { SLOW_FACTOR } else { 1 };
-    let large: Arc<dyn Fn(&Head) -> Work + Send + Sync> = Arc::new(move |_| Work {
+    let large: Arc<dyn Fn(&Head) -> Work + Send + Sync> = Arc::new(|_| Work {
         before_body: Duration::ZERO,
             first: Duration::from_millis(200),
         first_bytes: FIRST_BYTES,
-        rest: work * factor - Duration::from_millis(200),
+        rest: WORK - Duration::from_millis(200),
         bytes: LARGE_BYTES,
+        is_spoiled: false,
     });
     let small: Arc<dyn Fn(&Head) -> Work + Send + Sync> = Arc::new(|_| Work {
         before_body: Duration::ZERO,
@@ -132,6 +120,7 @@
         first_bytes: 400,
         rest: Duration::ZERO,
         bytes: 400,
+        is_spoiled: false,
     });
     let mut servers = Vec::new();
     for number in 0..LARGE_SERVERS + 3 {
@@ -163,9 +152,6 @@
     let entry = Entry::start("edge-1", &own_ip(2), world.address(), &[format!("{}:1", own_ip(3))])?;
     entry.wait_ready()?;
     std::thread::sleep(Duration::from_secs(5));
-    if trouble == Trouble::Slow {
-        record.line(&format!("the servers of archive-builder are {SLOW_FACTOR} times as slow"));
-    }
     let begun = Instant::now();
     let mut clients = Vec::new();
     for number in 0..CLIENTS {
@@ -173,7 +159,7 @@
         clients.push(std::thread::spawn(move || run_client(number, address, &record)));
         std::thread::sleep(Duration::from_millis(130));
     }
-    if trouble == Trouble::Crash {
+    if trouble {
         std::thread::sleep(CRASH_AT.saturating_sub(begun.elapsed()));
         let busiest = servers.iter().max_by_key(|server| server.count("large-"));
         let busiest = busiest.ok_or("no servers")?;
--- a/review/standins-3/src/server.rs
+++ b/review/standins-3/src/server.rs
@@ -22,6 +22,8 @@
     pub rest: Duration,
     /// Size of the whole body.
     pub bytes: usize,
+    /// Whether the server sends interim responses until the connection ends, and no answer.
+    pub is_spoiled: bool,
 }
 
 /// What became of a request at the server.
@@ -161,6 +163,12 @@
     work: Work,
 ) -> std::io::Result<()> {
     std::thread::sleep(work.first);
+    if work.is_spoiled {
+        let interim = b"HTTP/1.1 102 Processing\r\n\r\n".repeat(500);
+        loop {
+            stream.write_all(&interim)?;
+        }
+    }
     let head = format!(
         "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: {}.{id}\r\nServer-Load: 1,0,4\r\nKeep-Alive: timeout=10\r\nContent-Length: {}\r\n\r\n",
         server.id, work.bytes
--- a/review/standins-3/src/unread_upload.rs
+++ b/review/standins-3/src/unread_upload.rs
@@ -64,6 +64,7 @@
         first_bytes: 400,
         rest: Duration::ZERO,
         bytes: 400,
+        is_spoiled: false,
     });
     let mut servers = Vec::new();
     for number in 0..3u8 {
