--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -3,6 +3,7 @@
 
 mod entry;
 mod http;
+mod interim_flood;
 mod pipelined_crash;
 mod record;
 mod server;
@@ -20,6 +21,7 @@
     let record = record::Record::new(&folder);
     let result = match case.as_str() {
         "pipelined-crash" => pipelined_crash::run(&record, trouble),
+        "interim-flood" => interim_flood::run(&record, trouble),
         "unread-upload" => unread_upload::run(&record, trouble),
         _ => Err(format!("unknown case {case:?}")),
     };
