Review: stand-ins of cases 11, 12 and 14 need no more than the deploy file's build fetches

They use the store of review/standins-2 in place of the project's, whose libraries the deploy file's build doesn't fetch.

--- a/review/standins-3/src/entry.rs
+++ b/review/standins-3/src/entry.rs
@@ -7,7 +7,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-use crate::http::{MessageReader, ReadPace};
+use crate::message::{MessageReader, ReadPace};
 
 pub struct Entry {
     child: Child,
--- a/review/standins-3/src/interim_flood.rs
+++ b/review/standins-3/src/interim_flood.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use crate::entry::Entry;
-use crate::http::{Head, MessageReader, ReadPace};
+use crate::message::{Head, MessageReader, ReadPace};
 use crate::record::Record;
 use crate::server::{Server, Work};
 use crate::world::{HOST, Route, World, own_ip};
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -2,11 +2,17 @@
 //! in this process, and the project's entries as separate processes.
 
 mod entry;
+#[path = "../../standins-2/src/http.rs"]
+#[allow(dead_code, reason = "the store of the other cases needs only a part of it")]
 mod http;
 mod interim_flood;
+mod message;
 mod pipelined_crash;
 mod record;
 mod server;
+#[path = "../../standins-2/src/store.rs"]
+#[allow(dead_code, reason = "these cases delete no rows")]
+mod store;
 mod unread_upload;
 mod world;
 
--- a/review/standins-3/src/pipelined_crash.rs
+++ b/review/standins-3/src/pipelined_crash.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use crate::entry::Entry;
-use crate::http::{Head, MessageReader, ReadPace};
+use crate::message::{Head, MessageReader, ReadPace};
 use crate::record::Record;
 use crate::server::{Server, Work, body_byte};
 use crate::world::{HOST, Route, World, own_ip};
--- a/review/standins-3/src/server.rs
+++ b/review/standins-3/src/server.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use crate::http::{Head, MessageReader, ReadPace};
+use crate::message::{Head, MessageReader, ReadPace};
 use crate::record::Record;
 
 /// How the server works on a request.
--- a/review/standins-3/src/world.rs
+++ b/review/standins-3/src/world.rs
@@ -4,12 +4,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use platform_standin::FakeStore;
 use serde_json::{Value, json};
-use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
 
 use crate::server::Server;
+use crate::store::Store;
 
 /// A route of the desired state.
 pub struct Route<'a> {
@@ -22,7 +21,7 @@
 
 pub struct World {
     _runtime: Runtime,
-    pub store: FakeStore,
+    pub store: Store,
     listed: Arc<Mutex<Vec<(Server, String)>>>,
 }
 
@@ -39,10 +38,7 @@
             .enable_all()
             .build()
             .map_err(|error| error.to_string())?;
-        let store = runtime.block_on(async {
-            let listener = TcpListener::bind(format!("{}:0", own_ip(1))).await;
-            listener.map(FakeStore::serve).map_err(|error| error.to_string())
-        })?;
+        let store = runtime.block_on(Store::start()).map_err(|error| error.to_string())?;
         let world = Self { _runtime: runtime, store, listed: Arc::default() };
         let (store, listed) = (world.store.clone(), Arc::clone(&world.listed));
         // A server writes its entry at each heartbeat.
@@ -58,7 +54,7 @@
     }
 
     pub fn address(&self) -> SocketAddr {
-        self.store.address()
+        self.store.address
     }
 
     pub fn list(&self, server: &Server, service: &str) {
