--- a/review/standins-3/src/server.rs
+++ b/review/standins-3/src/server.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::message::{Head, MessageReader, ReadPace};
 use crate::record::Record;
@@ -41,7 +41,7 @@
     pub address: SocketAddr,
     pub runs: Arc<Mutex<Vec<ServerRun>>>,
     /// Requests that the server began to work on.
-    begun: Arc<Mutex<Vec<String>>>,
+    begun: Arc<Mutex<Vec<(String, Instant)>>>,
     has_crashed: Arc<AtomicBool>,
 }
 
@@ -102,7 +102,7 @@
                 continue;
             }
             record.line(&format!("server {} runs {id}", self.id));
-            self.begun.lock().unwrap().push(id.clone());
+            self.begun.lock().unwrap().push((id.clone(), Instant::now()));
             let work = work_of(&head);
             std::thread::sleep(work.before_body);
             if let Err((read, error)) = reader.body_of(&head) {
@@ -128,13 +128,19 @@
 
     /// Whether the server began to work on the request.
     pub fn has_run(&self, id: &str) -> bool {
-        self.begun.lock().unwrap().iter().any(|begun| begun == id)
+        self.began_at(id).is_some()
+    }
+
+    /// When the server began to work on the request.
+    pub fn began_at(&self, id: &str) -> Option<Instant> {
+        let begun = self.begun.lock().unwrap();
+        begun.iter().find(|(known, _)| known == id).map(|(_, at)| *at)
     }
 
     /// Number of requests that the server began to work on and whose ids begin with `prefix`.
     pub fn count(&self, prefix: &str) -> usize {
         let begun = self.begun.lock().unwrap();
-        begun.iter().filter(|id| id.starts_with(prefix)).count()
+        begun.iter().filter(|(id, _)| id.starts_with(prefix)).count()
     }
 
     /// Ends the server: it accepts no connections and breaks off its answers.
