A late heartbeat after the loss of all entries restores no server

Cause: departures are in the memory of entries only; a run that an entry has never read joined at once. Change: for 8 s after an entry first knew the registry, a run that turns up by a registration that isn't its first is recorded as departed, until its row has outlasted a late heartbeat (6 s). Leads tell followers by the departure. Rows that are written again after an outage, and services most of whose servers are in doubt, are taken in at once.

--- a/bin/lh-entry/src/state/registry.rs
+++ b/bin/lh-entry/src/state/registry.rs
@@ -173,6 +173,7 @@
         CatalogChange::Draining(id) => (id, "server is leaving"),
         CatalogChange::Gone(id) => (id, "server is gone"),
         CatalogChange::Outdated(id) => (id, "obsolete registration of a departed server"),
+        CatalogChange::Unproven(id) => (id, "server may have left before this start; waiting"),
         CatalogChange::Cold(id) => (id, "server is cold"),
         CatalogChange::Missing(id) => (id, "server's entry missing, kept for now"),
         CatalogChange::Restarted(id) => (id, "server started again under its id"),
--- a/crates/place/src/catalog/change.rs
+++ b/crates/place/src/catalog/change.rs
@@ -13,6 +13,8 @@
     Gone(String),
     /// The first stale server entry of a departed server was ignored.
     Outdated(String),
+    /// A server that may have left before this entry started gets no requests yet.
+    Unproven(String),
     /// A server became cold.
     Cold(String),
     /// A server's row is missing, but may have lapsed during a registry outage.
--- a/crates/place/src/catalog/mod.rs
+++ b/crates/place/src/catalog/mod.rs
@@ -10,6 +10,7 @@
 mod outage;
 mod relisted;
 mod table;
+mod unproven;
 mod update;
 
 use std::collections::{HashMap, HashSet};
@@ -19,6 +20,7 @@
 use crate::catalog::outage::{RegistryOutage, VanishedRow};
 use crate::catalog::relisted::RelistedRows;
 use crate::catalog::table::RecordTable;
+use crate::catalog::unproven::UnprovenRuns;
 use crate::departure::{Departure, DepartureTable};
 use crate::fleet::log::{RegistryDelta, store_position};
 use crate::fleet::position::StorePosition;
@@ -45,6 +47,7 @@
     outage: RegistryOutage,
     departures: DepartureTable,
     relisted: RelistedRows,
+    unproven: UnprovenRuns,
     /// Runs that a run with an earlier start has replaced, since the last call of
     /// [`Self::take_overtaken`].
     overtaken: Vec<Departure>,
@@ -140,8 +143,10 @@
         self.relisted.on_read(snapshot.started_at);
         // An answer that was read late shows what was missing when it began.
         let settled = self.outage.is_settled(snapshot.started_at);
-        self.position = snapshot.position;
         let mut changes = Vec::new();
+        self.presume_departed(now, snapshot, &mut changes);
+        self.unproven.on_known(snapshot.started_at);
+        self.position = snapshot.position;
         for entry in &snapshot.entries {
             self.apply_entry(now, snapshot.started_at, entry, &mut changes);
         }
@@ -167,6 +172,7 @@
         delta: &RegistryDelta,
     ) -> Vec<CatalogChange> {
         let mut changes = Vec::new();
+        self.unproven.on_known(started_at);
         self.note_era(now, store_position(delta.version));
         self.apply_delta_departures(now, delta, &mut changes);
         let missing = self.missing_times(now, &delta.missing);
--- a/crates/place/src/catalog/update.rs
+++ b/crates/place/src/catalog/update.rs
@@ -231,6 +231,7 @@
         self.relisted.retain_listed(listed);
         for id in unlisted {
             self.table.remove(&id);
+            self.unproven.on_unlisted(&id);
             changes.push(CatalogChange::Gone(id));
         }
     }
--- a/crates/place/src/server.rs
+++ b/crates/place/src/server.rs
@@ -7,6 +7,8 @@
 use crate::placing::timing::MovingAverage;
 use crate::rank::{pair_weight, stable_hash};
 
+/// Sequence number of a run's first registration.
+const FIRST_SEQ: u64 = 1;
 /// Time constant by which the weight of a load report decays: 37 % remain after this time. Most
 /// requests finish within it.
 const REPORT_DECAY: Duration = Duration::from_millis(400);
@@ -90,6 +92,11 @@
         self.started.map_or(id, |started| pair_weight(id, started))
     }
 
+    /// Returns whether this is the run's first registration, which a later one replaces.
+    pub fn is_first_registration(&self) -> bool {
+        self.seq <= FIRST_SEQ
+    }
+
     /// Returns whether `self` was written by an earlier run than `other`.
     pub fn is_of_earlier_run(&self, other: &Self) -> bool {
         self.started < other.started
