A caller that leaves is noticed whatever of its bytes is unread

Cause: the end of a connection was noticed only by reading it, and it isn't read while bytes before the end wait: in hyper's buffer behind a request whose length isn't stated, or in the socket behind 16 KiB of pipelined requests or an upload whose server doesn't read on. Change: a request that is being served ends when the caller's socket reports that its peer has closed or reset it. One place for all states (accept.rs, CallerStream), in place of following chunked bodies, which would leave the other states as they were.

--- a/bin/lh-entry/src/accept.rs
+++ b/bin/lh-entry/src/accept.rs
@@ -2,12 +2,12 @@
 //! slowly, and shuts them down gracefully when the instance stops.
 
 mod caller_io;
+mod caller_stream;
 mod head_scanner;
 mod pipeline;
 mod progress;
 
 use std::cell::RefCell;
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,10 +20,11 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::accept::caller_io::CallerIo;
+use crate::accept::caller_stream::CallerStream;
 use crate::accept::pipeline::RequestPipeline;
 use crate::accept::progress::{ConnectionProgress, ConnectionTimeout};
 use crate::body::ResponseBody;
-use crate::error::{Error, Result};
+use crate::error::{Error, RequestError, Result};
 use crate::state::InstanceState;
 use crate::stop::StopPhase;
 
@@ -74,7 +75,8 @@
     let progress = Rc::new(ConnectionProgress::new());
     let pipeline = Rc::new(RefCell::new(RequestPipeline::new(&state)));
     let follows_requests = state.config.pipelined_requests > 1;
-    let io = CallerIo::new(stream, &progress, &pipeline, follows_requests);
+    let stream = CallerStream::new(stream);
+    let io = CallerIo::new(stream.clone(), &progress, &pipeline, follows_requests);
     let served = Rc::clone(&state);
     let (served_progress, served_pipeline) = (Rc::clone(&progress), Rc::clone(&pipeline));
     let service = service_fn(move |request: Request<Incoming>| {
@@ -82,10 +84,18 @@
         let state = Rc::clone(&served);
         let progress = Rc::clone(&served_progress);
         let pipeline = Rc::clone(&served_pipeline);
+        let stream = stream.clone();
         async move {
-            let response = respond(&state, &pipeline, request).await;
-            progress.on_response();
-            Ok::<_, Infallible>(response)
+            tokio::select! {
+                biased;
+                response = respond(&state, &pipeline, request) => {
+                    progress.on_response();
+                    Ok(response)
+                }
+                // The connection reads nothing while bytes of the caller's wait, so it doesn't
+                // notice the end behind them.
+                () = stream.left() => Err(RequestError::CallerLeft),
+            }
         }
     });
     let limits = state.limits.get();
--- a/bin/lh-entry/src/accept/caller_io.rs
+++ b/bin/lh-entry/src/accept/caller_io.rs
@@ -6,15 +6,13 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
 use tokio::io::{AsyncRead, ReadBuf};
-use tokio::net::TcpStream;
 
+use crate::accept::caller_stream::CallerStream;
 use crate::accept::head_scanner::{ScannedHead, scan_head};
 use crate::accept::pipeline::RequestPipeline;
 use crate::accept::progress::ConnectionProgress;
@@ -28,7 +26,7 @@
 
 /// The connection of a caller.
 pub(super) struct CallerIo {
-    io: TokioIo<TcpStream>,
+    io: TokioIo<CallerStream>,
     progress: Rc<ConnectionProgress>,
     pipeline: Rc<RefCell<RequestPipeline>>,
     /// Bytes that were read from the connection but not passed on.
@@ -45,7 +43,7 @@
 impl CallerIo {
     /// Wraps `stream`. Unless `follows_requests`, requests aren't announced.
     pub(super) fn new(
-        stream: TcpStream,
+        stream: CallerStream,
         progress: &Rc<ConnectionProgress>,
         pipeline: &Rc<RefCell<RequestPipeline>>,
         follows_requests: bool,
@@ -116,7 +114,7 @@
         if !self.progress.needs_reset() {
             return;
         }
-        if let Err(error) = SockRef::from(self.io.inner()).set_linger(Some(Duration::ZERO)) {
+        if let Err(error) = self.io.inner().reset_on_drop() {
             log::warn!(error:%; "a response that was broken off may look complete");
         }
     }
--- /dev/null
+++ b/bin/lh-entry/src/accept/caller_stream.rs
@@ -0,0 +1,126 @@
+//! The socket of a caller's connection, shared by the connection that reads and writes it and the
+//! requests that are given up when the caller leaves.
+
+use std::io;
+use std::net::Shutdown;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use futures_util::FutureExt as _;
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Interval at which it is checked whether a caller that waits for its response has left. The
+/// readiness of a socket with unread bytes can't be awaited for its end alone.
+const END_CHECK_INTERVAL: Duration = Duration::from_millis(150);
+
+/// A caller's socket.
+#[derive(Debug, Clone)]
+pub(super) struct CallerStream(Rc<TcpStream>);
+
+impl CallerStream {
+    /// Shares `stream`.
+    pub(super) fn new(stream: TcpStream) -> Self {
+        Self(Rc::new(stream))
+    }
+
+    /// Resets the connection instead of closing it when the stream is dropped.
+    ///
+    /// # Errors
+    /// The error of the operating system.
+    pub(super) fn reset_on_drop(&self) -> io::Result<()> {
+        SockRef::from(&*self.0).set_linger(Some(Duration::ZERO))
+    }
+
+    /// Completes once the caller has closed or reset its connection, whether or not all bytes
+    /// before the end have been read.
+    pub(super) async fn left(&self) {
+        loop {
+            tokio::time::sleep(END_CHECK_INTERVAL).await;
+            if self.has_ended() {
+                return;
+            }
+        }
+    }
+
+    fn has_ended(&self) -> bool {
+        match self.0.ready(Interest::READABLE).now_or_never() {
+            Some(Ok(ready)) => ready.is_read_closed(),
+            Some(Err(error)) => {
+                log::debug!(error:%; "a caller's socket has no readiness");
+                true
+            }
+            None => false,
+        }
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            std::task::ready!(self.0.poll_read_ready(context))?;
+            match self.0.try_read(buffer.initialize_unfilled()) {
+                Ok(length) => {
+                    buffer.advance(length);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_with(context, |stream| stream.try_write(bytes))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_with(context, |stream| stream.try_write_vectored(slices))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.0).shutdown(Shutdown::Write))
+    }
+}
+
+impl CallerStream {
+    /// Writes with `write` as soon as the socket takes bytes.
+    fn poll_with(
+        &self,
+        context: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            std::task::ready!(self.0.poll_write_ready(context))?;
+            match write(&self.0) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+}
--- a/bin/lh-entry/src/error.rs
+++ b/bin/lh-entry/src/error.rs
@@ -35,6 +35,17 @@
     }
 }
 
+quick_error! {
+    /// Why a request of a caller ends without a response.
+    #[derive(Debug)]
+    pub enum RequestError {
+        /// The caller closed its connection.
+        CallerLeft {
+            display("the caller left before it had its response")
+        }
+    }
+}
+
 impl Error {
     /// Returns the exit class of this error.
     pub fn class(&self) -> ExitClass {
