Known red: rollouts decided by which servers have returned; line of a rollout's servers

Change: two tests with real entries that lose all machines. In the first, the servers of the new version are listed again 3 s before the others: a lead that has just started sees no other server and completes the rollout, at which the operator stops the others. In the second, servers of the former version return alone after a completed rollout and get nothing. The line 'rollout written' says how many servers of each version its lead saw.

--- a/bin/lh-entry/src/rollout_rows.rs
+++ b/bin/lh-entry/src/rollout_rows.rs
@@ -87,20 +87,26 @@
 fn next_record(state: &InstanceState, service: &str) -> Option<RolloutRecord> {
     let controller = state.rollouts.controller();
     let version = &controller.record(service)?.order.version;
+    let counts = count_servers(state, service, version);
+    let store_now = state.fleet.latest_store_time();
+    if !store_now.is_some() {
+        return None;
+    }
+    controller.next_record(Instant::now(), service, counts, store_now.0)
+}
+
+/// Counts the servers of `service` that may get requests, those of `version` apart.
+fn count_servers(state: &InstanceState, service: &str, version: &str) -> ServerCounts {
     let mut counts = ServerCounts::default();
     let placer = state.placer.borrow();
     for (_, server) in placer.catalog.open_servers(service) {
-        if server.entry.version == *version {
+        if server.entry.version == version {
             counts.new += 1;
         } else {
             counts.old += 1;
         }
     }
-    let store_now = state.fleet.latest_store_time();
-    if !store_now.is_some() {
-        return None;
-    }
-    controller.next_record(Instant::now(), service, counts, store_now.0)
+    counts
 }
 
 /// Reads and applies the rows of all rollouts; `None` if the store doesn't respond. All are read
@@ -154,8 +160,12 @@
     state.metrics.on_store_call("rollout", error);
     let service = record.order.service.as_str();
     let phase = record.phase.as_str();
+    let servers = count_servers(state, service, &record.order.version);
+    let (new_servers, old_servers) = (servers.new, servers.old);
     match result {
-        Ok(CommitOutcome::Done) => log::info!(service, phase; "rollout written"),
+        Ok(CommitOutcome::Done) => {
+            log::info!(service, phase, new_servers, old_servers; "rollout written");
+        }
         Ok(CommitOutcome::Conflict) => log::info!(service, phase; "another lead wrote the rollout"),
         Err(error) => log::info!(service, phase, error:%; "rollout may not have been written"),
     }
--- a/bin/lh-entry/tests/rollouts.rs
+++ b/bin/lh-entry/tests/rollouts.rs
@@ -342,3 +342,71 @@
     service.wait_for_state("completed").await;
     service.stop_callers().await;
 }
+
+/// All machines are lost in the middle of a rollout, and the servers of the new version come back
+/// first: the rollout isn't over because none of the others is listed yet.
+#[tokio::test(flavor = "multi_thread")]
+async fn servers_that_return_late_complete_no_rollout() {
+    const UNLISTED_TIME: Duration = Duration::from_secs(3);
+    let mut service = RolloutFixture::new().await;
+    let entry = EntryProcess::ready(&service.world, "n1").await;
+    service.start_callers(&entry);
+    service.start_new_servers(&Behavior::Run(WORK)).await;
+    service.start_rollout(30);
+    service.wait_for_state("running").await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    service.stop_callers().await;
+    drop(entry);
+    let ids = service.world.backends.iter().map(FakeBackend::id);
+    let ids: Vec<String> = ids.map(str::to_owned).collect();
+    let row = |id: &String| service.world.store.row("servers", id).unwrap();
+    let rows: Vec<_> = ids.iter().map(row).collect();
+    for id in &ids {
+        service.world.store.delete_row("servers", id);
+    }
+    let entry = EntryProcess::ready(&service.world, "n2").await;
+    service.stopped.store(false, Ordering::Relaxed);
+    service.start_callers(&entry);
+    tokio::time::sleep(UNLISTED_TIME).await;
+    for (id, row) in ids.iter().zip(&rows) {
+        service.world.store.put("servers", id, row);
+    }
+    let old = service.old_requests();
+    until("the other version runs requests again", async || {
+        service.old_requests() > old + 100
+    })
+    .await;
+    assert_eq!(
+        service.reported_state(),
+        "running",
+        "{}",
+        service.describe()
+    );
+    service.stop_callers().await;
+}
+
+/// After a completed rollout, a loss of all machines brings back servers of the former version
+/// only. They are the only ones that can serve.
+#[tokio::test(flavor = "multi_thread")]
+async fn replaced_servers_that_return_alone_serve() {
+    let mut service = RolloutFixture::new().await;
+    let entry = EntryProcess::ready(&service.world, "n1").await;
+    service.start_callers(&entry);
+    service.start_new_servers(&Behavior::Run(WORK)).await;
+    service.start_rollout(8);
+    service.wait_for_state("completed").await;
+    service.stop_callers().await;
+    drop(entry);
+    for backend in &service.new {
+        service.world.store.delete_row("servers", backend.id());
+    }
+    let entry = EntryProcess::ready(&service.world, "n2").await;
+    service.stopped.store(false, Ordering::Relaxed);
+    service.start_callers(&entry);
+    let old = service.old_requests();
+    until("the former version runs requests", async || {
+        service.old_requests() > old + 100
+    })
+    .await;
+    service.stop_callers().await;
+}
