Rollouts: no completion because the other version isn't listed

Callers saw (in a test that loses all machines): a rollout ended as completed right after the return, so that the operator stops the servers of the former version without draining; a version that is bad then has everything, for good. Cause: a lead that listed no server of another version completed a rollout 0.8 s after its order. After a loss of all machines, or as rows lapse in an outage of the store, servers that haven't returned look like servers that left. Ruled out: a wait for rows to settle, since a lead that has just started knows of no outage, and servers return over any time. Change: absence completes nothing early. When the rollout is due anyway, it stands for answers of the new version only at an entry that has known the rollout for 5 s.

--- a/crates/rollout/src/controller/service.rs
+++ b/crates/rollout/src/controller/service.rs
@@ -12,12 +12,14 @@
 const MIN_ANSWERS: u32 = 10;
 /// The share that it gets until then.
 const UNPROVEN_SHARE: f64 = 0.25;
-/// Minimum time before a rollout is completed, even if no old servers are left.
-const SETTLE_TIME: Duration = Duration::from_millis(800);
 /// Time before the deadline at which a rollout is completed. Until then the version can still
 /// be rolled back under full load. Allows two attempts at writing to the store; less in short
 /// rollouts.
 const COMPLETION_LEAD: Duration = Duration::from_millis(1500);
+/// Time for which an entry must know a rollout before the absence of old servers replaces answers
+/// of the new ones: after a loss of all machines they take seconds to return. Less in short
+/// rollouts.
+const OBSERVATION_TIME: Duration = Duration::from_secs(5);
 /// Time before the deadline at which a rollout is completed even though old versions still run
 /// requests.
 const FORCED_COMPLETION_LEAD: Duration = Duration::from_millis(400);
@@ -127,7 +129,8 @@
         stage
     }
 
-    /// Returns the final phase if the rollout ends now.
+    /// Returns the final phase if the rollout ends now. That no old server is listed ends none
+    /// early: their rows may have lapsed, and a completion lets the operator stop them.
     pub(super) fn final_phase(
         &self,
         now: Instant,
@@ -138,10 +141,9 @@
         if elapsed >= duration {
             return Some(RolloutPhase::RolledBack);
         }
-        if servers.new > 0 && servers.old == 0 && elapsed >= SETTLE_TIME {
-            return Some(RolloutPhase::Completed);
-        }
-        let is_proven = self.evidence.answers() >= MIN_ANSWERS;
+        let observed = now.saturating_duration_since(self.learned_at);
+        let is_unrivaled = servers.old == 0 && observed >= OBSERVATION_TIME.min(duration / 2);
+        let is_proven = self.evidence.answers() >= MIN_ANSWERS || is_unrivaled;
         let is_due = elapsed + COMPLETION_LEAD.min(duration / 8) >= duration;
         let is_moved = is_proven && servers.new > 0 && is_due;
         let is_forced = elapsed + FORCED_COMPLETION_LEAD.min(duration / 20) >= duration;
--- a/crates/rollout/tests/parts.rs
+++ b/crates/rollout/tests/parts.rs
@@ -317,6 +317,36 @@
     assert_eq!(next_phase(&controller, due), Some(RolloutPhase::Completed));
 }
 
+/// Old servers that aren't listed may come back, so that their absence completes no rollout before
+/// it is due.
+#[test]
+fn unlisted_old_servers_complete_no_rollout_early() {
+    let now = Instant::now();
+    let controller = running_rollout(now, 1);
+    let servers = ServerCounts { new: 5, old: 0 };
+    let next_phase = |at: u64| {
+        let next = controller.next_record(now + ms(at), "board", servers, 20_000);
+        next.map(|record| record.phase)
+    };
+    for at in [0, 900, 5000, 15_000] {
+        assert_eq!(next_phase(at), None, "{at} ms");
+    }
+    assert_eq!(next_phase(18_600), Some(RolloutPhase::Completed));
+}
+
+/// An entry that has just returned can't tell servers that left from those that are still to
+/// return, not even when the rollout is due.
+#[test]
+fn an_entry_that_returns_at_the_end_completes_no_rollout() {
+    let (begun, now) = (Instant::now(), Instant::now() + ms(18_000));
+    let mut controller = controller(now);
+    let stored = record(order("v2", 1), RolloutPhase::Running);
+    controller.on_record(now, &stored, Some(begun), true);
+    let servers = ServerCounts { new: 5, old: 0 };
+    let next = controller.next_record(now + ms(700), "board", servers, 20_000);
+    assert_eq!(next, None);
+}
+
 /// A verdict reported by another entry takes effect at once, whatever this entry observed.
 #[test]
 fn a_reported_verdict_takes_effect() {
