Rollouts: versions that were replaced serve where no other server is there

Callers saw (in a test that loses all machines): after a completed rollout only servers of the former version return, and each request is refused as no-server for as long as that holds, though these servers run and did well before. Cause: a record names the versions that get nothing, whatever the reason: those that were found to be bad and those that were merely replaced. Nothing ended the exclusion of the latter. Ruled out: no exclusion of replaced versions at all, since their servers may end at any time while others serve. Change: a record tells replaced versions apart. They are the last resort, those that were rolled back never are. Rows of earlier records lack the list and mean none; entries of different releases don't understand each other's records while a rollout is known.

--- a/crates/rollout/src/controller/exclusions.rs
+++ b/crates/rollout/src/controller/exclusions.rs
@@ -7,9 +7,9 @@
 /// Versions that currently get no requests.
 #[derive(Debug, Default)]
 pub(super) struct VersionExclusions {
-    /// Versions excluded by orders.
-    pub(super) barred: Vec<String>,
-    /// Those, the version whose rollout is running, and versions that are too new.
+    /// Versions that get none even if no other server is there.
+    pub(super) rejected: Vec<String>,
+    /// Versions excluded by orders, the version whose rollout is running, and versions that are too new.
     pub(super) versions: Vec<String>,
     /// When the first of the new versions stops being too new.
     pub(super) until: Option<Instant>,
@@ -23,8 +23,8 @@
         record: Option<&RolloutRecord>,
         held: Vec<(String, Instant)>,
     ) -> Option<Self> {
-        let barred = record.map_or_else(Vec::new, RolloutRecord::excluded_versions);
-        let mut versions = barred.clone();
+        let rejected = record.map_or_else(Vec::new, RolloutRecord::rejected_versions);
+        let mut versions = record.map_or_else(Vec::new, RolloutRecord::excluded_versions);
         let in_phase = |phase| record.filter(|record| record.phase == phase);
         let until = held.iter().map(|(_, until)| *until).min();
         let mut held: Vec<String> = held.into_iter().map(|(version, _)| version).collect();
@@ -38,7 +38,7 @@
         versions.sort_unstable();
         versions.dedup();
         (record.is_some() || !versions.is_empty()).then_some(Self {
-            barred,
+            rejected,
             versions,
             until,
         })
--- a/crates/rollout/src/controller/mod.rs
+++ b/crates/rollout/src/controller/mod.rs
@@ -246,7 +246,7 @@
         match choice {
             VersionChoice::NoRollout => (
                 others,
-                Some((VersionFilter::Except(&excluded.barred), true)),
+                Some((VersionFilter::Except(&excluded.rejected), true)),
             ),
             VersionChoice::Old => (others, Some((only, true))),
             VersionChoice::New => (only, Some((others, false))),
@@ -326,10 +326,7 @@
             record.begun = store_now.saturating_sub(since.as_millis() as u64).max(1);
         }
         if phase == RolloutPhase::Completed {
-            let old = self.history.others(service, &record.order.version);
-            record.barred.extend(old);
-            record.barred.sort_unstable();
-            record.barred.dedup();
+            record.bar_replaced(self.history.others(service, &record.order.version));
         }
         Some(record)
     }
--- a/crates/rollout/src/order.rs
+++ b/crates/rollout/src/order.rs
@@ -42,6 +42,9 @@
         /// Versions of the service that get no requests, whatever the result of this order:
         /// those that were rolled back or replaced before.
         pub barred: Vec<String>,
+        /// Those among them that a completed rollout replaced. They serve if no other server does.
+        #[serde(default)]
+        pub replaced: Vec<String>,
     }
 }
 
@@ -79,11 +82,14 @@
         barred.sort_unstable();
         barred.dedup();
         barred.retain(|version| *version != order.version);
+        let mut replaced = previous.map_or_else(Vec::new, |previous| previous.replaced.clone());
+        replaced.retain(|version| *version != order.version);
         Self {
             order,
             phase,
             begun: 0,
             barred,
+            replaced,
         }
     }
 
@@ -102,4 +108,23 @@
         versions.dedup();
         versions
     }
+
+    /// Returns the versions that get no requests even if no other server is there.
+    pub fn rejected_versions(&self) -> Vec<String> {
+        let mut versions = self.excluded_versions();
+        versions.retain(|version| !self.replaced.contains(version));
+        versions
+    }
+
+    /// Records that a completed rollout replaced `versions`.
+    pub fn bar_replaced(&mut self, versions: Vec<String>) {
+        let known = self.barred.clone();
+        let replaced = versions
+            .into_iter()
+            .filter(|version| !known.contains(version));
+        let replaced: Vec<String> = replaced.collect();
+        self.barred.extend(replaced.iter().cloned());
+        self.barred.sort_unstable();
+        self.replaced.extend(replaced);
+    }
 }
--- a/crates/rollout/tests/parts.rs
+++ b/crates/rollout/tests/parts.rs
@@ -347,6 +347,27 @@
     assert_eq!(next, None);
 }
 
+/// Versions that a completed rollout replaced serve if no other server is there; one that was
+/// rolled back doesn't.
+#[test]
+fn a_replaced_version_is_the_last_resort() {
+    let now = Instant::now();
+    let mut controller = controller(now);
+    let mut first = record(order("v2", 1), RolloutPhase::RolledBack);
+    controller.on_record(now, &first, Some(now), true);
+    first = RolloutRecord::new(order("v3", 2), Some(&first));
+    first.phase = RolloutPhase::Completed;
+    first.bar_replaced(vec!["v1".to_owned(), "v2".to_owned()]);
+    controller.on_record(now, &first, Some(now), true);
+    let choice = controller.choose(now, "board", false, Some(ms(300)));
+    let (first_filter, last_resort) = controller.filters("board", choice);
+    let allowed = |filter: VersionFilter<'_>| ["v1", "v2", "v3"].map(|name| filter.allows(name));
+    assert_eq!(allowed(first_filter), [false, false, true]);
+    let (last_filter, is_last_resort) = last_resort.unwrap();
+    assert!(is_last_resort);
+    assert_eq!(allowed(last_filter), [true, false, true]);
+}
+
 /// A verdict reported by another entry takes effect at once, whatever this entry observed.
 #[test]
 fn a_reported_verdict_takes_effect() {
