Keys: an entry on standby corrects its bound of the store's clock

Callers saw (in a test): after an outage of the store in which its clock ran ahead, most entries refused all keys for as long as they ran; only leads, and entries that were listed as it happened, accepted them again. Cause: an entry's bound of the store's clock is corrected by the store's own answer only. An entry that isn't listed never asks the store for a proof, and an entry that has no proof isn't ready and so isn't listed. The times in its leads' digests lie beyond its bound and were dropped without a trace. Change: an entry whose leads have a proof that its bound contradicts asks the store itself, spread over 2 s. Deployments that take keys away in the dark alone are concerned.

--- a/bin/lh-entry/tests/teams.rs
+++ b/bin/lh-entry/tests/teams.rs
@@ -18,6 +18,8 @@
 /// Requests sent after the store's clock has jumped, and the interval between them.
 const REQUESTS_AFTER_JUMP: u32 = 40;
 const JUMP_INTERVAL: Duration = Duration::from_millis(100);
+/// How far the store's clock is off after it changed.
+const CLOCK_CHANGE: Duration = Duration::from_secs(600);
 const RED_KEY: &str = "red-key-4f1d9c";
 const BLUE_KEY: &str = "blue-key-77ab02";
 const RED: TeamFixture<'static> = TeamFixture {
@@ -425,3 +427,66 @@
     assert!(served > REQUESTS_AFTER_JUMP / 2, "{served} served");
     assert!(calls < 200, "{calls} calls");
 }
+
+/// Starts five entries that may accept keys for 2 s without an answer of the store, and waits until
+/// they are ready.
+async fn start_fleet(world: &World) -> Vec<EntryProcess> {
+    let bounds = "revoke = 2s\nrevoke_cut_off = true\nconfig_apply = 1500ms\n";
+    let store = world.store.address();
+    let mut entries = vec![EntryProcess::start_with_bounds(store, "n0", bounds)];
+    for number in 1..5 {
+        let name = format!("n{number}");
+        entries.push(EntryProcess::start_with_peer(
+            &entries[0],
+            store,
+            &name,
+            bounds,
+        ));
+    }
+    for entry in &entries {
+        entry.wait_ready().await;
+    }
+    entries
+}
+
+/// Lets the store be away until no entry accepts keys, and then answer after `change`. All entries
+/// must accept them again.
+async fn assert_keys_accepted_after_outage(change: impl FnOnce(&World)) {
+    let world = world(1, &[RED]).await;
+    world.store.advance_clock(CLOCK_CHANGE);
+    let entries = start_fleet(&world).await;
+    world.store.set_faults(FaultPlan::outage());
+    for entry in &entries {
+        until("the entry refuses keys", async || {
+            entry.status("/ready").await != Some(200)
+        })
+        .await;
+    }
+    change(&world);
+    world.store.set_faults(FaultPlan::default());
+    for (number, entry) in entries.iter().enumerate() {
+        until(&format!("entry {number} accepts keys"), async || {
+            entry.status("/ready").await == Some(200)
+        })
+        .await;
+    }
+}
+
+/// Entries that aren't listed, because they refuse keys, don't wait for others that can't prove
+/// anything to them by a clock that started anew.
+#[tokio::test]
+async fn a_store_clock_that_starts_anew_leaves_no_entry_without_keys() {
+    assert_keys_accepted_after_outage(|world| world.store.restart_clock()).await;
+}
+
+/// The same for a clock that ran ahead meanwhile.
+#[tokio::test]
+async fn a_store_clock_that_ran_ahead_leaves_no_entry_without_keys() {
+    assert_keys_accepted_after_outage(|world| world.store.advance_clock(CLOCK_CHANGE)).await;
+}
+
+/// The same for a clock that goes on.
+#[tokio::test]
+async fn an_outage_of_the_store_leaves_no_entry_without_keys() {
+    assert_keys_accepted_after_outage(|_| ()).await;
+}
--- a/crates/place/src/fleet/member/fetch.rs
+++ b/crates/place/src/fleet/member/fetch.rs
@@ -16,6 +16,8 @@
 const PROOF_RENEWAL_FRACTION: f64 = 0.64;
 /// Additional fraction over which entries are spread.
 const PROOF_JITTER_FRACTION: f64 = 0.06;
+/// Time over which entries are spread that can't use the proof of their leads.
+const UNUSABLE_PROOF_JITTER: Duration = Duration::from_millis(2000);
 /// Additional time over which entries without requests are spread.
 const LONE_WATCH_JITTER: Duration = Duration::from_millis(800);
 
@@ -146,16 +148,38 @@
     }
 
     /// Whether an entry that receives requests will soon lack the proof these require. It
-    /// then calls the store itself, whether or not others could provide the proof.
-    fn needs_proof(&self, now: Instant) -> bool {
-        let Some(within) = self.local_state.proof_within.filter(|_| self.is_listed()) else {
+    /// then calls the store itself, whether or not others could provide the proof. So does one
+    /// that isn't listed for want of a proof if it can't use that of its leads.
+    fn needs_proof(&mut self, now: Instant) -> bool {
+        let Some(within) = self.local_state.proof_within else {
             return false;
         };
+        if !self.is_listed() {
+            return self.lacks_usable_proof(now, within);
+        }
         let jitter = self.search.jitter(within.mul_f64(PROOF_JITTER_FRACTION));
         let max_age = within.mul_f64(PROOF_RENEWAL_FRACTION) + jitter;
         self.proof_age(now).is_none_or(|age| age >= max_age)
     }
 
+    /// Whether the leads' proof has been unusable for long enough: this entry's bound of the
+    /// store's clock contradicts it, and only the store itself can correct the bound.
+    fn lacks_usable_proof(&mut self, now: Instant, within: Duration) -> bool {
+        let is_unusable = |lead: &LeadRecord| {
+            let proved = lead.store_progress.proved;
+            proved.is_some() && self.clock.age(now, proved).is_none()
+        };
+        let is_lacking = self.store_progress.is_complete()
+            && self.proof_age(now).is_none_or(|age| age >= within)
+            && self.leads.live_leads(now).any(is_unusable);
+        if !is_lacking {
+            self.proof_unusable_since = None;
+            return false;
+        }
+        let since = *self.proof_unusable_since.get_or_insert(now);
+        now.saturating_duration_since(since) >= self.search.jitter(UNUSABLE_PROOF_JITTER)
+    }
+
     /// Whether an entry without a lead watches the operator's rows itself. Entries that
     /// receive requests do so soon; the others wait long enough for a new lead to be
     /// found.
--- a/crates/place/src/fleet/member/mod.rs
+++ b/crates/place/src/fleet/member/mod.rs
@@ -201,6 +201,8 @@
     /// Current leads and substitutes of the region.
     candidates: Vec<LeadCandidate>,
     listed_regions: Vec<String>,
+    /// Since when the leads' proof that the operator's rows are current has been unusable.
+    proof_unusable_since: Option<Instant>,
     is_isolated: bool,
     is_watching: bool,
     heartbeat_due: Instant,
@@ -241,6 +243,7 @@
             lead_since: None,
             candidates: Vec::new(),
             listed_regions: Vec::new(),
+            proof_unusable_since: None,
             is_isolated: true,
             is_watching: false,
             heartbeat_due: now,
