--- a/bin/lh-entry/src/rollout_rows.rs
+++ b/bin/lh-entry/src/rollout_rows.rs
@@ -173,8 +173,13 @@
 }
 
 fn decode_record(row: &Row) -> Option<RolloutRecord> {
-    match serde_json::from_str(&row.value) {
-        Ok(record) => Some(record),
+    match serde_json::from_str::<RolloutRecord>(&row.value) {
+        Ok(record) if record.order.is_valid() => Some(record),
+        Ok(record) => {
+            let seconds = record.order.duration.as_secs();
+            log::warn!(key = row.key.as_str(), seconds; "ignoring the row of a rollout that takes too long");
+            None
+        }
         Err(error) => {
             log::warn!(key = row.key.as_str(), error:%; "ignoring an invalid row of a rollout");
             None
--- a/bin/lh-entry/tests/world/mod.rs
+++ b/bin/lh-entry/tests/world/mod.rs
@@ -195,6 +195,11 @@
         entry
     }
 
+    /// Whether the process runs.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
     pub async fn wait_ready(&self) {
         until("the entry is ready", async || {
             self.status("/ready").await == Some(200)
--- a/crates/rollout/src/order.rs
+++ b/crates/rollout/src/order.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+/// Longest rollout. Longer times don't come from an operator, and sums of them overflow.
+const MAX_DURATION: Duration = Duration::from_secs(366 * 24 * 3600);
+
 base::common! {
     /// An operator's order to move a service to another version.
     #[derive(Eq)]
@@ -48,6 +51,13 @@
     }
 }
 
+impl RolloutOrder {
+    /// Whether its duration is one that can be meant.
+    pub fn is_valid(&self) -> bool {
+        self.duration <= MAX_DURATION
+    }
+}
+
 impl RolloutPhase {
     /// Returns the phase as a word, for logs and operators.
     pub const fn as_str(self) -> &'static str {
