Soak: rows of servers that lost power expire, and servers return in any order

Cause: after a loss of power the soak kept all rows, and servers returned in the order in which they had started, those of rolled-out versions last; a lead never saw one version without the other, which is what completed rollouts early. Change: rows that no run has renewed 4.5 s after the loss are deleted, and the order of the return is drawn, apart from the other draws, so that the faults of known seeds stay as they were.

--- a/bin/lh-soak/src/churn.rs
+++ b/bin/lh-soak/src/churn.rs
@@ -26,7 +26,7 @@
 /// Interval between the heartbeats of a server.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1500);
 /// Time without heartbeats after which a row expires.
-const ROW_EXPIRY: Duration = Duration::from_millis(4500);
+pub(crate) const ROW_EXPIRY: Duration = Duration::from_millis(4500);
 
 /// Lets servers leave and starts replacements. For some departed servers an earlier heartbeat is
 /// applied late.
--- a/bin/lh-soak/src/power.rs
+++ b/bin/lh-soak/src/power.rs
@@ -5,11 +5,13 @@
 use std::time::Duration;
 
 use platform_standin::FaultPlan;
+use rand::seq::SliceRandom as _;
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
 use tokio::time::sleep;
 
+use crate::churn::ROW_EXPIRY;
 use crate::error::Result;
 use crate::history::{RunEvent, millis};
 use crate::servers::SoakServer;
@@ -19,6 +21,8 @@
 const SEED_MASK: u64 = 0x0b1a_c000;
 /// Largest number of losses in a series.
 const MAX_LOSSES: usize = 3;
+/// The same for the order in which servers come back.
+const ORDER_SEED_MASK: u64 = 0x0b1a_c001;
 /// Range of the time between two losses of a series, from the return, in milliseconds.
 const SERIES_INTERVAL_MS: std::ops::Range<u64> = 200..4000;
 /// Range of the time for which the power is lost, in milliseconds.
@@ -70,6 +74,8 @@
     pub entry_return: Duration,
     /// Time over which the servers come back.
     pub server_return: Duration,
+    /// Seed of the order in which the servers come back.
+    pub order_seed: u64,
     /// Time for which servers that came back accept connections and answer nothing.
     pub server_silence: Duration,
     /// One in this many entries keeps its process, which stands still meanwhile; 0 for none.
@@ -95,6 +101,7 @@
 pub fn draw_losses(seed: u64) -> Vec<PowerLoss> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ SEED_MASK);
     let count = rng.random_range(1..=MAX_LOSSES);
+    let mut order_rng = ChaCha8Rng::seed_from_u64(seed ^ ORDER_SEED_MASK);
     let mut draw = || PowerLoss {
         after: Duration::from_millis(rng.random_range(SERIES_INTERVAL_MS)),
         servers_first: rng.random(),
@@ -102,6 +109,7 @@
         down: Duration::from_millis(rng.random_range(DOWN_MS)),
         entry_return: draw_return(&mut rng),
         server_return: draw_return(&mut rng),
+        order_seed: order_rng.random(),
         server_silence: Duration::ZERO,
         surviving: 0,
         store_fault: None,
@@ -154,6 +162,7 @@
         }
         let store_fault = tokio::spawn(disturb_store(Arc::clone(&world), loss.store_fault));
         let servers = cut(&world, loss).await?;
+        tokio::spawn(expire_rows(Arc::clone(&world), servers.clone()));
         sleep(loss.down).await;
         let (entries, servers) = tokio::join!(
             return_entries(&world, loss.entry_return),
@@ -218,6 +227,14 @@
     Ok(())
 }
 
+/// Expires the rows of `servers`, which have just ended, unless they come back in time.
+async fn expire_rows(world: Arc<World>, servers: Vec<SoakServer>) {
+    sleep(ROW_EXPIRY).await;
+    for server in &servers {
+        world.server_pool.expire_row(server);
+    }
+}
+
 async fn return_entries(world: &World, spread: Duration) -> Result<()> {
     let count = world.entries.len();
     let step = spread / u32::try_from(count.max(1)).unwrap_or(u32::MAX);
@@ -231,7 +248,9 @@
 
 async fn return_servers(world: &World, servers: &[SoakServer], loss: &PowerLoss) -> Result<()> {
     let step = loss.server_return / u32::try_from(servers.len().max(1)).unwrap_or(u32::MAX);
-    for server in servers {
+    let mut order: Vec<&SoakServer> = servers.iter().collect();
+    order.shuffle(&mut ChaCha8Rng::seed_from_u64(loss.order_seed));
+    for server in order {
         sleep(step).await;
         restart(world, server, loss.server_silence).await?;
     }
--- a/bin/lh-soak/src/servers.rs
+++ b/bin/lh-soak/src/servers.rs
@@ -278,6 +278,14 @@
     }
 
     /// Deletes the row of a departed server.
+    /// Deletes the row of `server` if no later run has registered under its id.
+    pub(crate) fn expire_row(&self, server: &SoakServer) {
+        let row = self.store.row(TABLE, &server.id);
+        if row.is_some_and(|row| row["born"].as_u64() == server.started) {
+            self.store.delete_row(TABLE, &server.id);
+        }
+    }
+
     pub(crate) fn delete_row(&self, server: &SoakServer) {
         self.store.delete_row(TABLE, &server.id);
     }
