Interim responses without end are broken off after 1 MiB

Cause: the parser reads on while bytes arrive and drops interim responses, so that its limit of a head never applies, and the entry's only thread runs nothing else. The request's deadline comes later, and late. Ruled out: a limit on time, which the busy thread would notice late as well. Change: a connection counts bytes until the head of the response has arrived. Other tasks run after each 64 KiB, the connection ends at 1 MiB.

--- a/bin/lh-entry/src/connect/stream.rs
+++ b/bin/lh-entry/src/connect/stream.rs
@@ -1,7 +1,8 @@
-//! A connection to a server that is reset if a request on it is given up.
+//! A connection to a server that is reset if a request on it is given up, and that ends if the
+//! server sends much without the head of a response.
 
 use std::cell::Cell;
-use std::io::{IoSlice, Result};
+use std::io::{Error, ErrorKind, IoSlice, Result};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -11,19 +12,42 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Whether a connection carries a request that has no complete response.
+/// Maximum number of bytes before the head of a response, interim responses included. A read may
+/// hold a part of the body already, and the head is noticed some reads later.
+const MAX_BYTES_BEFORE_HEAD: usize = 1 << 20;
+/// Bytes after which other tasks run before more are read of a head.
+const READ_BURST_BYTES: usize = 64 << 10;
+
+/// How far a connection is with its request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum RequestPhase {
+    /// There is none, or its response is complete.
+    #[default]
+    Idle,
+    /// The head of its response hasn't arrived, but this many bytes.
+    HeadAwaited(usize),
+    /// The response arrives.
+    HeadReceived,
+}
+
+/// Shows a connection how far its request is.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct RequestMark(Rc<Cell<bool>>);
+pub(crate) struct RequestMark(Rc<Cell<RequestPhase>>);
 
 impl RequestMark {
     /// Records that a request is about to be sent.
     pub(crate) fn on_request(&self) {
-        self.0.set(true);
+        self.0.set(RequestPhase::HeadAwaited(0));
+    }
+
+    /// Records that the head of its response has arrived.
+    pub(crate) fn on_head(&self) {
+        self.0.set(RequestPhase::HeadReceived);
     }
 
     /// Records that its response is complete.
     pub(crate) fn on_complete(&self) {
-        self.0.set(false);
+        self.0.set(RequestPhase::Idle);
     }
 }
 
@@ -34,6 +58,8 @@
 pub(crate) struct ServerStream {
     stream: TcpStream,
     mark: RequestMark,
+    /// Bytes of a head that were read since other tasks last ran.
+    burst: usize,
 }
 
 impl ServerStream {
@@ -42,6 +68,7 @@
         Self {
             stream,
             mark: mark.clone(),
+            burst: 0,
         }
     }
 
@@ -52,7 +79,7 @@
 
 impl Drop for ServerStream {
     fn drop(&mut self) {
-        if !self.mark.0.get() {
+        if self.mark.0.get() == RequestPhase::Idle {
             return;
         }
         if let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)) {
@@ -67,7 +94,30 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
-        self.stream().poll_read(context, buffer)
+        let RequestPhase::HeadAwaited(received) = self.mark.0.get() else {
+            return self.stream().poll_read(context, buffer);
+        };
+        if received >= MAX_BYTES_BEFORE_HEAD {
+            let text = format!("{received} bytes without the head of a response");
+            return Poll::Ready(Err(Error::new(ErrorKind::InvalidData, text)));
+        }
+        if self.burst >= READ_BURST_BYTES {
+            // The parser reads on while there are bytes, so that a server that sends interim
+            // responses without end would keep all other requests waiting.
+            self.burst = 0;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let filled = buffer.filled().len();
+        let result = self.stream().poll_read(context, buffer);
+        let read = buffer.filled().len() - filled;
+        self.burst = if result.is_ready() {
+            self.burst + read
+        } else {
+            0
+        };
+        self.mark.0.set(RequestPhase::HeadAwaited(received + read));
+        result
     }
 }
 
--- a/bin/lh-entry/src/job.rs
+++ b/bin/lh-entry/src/job.rs
@@ -342,6 +342,7 @@
             }
             Ok(Ok(response)) => response,
         };
+        lease.on_head();
         self.handle_response(route, guard, lease, (response, body))
             .await
     }
--- a/bin/lh-entry/src/pool.rs
+++ b/bin/lh-entry/src/pool.rs
@@ -233,6 +233,11 @@
         &self.server
     }
 
+    /// Records that the head of the response to the request has arrived.
+    pub(crate) fn on_head(&self) {
+        self.mark.on_head();
+    }
+
     /// Records that the response to the request is complete: dropping the lease closes the
     /// connection in good order.
     pub(crate) fn on_complete(&self) {
--- a/bin/lh-entry/src/relay/mod.rs
+++ b/bin/lh-entry/src/relay/mod.rs
@@ -146,6 +146,7 @@
             }
             Ok(Ok(response)) => response,
         };
+        lease.on_head();
         let (parts, body) = response.into_parts();
         let status = parts.status;
         self.record.on_response(status, None);
--- a/bin/lh-entry/src/ticket_forward.rs
+++ b/bin/lh-entry/src/ticket_forward.rs
@@ -101,6 +101,7 @@
         }
         Ok(Ok(response)) => response,
     };
+    lease.on_head();
     let (parts, body) = response.into_parts();
     let stream = ResponseStream::new(state, Bytes::new(), body, lease, limit);
     let mut response = Response::new(ResponseBody::streamed(stream));
--- a/bin/lh-entry/tests/unending.rs
+++ b/bin/lh-entry/tests/unending.rs
@@ -6,11 +6,12 @@
 
 use http_body_util::BodyExt as _;
 use platform_standin::{
-    Behavior, EndlessPart, FakeBackend, RouteFixture, desired_state, with_idle_timeout,
+    Behavior, EndlessPart, FakeBackend, RouteFixture, desired_state, server_entry,
+    with_idle_timeout,
 };
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-use tokio::net::TcpStream;
-use world::{BOARD, EntryProcess, WAIT_TIMEOUT, World, connect, request, until};
+use tokio::net::{TcpListener, TcpStream};
+use world::{BOARD, EntryProcess, WAIT_TIMEOUT, World, connect, exchange, request, until};
 
 /// Size of a response that is forwarded while it arrives, in bytes.
 const LARGE_BYTES: usize = 2_000_000;
@@ -142,6 +143,36 @@
     .await;
 }
 
+/// Interim responses without end occupied the entry until the request's deadline. A server gets rid
+/// of few of them before its connection ends.
+#[tokio::test]
+async fn interim_responses_without_end_are_broken_off_early() {
+    const MAX_TAKEN_BYTES: usize = 16 << 20;
+    let world = World::new(0).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let row = server_entry("board", listener.local_addr().unwrap(), "ready", 1);
+    world.store.put("servers", "i-endless", &row);
+    let entry = EntryProcess::ready(&world, "n1").await;
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut head = vec![0; 4096];
+        assert!(stream.read(&mut head).await.unwrap() > 0);
+        let interim = b"HTTP/1.1 102 Processing\r\n\r\n".repeat(500);
+        let mut taken = 0;
+        while taken <= MAX_TAKEN_BYTES && stream.write_all(&interim).await.is_ok() {
+            taken += interim.len();
+        }
+        taken
+    });
+    let mut sender = connect(entry.callers()).await.unwrap();
+    let asked =
+        tokio::spawn(async move { exchange(&mut sender, request("GET", "/board/x", "a")).await });
+    let taken = server.await.unwrap();
+    assert!(taken <= MAX_TAKEN_BYTES, "{taken} bytes taken");
+    let answer = asked.await.unwrap().expect("an answer");
+    assert_eq!(answer.status, 502, "{answer:?}");
+}
+
 /// A server may send bytes without end wherever a reader waits for something else: each request
 /// ends, none looks complete that isn't, and the entry stays within its memory.
 #[tokio::test(flavor = "multi_thread")]
