Uploads to live servers that read late are no longer broken off

Cause: TCP_USER_TIMEOUT of 1.2 s, which finds servers without power, also counts the time for which bytes wait for a live server's closed window. Ruled out: the kernel's time of the last acknowledgement, for which the libraries in use have no safe call; a probe connection for each slow upload. Change: a request of 16 KiB or more, or of unknown size, may wait until its deadline; smaller ones keep 1.2 s. The same for relays and tickets.

--- a/bin/lh-entry/src/connect/stream.rs
+++ b/bin/lh-entry/src/connect/stream.rs
@@ -30,24 +30,36 @@
     HeadReceived,
 }
 
-/// Shows a connection how far its request is.
+/// Shows a connection how far its request is, and how long the server may take to accept bytes.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct RequestMark(Rc<Cell<RequestPhase>>);
+pub(crate) struct RequestMark(Rc<RequestState>);
+
+#[derive(Debug, Default)]
+struct RequestState {
+    phase: Cell<RequestPhase>,
+    /// The `TCP_USER_TIMEOUT` that the request needs.
+    user_timeout: Cell<Duration>,
+}
 
 impl RequestMark {
     /// Records that a request is about to be sent.
     pub(crate) fn on_request(&self) {
-        self.0.set(RequestPhase::HeadAwaited(0));
+        self.0.phase.set(RequestPhase::HeadAwaited(0));
+    }
+
+    /// Sets the time for which bytes of the request may wait to be acknowledged.
+    pub(crate) fn set_user_timeout(&self, timeout: Duration) {
+        self.0.user_timeout.set(timeout);
     }
 
     /// Records that the head of its response has arrived.
     pub(crate) fn on_head(&self) {
-        self.0.set(RequestPhase::HeadReceived);
+        self.0.phase.set(RequestPhase::HeadReceived);
     }
 
     /// Records that its response is complete.
     pub(crate) fn on_complete(&self) {
-        self.0.set(RequestPhase::Idle);
+        self.0.phase.set(RequestPhase::Idle);
     }
 }
 
@@ -60,6 +72,8 @@
     mark: RequestMark,
     /// Bytes of a head that were read since other tasks last ran.
     burst: usize,
+    /// The `TCP_USER_TIMEOUT` in force.
+    user_timeout: Duration,
 }
 
 impl ServerStream {
@@ -69,6 +83,19 @@
             stream,
             mark: mark.clone(),
             burst: 0,
+            user_timeout: Duration::ZERO,
+        }
+    }
+
+    /// Sets the time-out that the current request needs, if another one is in force.
+    fn apply_user_timeout(&mut self) {
+        let needed = self.mark.0.user_timeout.get();
+        if needed == self.user_timeout {
+            return;
+        }
+        self.user_timeout = needed;
+        if let Err(error) = SockRef::from(&self.stream).set_tcp_user_timeout(Some(needed)) {
+            log::debug!(error:%; "failed to set TCP_USER_TIMEOUT");
         }
     }
 
@@ -79,7 +106,7 @@
 
 impl Drop for ServerStream {
     fn drop(&mut self) {
-        if self.mark.0.get() == RequestPhase::Idle {
+        if self.mark.0.phase.get() == RequestPhase::Idle {
             return;
         }
         if let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)) {
@@ -94,7 +121,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
-        let RequestPhase::HeadAwaited(received) = self.mark.0.get() else {
+        let RequestPhase::HeadAwaited(received) = self.mark.0.phase.get() else {
             return self.stream().poll_read(context, buffer);
         };
         if received >= MAX_BYTES_BEFORE_HEAD {
@@ -116,7 +143,10 @@
         } else {
             0
         };
-        self.mark.0.set(RequestPhase::HeadAwaited(received + read));
+        self.mark
+            .0
+            .phase
+            .set(RequestPhase::HeadAwaited(received + read));
         result
     }
 }
@@ -127,6 +157,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<Result<usize>> {
+        self.apply_user_timeout();
         self.stream().poll_write(context, bytes)
     }
 
@@ -135,6 +166,7 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
+        self.apply_user_timeout();
         self.stream().poll_write_vectored(context, slices)
     }
 
--- a/bin/lh-entry/src/job.rs
+++ b/bin/lh-entry/src/job.rs
@@ -312,7 +312,8 @@
             guard.finish(ServerOutcome::Abandoned, None);
             return AttemptResult::Broken;
         };
-        let Some(sender) = lease.sender() else {
+        let time_left = self.deadline_at.saturating_duration_since(Instant::now());
+        let Some(sender) = lease.sender(body.size(), time_left) else {
             guard.finish(ServerOutcome::Unreachable, None);
             return AttemptResult::Unsent;
         };
--- a/bin/lh-entry/src/pool.rs
+++ b/bin/lh-entry/src/pool.rs
@@ -11,7 +11,6 @@
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{CONNECTION, HeaderName};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
@@ -22,6 +21,9 @@
 /// `TCP_USER_TIMEOUT` of connections to servers. It detects a server that lost power before most
 /// deadlines expire.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Size from which on a server may leave a part of a request unread for as long as it works. The
+/// kernel counts this time like that of a server that is gone, so that only the deadline ends it.
+const UNREAD_REQUEST_BYTES: usize = 16 << 10;
 /// How long an idle connection is kept if the server states no keep-alive timeout. Servers with a
 /// timeout of less than a second state none.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_millis(400);
@@ -156,11 +158,6 @@
             Err(_) => return Err("connect timed out".to_owned()),
         };
         let _ = stream.set_nodelay(true);
-        if let Err(error) =
-            SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
-        {
-            log::debug!(error:%; "failed to set TCP_USER_TIMEOUT");
-        }
         let mark = RequestMark::default();
         let (sender, connection) = Builder::new()
             .handshake(TokioIo::new(ServerStream::new(stream, &mark)))
@@ -222,9 +219,20 @@
 }
 
 impl ConnectionLease {
-    /// Returns the half that sends requests, for a request that is sent now.
-    pub(crate) fn sender(&mut self) -> Option<&mut SendRequest<RequestBody>> {
+    /// Returns the half that sends requests, for a request with `body_bytes` that is sent now and
+    /// has `time_left`.
+    pub(crate) fn sender(
+        &mut self,
+        body_bytes: usize,
+        time_left: Duration,
+    ) -> Option<&mut SendRequest<RequestBody>> {
         self.mark.on_request();
+        self.mark
+            .set_user_timeout(if body_bytes < UNREAD_REQUEST_BYTES {
+                UNACKNOWLEDGED_TIMEOUT
+            } else {
+                time_left.max(UNACKNOWLEDGED_TIMEOUT)
+            });
         self.sender.as_mut()
     }
 
--- a/bin/lh-entry/src/relay/mod.rs
+++ b/bin/lh-entry/src/relay/mod.rs
@@ -125,7 +125,8 @@
         let Some(request) = self.build_relayed(route, body) else {
             return AttemptResult::Broken;
         };
-        let Some(sender) = lease.sender() else {
+        let time_left = self.deadline_at.saturating_duration_since(Instant::now());
+        let Some(sender) = lease.sender(body.size(), time_left) else {
             guard.finish(RelayOutcome::Unreachable);
             return AttemptResult::Unsent;
         };
--- a/bin/lh-entry/src/ticket_forward.rs
+++ b/bin/lh-entry/src/ticket_forward.rs
@@ -82,6 +82,7 @@
         stale_ticket_problem()
     })?;
     let most_bytes = state.limits.get().body_bytes;
+    let body_bytes = if body.is_some() { most_bytes } else { 0 };
     let body = match body {
         Some(body) => RequestBody::streamed(Bytes::new(), body, most_bytes),
         None => RequestBody::buffered(Bytes::new()),
@@ -91,7 +92,9 @@
     *request.uri_mut() = parts.uri;
     *request.headers_mut() = parts.headers;
     strip_hop_by_hop_headers(request.headers_mut());
-    let sender = lease.sender().ok_or_else(stale_ticket_problem)?;
+    let time_left = deadline_at.saturating_duration_since(Instant::now());
+    let sender = lease.sender(body_bytes, time_left);
+    let sender = sender.ok_or_else(stale_ticket_problem)?;
     let response = match timeout_at(deadline_at.into(), sender.try_send_request(request)).await {
         Err(_) => return Err(unknown("the instance of the ticket did not answer in time")),
         Ok(Err(error)) if error.message().is_some() => return Err(stale_ticket_problem()),
