The header timeout doesn't run while a response is being sent

Cause: the timeout began when the head of the response was handed over, and the request behind it counted as a head that doesn't come. Change: neither header nor idle timeout runs while the body of a response is open, or bytes of it wait for the caller; the latter still leaves after the idle timeout.

--- a/bin/lh-entry/src/accept.rs
+++ b/bin/lh-entry/src/accept.rs
@@ -90,7 +90,7 @@
                 biased;
                 response = respond(&state, &pipeline, request) => {
                     progress.on_response();
-                    Ok(response)
+                    Ok(response.map(|body| body.with_guard(progress.body_guard())))
                 }
                 // The connection reads nothing while bytes of the caller's wait, so it doesn't
                 // notice the end behind them.
--- a/bin/lh-entry/src/accept/progress.rs
+++ b/bin/lh-entry/src/accept/progress.rs
@@ -1,11 +1,14 @@
 //! Tracks what a caller's connection waits for, for its timeouts.
 
 use std::cell::{Cell, RefCell};
+use std::rc::Rc;
 use std::task::Waker;
 use std::time::{Duration, Instant};
 
 use hyper::Version;
 
+use crate::body::CountGuard;
+
 /// A timeout that has expired on a connection.
 pub(super) enum ConnectionTimeout {
     /// The headers of a request have started but not arrived completely.
@@ -22,6 +25,8 @@
     since: Cell<Instant>,
     head_started: Cell<bool>,
     responding: Cell<bool>,
+    /// Number of response bodies that the connection hasn't taken completely.
+    open_bodies: Rc<Cell<usize>>,
     /// Since when the caller has taken none of the bytes that wait for it.
     blocked_since: Cell<Option<Instant>>,
     /// Whether the caller takes the end of the connection for the end of a response of unknown
@@ -39,6 +44,7 @@
             since: Cell::new(Instant::now()),
             head_started: Cell::new(false),
             responding: Cell::new(false),
+            open_bodies: Rc::default(),
             blocked_since: Cell::new(None),
             ends_by_close: Cell::new(false),
             is_broken_off: Cell::new(false),
@@ -74,6 +80,11 @@
         }
     }
 
+    /// Returns a guard for the body of a response, to be kept until the connection has taken it.
+    pub(super) fn body_guard(&self) -> CountGuard {
+        CountGuard::new(&self.open_bodies, 1)
+    }
+
     /// Records a write, and whether the caller took any bytes.
     pub(super) fn on_write(&self, is_taken: bool) {
         let since = self.blocked_since.get();
@@ -105,6 +116,11 @@
         if self.responding.get() {
             return None;
         }
+        if self.open_bodies.get() > 0 || blocked_since.is_some() {
+            // The next request is due once this response has been sent.
+            self.since.set(Instant::now());
+            return None;
+        }
         let wait_time = self.since.get().elapsed();
         if self.head_started.get() {
             return (wait_time > head).then_some(ConnectionTimeout::Head);
