A stopping entry waits for callers on slow links

Cause: a request counted as done when its connection had taken the response; the process exited with what the socket didn't hold. Change: a stop waits until all connections of callers are closed, within grace.

--- a/bin/lh-entry/src/stop.rs
+++ b/bin/lh-entry/src/stop.rs
@@ -15,7 +15,7 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(350);
 /// Interval at which the shutdown checks for pending requests.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Time for transmitting the last response before connections are closed.
+/// Time for transmitting the last response of other entries' requests.
 const CLOSE_DELAY: Duration = Duration::from_millis(150);
 
 /// Phase of the shutdown.
@@ -45,7 +45,9 @@
     state.metrics.set_draining_time(begun.elapsed());
     set_phase(state, StopPhase::Refusing);
     let exit_deadline = state.config.grace.saturating_sub(EXIT_MARGIN);
-    while state.in_flight.get() > 0 && begun.elapsed() < exit_deadline {
+    // A response that is handed to its connection may still wait for its caller.
+    let is_pending = || state.in_flight.get() > 0 || state.metrics.connections.get() > 0;
+    while is_pending() && begun.elapsed() < exit_deadline {
         state.metrics.set_draining_time(begun.elapsed());
         tokio::time::sleep(POLL_INTERVAL).await;
     }
