Connections are closed once their callers have read the last response

Cause: closing a socket with unread bytes resets the connection, and what its peer hasn't received is lost. Change: after its last response a connection is closed for writing only, and what the caller still sends is dropped until it has closed its side, 5 s at most. Responses that must not look complete still end in a reset.

--- a/bin/lh-entry/src/accept.rs
+++ b/bin/lh-entry/src/accept.rs
@@ -76,6 +76,7 @@
     let pipeline = Rc::new(RefCell::new(RequestPipeline::new(&state)));
     let follows_requests = state.config.pipelined_requests > 1;
     let stream = CallerStream::new(stream);
+    let socket = stream.clone();
     let io = CallerIo::new(stream.clone(), &progress, &pipeline, follows_requests);
     let served = Rc::clone(&state);
     let (served_progress, served_pipeline) = (Rc::clone(&progress), Rc::clone(&pipeline));
@@ -115,6 +116,9 @@
                         progress.on_broken_off();
                     }
                 }
+                if !progress.needs_reset() {
+                    socket.linger().await;
+                }
                 break;
             }
             changed = stopping.changed() => {
--- a/bin/lh-entry/src/accept/caller_stream.rs
+++ b/bin/lh-entry/src/accept/caller_stream.rs
@@ -12,11 +12,18 @@
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 /// Interval at which it is checked whether a caller that waits for its response has left. The
 /// readiness of a socket with unread bytes can't be awaited for its end alone.
 const END_CHECK_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Maximum time for which a connection that the entry has closed is kept until its caller has
+/// closed it too.
+const LINGER_TIME: Duration = Duration::from_secs(5);
+/// Number of bytes of a read whose bytes are dropped.
+const DROPPED_READ_BYTES: usize = 4 << 10;
+
 /// A caller's socket.
 #[derive(Debug, Clone)]
 pub(super) struct CallerStream(Rc<TcpStream>);
@@ -46,6 +53,26 @@
         }
     }
 
+    /// Waits until the caller has closed its side of a connection whose other side has been closed,
+    /// and drops what it still sends. Closing a socket with unread bytes resets the connection,
+    /// and the rest of the last response is lost.
+    pub(super) async fn linger(&self) {
+        let dropping = async {
+            let mut buffer = [0; DROPPED_READ_BYTES];
+            while self.0.readable().await.is_ok() {
+                match self.0.try_read(&mut buffer) {
+                    Ok(0) => return,
+                    Ok(_) => {}
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(_) => return,
+                }
+            }
+        };
+        if timeout(LINGER_TIME, dropping).await.is_err() {
+            log::debug!("a caller kept its side of a closed connection open");
+        }
+    }
+
     fn has_ended(&self) -> bool {
         match self.0.ready(Interest::READABLE).now_or_never() {
             Some(Ok(ready)) => ready.is_read_closed(),
