A large response that is broken off costs no response behind it

Cause: a response that is forwarded as it arrives can be broken off only by closing its connection, which drops the responses held for those behind it. Ruled out: starting nothing early, which pipelining callers would pay for on every connection. Change: where requests behind have been started, a large response is read completely first, up to 1 MiB and within the memory for buffers, so that 502 can take its place. While one is being forwarded, nothing behind it is started.

--- a/bin/lh-entry/src/accept/pipeline.rs
+++ b/bin/lh-entry/src/accept/pipeline.rs
@@ -3,21 +3,33 @@
 //! A caller that doesn't wait for a response before it sends the next request would otherwise
 //! wait for the sum of all responses.
 
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
 
+use base::prelude::Outcome;
+use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
-use hyper::{Request, Response};
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use platform::headers::{parse_caller, write_request_id};
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
 use crate::accept::head_scanner::FoundRequest;
-use crate::body::ResponseBody;
+use crate::body::{CountGuard, ResponseBody};
 use crate::handler;
+use crate::problem::set_outcome;
+use crate::response_stream::StreamError;
 use crate::state::InstanceState;
 use crate::stop::StopPhase;
 
+/// Maximum size of a response that is read completely because requests behind it were started, in
+/// bytes. If it is broken off, these still get their responses.
+const MAX_HELD_BYTES: usize = 1 << 20;
+/// Part of the memory that such responses and other buffers may use, as a divisor.
+const HELD_MEMORY_DIVISOR: usize = 4;
+
 /// A request that was started before its turn. It is cancelled when dropped.
 struct StartedRequest {
     index: u64,
@@ -42,6 +54,9 @@
     /// Requests that may be started, oldest first.
     waiting: VecDeque<(u64, Parts)>,
     started: VecDeque<StartedRequest>,
+    /// Number of responses that are being forwarded as they arrive. If one is broken off, the
+    /// connection ends, and with it all requests behind it.
+    streaming: Rc<Cell<usize>>,
 }
 
 impl RequestPipeline {
@@ -53,6 +68,7 @@
             taken: 0,
             waiting: VecDeque::new(),
             started: VecDeque::new(),
+            streaming: Rc::default(),
         }
     }
 
@@ -96,6 +112,7 @@
         // The request whose turn it is counts as well.
         while self.started.len() + 1 < self.state.config.pipelined_requests
             && self.state.stop.get() == StopPhase::Serving
+            && self.streaming.get() == 0
         {
             let Some((index, parts)) = self.waiting.pop_front() else {
                 return;
@@ -117,7 +134,57 @@
 
 /// Serves a request whose turn has come.
 pub(super) async fn serve(
-    pipeline: &std::cell::RefCell<RequestPipeline>,
+    pipeline: &RefCell<RequestPipeline>,
+    request: Request<Incoming>,
+) -> Response<ResponseBody> {
+    let response = respond(pipeline, request).await;
+    if response.body().is_streamed() {
+        return secure_behind(pipeline, response).await;
+    }
+    response
+}
+
+/// Keeps the end of a response that is forwarded as it arrives from ending requests behind it that
+/// were started: it is read completely first, unless it is too large. Without such requests none
+/// is started until it has been forwarded.
+async fn secure_behind(
+    pipeline: &RefCell<RequestPipeline>,
+    response: Response<ResponseBody>,
+) -> Response<ResponseBody> {
+    let (parts, mut body) = response.into_parts();
+    let state = Rc::clone(&pipeline.borrow().state);
+    let memory = state.config.memory_bytes / HELD_MEMORY_DIVISOR;
+    let has_room = state.buffered.get() + MAX_HELD_BYTES < memory;
+    if pipeline.borrow().has_started() && has_room {
+        let guard = CountGuard::new(&state.buffered, MAX_HELD_BYTES);
+        if let Err(error) = body.hold(MAX_HELD_BYTES).await {
+            return respond_broken_off(&parts.headers, &error);
+        }
+        body = body.with_guard(guard);
+    }
+    if body.is_streamed() {
+        let guard = CountGuard::new(&pipeline.borrow().streaming, 1);
+        body = body.with_guard(guard);
+    }
+    Response::from_parts(parts, body)
+}
+
+/// The response in place of one with `headers` that its server didn't complete.
+fn respond_broken_off(headers: &HeaderMap, error: &StreamError) -> Response<ResponseBody> {
+    let mut response = Response::new(ResponseBody::buffered(Bytes::new()));
+    *response.status_mut() = match error {
+        StreamError::Server(_) => StatusCode::BAD_GATEWAY,
+        StreamError::Timeout => StatusCode::GATEWAY_TIMEOUT,
+    };
+    if let Some(id) = parse_caller(headers).request_id {
+        write_request_id(response.headers_mut(), &id);
+    }
+    set_outcome(&mut response, Outcome::Unknown);
+    response
+}
+
+async fn respond(
+    pipeline: &RefCell<RequestPipeline>,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let started = pipeline.borrow_mut().take(&request);
--- a/bin/lh-entry/src/body.rs
+++ b/bin/lh-entry/src/body.rs
@@ -1,11 +1,12 @@
 //! Bodies of responses to callers and of requests to servers.
 
 use std::cell::Cell;
+use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use quick_error::quick_error;
 
@@ -74,6 +75,38 @@
         }
     }
 
+    /// Whether the body is forwarded as it arrives.
+    pub(crate) fn is_streamed(&self) -> bool {
+        matches!(self.content, ResponseContent::Streamed(_))
+    }
+
+    /// Waits for the end of a body that is forwarded as it arrives, and buffers it. One of more than
+    /// `most_bytes` stays as it was.
+    ///
+    /// # Errors
+    /// Why the body has no end.
+    pub(crate) async fn hold(&mut self, most_bytes: usize) -> Result<(), StreamError> {
+        let mut held = BytesMut::new();
+        while let ResponseContent::Streamed(stream) = &mut self.content {
+            if held.len() > most_bytes {
+                stream.put_back(held.freeze());
+                return Ok(());
+            }
+            match poll_fn(|context| stream.poll_frame(context)).await {
+                Some(frame) => {
+                    if let Some(data) = frame?.data_ref() {
+                        held.extend_from_slice(data);
+                    }
+                }
+                None => {
+                    self.content = ResponseContent::Buffered(Some(held.freeze()));
+                    return Ok(());
+                }
+            }
+        }
+        Ok(())
+    }
+
     /// Keeps `guard` until the body is sent or dropped.
     pub(crate) fn with_guard(mut self, guard: CountGuard) -> Self {
         self.guards.push(guard);
--- a/bin/lh-entry/src/response_stream.rs
+++ b/bin/lh-entry/src/response_stream.rs
@@ -174,6 +174,11 @@
         }
     }
 
+    /// Returns `bytes`, which it gave out, to its start.
+    pub(crate) fn put_back(&mut self, bytes: Bytes) {
+        self.first = Some(bytes).filter(|bytes| !bytes.is_empty());
+    }
+
     /// Whether all of the response was forwarded.
     pub(crate) fn is_end_stream(&self) -> bool {
         self.first.is_none() && self.rest.is_end_stream()
--- a/bin/lh-entry/tests/pipelines.rs
+++ b/bin/lh-entry/tests/pipelines.rs
@@ -4,10 +4,10 @@
 
 use std::time::Duration;
 
-use platform_standin::Behavior;
+use platform_standin::{Behavior, RouteFixture, desired_state, server_entry};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use world::{EntryProcess, WAIT_TIMEOUT, World, until};
+use world::{BOARD, EntryProcess, WAIT_TIMEOUT, World, until};
 
 /// Maximum memory used for ten thousand pipelined requests, in KiB. Their bytes must stay in the
 /// buffers of the caller and the kernel.
@@ -271,3 +271,53 @@
         assert_eq!(world.runs(id), 1, "{id}");
     }
 }
+
+/// Requests that were passed on behind a streamed response were lost with it when its server ended.
+#[tokio::test]
+async fn a_broken_large_response_costs_no_response_behind_it() {
+    const LARGE_BYTES: usize = 900_000;
+    let world = World::new(2).await;
+    let other = RouteFixture {
+        name: "other",
+        prefix: "/other/",
+        service: "other",
+        ..BOARD
+    };
+    world
+        .store
+        .put("op", "config", &desired_state(6, &[BOARD, other]));
+    let (broken, sound) = (&world.backends[0], &world.backends[1]);
+    let row = server_entry("other", sound.address(), "ready", 2);
+    world.store.put("servers", sound.id(), &row);
+    broken.set_behavior(Behavior::LargeTruncated(LARGE_BYTES));
+    let entry = EntryProcess::ready(&world, "n1").await;
+    until("both routes are known", async || {
+        entry.send("GET", "/other/x", "known").await.status == 200
+    })
+    .await;
+    let mut stream = TcpStream::connect(entry.callers()).await.unwrap();
+    let both = text("/board/x", "large") + &text("/other/x", "behind");
+    stream.write_all(both.as_bytes()).await.unwrap();
+    let responses = read_responses(&mut stream, 2).await;
+    let expected = [(502, "large".to_owned()), (200, "behind".to_owned())];
+    assert_eq!(responses, expected);
+}
+
+/// A large response is whole, whether requests behind it were started or not.
+#[tokio::test]
+async fn a_large_response_ahead_of_others_is_whole() {
+    let world = World::new(2).await;
+    let entry = EntryProcess::ready(&world, "n1").await;
+    for bytes in [300_000, 900_000, 3_000_000] {
+        for backend in &world.backends {
+            backend.set_behavior(Behavior::Large(bytes));
+        }
+        let mut stream = TcpStream::connect(entry.callers()).await.unwrap();
+        let ids: Vec<String> = (0..4).map(|number| format!("{bytes}-{number}")).collect();
+        let all: String = ids.iter().map(|id| text("/board/x", id)).collect();
+        stream.write_all(all.as_bytes()).await.unwrap();
+        let responses = read_responses(&mut stream, ids.len()).await;
+        let expected: Vec<_> = ids.into_iter().map(|id| (200, id)).collect();
+        assert_eq!(responses, expected);
+    }
+}
