What callers send to a closing connection stays unread

Cause: a closing connection dropped what its caller still sent by reading it. A request that crosses the close may be sent again only where it wasn't read. Change: the socket is kept as it is until the caller has closed its side.

--- a/bin/lh-entry/src/accept/caller_stream.rs
+++ b/bin/lh-entry/src/accept/caller_stream.rs
@@ -21,8 +21,6 @@
 /// Maximum time for which a connection that the entry has closed is kept until its caller has
 /// closed it too.
 const LINGER_TIME: Duration = Duration::from_secs(5);
-/// Number of bytes of a read whose bytes are dropped.
-const DROPPED_READ_BYTES: usize = 4 << 10;
 
 /// A caller's socket.
 #[derive(Debug, Clone)]
@@ -53,22 +51,11 @@
         }
     }
 
-    /// Waits until the caller has closed its side of a connection whose other side has been closed,
-    /// and drops what it still sends. Closing a socket with unread bytes resets the connection,
-    /// and the rest of the last response is lost.
+    /// Waits until the caller has closed its side of a connection whose other side has been closed.
+    /// Closing a socket with unread bytes resets the connection, and the rest of the last response
+    /// is lost. These bytes stay unread: a request among them may be sent again elsewhere.
     pub(super) async fn linger(&self) {
-        let dropping = async {
-            let mut buffer = [0; DROPPED_READ_BYTES];
-            while self.0.readable().await.is_ok() {
-                match self.0.try_read(&mut buffer) {
-                    Ok(0) => return,
-                    Ok(_) => {}
-                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                    Err(_) => return,
-                }
-            }
-        };
-        if timeout(LINGER_TIME, dropping).await.is_err() {
+        if timeout(LINGER_TIME, self.left()).await.is_err() {
             log::debug!("a caller kept its side of a closed connection open");
         }
     }
