--- a/bin/lh-entry/tests/world/mod.rs
+++ b/bin/lh-entry/tests/world/mod.rs
@@ -146,6 +146,11 @@
         let folder = tempfile::tempdir().unwrap();
         let path = folder.path().join("entry.ini");
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("{seed}:1")).collect();
+        let limits = if bounds.contains("memory_mb") {
+            ""
+        } else {
+            "memory_mb = 260\ndescriptors = 4100\n"
+        };
         let settings = format!(
             "[instance]\nname = {name}\nregion = {region}\ndomain = {zone}\naddress = {ip}\n\
              [entry]\ncallers = {ip}:{CALLER_PORT}\nready = {ip}:{READY_PORT}\n\
@@ -155,7 +160,7 @@
              {settings}[store]\naddress = {store}\n\
              [bounds]\ngrace = 60s\nretry_ratio = 0.2\nretry_slack = 56\n\
              retry_window = 10s\nshift_cap = 0.15\nlookup_ttl_most = 5s\n\
-             memory_mb = 260\ndescriptors = 4100\n{bounds}\
+             {limits}{bounds}\
              [place zone-a]\nregion = north\n[place zone-b]\nregion = south\n",
             PEER_PORT + 1,
             seeds.join(",")
@@ -215,6 +220,12 @@
         self.at(CALLER_PORT)
     }
 
+    /// The addresses for readiness checks, look-ups, metrics and other entries.
+    pub fn internal_addresses(&self) -> [SocketAddr; 4] {
+        let ports = [READY_PORT, LOOKUP_PORT, METRICS_PORT, PEER_PORT + 1];
+        ports.map(|port| self.at(port))
+    }
+
     pub async fn status(&self, path: &str) -> Option<u16> {
         let answer = get(self.at(READY_PORT), path).await?;
         Some(answer.status)
