One account of the memory that bodies of callers use

What callers saw: a crowd whose bodies stopped short of their end ended the process, which ran out of memory. Cause: a body counted when it was complete; while it arrived, each saw the whole quarter of the memory as free, 1 MiB each.

Change: crates/hold keeps one account of all bodies, also of the starts of streamed ones and of responses held for a pipeline. Memory is claimed before it is used and returned when the lease is dropped. Who yields is answered with a 503 and a time to come back, as long as nothing was passed on. A body without memory is streamed, as before. While there is room nobody yields, whatever the pace.

--- a/bin/lh-entry/src/accept/pipeline.rs
+++ b/bin/lh-entry/src/accept/pipeline.rs
@@ -27,8 +27,6 @@
 /// Maximum size of a response that is read completely because requests behind it were started, in
 /// bytes. If it is broken off, these still get their responses.
 const MAX_HELD_BYTES: usize = 1 << 20;
-/// Part of the memory that such responses and other buffers may use, as a divisor.
-const HELD_MEMORY_DIVISOR: usize = 4;
 
 /// A request that was started before its turn. It is cancelled when dropped.
 struct StartedRequest {
@@ -153,14 +151,12 @@
 ) -> Response<ResponseBody> {
     let (parts, mut body) = response.into_parts();
     let state = Rc::clone(&pipeline.borrow().state);
-    let memory = state.config.memory_bytes / HELD_MEMORY_DIVISOR;
-    let has_room = state.buffered.get() + MAX_HELD_BYTES < memory;
-    if pipeline.borrow().has_started() && has_room {
-        let guard = CountGuard::new(&state.buffered, MAX_HELD_BYTES);
+    let lease = state.memory.lease();
+    if pipeline.borrow().has_started() && lease.claim(MAX_HELD_BYTES).is_ok() {
         if let Err(error) = body.hold(MAX_HELD_BYTES).await {
             return respond_broken_off(&parts.headers, &error);
         }
-        body = body.with_guard(guard);
+        body = body.with_lease(lease);
     }
     if body.is_streamed() {
         let guard = CountGuard::new(&pipeline.borrow().streaming, 1);
--- a/bin/lh-entry/src/body.rs
+++ b/bin/lh-entry/src/body.rs
@@ -1,6 +1,7 @@
 //! Bodies of responses to callers and of requests to servers.
 
 use std::cell::Cell;
+use std::collections::VecDeque;
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -10,6 +11,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use quick_error::quick_error;
 
+use crate::memory::MemoryLease;
 use crate::response_stream::{ResponseStream, StreamError};
 
 /// Adds an amount to a counter until it is dropped.
@@ -42,6 +44,8 @@
 pub(crate) struct ResponseBody {
     content: ResponseContent,
     guards: Vec<CountGuard>,
+    /// Memory of a body that was read completely.
+    lease: Option<MemoryLease>,
 }
 
 #[derive(Debug)]
@@ -56,6 +60,7 @@
         Self {
             content: ResponseContent::Buffered(Some(bytes).filter(|bytes| !bytes.is_empty())),
             guards: Vec::new(),
+            lease: None,
         }
     }
 
@@ -64,6 +69,7 @@
         Self {
             content: ResponseContent::Streamed(Box::new(stream)),
             guards: Vec::new(),
+            lease: None,
         }
     }
 
@@ -107,6 +113,12 @@
         Ok(())
     }
 
+    /// Keeps `lease` until the body is sent or dropped.
+    pub(crate) fn with_lease(mut self, lease: MemoryLease) -> Self {
+        self.lease = Some(lease);
+        self
+    }
+
     /// Keeps `guard` until the body is sent or dropped.
     pub(crate) fn with_guard(mut self, guard: CountGuard) -> Self {
         self.guards.push(guard);
@@ -162,35 +174,113 @@
         TooLong {
             display("the caller's body is larger than the limit")
         }
+        /// The body stood still while other requests needed what it occupied.
+        Revoked {
+            display("the caller's body stood still while others needed its place")
+        }
+    }
+}
+
+/// A body of which only the start has been read from the caller.
+#[derive(Debug)]
+pub(crate) struct UnsentBody {
+    first: VecDeque<Bytes>,
+    rest: Incoming,
+    /// Maximum number of bytes that may still arrive from the caller.
+    remaining: usize,
+}
+
+impl UnsentBody {
+    /// Creates a body that starts with `first` and continues with `rest`, up to `limit` bytes.
+    pub(crate) fn new(
+        first: impl IntoIterator<Item = Bytes>,
+        rest: Incoming,
+        limit: usize,
+    ) -> Self {
+        let first: VecDeque<Bytes> = first
+            .into_iter()
+            .filter(|bytes| !bytes.is_empty())
+            .collect();
+        let read: usize = first.iter().map(Bytes::len).sum();
+        Self {
+            first,
+            rest,
+            remaining: limit.saturating_sub(read),
+        }
+    }
+
+    /// The bytes read so far, without those that didn't fit.
+    pub(crate) fn prefix(&self) -> &[u8] {
+        self.first.front().map_or(&[], |bytes| bytes)
     }
 }
 
 /// The body of a request to a backend server.
 #[derive(Debug)]
 pub(crate) struct RequestBody {
-    first: Option<Bytes>,
-    rest: Option<Incoming>,
-    /// Maximum number of bytes that may still arrive from the caller.
+    first: VecDeque<Bytes>,
+    rest: Option<ArrivingBody>,
+}
+
+/// The rest of a body that arrives from its caller.
+#[derive(Debug)]
+struct ArrivingBody {
+    rest: Incoming,
     remaining: usize,
+    /// Memory of the bytes read so far, and the body's place in the account.
+    lease: Rc<MemoryLease>,
+}
+
+impl ArrivingBody {
+    fn poll_frame(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let Poll::Ready(next) = Pin::new(&mut self.rest).poll_frame(context) else {
+            self.lease.on_waiting();
+            return self
+                .lease
+                .poll_revoked(context)
+                .map(|()| Some(Err(BodyError::Revoked)));
+        };
+        self.lease.on_moved();
+        let Some(frame) = next else {
+            return Poll::Ready(None);
+        };
+        let frame = frame?;
+        let length = frame.data_ref().map_or(0, Bytes::len);
+        Poll::Ready(Some(match self.remaining.checked_sub(length) {
+            Some(remaining) => {
+                self.remaining = remaining;
+                Ok(frame)
+            }
+            None => Err(BodyError::TooLong),
+        }))
+    }
 }
 
 impl RequestBody {
     /// Creates a body of `bytes`.
     pub(crate) fn buffered(bytes: Bytes) -> Self {
         Self {
-            first: Some(bytes).filter(|bytes| !bytes.is_empty()),
+            first: Some(bytes)
+                .into_iter()
+                .filter(|bytes| !bytes.is_empty())
+                .collect(),
             rest: None,
-            remaining: 0,
         }
     }
 
-    /// Creates a body that starts with `first` and continues with at most `remaining` bytes of
-    /// `rest` from the caller.
-    pub(crate) fn streamed(first: Bytes, rest: Incoming, remaining: usize) -> Self {
+    /// Creates a body whose rest is still to come from the caller. `lease` holds the memory of its
+    /// start.
+    pub(crate) fn streamed(unsent: UnsentBody, lease: Rc<MemoryLease>) -> Self {
         Self {
-            first: Some(first).filter(|bytes| !bytes.is_empty()),
-            rest: Some(rest),
-            remaining,
+            first: unsent.first,
+            rest: Some(ArrivingBody {
+                rest: unsent.rest,
+                remaining: unsent.remaining,
+                lease,
+            }),
         }
     }
 }
@@ -203,36 +293,30 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if let Some(bytes) = self.first.take() {
+        if let Some(bytes) = self.first.pop_front() {
             return Poll::Ready(Some(Ok(Frame::data(bytes))));
         }
-        let Some(rest) = &mut self.rest else {
-            return Poll::Ready(None);
-        };
-        let Some(frame) = std::task::ready!(Pin::new(rest).poll_frame(context)) else {
-            return Poll::Ready(None);
-        };
-        let frame = frame?;
-        let length = frame.data_ref().map_or(0, Bytes::len);
-        match self.remaining.checked_sub(length) {
-            Some(remaining) => self.remaining = remaining,
-            None => return Poll::Ready(Some(Err(BodyError::TooLong))),
+        match &mut self.rest {
+            Some(rest) => rest.poll_frame(context),
+            None => Poll::Ready(None),
         }
-        Poll::Ready(Some(Ok(frame)))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.first.is_none() && self.rest.as_ref().is_none_or(Body::is_end_stream)
+        let is_rest_ended = self
+            .rest
+            .as_ref()
+            .is_none_or(|body| body.rest.is_end_stream());
+        self.first.is_empty() && is_rest_ended
     }
 
     fn size_hint(&self) -> SizeHint {
-        let prefix_bytes = self.first.as_ref().map_or(0, |bytes| bytes.len() as u64);
-        match &self.rest {
-            None => SizeHint::with_exact(prefix_bytes),
-            Some(rest) => match rest.size_hint().exact() {
-                Some(length) => SizeHint::with_exact(length + prefix_bytes),
-                None => SizeHint::default(),
-            },
-        }
+        let first_bytes: usize = self.first.iter().map(Bytes::len).sum();
+        let rest_bytes = match &self.rest {
+            None => Some(0),
+            Some(body) => body.rest.size_hint().exact(),
+        };
+        let whole = rest_bytes.map(|rest_bytes| first_bytes as u64 + rest_bytes);
+        whole.map_or_else(SizeHint::default, SizeHint::with_exact)
     }
 }
--- a/bin/lh-entry/src/body_reader.rs
+++ b/bin/lh-entry/src/body_reader.rs
@@ -1,30 +1,73 @@
 //! Reads request bodies from callers. Small bodies are buffered, so that the request can be
 //! retried on another server; large ones are streamed.
 
+use std::rc::Rc;
 use std::time::Instant;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 use hyper::body::{Body, Incoming};
+use quick_error::quick_error;
 use tokio::time::timeout_at;
 
-use crate::body::CountGuard;
+use crate::body::{RequestBody, UnsentBody};
+use crate::memory::MemoryLease;
 use crate::state::InstanceState;
 
 /// Maximum size of a body that is buffered before the request is forwarded, in bytes. A buffered
 /// request can be sent to another server if the first one rejects it.
 const MAX_BUFFERED_BODY_BYTES: usize = 1 << 20;
-/// Buffered bodies may fill one in this many bytes of the memory.
-const BODY_MEMORY_DIVISOR: usize = 4;
+/// Smallest buffer for a body whose length is unknown, in bytes.
+const MIN_BUFFER_BYTES: usize = 4 << 10;
+
+quick_error! {
+    /// Why a request's body could not be read.
+    #[derive(Debug)]
+    #[allow(unreachable_pub, reason = "the macro takes no narrower visibility")]
+    pub enum ReadError {
+        /// It is larger than the limit.
+        TooLong {
+            display("the body is larger than the limit")
+        }
+        /// It did not arrive by the deadline.
+        Late {
+            display("the body did not arrive in time")
+        }
+        /// The connection to the caller failed.
+        Caller(cause: hyper::Error) {
+            display("the connection to the caller failed while its body was read")
+            source(cause)
+            from()
+        }
+        /// It stood still while other requests needed the memory.
+        Revoked {
+            display("the body stood still while memory was short")
+        }
+    }
+}
+
+impl ReadError {
+    /// Returns the status of the response.
+    pub(crate) fn status(&self) -> StatusCode {
+        match self {
+            Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Late => StatusCode::REQUEST_TIMEOUT,
+            Self::Caller(_) => StatusCode::BAD_REQUEST,
+            Self::Revoked => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
 
 /// The body of a request that is being forwarded.
 pub(crate) enum JobBody {
     /// The complete body.
-    Buffered { bytes: Bytes, _memory: CountGuard },
-    /// The bytes read so far, the rest from the caller, and how many bytes that may have.
-    /// `None` once they have been sent.
-    Streamed(Option<(Bytes, Incoming, usize)>),
+    Buffered { bytes: Bytes, _lease: MemoryLease },
+    /// A body whose rest is still to come from the caller; `None` once it has been sent.
+    Streamed {
+        unsent: Option<UnsentBody>,
+        lease: Rc<MemoryLease>,
+    },
 }
 
 impl JobBody {
@@ -32,15 +75,20 @@
     pub(crate) fn buffered(&self) -> Option<&Bytes> {
         match self {
             Self::Buffered { bytes, .. } => Some(bytes),
-            Self::Streamed(_) => None,
+            Self::Streamed { .. } => None,
         }
     }
 
+    /// Whether a part of the body has been sent and is gone.
+    pub(crate) fn is_spent(&self) -> bool {
+        matches!(self, Self::Streamed { unsent: None, .. })
+    }
+
     /// Returns the bytes read so far; empty once a streamed body has been sent.
     pub(crate) fn prefix(&self) -> &[u8] {
         match self {
-            Self::Buffered { bytes, .. } | Self::Streamed(Some((bytes, ..))) => bytes,
-            Self::Streamed(None) => &[],
+            Self::Buffered { bytes, .. } => bytes,
+            Self::Streamed { unsent, .. } => unsent.as_ref().map_or(&[], UnsentBody::prefix),
         }
     }
 
@@ -48,7 +96,58 @@
     pub(crate) fn size(&self) -> usize {
         match self {
             Self::Buffered { bytes, .. } => bytes.len(),
-            Self::Streamed(_) => MAX_BUFFERED_BODY_BYTES,
+            Self::Streamed { .. } => MAX_BUFFERED_BODY_BYTES,
+        }
+    }
+
+    /// Returns the body to send to a server or a peer; `None` if it is spent.
+    pub(crate) fn take_request_body(&mut self) -> Option<RequestBody> {
+        match self {
+            Self::Buffered { bytes, .. } => Some(RequestBody::buffered(bytes.clone())),
+            Self::Streamed { unsent, lease } => {
+                Some(RequestBody::streamed(unsent.take()?, Rc::clone(lease)))
+            }
+        }
+    }
+}
+
+/// A body that is being read into leased memory.
+struct BodyBuffer {
+    bytes: Vec<u8>,
+    lease: MemoryLease,
+    /// Length of the body, if its caller stated it.
+    stated: Option<usize>,
+}
+
+impl BodyBuffer {
+    /// Adds `data`. Returns it if there is no memory for it.
+    fn add(&mut self, data: Bytes) -> Option<Bytes> {
+        let needed = self.bytes.len() + data.len();
+        if needed > self.bytes.capacity() {
+            let roomy = needed.max(2 * self.bytes.capacity()).max(MIN_BUFFER_BYTES);
+            let capacity = roomy.min(self.stated.unwrap_or(usize::MAX)).max(needed);
+            if self.lease.claim(capacity).is_err() {
+                return Some(data);
+            }
+            self.bytes.reserve_exact(capacity - self.bytes.len());
+        }
+        self.bytes.extend_from_slice(&data);
+        None
+    }
+
+    fn into_complete(self) -> JobBody {
+        JobBody::Buffered {
+            bytes: self.bytes.into(),
+            _lease: self.lease,
+        }
+    }
+
+    /// Leaves the rest of the body, `next` first, to be streamed.
+    fn into_streamed(self, next: Option<Bytes>, rest: Incoming, limit: usize) -> JobBody {
+        let first = [Some(self.bytes.into()), next].into_iter().flatten();
+        JobBody::Streamed {
+            unsent: Some(UnsentBody::new(first, rest, limit)),
+            lease: Rc::new(self.lease),
         }
     }
 }
@@ -57,44 +156,46 @@
 /// free.
 ///
 /// # Errors
-/// Returns the status of the response if the body is larger than `limit`, does not arrive by
-/// `deadline_at`, or its connection fails.
+/// Returns why the body can't be forwarded: it is larger than `limit`, does not arrive by
+/// `deadline_at`, its connection fails, or it stands still while memory is short.
 pub(crate) async fn read_body(
     state: &InstanceState,
     deadline_at: Instant,
     body: Option<Incoming>,
     limit: usize,
-) -> Result<JobBody, StatusCode> {
-    let mut bytes = BytesMut::new();
-    let memory = state.config.memory_bytes / BODY_MEMORY_DIVISOR;
+) -> Result<JobBody, ReadError> {
+    let mut buffer = BodyBuffer {
+        bytes: Vec::new(),
+        lease: state.memory.lease(),
+        stated: None,
+    };
     let Some(mut body) = body else {
-        return Ok(JobBody::Buffered {
-            bytes: Bytes::new(),
-            _memory: CountGuard::new(&state.buffered, 0),
-        });
+        return Ok(buffer.into_complete());
     };
+    buffer.stated = body.size_hint().exact().map(|length| length as usize);
     while !body.is_end_stream() {
-        let room = state.buffered.get() + bytes.len() < memory;
-        if bytes.len() >= MAX_BUFFERED_BODY_BYTES || !room {
-            let remaining = limit.saturating_sub(bytes.len());
-            return Ok(JobBody::Streamed(Some((bytes.freeze(), body, remaining))));
+        if buffer.bytes.len() >= MAX_BUFFERED_BODY_BYTES {
+            return Ok(buffer.into_streamed(None, body, limit));
         }
-        let frame = match timeout_at(deadline_at.into(), body.frame()).await {
-            Err(_) => return Err(StatusCode::REQUEST_TIMEOUT),
-            Ok(None) => break,
-            Ok(Some(Err(_))) => return Err(StatusCode::BAD_REQUEST),
-            Ok(Some(Ok(frame))) => frame,
+        buffer.lease.on_waiting();
+        let next = tokio::select! {
+            biased;
+            () = buffer.lease.revoked() => return Err(ReadError::Revoked),
+            next = timeout_at(deadline_at.into(), body.frame()) => next,
+        };
+        buffer.lease.on_moved();
+        let Some(frame) = next.map_err(|_| ReadError::Late)? else {
+            break;
+        };
+        let Ok(data) = frame?.into_data() else {
+            continue;
         };
-        if let Some(data) = frame.data_ref() {
-            bytes.extend_from_slice(data);
+        if buffer.bytes.len() + data.len() > limit {
+            return Err(ReadError::TooLong);
         }
-        if bytes.len() > limit {
-            return Err(StatusCode::PAYLOAD_TOO_LARGE);
+        if let Some(data) = buffer.add(data) {
+            return Ok(buffer.into_streamed(Some(data), body, limit));
         }
     }
-    let memory = CountGuard::new(&state.buffered, bytes.len());
-    Ok(JobBody::Buffered {
-        bytes: bytes.freeze(),
-        _memory: memory,
-    })
+    Ok(buffer.into_complete())
 }
--- a/bin/lh-entry/src/config.rs
+++ b/bin/lh-entry/src/config.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use conf::{CheckedSection, SettingsFile, schema};
+use hold::budget::HoldBudget;
 use place::fleet::advertise;
 use place::fleet::list::view_address;
 use place::limits::budget::BudgetBounds;
@@ -81,8 +82,8 @@
     pub access: AccessBounds,
     /// Maximum time for which callers may use a look-up's response.
     pub max_lookup_ttl: Duration,
-    /// Memory limit of the process, in bytes.
-    pub memory_bytes: usize,
+    /// What callers may make the process hold within its memory and descriptors.
+    pub hold: HoldBudget,
     /// File descriptor limit of the process.
     pub descriptors: usize,
     /// Cost of sending bytes to other failure domains and regions.
@@ -152,7 +153,10 @@
                 learn: bounds.duration("config_apply")?,
             },
             max_lookup_ttl: bounds.duration("lookup_ttl_most")?,
-            memory_bytes: bounds.count::<usize>("memory_mb")? << 20,
+            hold: HoldBudget::new(
+                bounds.count::<usize>("memory_mb")? << 20,
+                bounds.count("descriptors")?,
+            ),
             descriptors: bounds.count("descriptors")?,
             costs: ByteCosts {
                 domain: entry.number("domain_kilobyte")?,
--- a/bin/lh-entry/src/handler.rs
+++ b/bin/lh-entry/src/handler.rs
@@ -22,7 +22,7 @@
 use crate::job::{JobProgress, RequestJob, RequestTurn};
 use crate::problem::Problem;
 use crate::record::RequestRecord;
-use crate::reply::{respond_rejected, respond_unavailable};
+use crate::reply::{respond_rejected, respond_unavailable, respond_unread};
 use crate::state::InstanceState;
 use crate::stop::StopPhase;
 use crate::ticket::{ticket_fingerprint, ticket_required, unknown};
@@ -124,7 +124,7 @@
     job.turn = turn;
     let body = match read_body(&job.state, deadline_at, body, limit).await {
         Ok(body) => body,
-        Err(status) => return respond_rejected(&mut job.record, &job.caller, status),
+        Err(error) => return respond_unread(&mut job.record, &job.caller, &error),
     };
     match ticket {
         None => job.run(&route, body).await,
--- a/bin/lh-entry/src/job.rs
+++ b/bin/lh-entry/src/job.rs
@@ -166,7 +166,7 @@
                 }
                 AttemptResult::Declined => match self.progress.peer_refusal {
                     Some(refusal) => return self.finish_unserved(last, refusal),
-                    None if matches!(body, JobBody::Streamed(None)) => {
+                    None if body.is_spent() => {
                         let refusal = self.no_path_refusal();
                         return self.finish_unserved(last, refusal);
                     }
@@ -195,7 +195,7 @@
         if self.progress.may_have_run && !route.kind.may_repeat() {
             return false;
         }
-        if matches!(body, JobBody::Streamed(None)) {
+        if body.is_spent() {
             return false;
         }
         let max_attempts = route
@@ -304,7 +304,7 @@
             );
             return AttemptResult::Unsent;
         }
-        if matches!(body, JobBody::Streamed(_)) {
+        if body.buffered().is_none() {
             // The start of a streamed body is no longer available after it is sent.
             self.fingerprint(body);
         }
@@ -387,13 +387,7 @@
         placement: &Placement,
         body: &mut JobBody,
     ) -> Option<Request<RequestBody>> {
-        let body = match body {
-            JobBody::Buffered { bytes, .. } => RequestBody::buffered(bytes.clone()),
-            JobBody::Streamed(stream) => {
-                let (first, rest, remaining) = stream.take()?;
-                RequestBody::streamed(first, rest, remaining)
-            }
-        };
+        let body = body.take_request_body()?;
         let target = self
             .target
             .path_and_query()
--- a/bin/lh-entry/src/lib.rs
+++ b/bin/lh-entry/src/lib.rs
@@ -28,6 +28,7 @@
 mod load_reports;
 mod logs;
 mod lookup;
+mod memory;
 mod metrics;
 mod operator;
 mod paths;
--- /dev/null
+++ b/bin/lh-entry/src/memory.rs
@@ -0,0 +1,121 @@
+//! Leases of the memory that callers make the entry hold, and the signals by which their holders
+//! learn that they have to yield.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::poll_fn;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use std::time::Instant;
+
+use hold::account::{ClaimRefused, HoldAccount, HolderId};
+
+/// Tells a holder that its lease was revoked.
+#[derive(Debug, Default)]
+struct RevokeSignal {
+    is_revoked: Cell<bool>,
+    waker: RefCell<Option<Waker>>,
+}
+
+impl RevokeSignal {
+    fn revoke(&self) {
+        self.is_revoked.set(true);
+        if let Some(waker) = self.waker.take() {
+            waker.wake();
+        }
+    }
+}
+
+/// The memory that all bodies of callers share.
+#[derive(Debug, Clone)]
+pub(crate) struct SharedMemory(Rc<MemoryState>);
+
+#[derive(Debug)]
+struct MemoryState {
+    account: RefCell<HoldAccount<u64>>,
+    signals: RefCell<HashMap<HolderId, Rc<RevokeSignal>>>,
+}
+
+impl SharedMemory {
+    /// Creates the account of `limit_bytes`.
+    pub(crate) fn new(limit_bytes: usize) -> Self {
+        Self(Rc::new(MemoryState {
+            account: RefCell::new(HoldAccount::new(limit_bytes)),
+            signals: RefCell::default(),
+        }))
+    }
+
+    /// Opens a lease without memory.
+    pub(crate) fn lease(&self) -> MemoryLease {
+        let id = self.0.account.borrow_mut().open();
+        let signal = Rc::new(RevokeSignal::default());
+        self.0.signals.borrow_mut().insert(id, Rc::clone(&signal));
+        MemoryLease {
+            memory: self.clone(),
+            id,
+            signal,
+        }
+    }
+}
+
+/// A share of the memory. It is returned when the lease is dropped.
+#[derive(Debug)]
+pub(crate) struct MemoryLease {
+    memory: SharedMemory,
+    id: HolderId,
+    signal: Rc<RevokeSignal>,
+}
+
+impl MemoryLease {
+    /// Raises the lease to `bytes`. Whoever has to yield for it is told.
+    ///
+    /// # Errors
+    /// Returns [`ClaimRefused`] if there is not enough memory.
+    pub(crate) fn claim(&self, bytes: usize) -> Result<(), ClaimRefused> {
+        let state = &self.memory.0;
+        let revoked = state
+            .account
+            .borrow_mut()
+            .claim(Instant::now(), self.id, bytes)?;
+        let signals = state.signals.borrow();
+        for id in revoked {
+            if let Some(signal) = signals.get(&id) {
+                signal.revoke();
+            }
+        }
+        Ok(())
+    }
+
+    /// Records that the holder waits for its caller.
+    pub(crate) fn on_waiting(&self) {
+        let mut account = self.memory.0.account.borrow_mut();
+        account.on_waiting(Instant::now(), self.id);
+    }
+
+    /// Records that the caller has moved, or that the holder doesn't wait for it any more.
+    pub(crate) fn on_moved(&self) {
+        self.memory.0.account.borrow_mut().on_moved(self.id);
+    }
+
+    /// Whether the holder has to drop the lease; otherwise wakes the task when it has to.
+    pub(crate) fn poll_revoked(&self, context: &Context<'_>) -> Poll<()> {
+        if self.signal.is_revoked.get() {
+            return Poll::Ready(());
+        }
+        self.signal.waker.replace(Some(context.waker().clone()));
+        Poll::Pending
+    }
+
+    /// Completes when the holder has to drop the lease.
+    pub(crate) async fn revoked(&self) {
+        poll_fn(|context| self.poll_revoked(context)).await;
+    }
+}
+
+impl Drop for MemoryLease {
+    fn drop(&mut self) {
+        let state = &self.memory.0;
+        state.account.borrow_mut().close(self.id);
+        state.signals.borrow_mut().remove(&self.id);
+    }
+}
--- a/bin/lh-entry/src/relay/mod.rs
+++ b/bin/lh-entry/src/relay/mod.rs
@@ -218,13 +218,7 @@
     }
 
     fn build_relayed(&self, route: &RouteSpec, body: &mut JobBody) -> Option<Request<RequestBody>> {
-        let body = match body {
-            JobBody::Buffered { bytes, .. } => RequestBody::buffered(bytes.clone()),
-            JobBody::Streamed(stream) => {
-                let (first, rest, remaining) = stream.take()?;
-                RequestBody::streamed(first, rest, remaining)
-            }
-        };
+        let body = body.take_request_body()?;
         let mut request = Request::builder()
             .method(self.method.clone())
             .uri(self.target.path_and_query()?.as_str())
--- a/bin/lh-entry/src/relay/serve.rs
+++ b/bin/lh-entry/src/relay/serve.rs
@@ -17,7 +17,7 @@
 use crate::job::{JobProgress, RequestJob};
 use crate::record::RequestRecord;
 use crate::relay::head::{BEHIND, DECLINED_HEADER, NO_PATH, RELAY_HEADER, RelayHead, STOPPING};
-use crate::reply::{respond_rejected, respond_unavailable};
+use crate::reply::{respond_rejected, respond_unavailable, respond_unread};
 use crate::state::InstanceState;
 use crate::stop::StopPhase;
 
@@ -65,7 +65,7 @@
     let limit = state.limits.get().body_bytes;
     let body = match read_body(&state, job.deadline_at, Some(body), limit).await {
         Ok(body) => body,
-        Err(status) => return respond_rejected(&mut job.record, &job.caller, status),
+        Err(error) => return respond_unread(&mut job.record, &job.caller, &error),
     };
     let response = job.run(&route, body).await;
     if state.placer.borrow().has_lost_path(&head.service) {
--- a/bin/lh-entry/src/reply.rs
+++ b/bin/lh-entry/src/reply.rs
@@ -11,6 +11,7 @@
 use platform::headers::ServerHeaders;
 
 use crate::body::ResponseBody;
+use crate::body_reader::ReadError;
 use crate::caller::Caller;
 use crate::problem::Problem;
 use crate::record::RequestRecord;
@@ -18,6 +19,8 @@
 /// Maximum size of a response that is read completely before it is forwarded, in bytes. If the
 /// connection fails before that, the request can be retried.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 << 10;
+/// Retry time for callers whose bodies stood still while memory was short.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Headers that apply to a single connection only.
 const HOP_BY_HOP_HEADERS: [HeaderName; 9] = [
     header::CONNECTION,
@@ -117,6 +120,19 @@
     respond(record, caller, Problem::new(status, kind, detail))
 }
 
+/// Responds to a request whose body could not be read. It was not passed on.
+pub(crate) fn respond_unread(
+    record: &mut RequestRecord,
+    caller: &Caller,
+    error: &ReadError,
+) -> Response<ResponseBody> {
+    log::debug!(error:%; "request not read");
+    if matches!(error, ReadError::Revoked) {
+        return respond_unavailable(record, caller, "memory", MEMORY_RETRY_AFTER);
+    }
+    respond_rejected(record, caller, error.status())
+}
+
 /// Responds to a request that may have run.
 pub(crate) fn respond_unknown(
     record: &mut RequestRecord,
--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -32,6 +32,7 @@
 use crate::homes::HomeRegionTable;
 use crate::load_reports::LoadReporter;
 use crate::logs::LogRateLimiter;
+use crate::memory::SharedMemory;
 use crate::metrics::EntryMetrics;
 use crate::operator::refusals::RefusalTable;
 use crate::pool::ConnectionPool;
@@ -108,7 +109,8 @@
     pub(crate) stop: Cell<StopPhase>,
     pub(crate) stopping: tokio::sync::watch::Sender<StopPhase>,
     pub(crate) in_flight: Rc<Cell<usize>>,
-    pub(crate) buffered: Rc<Cell<usize>>,
+    /// Memory of bodies that callers make this entry hold.
+    pub(crate) memory: SharedMemory,
 }
 
 impl InstanceState {
@@ -172,7 +174,7 @@
             stop: Cell::new(StopPhase::Serving),
             stopping,
             in_flight: Rc::default(),
-            buffered: Rc::default(),
+            memory: SharedMemory::new(config.hold.body_bytes),
             config,
         }
     }
--- a/bin/lh-entry/src/ticket_forward.rs
+++ b/bin/lh-entry/src/ticket_forward.rs
@@ -13,7 +13,7 @@
 use tokio::time::timeout_at;
 
 use crate::admission::RequestPolicy;
-use crate::body::{RequestBody, ResponseBody};
+use crate::body::{RequestBody, ResponseBody, UnsentBody};
 use crate::caller::{Caller, TicketHeaders};
 use crate::handler::outcome_of;
 use crate::problem::Problem;
@@ -84,7 +84,10 @@
     let most_bytes = state.limits.get().body_bytes;
     let body_bytes = if body.is_some() { most_bytes } else { 0 };
     let body = match body {
-        Some(body) => RequestBody::streamed(Bytes::new(), body, most_bytes),
+        Some(body) => {
+            let lease = Rc::new(state.memory.lease());
+            RequestBody::streamed(UnsentBody::new([], body, most_bytes), lease)
+        }
         None => RequestBody::buffered(Bytes::new()),
     };
     let mut request = Request::new(body);
