A body that turns out too long is answered as such

What callers saw: a body without a stated length that grew beyond the limit while it was forwarded got a 502, and its server counted as having broken off a request. Cause: the error of the caller's body came back as a failure of the connection to the server, which nobody told apart.

Change: an attempt whose request body failed ends as incomplete, with 413, 504 or 400 by what failed. Its outcome is unknown, since a part was forwarded, and its server is left out of it. The same on relays and for tickets of other entries.

--- a/bin/lh-entry/src/body.rs
+++ b/bin/lh-entry/src/body.rs
@@ -8,6 +8,7 @@
 use std::task::{Context, Poll};
 
 use bytes::{Bytes, BytesMut};
+use hyper::StatusCode;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use quick_error::quick_error;
 
@@ -215,6 +216,23 @@
     }
 }
 
+impl BodyError {
+    /// Returns why the body of a request that ended with `error` could not be forwarded; `None` if
+    /// the body was not the reason.
+    pub(crate) fn of(error: &hyper::Error) -> Option<&Self> {
+        std::error::Error::source(error)?.downcast_ref()
+    }
+
+    /// Returns the status of the response. Of the request a part has been forwarded.
+    pub(crate) fn status(&self) -> StatusCode {
+        match self {
+            Self::Caller(_) => StatusCode::BAD_REQUEST,
+            Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Revoked => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+}
+
 /// The body of a request to a backend server.
 #[derive(Debug)]
 pub(crate) struct RequestBody {
--- a/bin/lh-entry/src/job.rs
+++ b/bin/lh-entry/src/job.rs
@@ -20,7 +20,7 @@
 
 use crate::admission::RequestPolicy;
 use crate::attempt::AttemptGuard;
-use crate::body::{RequestBody, ResponseBody};
+use crate::body::{BodyError, RequestBody, ResponseBody};
 use crate::body_reader::JobBody;
 use crate::caller::{Caller, Interface};
 use crate::connect::ahead;
@@ -30,7 +30,7 @@
 use crate::record::{RequestOutcome, RequestRecord};
 use crate::relay::AttemptPath;
 use crate::reply::{
-    describe_error, respond_unavailable, respond_unknown, strip_hop_by_hop_headers,
+    describe_error, incomplete, respond_unavailable, respond_unknown, strip_hop_by_hop_headers,
 };
 use crate::returns;
 use crate::rollout;
@@ -106,6 +106,8 @@
     Unsent,
     Failed(Response<ResponseBody>),
     Broken,
+    /// The caller's body could not be forwarded completely, which gives the response this status.
+    Incomplete(StatusCode),
     OutOfTime,
 }
 
@@ -149,6 +151,9 @@
                         StatusCode::GATEWAY_TIMEOUT,
                     );
                 }
+                AttemptResult::Incomplete(status) => {
+                    return self.respond_with_problem(incomplete(status));
+                }
                 AttemptResult::Unsent => {
                     self.progress.unsent_attempts += 1;
                     if self.progress.unsent_attempts < MAX_UNSENT_ATTEMPTS {
@@ -326,14 +331,18 @@
                 return AttemptResult::OutOfTime;
             }
             Ok(Err(error)) => {
+                self.record
+                    .on_attempt_result(&describe_error(error.error()));
+                if let Some(failure) = BodyError::of(error.error()) {
+                    guard.finish(ServerOutcome::Abandoned, None);
+                    return AttemptResult::Incomplete(failure.status());
+                }
                 let unsent = error.message().is_some();
                 let outcome = if unsent {
                     ServerOutcome::Unreachable
                 } else {
                     ServerOutcome::Broken
                 };
-                self.record
-                    .on_attempt_result(&describe_error(error.error()));
                 guard.finish(outcome, None);
                 if unsent {
                     return AttemptResult::Unsent;
--- a/bin/lh-entry/src/relay/mod.rs
+++ b/bin/lh-entry/src/relay/mod.rs
@@ -22,7 +22,7 @@
 use platform::headers;
 use tokio::time::timeout_at;
 
-use crate::body::{RequestBody, ResponseBody};
+use crate::body::{BodyError, RequestBody, ResponseBody};
 use crate::body_reader::JobBody;
 use crate::handler::outcome_of;
 use crate::job::{AttemptResult, RequestJob};
@@ -139,6 +139,9 @@
             Ok(Err(error)) => {
                 self.record
                     .on_attempt_result(&describe_error(error.error()));
+                if let Some(failure) = BodyError::of(error.error()) {
+                    return AttemptResult::Incomplete(failure.status());
+                }
                 if error.message().is_some() {
                     guard.finish(RelayOutcome::Unreachable);
                     return AttemptResult::Unsent;
--- a/bin/lh-entry/src/reply.rs
+++ b/bin/lh-entry/src/reply.rs
@@ -133,6 +133,16 @@
     respond_rejected(record, caller, error.status())
 }
 
+/// The problem of a request of whose body only a part was forwarded.
+pub(crate) fn incomplete(status: StatusCode) -> Problem {
+    let (kind, detail) = match status {
+        StatusCode::PAYLOAD_TOO_LARGE => ("body-too-large", "the body is longer than allowed"),
+        StatusCode::BAD_REQUEST => ("bad-request", "the body can't be read"),
+        _ => ("outcome-unknown", "the body did not come in time"),
+    };
+    Problem::new(status, kind, detail).with_outcome(Outcome::Unknown)
+}
+
 /// Responds to a request that may have run.
 pub(crate) fn respond_unknown(
     record: &mut RequestRecord,
--- a/bin/lh-entry/src/ticket_forward.rs
+++ b/bin/lh-entry/src/ticket_forward.rs
@@ -13,12 +13,12 @@
 use tokio::time::timeout_at;
 
 use crate::admission::RequestPolicy;
-use crate::body::{RequestBody, ResponseBody, UnsentBody};
+use crate::body::{BodyError, RequestBody, ResponseBody, UnsentBody};
 use crate::caller::{Caller, TicketHeaders};
 use crate::handler::outcome_of;
 use crate::problem::Problem;
 use crate::record::RequestRecord;
-use crate::reply::{describe_error, strip_hop_by_hop_headers};
+use crate::reply::{describe_error, incomplete, strip_hop_by_hop_headers};
 use crate::response_stream::{ResponseStream, StreamLimit};
 use crate::state::InstanceState;
 use crate::ticket::{stale_ticket, unknown};
@@ -103,6 +103,9 @@
         Ok(Err(error)) if error.message().is_some() => return Err(stale_ticket_problem()),
         Ok(Err(error)) => {
             record.on_attempt_result(&describe_error(error.error()));
+            if let Some(failure) = BodyError::of(error.error()) {
+                return Err(incomplete(failure.status()));
+            }
             return Err(unknown("the instance of the ticket broke off"));
         }
         Ok(Ok(response)) => response,
