Uploads that stand still yield their slots to requests that would be refused

What callers saw: callers that stopped short of the end of large uploads kept the slots of all servers until the route's timeout, and ordinary callers got nothing but 503. Cause: a streamed body occupies a slot from its first bytes on, whether or not the rest comes.

Change: a request that finds no room ends the upload to its service that has waited longest for its caller, at least 1 s, and takes its slot. That upload's caller gets a 504: a part was forwarded, so it may have run. Uploads at any pace stay while there is room for others; a refusal as late or full means that there is a queue at every server.

Ending them for full refusals alone didn't pass: with a queue the refusal is late.

--- a/bin/lh-entry/src/body_reader.rs
+++ b/bin/lh-entry/src/body_reader.rs
@@ -100,6 +100,13 @@
         }
     }
 
+    /// Records that the rest of a streamed body occupies a slot of a server of `service`.
+    pub(crate) fn occupy(&self, service: &str) {
+        if let Self::Streamed { lease, .. } = self {
+            lease.occupy(service);
+        }
+    }
+
     /// Returns the body to send to a server or a peer; `None` if it is spent.
     pub(crate) fn take_request_body(&mut self) -> Option<RequestBody> {
         match self {
--- a/bin/lh-entry/src/job.rs
+++ b/bin/lh-entry/src/job.rs
@@ -1,6 +1,7 @@
 //! Forwards a request to one server after the other until one of them responds. If the future is
 //! dropped, the connection to the server is closed immediately.
 
+mod reclaim;
 mod response;
 
 use std::net::SocketAddr;
@@ -39,7 +40,6 @@
 /// Number of attempts that could not send the request after which a further attempt is limited
 /// like a retry.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
-
 /// A request that is being forwarded.
 pub(crate) struct RequestJob {
     pub(crate) state: Rc<InstanceState>,
@@ -128,6 +128,7 @@
                     let guard = match self.place(route, &body) {
                         Ok(guard) => guard,
                         Err(_) if self.waited_for_turn().await => continue,
+                        Err(refusal) if self.reclaimed_slot(route, refusal).await => continue,
                         Err(refusal) => return self.finish_unserved(last, refusal),
                     };
                     self.record.on_placed(&guard.placement);
@@ -312,6 +313,9 @@
         if body.buffered().is_none() {
             // The start of a streamed body is no longer available after it is sent.
             self.fingerprint(body);
+            if let Some(part) = route.parts.get(self.part) {
+                body.occupy(&part.service);
+            }
         }
         let Some(request) = self.build_request(&guard.placement, body) else {
             guard.finish(ServerOutcome::Abandoned, None);
--- a/bin/lh-entry/src/memory.rs
+++ b/bin/lh-entry/src/memory.rs
@@ -9,12 +9,16 @@
 use std::time::Instant;
 
 use hold::account::{ClaimRefused, HoldAccount, HolderId};
+use place::rank::stable_hash;
+use tokio::sync::oneshot;
 
 /// Tells a holder that its lease was revoked.
 #[derive(Debug, Default)]
 struct RevokeSignal {
     is_revoked: Cell<bool>,
     waker: RefCell<Option<Waker>>,
+    /// Told when the holder has dropped its lease.
+    released: RefCell<Option<oneshot::Sender<()>>>,
 }
 
 impl RevokeSignal {
@@ -26,7 +30,7 @@
     }
 }
 
-/// The memory that all bodies of callers share.
+/// The memory that all bodies of callers share. Its places are services.
 #[derive(Debug, Clone)]
 pub(crate) struct SharedMemory(Rc<MemoryState>);
 
@@ -56,6 +60,18 @@
             signal,
         }
     }
+
+    /// Revokes the lease at `service` that has waited longest for its caller, if any may be
+    /// revoked. The receiver completes once it has been dropped.
+    pub(crate) fn revoke_at(&self, now: Instant, service: &str) -> Option<oneshot::Receiver<()>> {
+        let place = stable_hash(service.as_bytes());
+        let id = self.0.account.borrow_mut().revoke_at(now, &place)?;
+        let signal = self.0.signals.borrow().get(&id).cloned()?;
+        let (released, receiver) = oneshot::channel();
+        signal.released.replace(Some(released));
+        signal.revoke();
+        Some(receiver)
+    }
 }
 
 /// A share of the memory. It is returned when the lease is dropped.
@@ -97,6 +113,12 @@
         self.memory.0.account.borrow_mut().on_moved(self.id);
     }
 
+    /// Records that the holder occupies a slot of a server of `service`.
+    pub(crate) fn occupy(&self, service: &str) {
+        let place = stable_hash(service.as_bytes());
+        self.memory.0.account.borrow_mut().occupy(self.id, place);
+    }
+
     /// Whether the holder has to drop the lease; otherwise wakes the task when it has to.
     pub(crate) fn poll_revoked(&self, context: &Context<'_>) -> Poll<()> {
         if self.signal.is_revoked.get() {
@@ -117,5 +139,9 @@
         let state = &self.memory.0;
         state.account.borrow_mut().close(self.id);
         state.signals.borrow_mut().remove(&self.id);
+        if let Some(released) = self.signal.released.take() {
+            // Whoever waited for it may have been answered meanwhile.
+            let _ = released.send(());
+        }
     }
 }
--- a/bin/lh-entry/tests/crowd/mod.rs
+++ b/bin/lh-entry/tests/crowd/mod.rs
@@ -49,18 +49,24 @@
 pub struct CrowdWorld {
     pub world: World,
     pub entry: EntryProcess,
+    memory_mb: u64,
     usage: UsageMonitor,
     _turn: MutexGuard<'static, ()>,
 }
 
 impl CrowdWorld {
     pub async fn new() -> Self {
+        Self::with_memory(MEMORY_MB).await
+    }
+
+    /// Creates a world whose entry may use `memory_mb`, in MiB.
+    pub async fn with_memory(memory_mb: u64) -> Self {
         let turn = ONE_AT_A_TIME.lock().await;
         let world = World::new(2).await;
         let state = with_body_limit(desired_state(6, &[IDEMPOTENT, UPLOAD]), BODY_LIMIT);
         let state = with_idle_timeout(state, IDLE_TIMEOUT);
         world.store.put("op", "config", &state);
-        let bounds = format!("memory_mb = {MEMORY_MB}\ndescriptors = {DESCRIPTORS}\n");
+        let bounds = format!("memory_mb = {memory_mb}\ndescriptors = {DESCRIPTORS}\n");
         let entry = EntryProcess::start_with_bounds(world.store.address(), "n1", &bounds);
         entry.wait_ready().await;
         let answer = send_ordinary(&entry).await;
@@ -69,6 +75,7 @@
         Self {
             world,
             entry,
+            memory_mb,
             usage,
             _turn: turn,
         }
@@ -91,7 +98,7 @@
         println!("{usage:?}, the crowd was told {:?}", crowd.statuses());
         assert!(self.entry.is_running(), "the entry lives");
         let memory = usage.memory_bytes.max(self.entry.peak_memory() << 10) >> 20;
-        assert!(memory <= MEMORY_MB, "{memory} MB, {usage:?}");
+        assert!(memory <= self.memory_mb, "{memory} MB, {usage:?}");
         assert!(usage.descriptors <= DESCRIPTORS, "{usage:?}");
         assert_eq!(answer, Some(200), "an ordinary request beside the crowd");
     }
--- a/bin/lh-entry/tests/crowds.rs
+++ b/bin/lh-entry/tests/crowds.rs
@@ -83,6 +83,23 @@
     }
 }
 
+/// With memory for all of them, uploads that stand still kept the slots of the servers for as long
+/// as their route allows.
+#[tokio::test(flavor = "multi_thread")]
+async fn uploads_that_stand_still_yield_their_slots() {
+    for path in ["/board/x", "/upload/x"] {
+        let mut world = CrowdWorld::with_memory(512).await;
+        let pieces = (filled(BODY_LIMIT - HELD_BACK_BYTES), 1);
+        let head = announced(path, BODY_LIMIT);
+        let mut crowds = Vec::new();
+        for _ in 0..5 {
+            let crowd = Crowd::send(world.entry.callers(), 10, &head, pieces.clone()).await;
+            crowds.push(crowd);
+        }
+        world.check(&crowds[0]).await;
+    }
+}
+
 /// Complete bodies that wait for busy servers.
 #[tokio::test(flavor = "multi_thread")]
 async fn complete_bodies_at_busy_servers_stay_within_memory() {
