Connections that do nothing make room for new callers

What callers saw: with the number of connections reached, new callers were closed unheard, while connections without any request stayed for the idle timeout. Cause: accept only counted connections.

Change: a table knows what each connection is doing. Room for a new one is made by the one that the entry has closed already, else the one without a request, else the idle one, whichever has been so longest. If all are busy, the request whose body has stood still longest yields; it gets a 503, as it was not passed on. A connection is closed at once and nothing of it is read, so that a request that crosses the close was not read either. Below the number nothing changes.

--- a/bin/lh-entry/src/accept.rs
+++ b/bin/lh-entry/src/accept.rs
@@ -6,6 +6,7 @@
 mod head_scanner;
 mod pipeline;
 mod progress;
+mod table;
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -23,6 +24,7 @@
 use crate::accept::caller_stream::CallerStream;
 use crate::accept::pipeline::RequestPipeline;
 use crate::accept::progress::{ConnectionProgress, ConnectionTimeout};
+use crate::accept::table::{ConnectionPlace, ConnectionTable};
 use crate::body::ResponseBody;
 use crate::error::{Error, RequestError, Result};
 use crate::state::InstanceState;
@@ -36,8 +38,6 @@
 const TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 /// Minimum size of the read buffer that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8192;
-/// Connections from callers may use one in this many of the file descriptors.
-const CALLER_DESCRIPTOR_DIVISOR: usize = 2;
 
 /// Opens a listener on `address`; `purpose` names it in the error message.
 ///
@@ -55,13 +55,17 @@
 
 /// Accepts connections from callers until the process ends.
 pub(crate) async fn run(state: Rc<InstanceState>, listener: Rc<TcpListener>) {
-    let most = (state.config.descriptors / CALLER_DESCRIPTOR_DIVISOR) as i64;
+    let table = ConnectionTable::new("callers", state.config.hold.caller_connections);
     loop {
         match listener.accept().await {
-            Ok((stream, _)) if state.metrics.connections.get() < most => {
-                tokio::task::spawn_local(serve_connection(Rc::clone(&state), stream));
+            Ok((stream, _)) => {
+                let progress = Rc::new(ConnectionProgress::new());
+                let Some(place) = table.admit(&state, &progress) else {
+                    continue;
+                };
+                let state = Rc::clone(&state);
+                tokio::task::spawn_local(serve_connection(state, stream, progress, place));
             }
-            Ok(_) => log::warn!(most; "too many connections; one closed"),
             Err(error) => {
                 log::warn!(error:%; "failed to accept a connection; retrying");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -70,9 +74,13 @@
     }
 }
 
-async fn serve_connection(state: Rc<InstanceState>, stream: TcpStream) {
+async fn serve_connection(
+    state: Rc<InstanceState>,
+    stream: TcpStream,
+    progress: Rc<ConnectionProgress>,
+    place: ConnectionPlace,
+) {
     let _ = stream.set_nodelay(true);
-    let progress = Rc::new(ConnectionProgress::new());
     let pipeline = Rc::new(RefCell::new(RequestPipeline::new(&state)));
     let follows_requests = state.config.pipelined_requests > 1;
     let stream = CallerStream::new(stream);
@@ -117,10 +125,15 @@
                     }
                 }
                 if !progress.needs_reset() {
-                    socket.linger().await;
+                    progress.on_closing();
+                    tokio::select! {
+                        () = socket.linger() => {}
+                        () = place.evicted() => {}
+                    }
                 }
                 break;
             }
+            () = place.evicted() => break,
             changed = stopping.changed() => {
                 let is_refusing = changed.is_err() || *stopping.borrow() == StopPhase::Refusing;
                 // Requests that were started early are answered first; the last response closes
--- a/bin/lh-entry/src/accept/progress.rs
+++ b/bin/lh-entry/src/accept/progress.rs
@@ -5,12 +5,13 @@
 use std::task::Waker;
 use std::time::{Duration, Instant};
 
+use hold::connections::Standing;
 use hyper::Version;
 
 use crate::body::CountGuard;
 
 /// A timeout that has expired on a connection.
-pub(super) enum ConnectionTimeout {
+pub(crate) enum ConnectionTimeout {
     /// The headers of a request have started but not arrived completely.
     Head,
     /// No next request has arrived.
@@ -21,7 +22,7 @@
 
 /// Tracks whether a connection is idle, receives headers, or waits for a response.
 #[derive(Debug)]
-pub(super) struct ConnectionProgress {
+pub(crate) struct ConnectionProgress {
     since: Cell<Instant>,
     head_started: Cell<bool>,
     responding: Cell<bool>,
@@ -34,6 +35,10 @@
     ends_by_close: Cell<bool>,
     /// Whether a response was broken off.
     is_broken_off: Cell<bool>,
+    /// Whether any request has arrived.
+    has_requested: Cell<bool>,
+    /// Whether the entry has closed its side of the connection.
+    is_closing: Cell<bool>,
     /// Wakes the task that waits for the next request.
     reader: RefCell<Option<Waker>>,
 }
@@ -48,6 +53,8 @@
             blocked_since: Cell::new(None),
             ends_by_close: Cell::new(false),
             is_broken_off: Cell::new(false),
+            has_requested: Cell::new(false),
+            is_closing: Cell::new(false),
             reader: RefCell::default(),
         }
     }
@@ -69,6 +76,7 @@
         self.ends_by_close.set(version < Version::HTTP_11);
         self.head_started.set(false);
         self.responding.set(true);
+        self.has_requested.set(true);
     }
 
     pub(super) fn on_response(&self) {
@@ -92,6 +100,29 @@
             .set((!is_taken).then(|| since.unwrap_or_else(Instant::now)));
     }
 
+    /// Records that the entry has closed its side of the connection.
+    pub(super) fn on_closing(&self) {
+        self.is_closing.set(true);
+        self.since.set(Instant::now());
+    }
+
+    /// Returns what the connection is doing, and since when.
+    pub(super) fn standing(&self) -> (Standing, Instant) {
+        let standing = if self.is_closing.get() {
+            Standing::Closing
+        } else if !self.has_requested.get() {
+            Standing::Silent
+        } else if self.responding.get()
+            || self.open_bodies.get() > 0
+            || self.blocked_since.get().is_some()
+        {
+            Standing::Busy
+        } else {
+            Standing::Idle
+        };
+        (standing, self.since.get())
+    }
+
     /// Records that a response was broken off in the middle of its body.
     pub(super) fn on_broken_off(&self) {
         self.is_broken_off.set(true);
--- a/bin/lh-entry/src/memory.rs
+++ b/bin/lh-entry/src/memory.rs
@@ -61,6 +61,17 @@
         }
     }
 
+    /// Revokes the lease that has waited longest for its caller, and with it the caller's request.
+    /// `false` if none may be revoked.
+    pub(crate) fn revoke_longest(&self) -> bool {
+        let revoked = self.0.account.borrow_mut().revoke_longest(Instant::now());
+        let signal = revoked.and_then(|id| self.0.signals.borrow().get(&id).cloned());
+        signal.is_some_and(|signal| {
+            signal.revoke();
+            true
+        })
+    }
+
     /// Revokes the lease at `service` that has waited longest for its caller, if any may be
     /// revoked. The receiver completes once it has been dropped.
     pub(crate) fn revoke_at(&self, now: Instant, service: &str) -> Option<oneshot::Receiver<()>> {
--- a/bin/lh-entry/tests/crowds.rs
+++ b/bin/lh-entry/tests/crowds.rs
@@ -180,6 +180,15 @@
     world.check(&crowd).await;
 }
 
+/// Small requests whose bodies never come keep all connections busy.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_without_their_bodies_make_room_for_ordinary_callers() {
+    let mut world = CrowdWorld::new().await;
+    let head = announced("/board/x", 100);
+    let crowd = Crowd::send(world.entry.callers(), 1500, &head, (filled(1), 1)).await;
+    world.check(&crowd).await;
+}
+
 /// The other addresses took any number of connections, and with them the descriptors of callers.
 #[tokio::test(flavor = "multi_thread")]
 async fn silent_connections_at_other_addresses_leave_descriptors() {
--- a/crates/hold/src/account.rs
+++ b/crates/hold/src/account.rs
@@ -157,6 +157,18 @@
         Some(id)
     }
 
+    /// Revokes the holder that has waited longest for its caller, if any may be revoked.
+    pub fn revoke_longest(&mut self, now: Instant) -> Option<HolderId> {
+        let stalled = self
+            .holders
+            .iter()
+            .filter(|(_, holder)| holder.is_stalled(now));
+        let (id, _) = stalled.min_by_key(|(_, holder)| holder.waiting_since)?;
+        let id = *id;
+        self.revoke(id);
+        Some(id)
+    }
+
     /// Returns the holders that have waited longest, other than `claimant`, with `bytes` together.
     fn longest_stalled(
         &self,
--- a/crates/hold/src/lib.rs
+++ b/crates/hold/src/lib.rs
@@ -3,3 +3,4 @@
 
 pub mod account;
 pub mod budget;
+pub mod connections;
