The addresses for look-ups, readiness, metrics and peers have limits

What callers saw: heads of any length were held at these addresses for good, about 400 kB a connection, and any number of connections took the descriptors of ordinary callers. Cause: only the callers' address had limits.

Change: these addresses use the same table and the same tracking: a head is at most what callers may send and 8 KiB, and must come within the header timeout; silent and idle connections end after the idle timeout, except those that other entries keep open; each address takes a sixteenth of the descriptors, and beyond that the connection that does the least makes room.

--- a/bin/lh-entry/src/accept.rs
+++ b/bin/lh-entry/src/accept.rs
@@ -5,8 +5,9 @@
 mod caller_stream;
 mod head_scanner;
 mod pipeline;
-mod progress;
-mod table;
+pub(crate) mod progress;
+pub(crate) mod table;
+pub(crate) mod tracked_io;
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -33,9 +34,9 @@
 /// Maximum number of connections that wait to be accepted.
 const LISTEN_BACKLOG: u32 = 1024;
 /// Delay after a failed accept, for example when file descriptors run out.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Interval at which a connection is checked for its header and idle timeouts.
-const TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+pub(crate) const TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 /// Minimum size of the read buffer that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8192;
 
--- a/bin/lh-entry/src/accept/progress.rs
+++ b/bin/lh-entry/src/accept/progress.rs
@@ -44,7 +44,7 @@
 }
 
 impl ConnectionProgress {
-    pub(super) fn new() -> Self {
+    pub(crate) fn new() -> Self {
         Self {
             since: Cell::new(Instant::now()),
             head_started: Cell::new(false),
@@ -60,11 +60,11 @@
     }
 
     /// Whether a request has no response yet.
-    pub(super) fn is_responding(&self) -> bool {
+    pub(crate) fn is_responding(&self) -> bool {
         self.responding.get()
     }
 
-    pub(super) fn on_bytes_read(&self) {
+    pub(crate) fn on_bytes_read(&self) {
         if self.responding.get() || self.head_started.get() {
             return;
         }
@@ -72,14 +72,14 @@
         self.since.set(Instant::now());
     }
 
-    pub(super) fn on_request(&self, version: Version) {
+    pub(crate) fn on_request(&self, version: Version) {
         self.ends_by_close.set(version < Version::HTTP_11);
         self.head_started.set(false);
         self.responding.set(true);
         self.has_requested.set(true);
     }
 
-    pub(super) fn on_response(&self) {
+    pub(crate) fn on_response(&self) {
         self.responding.set(false);
         self.head_started.set(false);
         self.since.set(Instant::now());
@@ -89,25 +89,30 @@
     }
 
     /// Returns a guard for the body of a response, to be kept until the connection has taken it.
-    pub(super) fn body_guard(&self) -> CountGuard {
+    pub(crate) fn body_guard(&self) -> CountGuard {
         CountGuard::new(&self.open_bodies, 1)
     }
 
     /// Records a write, and whether the caller took any bytes.
-    pub(super) fn on_write(&self, is_taken: bool) {
+    pub(crate) fn on_write(&self, is_taken: bool) {
         let since = self.blocked_since.get();
         self.blocked_since
             .set((!is_taken).then(|| since.unwrap_or_else(Instant::now)));
     }
 
     /// Records that the entry has closed its side of the connection.
-    pub(super) fn on_closing(&self) {
+    pub(crate) fn on_closing(&self) {
         self.is_closing.set(true);
         self.since.set(Instant::now());
     }
 
+    /// Whether any request has arrived.
+    pub(crate) fn has_requested(&self) -> bool {
+        self.has_requested.get()
+    }
+
     /// Returns what the connection is doing, and since when.
-    pub(super) fn standing(&self) -> (Standing, Instant) {
+    pub(crate) fn standing(&self) -> (Standing, Instant) {
         let standing = if self.is_closing.get() {
             Standing::Closing
         } else if !self.has_requested.get() {
@@ -124,22 +129,22 @@
     }
 
     /// Records that a response was broken off in the middle of its body.
-    pub(super) fn on_broken_off(&self) {
+    pub(crate) fn on_broken_off(&self) {
         self.is_broken_off.set(true);
     }
 
     /// Whether the connection must be reset, since an ordinary close would make a response look
     /// complete that isn't.
-    pub(super) fn needs_reset(&self) -> bool {
+    pub(crate) fn needs_reset(&self) -> bool {
         self.ends_by_close.get() && self.is_broken_off.get()
     }
 
     /// Wakes `reader` after the next response: the request behind it may have been read already.
-    pub(super) fn wake_after_response(&self, reader: &Waker) {
+    pub(crate) fn wake_after_response(&self, reader: &Waker) {
         self.reader.replace(Some(reader.clone()));
     }
 
-    pub(super) fn expired(&self, head: Duration, idle: Duration) -> Option<ConnectionTimeout> {
+    pub(crate) fn expired(&self, head: Duration, idle: Duration) -> Option<ConnectionTimeout> {
         let blocked_since = self.blocked_since.get();
         if blocked_since.is_some_and(|since| since.elapsed() > idle) {
             return Some(ConnectionTimeout::Unread);
--- a/bin/lh-entry/src/app.rs
+++ b/bin/lh-entry/src/app.rs
@@ -61,7 +61,9 @@
     for name in INTERNAL_LISTENERS {
         let listener = services.find::<TcpListener>(name)?;
         let relays = name == PEER_LISTENER;
-        spawn_local(internal::run(Rc::clone(&state), listener, relays));
+        let most = state.config.hold.internal_connections;
+        let state = Rc::clone(&state);
+        spawn_local(internal::run(state, listener, (name, most), relays));
     }
     let callers = services.find::<TcpListener>("callers")?;
     spawn_local(accept::run(Rc::clone(&state), callers));
--- a/bin/lh-entry/src/internal.rs
+++ b/bin/lh-entry/src/internal.rs
@@ -4,7 +4,7 @@
 use std::convert::Infallible;
 use std::net::IpAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -12,43 +12,106 @@
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
+use crate::accept::progress::{ConnectionProgress, ConnectionTimeout};
+use crate::accept::table::{ConnectionPlace, ConnectionTable};
+use crate::accept::tracked_io::TrackedIo;
+use crate::accept::{ACCEPT_RETRY_DELAY, TIMEOUT_CHECK_INTERVAL};
 use crate::body::ResponseBody;
 use crate::lookup::{self, OwnLookup};
 use crate::state::InstanceState;
 use crate::{relay, status, view};
 
 const METRICS_PATH: &str = "/metrics";
+/// Maximum size of what an entry adds to the head of a request that it relays, in bytes.
+const ADDED_HEAD_BYTES: usize = 8 << 10;
 
-/// Serves requests on `listener` until the process ends. With `relays`, other entries may relay
-/// callers' requests through it.
-pub(crate) async fn run(state: Rc<InstanceState>, listener: Rc<TcpListener>, relays: bool) {
+/// Serves requests on `listener` until the process ends, over at most `most` connections. With
+/// `relays`, other entries may relay callers' requests through it.
+pub(crate) async fn run(
+    state: Rc<InstanceState>,
+    listener: Rc<TcpListener>,
+    (purpose, most): (&'static str, usize),
+    relays: bool,
+) {
+    let table = ConnectionTable::new(purpose, most);
     loop {
         let Ok((stream, caller)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(20)).await;
+            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
+        let progress = Rc::new(ConnectionProgress::new());
+        let Some(place) = table.admit(&state, &progress) else {
+            continue;
+        };
+        let peer = InternalPeer {
+            address: caller.ip(),
+            relays,
+        };
         let state = Rc::clone(&state);
-        tokio::task::spawn_local(async move {
-            let _ = stream.set_nodelay(true);
-            let service = service_fn(move |request| {
-                let state = Rc::clone(&state);
-                async move {
-                    if relays && relay::is_relayed(&request) {
-                        return Ok::<_, Infallible>(relay::serve(state, request).await);
-                    }
-                    Ok(respond(&state, &request, caller.ip()))
+        tokio::task::spawn_local(serve_connection(state, stream, progress, (place, peer)));
+    }
+}
+
+/// Who is at the other end of a connection.
+#[derive(Debug, Clone, Copy)]
+struct InternalPeer {
+    address: IpAddr,
+    /// Whether it may relay requests.
+    relays: bool,
+}
+
+async fn serve_connection(
+    state: Rc<InstanceState>,
+    stream: TcpStream,
+    progress: Rc<ConnectionProgress>,
+    (place, peer): (ConnectionPlace, InternalPeer),
+) {
+    let _ = stream.set_nodelay(true);
+    let io = TrackedIo::new(stream, &progress);
+    let (served, served_progress) = (Rc::clone(&state), Rc::clone(&progress));
+    let service = service_fn(move |request: Request<Incoming>| {
+        served_progress.on_request(request.version());
+        let state = Rc::clone(&served);
+        let progress = Rc::clone(&served_progress);
+        async move {
+            let response = if peer.relays && relay::is_relayed(&request) {
+                relay::serve(state, request).await
+            } else {
+                respond(&state, &request, peer.address)
+            };
+            progress.on_response();
+            Ok::<_, Infallible>(response.map(|body| body.with_guard(progress.body_guard())))
+        }
+    });
+    // Heads of relayed requests hold what the caller sent and what its entry added.
+    let head_bytes = state.limits.get().header_bytes + ADDED_HEAD_BYTES;
+    let connection = Builder::new()
+        .header_read_timeout(None)
+        .max_buf_size(head_bytes)
+        .serve_connection(io, service);
+    tokio::pin!(connection);
+    loop {
+        tokio::select! {
+            ended = connection.as_mut() => {
+                if let Err(error) = ended {
+                    log::debug!(error:%; "internal connection failed");
                 }
-            });
-            let served = Builder::new()
-                .header_read_timeout(None)
-                .serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = served.await {
-                log::debug!(error:%; "internal connection failed");
+                return;
             }
-        });
+            () = place.evicted() => return,
+            () = tokio::time::sleep(TIMEOUT_CHECK_INTERVAL) => {
+                let limits = state.limits.get();
+                match progress.expired(limits.header_timeout, limits.idle_timeout) {
+                    Some(ConnectionTimeout::Head | ConnectionTimeout::Unread) => return,
+                    // Other entries keep theirs open for their next question.
+                    Some(ConnectionTimeout::Idle) if peer.relays && progress.has_requested() => {}
+                    Some(ConnectionTimeout::Idle) => connection.as_mut().graceful_shutdown(),
+                    None => {}
+                }
+            }
+        }
     }
 }
 
--- a/crates/hold/src/budget.rs
+++ b/crates/hold/src/budget.rs
@@ -4,6 +4,8 @@
 const BODY_DIVISOR: usize = 4;
 /// Callers may use one in this many of the descriptors.
 const CALLER_DIVISOR: usize = 2;
+/// Each other address may use one in this many of the descriptors.
+const INTERNAL_DIVISOR: usize = 16;
 
 /// The memory and descriptors that callers may make an entry hold.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -12,6 +14,8 @@
     pub body_bytes: usize,
     /// Number of connections of callers.
     pub caller_connections: usize,
+    /// Number of connections at each other address.
+    pub internal_connections: usize,
 }
 
 impl HoldBudget {
@@ -20,6 +24,7 @@
         Self {
             body_bytes: memory_bytes / BODY_DIVISOR,
             caller_connections: descriptors / CALLER_DIVISOR,
+            internal_connections: descriptors / INTERNAL_DIVISOR,
         }
     }
 }
