What callers send behind a refusal counts, and is limited

What callers saw: an entry that refused many bodies by their heads kept what their callers sent on, unread in its sockets, for up to 5 s each, which counts as the process's memory. Cause: a closed connection waits for its caller's end, so that the refusal isn't lost, and nothing bounded what arrived meanwhile.

Change: a closed connection claims memory for what is unread, takes no more than that, and yields after a second like any other holder; without memory it is reset. Its buffers are dropped before the wait. Beyond the number of connections whose buffers fit an eighth of the memory new ones get receive buffers of 16 KiB.

--- a/bin/lh-entry/src/accept.rs
+++ b/bin/lh-entry/src/accept.rs
@@ -19,6 +19,7 @@
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::accept::caller_io::CallerIo;
@@ -37,6 +38,8 @@
 pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Interval at which a connection is checked for its header and idle timeouts.
 pub(crate) const TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+/// Receive buffer of each connection while there are many, in bytes.
+const SMALL_RECEIVE_BYTES: usize = 16 << 10;
 /// Minimum size of the read buffer that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8192;
 
@@ -64,6 +67,9 @@
                 let Some(place) = table.admit(&state, &progress) else {
                     continue;
                 };
+                if table.len() > state.config.hold.roomy_connections {
+                    limit_unread(&stream);
+                }
                 let state = Rc::clone(&state);
                 tokio::task::spawn_local(serve_connection(state, stream, progress, place));
             }
@@ -75,6 +81,13 @@
     }
 }
 
+/// Limits what may wait unread in `stream`.
+fn limit_unread(stream: &TcpStream) {
+    if let Err(error) = SockRef::from(stream).set_recv_buffer_size(SMALL_RECEIVE_BYTES) {
+        log::debug!(error:%; "failed to limit a receive buffer");
+    }
+}
+
 async fn serve_connection(
     state: Rc<InstanceState>,
     stream: TcpStream,
@@ -113,10 +126,10 @@
         .header_read_timeout(None)
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(io, service);
-    tokio::pin!(connection);
+    let mut connection = Box::pin(connection);
     let mut stopping = state.stopping.subscribe();
     state.metrics.connections.inc();
-    loop {
+    let lingers = loop {
         tokio::select! {
             ended = connection.as_mut() => {
                 if let Err(error) = ended {
@@ -125,16 +138,9 @@
                         progress.on_broken_off();
                     }
                 }
-                if !progress.needs_reset() {
-                    progress.on_closing();
-                    tokio::select! {
-                        () = socket.linger() => {}
-                        () = place.evicted() => {}
-                    }
-                }
-                break;
+                break !progress.needs_reset();
             }
-            () = place.evicted() => break,
+            () = place.evicted() => break false,
             changed = stopping.changed() => {
                 let is_refusing = changed.is_err() || *stopping.borrow() == StopPhase::Refusing;
                 // Requests that were started early are answered first; the last response closes
@@ -146,12 +152,22 @@
             () = tokio::time::sleep(TIMEOUT_CHECK_INTERVAL) => {
                 let limits = state.limits.get();
                 match progress.expired(limits.header_timeout, limits.idle_timeout) {
-                    Some(ConnectionTimeout::Head | ConnectionTimeout::Unread) => break,
+                    Some(ConnectionTimeout::Head | ConnectionTimeout::Unread) => break false,
                     Some(ConnectionTimeout::Idle) => connection.as_mut().graceful_shutdown(),
                     None => {}
                 }
             }
         }
+    };
+    // Its buffers are needed no more.
+    drop(connection);
+    if lingers {
+        progress.on_closing();
+        let lease = state.memory.lease();
+        tokio::select! {
+            () = socket.linger(&lease) => {}
+            () = place.evicted() => {}
+        }
     }
     state.metrics.connections.dec();
 }
--- a/bin/lh-entry/src/accept/caller_io.rs
+++ b/bin/lh-entry/src/accept/caller_io.rs
@@ -137,6 +137,8 @@
                 return Poll::Ready(Ok(()));
             }
             if this.is_opaque {
+                // It is not used again.
+                this.ahead = BytesMut::new();
                 let polled = Pin::new(&mut this.io).poll_read(context, cursor);
                 if matches!(polled, Poll::Ready(Ok(()))) {
                     this.progress.on_bytes_read();
--- a/bin/lh-entry/src/accept/caller_stream.rs
+++ b/bin/lh-entry/src/accept/caller_stream.rs
@@ -14,6 +14,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::memory::MemoryLease;
+
 /// Interval at which it is checked whether a caller that waits for its response has left. The
 /// readiness of a socket with unread bytes can't be awaited for its end alone.
 const END_CHECK_INTERVAL: Duration = Duration::from_millis(150);
@@ -21,6 +23,8 @@
 /// Maximum time for which a connection that the entry has closed is kept until its caller has
 /// closed it too.
 const LINGER_TIME: Duration = Duration::from_secs(5);
+/// Receive buffer of a connection that the entry has closed, in bytes.
+const CLOSED_BUFFER_BYTES: usize = 4 << 10;
 
 /// A caller's socket.
 #[derive(Debug, Clone)]
@@ -53,11 +57,44 @@
 
     /// Waits until the caller has closed its side of a connection whose other side has been closed.
     /// Closing a socket with unread bytes resets the connection, and the rest of the last response
-    /// is lost. These bytes stay unread: a request among them may be sent again elsewhere.
-    pub(super) async fn linger(&self) {
-        if timeout(LINGER_TIME, self.left()).await.is_err() {
-            log::debug!("a caller kept its side of a closed connection open");
+    /// is lost. These bytes stay unread: a request among them may be sent again elsewhere. `lease`
+    /// is for their memory, and the wait ends without it.
+    pub(super) async fn linger(&self, lease: &MemoryLease) {
+        lease.on_waiting();
+        let closed = async {
+            while !self.has_ended() {
+                if !self.hold_unread(lease) {
+                    return;
+                }
+                tokio::time::sleep(END_CHECK_INTERVAL).await;
+            }
+        };
+        tokio::select! {
+            closed = timeout(LINGER_TIME, closed) => {
+                if closed.is_err() {
+                    log::debug!("a caller kept its side of a closed connection open");
+                }
+            }
+            () = lease.revoked() => log::debug!("a closed connection yields its memory"),
+        }
+    }
+
+    /// Claims memory for what the caller has sent since, and takes no more than that from it.
+    /// `false` if there is no memory.
+    fn hold_unread(&self, lease: &MemoryLease) -> bool {
+        let unread_bytes = match rustix::io::ioctl_fionread(&*self.0) {
+            Ok(0) => return true,
+            Ok(bytes) => usize::try_from(bytes).unwrap_or(usize::MAX),
+            Err(error) => {
+                log::debug!(error:%; "the unread bytes of a connection are unknown");
+                return true;
+            }
+        };
+        let socket = SockRef::from(&*self.0);
+        if let Err(error) = socket.set_recv_buffer_size(CLOSED_BUFFER_BYTES) {
+            log::debug!(error:%; "failed to reduce a receive buffer");
         }
+        lease.claim(unread_bytes).is_ok()
     }
 
     fn has_ended(&self) -> bool {
--- a/bin/lh-entry/src/accept/table.rs
+++ b/bin/lh-entry/src/accept/table.rs
@@ -68,6 +68,11 @@
         })
     }
 
+    /// Number of connections.
+    pub(crate) fn len(&self) -> usize {
+        self.open.borrow().len()
+    }
+
     fn evict(&self) -> bool {
         let mut open = self.open.borrow_mut();
         let yielding = choose_yielding(open.iter().map(|(id, connection)| {
--- a/bin/lh-entry/tests/crowd/mod.rs
+++ b/bin/lh-entry/tests/crowd/mod.rs
@@ -12,7 +12,7 @@
     FakeBackend, RouteFixture, desired_state, with_body_limit, with_idle_timeout,
 };
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::{Mutex, MutexGuard};
 use tokio::task::JoinSet;
 
@@ -28,6 +28,8 @@
 const IDLE_TIMEOUT: &str = "300s";
 /// Interval at which memory and descriptors are read.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
+/// Receive buffer of callers that read nothing, in bytes.
+const SMALL_WINDOW_BYTES: u32 = 4 << 10;
 /// A crowd that has sent nothing for this long has sent what it can.
 const QUIET_TIME: Duration = Duration::from_secs(2);
 
@@ -234,14 +236,17 @@
         crowd
     }
 
-    /// Lets `count` callers connect to `address`, send `requests` and read nothing.
+    /// Lets `count` callers with small windows connect to `address`, send `requests` and read
+    /// nothing.
     pub async fn ignore(address: SocketAddr, count: usize, requests: &str) -> Self {
         let progress = Arc::new(CrowdProgress::default());
         let mut members = JoinSet::new();
         for _ in 0..count {
             let (requests, progress) = (requests.to_owned(), Arc::clone(&progress));
             members.spawn(async move {
-                let Ok(mut stream) = TcpStream::connect(address).await else {
+                let socket = TcpSocket::new_v4().unwrap();
+                socket.set_recv_buffer_size(SMALL_WINDOW_BYTES).unwrap();
+                let Ok(mut stream) = socket.connect(address).await else {
                     return;
                 };
                 progress.connected.fetch_add(1, Ordering::Relaxed);
--- a/bin/lh-entry/tests/crowds.rs
+++ b/bin/lh-entry/tests/crowds.rs
@@ -201,18 +201,34 @@
     }
 }
 
-/// Responses that nobody reads, of requests without a pause.
+/// Responses that nobody reads, of requests without a pause: large ones, which are forwarded while
+/// they arrive, and those that are read completely first.
 #[tokio::test(flavor = "multi_thread")]
 async fn unread_responses_stay_within_memory() {
-    let mut world = CrowdWorld::new().await;
-    for backend in world.backends() {
-        backend.set_behavior(Behavior::Large(LEGAL_BYTES));
-    }
-    let request = "GET /board/x HTTP/1.1\r\nHost: board.example\r\nRequest-Id: crowd\r\n\
-                   Deadline-Ms: 300000\r\n\r\n";
-    let crowd = Crowd::ignore(world.entry.callers(), 150, &request.repeat(4)).await;
-    for backend in world.backends() {
-        backend.set_behavior(Behavior::Run(Duration::ZERO));
+    for bytes in [LEGAL_BYTES, 250_000] {
+        let mut world = CrowdWorld::new().await;
+        for backend in world.backends() {
+            backend.set_behavior(Behavior::Large(bytes));
+        }
+        let request = "GET /board/x HTTP/1.1\r\nHost: board.example\r\nRequest-Id: crowd\r\n\
+                       Deadline-Ms: 300000\r\n\r\n";
+        let mut crowds = Vec::new();
+        for _ in 0..5 {
+            let crowd = Crowd::ignore(world.entry.callers(), 100, &request.repeat(8)).await;
+            crowds.push(crowd);
+        }
+        for backend in world.backends() {
+            backend.set_behavior(Behavior::Run(Duration::ZERO));
+        }
+        world.check(&crowds[0]).await;
     }
+}
+
+/// Heads that go on after they were refused, at connections that wait for their callers' ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_behind_refusals_stay_within_memory() {
+    let mut world = CrowdWorld::new().await;
+    let head = announced("/board/x", 10 << 30);
+    let crowd = Crowd::send(world.entry.callers(), 540, &head, (filled(64 << 10), 16)).await;
     world.check(&crowd).await;
 }
--- a/crates/hold/src/budget.rs
+++ b/crates/hold/src/budget.rs
@@ -6,6 +6,12 @@
 const CALLER_DIVISOR: usize = 2;
 /// Each other address may use one in this many of the descriptors.
 const INTERNAL_DIVISOR: usize = 16;
+/// What waits unread in the sockets of callers may use one in this many bytes of the memory, beyond
+/// the smallest receive buffers.
+const RECEIVE_DIVISOR: usize = 8;
+/// What may wait unread in a socket whose receive buffer the system chooses, in bytes, as long as
+/// the entry has read little from it.
+const UNREAD_BYTES: usize = 64 << 10;
 
 /// The memory and descriptors that callers may make an entry hold.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -14,6 +20,8 @@
     pub body_bytes: usize,
     /// Number of connections of callers.
     pub caller_connections: usize,
+    /// Number of callers' connections beyond which new ones get small receive buffers.
+    pub roomy_connections: usize,
     /// Number of connections at each other address.
     pub internal_connections: usize,
 }
@@ -24,6 +32,7 @@
         Self {
             body_bytes: memory_bytes / BODY_DIVISOR,
             caller_connections: descriptors / CALLER_DIVISOR,
+            roomy_connections: memory_bytes / RECEIVE_DIVISOR / UNREAD_BYTES,
             internal_connections: descriptors / INTERNAL_DIVISOR,
         }
     }
