Responses that nobody reads use the same memory as bodies

What callers saw: callers that asked for large responses over pipelined requests and read nothing filled the memory: the first 256 KiB of each response, and what its connection to the server had read on, counted nowhere.

Change: a response is read into claimed memory; without memory it is forwarded as it arrives. It is handed to its connection in pieces of 32 KiB, and the memory of the rest is returned as the caller takes them; a forwarded one claims 96 KiB for the buffers of both connections. A response whose caller has taken nothing for a second yields when others need its memory: its connection is broken off. Buffers of connections to servers are 64 KiB, their receive buffers 128 KiB.

--- a/bin/lh-entry/src/accept.rs
+++ b/bin/lh-entry/src/accept.rs
@@ -113,6 +113,7 @@
                 biased;
                 response = respond(&state, &pipeline, request) => {
                     progress.on_response();
+                    progress.on_response_memory(response.body().lease().as_ref());
                     Ok(response.map(|body| body.with_guard(progress.body_guard())))
                 }
                 // The connection reads nothing while bytes of the caller's wait, so it doesn't
@@ -141,6 +142,11 @@
                 break !progress.needs_reset();
             }
             () = place.evicted() => break false,
+            () = progress.response_revoked() => {
+                log::debug!("a response that its caller doesn't read yields its memory");
+                progress.on_broken_off();
+                break false;
+            }
             changed = stopping.changed() => {
                 let is_refusing = changed.is_err() || *stopping.borrow() == StopPhase::Refusing;
                 // Requests that were started early are answered first; the last response closes
--- a/bin/lh-entry/src/accept/progress.rs
+++ b/bin/lh-entry/src/accept/progress.rs
@@ -1,14 +1,16 @@
 //! Tracks what a caller's connection waits for, for its timeouts.
 
 use std::cell::{Cell, RefCell};
-use std::rc::Rc;
-use std::task::Waker;
+use std::future::poll_fn;
+use std::rc::{Rc, Weak};
+use std::task::{Poll, Waker};
 use std::time::{Duration, Instant};
 
 use hold::connections::Standing;
 use hyper::Version;
 
 use crate::body::CountGuard;
+use crate::memory::MemoryLease;
 
 /// A timeout that has expired on a connection.
 pub(crate) enum ConnectionTimeout {
@@ -39,6 +41,8 @@
     has_requested: Cell<bool>,
     /// Whether the entry has closed its side of the connection.
     is_closing: Cell<bool>,
+    /// Memory of the response that is being sent.
+    response: RefCell<Weak<MemoryLease>>,
     /// Wakes the task that waits for the next request.
     reader: RefCell<Option<Waker>>,
 }
@@ -55,6 +59,7 @@
             is_broken_off: Cell::new(false),
             has_requested: Cell::new(false),
             is_closing: Cell::new(false),
+            response: RefCell::default(),
             reader: RefCell::default(),
         }
     }
@@ -98,6 +103,28 @@
         let since = self.blocked_since.get();
         self.blocked_since
             .set((!is_taken).then(|| since.unwrap_or_else(Instant::now)));
+        if let Some(lease) = self.response.borrow().upgrade() {
+            if is_taken {
+                lease.on_moved();
+            } else {
+                lease.on_waiting();
+            }
+        }
+    }
+
+    /// Records the memory of the response that is sent next.
+    pub(crate) fn on_response_memory(&self, lease: Option<&Rc<MemoryLease>>) {
+        self.response
+            .replace(lease.map(Rc::downgrade).unwrap_or_default());
+    }
+
+    /// Completes when the memory of the response that is being sent is needed for others.
+    pub(crate) async fn response_revoked(&self) {
+        poll_fn(|context| match self.response.borrow().upgrade() {
+            Some(lease) => lease.poll_revoked(context),
+            None => Poll::Pending,
+        })
+        .await;
     }
 
     /// Records that the entry has closed its side of the connection.
--- a/bin/lh-entry/src/body.rs
+++ b/bin/lh-entry/src/body.rs
@@ -15,6 +15,10 @@
 use crate::memory::MemoryLease;
 use crate::response_stream::{ResponseStream, StreamError};
 
+/// Maximum size of the pieces in which a response is handed to its connection, in bytes. The
+/// memory of the rest is kept until the caller has taken what is ahead of it.
+const MAX_PIECE_BYTES: usize = 32 << 10;
+
 /// Adds an amount to a counter until it is dropped.
 #[derive(Debug)]
 pub(crate) struct CountGuard {
@@ -45,8 +49,8 @@
 pub(crate) struct ResponseBody {
     content: ResponseContent,
     guards: Vec<CountGuard>,
-    /// Memory of a body that was read completely.
-    lease: Option<MemoryLease>,
+    /// Memory of what has been read of it.
+    lease: Option<Rc<MemoryLease>>,
 }
 
 #[derive(Debug)]
@@ -116,10 +120,15 @@
 
     /// Keeps `lease` until the body is sent or dropped.
     pub(crate) fn with_lease(mut self, lease: MemoryLease) -> Self {
-        self.lease = Some(lease);
+        self.lease = Some(Rc::new(lease));
         self
     }
 
+    /// The memory of what has been read of it.
+    pub(crate) fn lease(&self) -> Option<Rc<MemoryLease>> {
+        self.lease.clone()
+    }
+
     /// Keeps `guard` until the body is sent or dropped.
     pub(crate) fn with_guard(mut self, guard: CountGuard) -> Self {
         self.guards.push(guard);
@@ -127,6 +136,15 @@
     }
 }
 
+/// Takes the next piece of what has been read of a response.
+pub(crate) fn next_piece(bytes: &mut Option<Bytes>) -> Option<Bytes> {
+    let rest = bytes.as_mut()?;
+    if rest.len() <= MAX_PIECE_BYTES {
+        return bytes.take();
+    }
+    Some(rest.split_to(MAX_PIECE_BYTES))
+}
+
 impl Body for ResponseBody {
     type Data = Bytes;
     type Error = StreamError;
@@ -135,12 +153,21 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamError>>> {
-        match &mut self.content {
+        let (polled, held_bytes) = match &mut self.content {
             ResponseContent::Buffered(bytes) => {
-                Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b))))
+                let piece = next_piece(bytes);
+                let held_bytes = bytes.as_ref().map_or(0, Bytes::len);
+                (
+                    Poll::Ready(piece.map(|piece| Ok(Frame::data(piece)))),
+                    held_bytes,
+                )
             }
-            ResponseContent::Streamed(stream) => stream.poll_frame(context),
+            ResponseContent::Streamed(stream) => (stream.poll_frame(context), stream.held_bytes()),
+        };
+        if let Some(lease) = &self.lease {
+            lease.release(held_bytes);
         }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
--- a/bin/lh-entry/src/body_reader.rs
+++ b/bin/lh-entry/src/body_reader.rs
@@ -12,14 +12,13 @@
 use tokio::time::timeout_at;
 
 use crate::body::{RequestBody, UnsentBody};
+use crate::leased_buffer::LeasedBuffer;
 use crate::memory::MemoryLease;
 use crate::state::InstanceState;
 
 /// Maximum size of a body that is buffered before the request is forwarded, in bytes. A buffered
 /// request can be sent to another server if the first one rejects it.
 const MAX_BUFFERED_BODY_BYTES: usize = 1 << 20;
-/// Smallest buffer for a body whose length is unknown, in bytes.
-const MIN_BUFFER_BYTES: usize = 4 << 10;
 
 quick_error! {
     /// Why a request's body could not be read.
@@ -118,47 +117,6 @@
     }
 }
 
-/// A body that is being read into leased memory.
-struct BodyBuffer {
-    bytes: Vec<u8>,
-    lease: MemoryLease,
-    /// Length of the body, if its caller stated it.
-    stated: Option<usize>,
-}
-
-impl BodyBuffer {
-    /// Adds `data`. Returns it if there is no memory for it.
-    fn add(&mut self, data: Bytes) -> Option<Bytes> {
-        let needed = self.bytes.len() + data.len();
-        if needed > self.bytes.capacity() {
-            let roomy = needed.max(2 * self.bytes.capacity()).max(MIN_BUFFER_BYTES);
-            let capacity = roomy.min(self.stated.unwrap_or(usize::MAX)).max(needed);
-            if self.lease.claim(capacity).is_err() {
-                return Some(data);
-            }
-            self.bytes.reserve_exact(capacity - self.bytes.len());
-        }
-        self.bytes.extend_from_slice(&data);
-        None
-    }
-
-    fn into_complete(self) -> JobBody {
-        JobBody::Buffered {
-            bytes: self.bytes.into(),
-            _lease: self.lease,
-        }
-    }
-
-    /// Leaves the rest of the body, `next` first, to be streamed.
-    fn into_streamed(self, next: Option<Bytes>, rest: Incoming, limit: usize) -> JobBody {
-        let first = [Some(self.bytes.into()), next].into_iter().flatten();
-        JobBody::Streamed {
-            unsent: Some(UnsentBody::new(first, rest, limit)),
-            lease: Rc::new(self.lease),
-        }
-    }
-}
-
 /// Reads the caller's `body`, if there is one, and buffers it if it is small and enough memory is
 /// free.
 ///
@@ -171,38 +129,52 @@
     body: Option<Incoming>,
     limit: usize,
 ) -> Result<JobBody, ReadError> {
-    let mut buffer = BodyBuffer {
-        bytes: Vec::new(),
-        lease: state.memory.lease(),
-        stated: None,
-    };
+    let stated = body.as_ref().and_then(|body| body.size_hint().exact());
+    let mut buffer = LeasedBuffer::new(state.memory.lease(), stated);
     let Some(mut body) = body else {
-        return Ok(buffer.into_complete());
+        return Ok(complete(buffer));
     };
-    buffer.stated = body.size_hint().exact().map(|length| length as usize);
     while !body.is_end_stream() {
-        if buffer.bytes.len() >= MAX_BUFFERED_BODY_BYTES {
-            return Ok(buffer.into_streamed(None, body, limit));
+        if buffer.len() >= MAX_BUFFERED_BODY_BYTES {
+            return Ok(streamed(buffer, None, body, limit));
         }
-        buffer.lease.on_waiting();
+        buffer.lease().on_waiting();
         let next = tokio::select! {
             biased;
-            () = buffer.lease.revoked() => return Err(ReadError::Revoked),
+            () = buffer.lease().revoked() => return Err(ReadError::Revoked),
             next = timeout_at(deadline_at.into(), body.frame()) => next,
         };
-        buffer.lease.on_moved();
+        buffer.lease().on_moved();
         let Some(frame) = next.map_err(|_| ReadError::Late)? else {
             break;
         };
         let Ok(data) = frame?.into_data() else {
             continue;
         };
-        if buffer.bytes.len() + data.len() > limit {
+        if buffer.len() + data.len() > limit {
             return Err(ReadError::TooLong);
         }
         if let Some(data) = buffer.add(data) {
-            return Ok(buffer.into_streamed(Some(data), body, limit));
+            return Ok(streamed(buffer, Some(data), body, limit));
         }
     }
-    Ok(buffer.into_complete())
+    Ok(complete(buffer))
+}
+
+fn complete(buffer: LeasedBuffer) -> JobBody {
+    let (bytes, lease) = buffer.into_parts();
+    JobBody::Buffered {
+        bytes,
+        _lease: lease,
+    }
+}
+
+/// Leaves the rest of a body, `next` first, to be streamed.
+fn streamed(buffer: LeasedBuffer, next: Option<Bytes>, rest: Incoming, limit: usize) -> JobBody {
+    let (bytes, lease) = buffer.into_parts();
+    let first = [Some(bytes), next].into_iter().flatten();
+    JobBody::Streamed {
+        unsent: Some(UnsentBody::new(first, rest, limit)),
+        lease: Rc::new(lease),
+    }
 }
--- a/bin/lh-entry/src/job/response.rs
+++ b/bin/lh-entry/src/job/response.rs
@@ -13,7 +13,9 @@
 use crate::connect::{ahead, reuse};
 use crate::job::{AttemptResult, RequestJob};
 use crate::pool::ConnectionLease;
-use crate::reply::{describe_error, is_valid_response, read_response, strip_hop_by_hop_headers};
+use crate::reply::{
+    ReadResponse, describe_error, is_valid_response, read_response, strip_hop_by_hop_headers,
+};
 use crate::response_stream::{ResponseStream, StreamLimit};
 use crate::statements;
 
@@ -55,7 +57,12 @@
                 .on_attempt_result(&format!("unsound answer ({})", parts.status.as_u16()));
             return AttemptResult::Broken;
         }
-        let (bytes, rest) = match timeout_at(self.deadline_at.into(), read_response(body)).await {
+        let reading = read_response(&self.state, body);
+        let ReadResponse {
+            bytes,
+            rest,
+            lease: memory,
+        } = match timeout_at(self.deadline_at.into(), reading).await {
             Err(_) => {
                 guard.finish(ServerOutcome::OutOfTime, None);
                 self.record.on_attempt_result("answer not complete in time");
@@ -90,7 +97,7 @@
                 ResponseBody::buffered(bytes)
             }
         };
-        let mut response = Response::new(body);
+        let mut response = Response::new(body.with_lease(memory));
         *response.status_mut() = parts.status;
         *response.headers_mut() = parts.headers;
         strip_hop_by_hop_headers(response.headers_mut());
--- a/bin/lh-entry/src/lib.rs
+++ b/bin/lh-entry/src/lib.rs
@@ -25,6 +25,7 @@
 mod homes;
 mod internal;
 mod job;
+mod leased_buffer;
 mod load_reports;
 mod logs;
 mod lookup;
--- a/bin/lh-entry/src/memory.rs
+++ b/bin/lh-entry/src/memory.rs
@@ -113,6 +113,11 @@
         Ok(())
     }
 
+    /// Lowers the lease to `bytes`.
+    pub(crate) fn release(&self, bytes: usize) {
+        self.memory.0.account.borrow_mut().release(self.id, bytes);
+    }
+
     /// Records that the holder waits for its caller.
     pub(crate) fn on_waiting(&self) {
         let mut account = self.memory.0.account.borrow_mut();
--- a/bin/lh-entry/src/pool.rs
+++ b/bin/lh-entry/src/pool.rs
@@ -11,6 +11,7 @@
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{CONNECTION, HeaderName};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
@@ -29,6 +30,12 @@
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_millis(400);
 /// Safety margin between the last use of a connection and the time at which the server closes it.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(800);
+/// Maximum size of the buffers of a connection, in bytes; also the maximum size of the head of a
+/// response.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+/// Receive buffer of a connection, in bytes: what a response may bring that its caller doesn't
+/// read.
+const RECEIVE_BUFFER_BYTES: usize = 128 << 10;
 /// Maximum number of idle connections per server.
 const MAX_IDLE_PER_SERVER: usize = 16;
 
@@ -158,8 +165,12 @@
             Err(_) => return Err("connect timed out".to_owned()),
         };
         let _ = stream.set_nodelay(true);
+        if let Err(error) = SockRef::from(&stream).set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
+            log::debug!(error:%; "failed to limit the receive buffer of a connection");
+        }
         let mark = RequestMark::default();
         let (sender, connection) = Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(ServerStream::new(stream, &mark)))
             .await
             .map_err(|error| error.to_string())?;
--- a/bin/lh-entry/src/relay/mod.rs
+++ b/bin/lh-entry/src/relay/mod.rs
@@ -28,7 +28,7 @@
 use crate::job::{AttemptResult, RequestJob};
 use crate::pool::ConnectionLease;
 use crate::relay::head::{BEHIND, DECLINED_HEADER, NO_PATH, RelayHead};
-use crate::reply::{describe_error, read_response, strip_hop_by_hop_headers};
+use crate::reply::{ReadResponse, describe_error, read_response, strip_hop_by_hop_headers};
 use crate::response_stream::ResponseStream;
 use crate::state::InstanceState;
 
@@ -177,7 +177,12 @@
                 AttemptResult::Broken
             };
         }
-        let (bytes, rest) = match timeout_at(self.deadline_at.into(), read_response(body)).await {
+        let reading = read_response(&self.state, body);
+        let ReadResponse {
+            bytes,
+            rest,
+            lease: memory,
+        } = match timeout_at(self.deadline_at.into(), reading).await {
             Err(_) => {
                 self.record.on_attempt_result("answer not complete in time");
                 return AttemptResult::OutOfTime;
@@ -193,7 +198,7 @@
         let headers = response.headers_mut();
         strip_hop_by_hop_headers(headers);
         headers.remove(HeaderName::from_static(OUTCOME_HEADER));
-        AttemptResult::Responded(response.map(|()| match rest {
+        let body = match rest {
             Some(rest) => {
                 let limit = self.stream_limit(route);
                 let stream = ResponseStream::new(&self.state, bytes, rest, lease, limit);
@@ -203,7 +208,8 @@
                 self.state.pool.release_for(lease, peers::KEEP_ALIVE);
                 ResponseBody::buffered(bytes)
             }
-        }))
+        };
+        AttemptResult::Responded(response.map(|()| body.with_lease(memory)))
     }
 
     async fn connect_to_peer(
--- a/bin/lh-entry/src/reply.rs
+++ b/bin/lh-entry/src/reply.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use base::prelude::Outcome;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderName};
 use hyper::{HeaderMap, Response, StatusCode};
 use platform::headers::ServerHeaders;
@@ -13,14 +13,20 @@
 use crate::body::ResponseBody;
 use crate::body_reader::ReadError;
 use crate::caller::Caller;
+use crate::leased_buffer::LeasedBuffer;
+use crate::memory::MemoryLease;
 use crate::problem::Problem;
 use crate::record::RequestRecord;
+use crate::state::InstanceState;
 
 /// Maximum size of a response that is read completely before it is forwarded, in bytes. If the
 /// connection fails before that, the request can be retried.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 << 10;
 /// Retry time for callers whose bodies stood still while memory was short.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Memory that a response needs while it is forwarded as it arrives, in bytes: buffers of both
+/// connections.
+pub(crate) const STREAM_BYTES: usize = 96 << 10;
 /// Headers that apply to a single connection only.
 const HOP_BY_HOP_HEADERS: [HeaderName; 9] = [
     header::CONNECTION,
@@ -34,20 +40,44 @@
     header::EXPECT,
 ];
 
-/// Reads a response body completely, or only its start and the rest as a stream if it is large.
+/// A response body of which at least the start has arrived.
+pub(crate) struct ReadResponse {
+    /// What has arrived.
+    pub(crate) bytes: Bytes,
+    /// The rest of a large body, or of one that there was no memory for.
+    pub(crate) rest: Option<Incoming>,
+    /// The memory of `bytes`.
+    pub(crate) lease: MemoryLease,
+}
+
+/// Reads a response body completely, or only its start if it is large or memory is short.
 pub(crate) async fn read_response(
+    state: &InstanceState,
     mut body: Incoming,
-) -> Result<(Bytes, Option<Incoming>), hyper::Error> {
-    let mut bytes = BytesMut::new();
+) -> Result<ReadResponse, hyper::Error> {
+    let mut buffer = LeasedBuffer::new(state.memory.lease(), body.size_hint().exact());
+    let mut rest = None;
+    let mut unheld = None;
     while let Some(frame) = body.frame().await {
-        if let Some(data) = frame?.data_ref() {
-            bytes.extend_from_slice(data);
-        }
-        if bytes.len() >= MAX_BUFFERED_RESPONSE_BYTES {
-            return Ok((bytes.freeze(), Some(body)));
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        unheld = buffer.add(data);
+        if unheld.is_some() || buffer.len() >= MAX_BUFFERED_RESPONSE_BYTES {
+            rest = Some(body);
+            break;
         }
     }
-    Ok((bytes.freeze(), None))
+    let (bytes, lease) = buffer.into_parts();
+    if rest.is_some() && lease.claim(bytes.len() + STREAM_BYTES).is_err() {
+        log::debug!("a response is forwarded beyond the memory for responses");
+    }
+    let bytes = match unheld {
+        Some(next) if bytes.is_empty() => next,
+        Some(next) => [bytes, next].concat().into(),
+        None => bytes,
+    };
+    Ok(ReadResponse { bytes, rest, lease })
 }
 
 /// Returns whether the response may be forwarded to the caller. A status that callers read as
--- a/bin/lh-entry/src/response_stream.rs
+++ b/bin/lh-entry/src/response_stream.rs
@@ -13,7 +13,9 @@
 use quick_error::quick_error;
 use tokio::time::Sleep;
 
+use crate::body::next_piece;
 use crate::pool::ConnectionLease;
+use crate::reply::STREAM_BYTES;
 use crate::state::InstanceState;
 
 /// Longest silence of a server in a response for which neither its route nor its caller states a
@@ -149,7 +151,7 @@
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamError>>> {
-        if let Some(bytes) = self.first.take() {
+        if let Some(bytes) = next_piece(&mut self.first) {
             self.forwarded_bytes += bytes.len() as u64;
             return Poll::Ready(Some(Ok(Frame::data(bytes))));
         }
@@ -179,6 +181,11 @@
         self.first = Some(bytes).filter(|bytes| !bytes.is_empty());
     }
 
+    /// Memory of the stream in bytes, with what has been read but not forwarded.
+    pub(crate) fn held_bytes(&self) -> usize {
+        STREAM_BYTES + self.first.as_ref().map_or(0, Bytes::len)
+    }
+
     /// Whether all of the response was forwarded.
     pub(crate) fn is_end_stream(&self) -> bool {
         self.first.is_none() && self.rest.is_end_stream()
