Only the callers' address ends requests for room; refusals look for uploads only if there are any

Found when reading the change: a full table of another address could have ended the request of a caller, which frees none of its connections; and each refusal looked at all holders, also where none occupied a slot.

--- a/bin/lh-entry/src/accept.rs
+++ b/bin/lh-entry/src/accept.rs
@@ -64,7 +64,7 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let progress = Rc::new(ConnectionProgress::new());
-                let Some(place) = table.admit(&state, &progress) else {
+                let Some(place) = table.admit(&progress, || state.memory.revoke_longest()) else {
                     continue;
                 };
                 if table.len() > state.config.hold.roomy_connections {
--- a/bin/lh-entry/src/accept/caller_stream.rs
+++ b/bin/lh-entry/src/accept/caller_stream.rs
@@ -64,6 +64,7 @@
         let closed = async {
             while !self.has_ended() {
                 if !self.hold_unread(lease) {
+                    log::debug!("no memory for what a caller sends to a closed connection");
                     return;
                 }
                 tokio::time::sleep(END_CHECK_INTERVAL).await;
--- a/bin/lh-entry/src/accept/table.rs
+++ b/bin/lh-entry/src/accept/table.rs
@@ -9,7 +9,6 @@
 use tokio::sync::Notify;
 
 use crate::accept::progress::ConnectionProgress;
-use crate::state::InstanceState;
 
 /// The connections at one address.
 #[derive(Debug)]
@@ -39,14 +38,13 @@
     }
 
     /// Adds a connection with `progress`, for which another one is closed if there are too many.
-    /// `None` if all others are busy.
+    /// If all others are busy, `end_request` may end one of their requests. `None` if it doesn't.
     pub(crate) fn admit(
         self: &Rc<Self>,
-        state: &InstanceState,
         progress: &Rc<ConnectionProgress>,
+        end_request: impl FnOnce() -> bool,
     ) -> Option<ConnectionPlace> {
-        if self.open.borrow().len() >= self.most && !self.evict() && !state.memory.revoke_longest()
-        {
+        if self.len() >= self.most && !self.evict() && !end_request() {
             log::warn!(
                 address = self.purpose, most = self.most;
                 "too many connections; one closed"
--- a/bin/lh-entry/src/internal.rs
+++ b/bin/lh-entry/src/internal.rs
@@ -42,7 +42,7 @@
             continue;
         };
         let progress = Rc::new(ConnectionProgress::new());
-        let Some(place) = table.admit(&state, &progress) else {
+        let Some(place) = table.admit(&progress, || false) else {
             continue;
         };
         let peer = InternalPeer {
--- a/crates/hold/src/account.rs
+++ b/crates/hold/src/account.rs
@@ -48,6 +48,8 @@
     used_bytes: usize,
     next: u64,
     holders: BTreeMap<HolderId, Holder<T>>,
+    /// Number of holders that occupy a place.
+    placed: usize,
 }
 
 impl<T: PartialEq> HoldAccount<T> {
@@ -58,6 +60,7 @@
             used_bytes: 0,
             next: 0,
             holders: BTreeMap::new(),
+            placed: 0,
         }
     }
 
@@ -84,6 +87,7 @@
     pub fn close(&mut self, id: HolderId) {
         if let Some(holder) = self.holders.remove(&id) {
             self.used_bytes -= holder.bytes;
+            self.placed -= usize::from(holder.place.is_some());
         }
     }
 
@@ -142,12 +146,16 @@
     /// Handles that `id` occupies `place`.
     pub fn occupy(&mut self, id: HolderId, place: T) {
         if let Some(holder) = self.holders.get_mut(&id) {
-            holder.place = Some(place);
+            let former = holder.place.replace(place);
+            self.placed += usize::from(former.is_none());
         }
     }
 
     /// Revokes the holder at `place` that has waited longest for its caller, if any may be revoked.
     pub fn revoke_at(&mut self, now: Instant, place: &T) -> Option<HolderId> {
+        if self.placed == 0 {
+            return None;
+        }
         let stalled = self.holders.iter().filter(|(_, holder)| {
             holder.is_stalled(now) && holder.place.as_ref().is_some_and(|at| at == place)
         });
