A store that is slow while all return keeps entries from starting: failing tests

A store that takes 2.5 s for each answer leaves an entry without a desired state and servers for as long as it runs: each of its calls is given up after 1.5 s. Not ready in 60 s, with one page of rows, with two, and with keys.

--- a/bin/lh-entry/tests/power_losses.rs
+++ b/bin/lh-entry/tests/power_losses.rs
@@ -14,6 +14,10 @@
 
 /// Difference between two clocks, in milliseconds.
 const CLOCK_DIFFERENCE_MS: u64 = 600_000;
+/// Time that a slow store takes for each answer, in milliseconds.
+const STORE_DELAY_MS: u64 = 2500;
+/// Rows that the store lists in two answers.
+const ROWS_OF_TWO_PAGES: usize = 600;
 /// Interval between the heartbeats of a server.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -98,3 +102,33 @@
         assert!(!metrics.contains(&line(requirement)), "{metrics}");
     }
 }
+
+/// A store that serves machines which all return at once may take longer for each answer than an
+/// entry waits for one call. Calls that were made again and again got no answer at all.
+#[tokio::test]
+async fn a_slow_store_keeps_no_entry_from_starting() {
+    let world = World::new(1).await;
+    world.store.set_faults(slow_store());
+    let entry = EntryProcess::ready(&world, "n1").await;
+    assert_eq!(entry.send("GET", "/board/x", "a").await.status, 200);
+}
+
+/// More servers than the store lists in one answer.
+#[tokio::test]
+async fn a_slow_store_keeps_no_entry_of_a_large_deployment_from_starting() {
+    let world = World::new(1).await;
+    let row = server_entry("other", "127.0.0.1:1".parse().unwrap(), "ready", 1);
+    for number in 0..ROWS_OF_TWO_PAGES {
+        world.store.put("servers", &format!("a-{number:04}"), &row);
+    }
+    world.store.set_faults(slow_store());
+    let entry = EntryProcess::ready(&world, "n1").await;
+    assert_eq!(entry.send("GET", "/board/x", "a").await.status, 200);
+}
+
+fn slow_store() -> FaultPlan {
+    FaultPlan {
+        delay_ms: STORE_DELAY_MS,
+        ..FaultPlan::default()
+    }
+}
--- a/bin/lh-entry/tests/teams.rs
+++ b/bin/lh-entry/tests/teams.rs
@@ -18,6 +18,9 @@
 /// Requests sent after the store's clock has jumped, and the interval between them.
 const REQUESTS_AFTER_JUMP: u32 = 40;
 const JUMP_INTERVAL: Duration = Duration::from_millis(100);
+/// Requests sent while the store is slow, and the interval between them.
+const REQUESTS_WHILE_SLOW: u32 = 60;
+const SLOW_INTERVAL: Duration = Duration::from_millis(150);
 /// How far the store's clock is off after it changed.
 const CLOCK_CHANGE: Duration = Duration::from_secs(600);
 const RED_KEY: &str = "red-key-4f1d9c";
@@ -428,10 +431,8 @@
     assert!(calls < 200, "{calls} calls");
 }
 
-/// Starts five entries that may accept keys for 2 s without an answer of the store, and waits until
-/// they are ready.
-async fn start_fleet(world: &World) -> Vec<EntryProcess> {
-    let bounds = "revoke = 2s\nrevoke_cut_off = true\nconfig_apply = 1500ms\n";
+/// Starts five entries with additional settings in `[bounds]`, and waits until they are ready.
+async fn start_fleet(world: &World, bounds: &str) -> Vec<EntryProcess> {
     let store = world.store.address();
     let mut entries = vec![EntryProcess::start_with_bounds(store, "n0", bounds)];
     for number in 1..5 {
@@ -454,7 +455,8 @@
 async fn assert_keys_accepted_after_outage(change: impl FnOnce(&World)) {
     let world = world(1, &[RED]).await;
     world.store.advance_clock(CLOCK_CHANGE);
-    let entries = start_fleet(&world).await;
+    let bounds = "revoke = 2s\nrevoke_cut_off = true\nconfig_apply = 1500ms\n";
+    let entries = start_fleet(&world, bounds).await;
     world.store.set_faults(FaultPlan::outage());
     for entry in &entries {
         until("the entry refuses keys", async || {
@@ -490,3 +492,25 @@
 async fn an_outage_of_the_store_leaves_no_entry_without_keys() {
     assert_keys_accepted_after_outage(|_| ()).await;
 }
+
+/// Entries whose store takes 2 s for each answer can still prove that keys are valid that may be
+/// accepted for 5 s: by the answers to calls that they had given up.
+#[tokio::test]
+async fn a_slow_store_leaves_no_key_refused() {
+    let world = world(1, &[RED]).await;
+    world.store.set_faults(FaultPlan {
+        delay_ms: 2000,
+        ..FaultPlan::default()
+    });
+    let bounds = "revoke = 5s\nrevoke_cut_off = true\nconfig_apply = 3s\n";
+    let entries = start_fleet(&world, bounds).await;
+    let mut served = 0;
+    for number in 0..REQUESTS_WHILE_SLOW {
+        tokio::time::sleep(SLOW_INTERVAL).await;
+        let entry = &entries[number as usize % entries.len()];
+        let id = format!("red-{number}");
+        let answer = send(entry, request_with_key("/board/x", &id, RED_KEY)).await;
+        served += u32::from(answer.status == 200);
+    }
+    assert!(served > REQUESTS_WHILE_SLOW / 2, "{served} served");
+}
