Answers of a slow store count, although their calls were given up

Callers saw: where the store takes longer than 1.5 s for each answer, an entry that starts never gets ready, and one that runs refuses all keys once its proof is too old. All entries start at once after a loss of power. Cause: each call to the store ends after a fixed time and is made again; what the store answers to the former call reaches nobody. The class: a retry that drops what the try before it had nearly got. An answer counts as of its own call, which keeps proofs and departures honest; a late one doesn't make an entry one that leads.

--- a/bin/lh-entry/src/watch.rs
+++ b/bin/lh-entry/src/watch.rs
@@ -81,9 +81,9 @@
                 reports_time = rows.time.is_some();
                 state
                     .fleet
-                    .on_event(FleetEvent::StoreAnswered(begun, rows.time));
+                    .on_event(FleetEvent::StoreAnswered(rows.started_at, rows.time));
                 let has_rows = resume.is_none() || rows.has_rows;
-                let as_of = answer_as_of(begun, wait, Instant::now(), has_rows);
+                let as_of = answer_as_of(rows.started_at, wait, Instant::now(), has_rows);
                 let is_restored = is_of_later_era(&state, &rows);
                 let is_whole = resume.is_none() && !is_restored;
                 if is_whole {
@@ -106,7 +106,8 @@
                 } else if is_whole {
                     reread_at = None;
                 }
-                state.fleet.on_event(FleetEvent::WatchFinished(true));
+                let is_late = rows.started_at < begun;
+                state.fleet.on_event(FleetEvent::WatchFinished(!is_late));
             }
             Err(Error::HistoryGone) => {
                 log::info!("history of the operator's rows is gone; reading all");
@@ -234,10 +235,11 @@
     let outcome = match result {
         Ok(rows) => {
             let has_rows = is_whole || rows.has_rows;
+            let started_at = rows.started_at.unwrap_or(begun);
             let snapshot = CatalogSnapshot {
                 entries: rows.entries,
                 foreign: rows.foreign,
-                started_at: answer_as_of(begun, wait, Instant::now(), has_rows),
+                started_at: answer_as_of(started_at, wait, Instant::now(), has_rows),
                 position: rows.position,
             };
             let before = state.servers.borrow().version();
@@ -250,7 +252,11 @@
             let is_taken = state.on_registry_snapshot(&snapshot, scope);
             let is_same = state.servers.borrow().version() == before;
             state.metrics.on_reading(is_taken, is_same);
-            if is_same {
+            if started_at < begun {
+                // The rows count, but the store is too slow to be relied on, and this call
+                // confirms nothing that happened before it.
+                ReadOutcome::Failed
+            } else if is_same {
                 ReadOutcome::Unchanged
             } else {
                 ReadOutcome::Changed
