Soak: a store that is slow from the loss of power on, and losses without a reset

The return of a fleet beside a slow store was not played: the slowest store of the soak took 1.2 s, and was well again before the return was judged.

--- a/bin/lh-soak/src/cli.rs
+++ b/bin/lh-soak/src/cli.rs
@@ -42,6 +42,12 @@
     /// Lets all entries and servers lose power towards the end of the run; no other fault follows.
     #[arg(long)]
     power_losses: bool,
+    /// Lets connections of machines that lose power go silent for good instead of resetting them.
+    #[arg(long)]
+    silent_losses: bool,
+    /// Time in milliseconds that the store takes for each answer from the first loss of power on.
+    #[arg(long, default_value_t = 0, value_name = "MS")]
+    store_delay_ms: u64,
     /// Time in milliseconds that a server works on a request.
     #[arg(long, default_value_t = 30, value_name = "MS")]
     service_ms: u64,
@@ -78,6 +84,8 @@
             partitions: self.partitions,
             restorations: self.restorations,
             power_losses: self.power_losses,
+            silent_losses: self.silent_losses,
+            store_delay: Duration::from_millis(self.store_delay_ms),
             service_time: Duration::from_millis(self.service_ms),
             processor_share: self.processor_share,
             busy_threads: self.busy,
--- a/bin/lh-soak/src/config.rs
+++ b/bin/lh-soak/src/config.rs
@@ -61,6 +61,10 @@
     pub restorations: bool,
     /// Whether all entries and servers lose power towards the end.
     pub power_losses: bool,
+    /// Whether connections of machines that lose power go silent instead of being reset.
+    pub silent_losses: bool,
+    /// Time that the store takes for each answer from the first loss of power on.
+    pub store_delay: Duration,
     /// Time that a server works on a request.
     pub service_time: Duration,
     /// Share of a processor that each entry gets, more than 0 and at most 1.
--- a/bin/lh-soak/src/power.rs
+++ b/bin/lh-soak/src/power.rs
@@ -200,7 +200,7 @@
     world.record_fault(POWER_FAULT, None);
     world.store.set_faults(plan);
     sleep(duration).await;
-    world.store.set_faults(FaultPlan::default());
+    world.restore_store();
     world.record_fault_end(None);
 }
 
--- a/bin/lh-soak/src/server_connections.rs
+++ b/bin/lh-soak/src/server_connections.rs
@@ -105,10 +105,11 @@
     });
     // Connection errors are left to the entry, which reconnects.
     let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
     tokio::select! {
-        _ = connection => {}
+        _ = connection.as_mut() => {}
         () = partition.separated(client.ip()) => {}
-        () = run.wait_end() => {}
+        () = run.wait_end() => run.wait_closed().await,
     }
 }
 
--- a/bin/lh-soak/src/server_run.rs
+++ b/bin/lh-soak/src/server_run.rs
@@ -1,7 +1,7 @@
 //! One run of a backend server's process: its end, its slots, and its cold start.
 
 use std::collections::VecDeque;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -33,6 +33,8 @@
 #[derive(Debug)]
 pub(crate) struct ServerRun {
     ended: watch::Sender<bool>,
+    /// Whether its connections stay open after its end, and carry nothing more.
+    leaves_connections: AtomicBool,
     cold_until: Option<Instant>,
     silent_until: Option<Instant>,
     cold_arrivals: Mutex<VecDeque<Instant>>,
@@ -59,6 +61,7 @@
     pub(crate) fn new(has_slots: bool) -> Self {
         Self {
             ended: watch::Sender::new(false),
+            leaves_connections: AtomicBool::new(false),
             cold_until: None,
             silent_until: None,
             cold_arrivals: Mutex::default(),
@@ -91,6 +94,20 @@
         self.ended.send_replace(true);
     }
 
+    /// Ends the run as a loss of power does: nobody closes its connections.
+    pub(crate) fn end_silently(&self) {
+        self.leaves_connections.store(true, Ordering::Relaxed);
+        self.end();
+    }
+
+    /// Waits until the connections of the run are closed.
+    pub(crate) async fn wait_closed(&self) {
+        self.wait_end().await;
+        if self.leaves_connections.load(Ordering::Relaxed) {
+            std::future::pending::<()>().await;
+        }
+    }
+
     pub(crate) fn has_ended(&self) -> bool {
         *self.ended.borrow()
     }
--- a/bin/lh-soak/src/servers.rs
+++ b/bin/lh-soak/src/servers.rs
@@ -71,6 +71,7 @@
     started: Arc<Mutex<usize>>,
     /// Whether the slots of servers are limited, and servers state their start.
     has_slots: bool,
+    silent_losses: bool,
     service_time: Duration,
     /// What the servers say of themselves.
     pub(crate) statements: StatementBoard,
@@ -85,6 +86,7 @@
             store,
             recorder,
             has_slots: config.power_losses,
+            silent_losses: config.silent_losses,
             service_time: config.service_time,
             live: Arc::default(),
             versions: Arc::default(),
@@ -188,7 +190,11 @@
         let mut servers: Vec<SoakServer> = self.live().drain(..).collect();
         servers.extend(self.versions().drain(..));
         for server in &servers {
-            server.run.end();
+            if self.silent_losses {
+                server.run.end_silently();
+            } else {
+                server.run.end();
+            }
             self.statements.clear(&server.id);
         }
         servers
--- a/bin/lh-soak/src/soak.rs
+++ b/bin/lh-soak/src/soak.rs
@@ -110,6 +110,9 @@
         limits.abort();
         leaving.abort();
         rests.abort();
+        if !config.store_delay.is_zero() {
+            world.slow_store(config.store_delay);
+        }
         lose_power(Arc::clone(&world), &draw_losses(config.seed)).await?;
         sleep(CALM_AFTER_RETURN).await;
     }
--- a/bin/lh-soak/src/world.rs
+++ b/bin/lh-soak/src/world.rs
@@ -6,7 +6,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use platform_standin::FakeStore;
+use platform_standin::{FakeStore, FaultPlan};
 use tokio::time::sleep;
 
 use crate::callers;
@@ -14,7 +14,7 @@
 use crate::error::{Error, Result};
 use crate::faults::FaultTarget;
 use crate::fleet::{self, EntryProcess};
-use crate::history::{RunEvent, RunRecorder};
+use crate::history::{RunEvent, RunRecorder, millis};
 use crate::operator::{DesiredStep, FIRST_VERSION, write_step};
 use crate::proxy::StoreProxy;
 use crate::servers::ServerPool;
@@ -38,6 +38,8 @@
     /// Number of active faults of the store.
     store_faults: AtomicU32,
     has_power: AtomicBool,
+    /// Faults of the store while it has no other.
+    store_plan: Mutex<FaultPlan>,
 }
 
 impl World {
@@ -69,6 +71,7 @@
             step,
             store_faults: AtomicU32::default(),
             has_power: AtomicBool::new(true),
+            store_plan: Mutex::default(),
         };
         world.wait_ready().await?;
         Ok(world)
@@ -135,6 +138,27 @@
         }
     }
 
+    /// Lets the store take `delay` for each answer until the end of the run.
+    pub(crate) fn slow_store(&self, delay: Duration) {
+        let plan = FaultPlan {
+            delay_ms: millis(delay),
+            ..FaultPlan::default()
+        };
+        *self.store_plan() = plan;
+        self.store.set_faults(plan);
+        self.record_fault("store-slow", None);
+    }
+
+    /// Ends a fault of the store.
+    pub(crate) fn restore_store(&self) {
+        self.store.set_faults(*self.store_plan());
+    }
+
+    fn store_plan(&self) -> MutexGuard<'_, FaultPlan> {
+        let plan = self.store_plan.lock();
+        plan.unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn record_fault(&self, name: &str, entry: Option<usize>) {
         if entry.is_none() {
             self.store_faults.fetch_add(1, Ordering::Relaxed);
