Responses whose status ends no request reach no caller

Callers saw: a server's 600, 999 and a 101 that nobody had asked for were passed on as complete answers. Cause: whatever the parser of HTTP takes for a status was passed on, unless callers read it as 'not run'. Change: a response counts as broken unless its status is one of 200 to 599. Measured: statuses_that_end_no_request_reach_no_caller failed before, at 101, the first of its eleven texts that came through; it passes for all of them, for GETs and for uploads. Responses that are reset while the upload goes on never looked complete, before or after: responses_reset_during_an_upload_never_look_complete.

--- a/bin/lh-entry/src/reply.rs
+++ b/bin/lh-entry/src/reply.rs
@@ -27,6 +27,8 @@
 /// Memory that a response needs while it is forwarded as it arrives, in bytes: buffers of both
 /// connections.
 pub(crate) const STREAM_BYTES: usize = 96 << 10;
+/// Statuses that end a request.
+const FINAL_STATUSES: std::ops::Range<u16> = 200..600;
 /// Headers that apply to a single connection only.
 const HOP_BY_HOP_HEADERS: [HeaderName; 9] = [
     header::CONNECTION,
@@ -81,12 +83,17 @@
 }
 
 /// Returns whether the response may be forwarded to the caller. A status that callers read as
-/// "not run" is not forwarded unless the server states that the request did not run.
+/// "not run" is not forwarded unless the server states that the request did not run. Neither is a
+/// number outside of HTTP's classes, nor a switch of protocols, which nobody can have asked for:
+/// entries don't forward the header for it.
 pub(crate) fn is_valid_response(
     status: StatusCode,
     headers: &HeaderMap,
     head: &ServerHeaders,
 ) -> bool {
+    if !FINAL_STATUSES.contains(&status.as_u16()) {
+        return false;
+    }
     if status.is_success() {
         return head.has_server_stamp && !headers.contains_key(header::CONTENT_ENCODING);
     }
