A response that is broken off ends at once for its caller

Callers saw: bytes without end in a body without a length, or in chunks, were broken off at their route's timeout, but the caller learnt so only seconds later. Cause: since a connection is kept until its caller has closed its side. After a broken response its own side hadn't been closed either, so that the caller had no reason to.

--- a/bin/lh-entry/tests/unending.rs
+++ b/bin/lh-entry/tests/unending.rs
@@ -226,3 +226,25 @@
     let ended = tokio::time::timeout(WAIT_TIMEOUT, asked).await;
     ended.expect("an end of the response")
 }
+
+/// A caller learnt only seconds later that a response had been broken off: its connection stayed
+/// open for as long as the entry waited for the caller to close it.
+#[tokio::test]
+async fn a_response_that_is_broken_off_ends_at_once() {
+    for part in [EndlessPart::ChunkedBody, EndlessPart::PlainBody] {
+        let world = short_world(1).await;
+        let entry = EntryProcess::ready(&world, "n1").await;
+        world.backends[0].set_behavior(Behavior::Endless(part));
+        let mut caller = TcpStream::connect(entry.callers()).await.unwrap();
+        let head = b"GET /board/x HTTP/1.1\r\nhost: board.example\r\nrequest-id: a\r\n\r\n";
+        caller.write_all(head).await.unwrap();
+        let mut chunk = vec![0; 64 << 10];
+        while caller.read(&mut chunk).await.expect("an orderly end") > 0 {}
+        // The caller knows the end before it has closed its own side.
+        let metrics = entry.metrics().await;
+        assert!(
+            metrics.contains("laurelhill_caller_connections 1\n"),
+            "{part:?}: {metrics}"
+        );
+    }
+}
