A stopping entry takes no request that outlasts it, and answers those that do

Callers saw: in a planned stop, requests that came in the first half of the grace period were passed on whatever they needed, and those still pending at its end were cut with no answer, requests that may run at most once among them. Cause: nobody at the door knew how long a request may take, and the process left with what was pending. Change: an entry knows how long recent requests of each route took. A response whose end its connection shows is reset.

--- a/bin/lh-entry/src/accept.rs
+++ b/bin/lh-entry/src/accept.rs
@@ -148,7 +148,11 @@
                 break false;
             }
             changed = stopping.changed() => {
-                let is_refusing = changed.is_err() || *stopping.borrow() == StopPhase::Refusing;
+                let phase = *stopping.borrow();
+                let is_refusing = changed.is_err() || phase >= StopPhase::Refusing;
+                if phase == StopPhase::Ending && progress.on_ending() {
+                    break false;
+                }
                 // Requests that were started early are answered first; the last response closes
                 // the connection.
                 if is_refusing && !pipeline.borrow().has_started() {
--- a/bin/lh-entry/src/accept/progress.rs
+++ b/bin/lh-entry/src/accept/progress.rs
@@ -160,6 +160,15 @@
         self.is_broken_off.set(true);
     }
 
+    /// Handles that the entry is about to exit. Returns whether the connection must be reset now,
+    /// since its caller would take its end for the end of a response that isn't complete.
+    pub(crate) fn on_ending(&self) -> bool {
+        if self.ends_by_close.get() && self.open_bodies.get() > 0 {
+            self.on_broken_off();
+        }
+        self.needs_reset()
+    }
+
     /// Whether the connection must be reset, since an ordinary close would make a response look
     /// complete that isn't.
     pub(crate) fn needs_reset(&self) -> bool {
--- a/bin/lh-entry/src/body_reader.rs
+++ b/bin/lh-entry/src/body_reader.rs
@@ -9,12 +9,12 @@
 use hyper::StatusCode;
 use hyper::body::{Body, Incoming};
 use quick_error::quick_error;
-use tokio::time::timeout_at;
 
 use crate::body::{RequestBody, UnsentBody};
 use crate::leased_buffer::LeasedBuffer;
 use crate::memory::MemoryLease;
 use crate::state::InstanceState;
+use crate::stop;
 
 /// Maximum size of a body that is buffered before the request is forwarded, in bytes. A buffered
 /// request can be sent to another server if the first one rejects it.
@@ -142,7 +142,7 @@
         let next = tokio::select! {
             biased;
             () = buffer.lease().revoked() => return Err(ReadError::Revoked),
-            next = timeout_at(deadline_at.into(), body.frame()) => next,
+            next = stop::in_time(state, deadline_at, body.frame()) => next,
         };
         buffer.lease().on_moved();
         let Some(frame) = next.map_err(|_| ReadError::Late)? else {
--- a/bin/lh-entry/src/handler.rs
+++ b/bin/lh-entry/src/handler.rs
@@ -24,7 +24,7 @@
 use crate::record::RequestRecord;
 use crate::reply::{respond_rejected, respond_unavailable, respond_unread};
 use crate::state::InstanceState;
-use crate::stop::StopPhase;
+use crate::stop::{self, StopPhase};
 use crate::ticket::{ticket_fingerprint, ticket_required, unknown};
 use crate::ticket_forward;
 
@@ -67,7 +67,7 @@
     let mut caller = Caller::from_platform_headers(&parts.headers);
     let mut record = RequestRecord::new(&state, caller.request_id_text());
     state.request_meter.borrow_mut().on_request();
-    if state.stop.get() == StopPhase::Refusing {
+    if state.stop.get() >= StopPhase::Refusing {
         return respond_unavailable(&mut record, &caller, "stopping", STOPPING_RETRY_AFTER);
     }
     let routes = Rc::clone(&state.routes.borrow());
@@ -103,8 +103,16 @@
     if least_size > limit as u64 {
         return respond_rejected(&mut record, &caller, StatusCode::PAYLOAD_TOO_LARGE);
     }
-    let time_limit = [caller.deadline, route.timeout].into_iter().flatten().min();
-    let deadline_at = record.started_at + time_limit.unwrap_or(DEFAULT_TIME_LIMIT);
+    let time_limits = [caller.deadline, route.timeout].into_iter().flatten();
+    let time_limit = time_limits.min().unwrap_or(DEFAULT_TIME_LIMIT);
+    if !stop::may_take(&state, &route, time_limit) {
+        return respond_unavailable(&mut record, &caller, "stopping", STOPPING_RETRY_AFTER);
+    }
+    let deadline_at = record.started_at + time_limit;
+    let deadline_at = state
+        .answer_by
+        .get()
+        .map_or(deadline_at, |at| at.min(deadline_at));
     record.route = Some(Rc::clone(&route));
     let other_holder = ticket
         .as_ref()
--- a/bin/lh-entry/src/job.rs
+++ b/bin/lh-entry/src/job.rs
@@ -17,7 +17,6 @@
 use place::request::{Placement, PlacementRequest, Refusal, RefusalReason, ServerOutcome};
 use platform::headers::{self};
 use tokio::sync::oneshot;
-use tokio::time::timeout_at;
 
 use crate::admission::RequestPolicy;
 use crate::attempt::AttemptGuard;
@@ -36,6 +35,7 @@
 use crate::returns;
 use crate::rollout;
 use crate::state::InstanceState;
+use crate::stop;
 
 /// Number of attempts that could not send the request after which a further attempt is limited
 /// like a retry.
@@ -193,7 +193,7 @@
         let Some(turn) = self.turn.take() else {
             return false;
         };
-        let is_in_time = timeout_at(self.deadline_at.into(), turn).await;
+        let is_in_time = stop::in_time(&self.state, self.deadline_at, turn).await;
         matches!(is_in_time, Ok(Ok(())))
     }
 
@@ -328,7 +328,7 @@
         };
         self.record.on_sent(placed.elapsed());
         let sending = sender.try_send_request(request);
-        let response = match timeout_at(self.deadline_at.into(), sending).await {
+        let response = match stop::in_time(&self.state, self.deadline_at, sending).await {
             Err(_) => {
                 guard.finish(ServerOutcome::OutOfTime, None);
                 self.record.on_attempt_result("no answer in time");
--- a/bin/lh-entry/src/job/response.rs
+++ b/bin/lh-entry/src/job/response.rs
@@ -5,7 +5,6 @@
 use place::desired::RouteSpec;
 use place::request::ServerOutcome;
 use platform::headers::{self, ServerHeaders};
-use tokio::time::timeout_at;
 
 use crate::attempt::AttemptGuard;
 use crate::body::ResponseBody;
@@ -18,6 +17,7 @@
 };
 use crate::response_stream::{ResponseStream, StreamLimit};
 use crate::statements;
+use crate::stop;
 
 impl RequestJob {
     pub(super) async fn handle_response(
@@ -62,7 +62,7 @@
             bytes,
             rest,
             lease: memory,
-        } = match timeout_at(self.deadline_at.into(), reading).await {
+        } = match stop::in_time(&self.state, self.deadline_at, reading).await {
             Err(_) => {
                 guard.finish(ServerOutcome::OutOfTime, None);
                 self.record.on_attempt_result("answer not complete in time");
--- a/bin/lh-entry/src/record.rs
+++ b/bin/lh-entry/src/record.rs
@@ -194,6 +194,10 @@
         self.finished = true;
         let elapsed = self.started_at.elapsed();
         let route = self.route.as_ref().map_or("none", |route| &route.name);
+        if self.attempt_count > 0 {
+            let mut durations = self.state.durations.borrow_mut();
+            durations.on_finished(Instant::now(), route, elapsed);
+        }
         let metrics = &self.state.metrics;
         metrics.on_request(route, outcome.as_str(), elapsed.as_secs_f64());
         let objective = self.route.as_ref().map(|route| route.objective);
--- a/bin/lh-entry/src/relay/mod.rs
+++ b/bin/lh-entry/src/relay/mod.rs
@@ -20,7 +20,6 @@
 use place::paths::relay::{RelayOutcome, RelayPeer, RelayRequest};
 use place::request::{Refusal, RefusalReason};
 use platform::headers;
-use tokio::time::timeout_at;
 
 use crate::body::{BodyError, RequestBody, ResponseBody};
 use crate::body_reader::JobBody;
@@ -31,6 +30,7 @@
 use crate::reply::{ReadResponse, describe_error, read_response, strip_hop_by_hop_headers};
 use crate::response_stream::ResponseStream;
 use crate::state::InstanceState;
+use crate::stop;
 
 pub(crate) use peers::RelayState;
 pub(crate) use serve::{is_relayed, serve};
@@ -131,7 +131,7 @@
             return AttemptResult::Unsent;
         };
         let sending = sender.try_send_request(request);
-        let response = match timeout_at(self.deadline_at.into(), sending).await {
+        let response = match stop::in_time(&self.state, self.deadline_at, sending).await {
             Err(_) => {
                 self.record.on_attempt_result("no answer in time");
                 return AttemptResult::OutOfTime;
@@ -182,7 +182,7 @@
             bytes,
             rest,
             lease: memory,
-        } = match timeout_at(self.deadline_at.into(), reading).await {
+        } = match stop::in_time(&self.state, self.deadline_at, reading).await {
             Err(_) => {
                 self.record.on_attempt_result("answer not complete in time");
                 return AttemptResult::OutOfTime;
--- a/bin/lh-entry/src/relay/serve.rs
+++ b/bin/lh-entry/src/relay/serve.rs
@@ -19,7 +19,7 @@
 use crate::relay::head::{BEHIND, DECLINED_HEADER, NO_PATH, RELAY_HEADER, RelayHead, STOPPING};
 use crate::reply::{respond_rejected, respond_unavailable, respond_unread};
 use crate::state::InstanceState;
-use crate::stop::StopPhase;
+use crate::stop::{self, StopPhase};
 
 /// Retry time, at another peer, for requests that this entry can't serve for now.
 const OTHER_PEER_RETRY_AFTER: Duration = Duration::from_millis(50);
@@ -59,6 +59,9 @@
     let Some((route, part)) = found else {
         return decline(&mut record, &caller, BEHIND);
     };
+    if !stop::may_take(&state, &route, head.time_left) {
+        return decline(&mut record, &caller, STOPPING);
+    }
     record.route = Some(Rc::clone(&route));
     record.returning = head.returning;
     let mut job = create_job(&state, record, caller, parts, (part, &head));
@@ -77,7 +80,7 @@
 
 /// Returns why the caller's entry, which sent `head`, should ask another peer.
 fn declined_reason(state: &InstanceState, head: &RelayHead) -> Option<&'static str> {
-    if state.stop.get() == StopPhase::Refusing {
+    if state.stop.get() >= StopPhase::Refusing {
         return Some(STOPPING);
     }
     // By an older desired state the request could run where it no longer may.
@@ -98,6 +101,7 @@
     let object = caller.object.as_ref();
     let object = object.map(|key| stable_hash(key.as_bytes()));
     let index = Rc::clone(&state.teams.borrow());
+    let deadline_at = record.started_at + head.time_left;
     let mut teams = index.teams().iter();
     let team = teams.find(|team| Some(team.name.as_str()) == head.team.as_deref());
     RequestJob {
@@ -110,7 +114,10 @@
             priority: head.priority,
             home_regions: head.home_regions.clone(),
         },
-        deadline_at: record.started_at + head.time_left,
+        deadline_at: state
+            .answer_by
+            .get()
+            .map_or(deadline_at, |at| at.min(deadline_at)),
         part,
         progress: JobProgress::relayed(head.attempts_left),
         turn: None,
--- a/bin/lh-entry/src/state.rs
+++ b/bin/lh-entry/src/state.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use base::prelude::{Incarnation, InstanceId, NodeId};
+use place::durations::DurationTable;
 use place::fleet::advertise::RateMeter;
 use place::fleet::candidate::LeadCandidate;
 use place::fleet::copies::CopyScheduler;
@@ -107,6 +108,10 @@
     /// Finds headers of servers that are not read.
     pub(crate) header_audit: HeaderAudit,
     pub(crate) stop: Cell<StopPhase>,
+    /// Time by which all requests must have a final response, once a stop was requested.
+    pub(crate) answer_by: Cell<Option<Instant>>,
+    /// How long requests have taken lately.
+    pub(crate) durations: RefCell<DurationTable>,
     pub(crate) stopping: tokio::sync::watch::Sender<StopPhase>,
     pub(crate) in_flight: Rc<Cell<usize>>,
     /// Memory of bodies that callers make this entry hold.
@@ -172,6 +177,8 @@
             metrics,
             header_audit: HeaderAudit::default(),
             stop: Cell::new(StopPhase::Serving),
+            answer_by: Cell::default(),
+            durations: RefCell::default(),
             stopping,
             in_flight: Rc::default(),
             memory: SharedMemory::new(config.hold.body_bytes),
--- a/bin/lh-entry/src/ticket_forward.rs
+++ b/bin/lh-entry/src/ticket_forward.rs
@@ -10,7 +10,6 @@
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
-use tokio::time::timeout_at;
 
 use crate::admission::RequestPolicy;
 use crate::body::{BodyError, RequestBody, ResponseBody, UnsentBody};
@@ -21,6 +20,7 @@
 use crate::reply::{describe_error, incomplete, strip_hop_by_hop_headers};
 use crate::response_stream::{ResponseStream, StreamLimit};
 use crate::state::InstanceState;
+use crate::stop;
 use crate::ticket::{stale_ticket, unknown};
 
 /// Forwards the request, and returns the response for the caller by `deadline_at`.
@@ -98,7 +98,7 @@
     let time_left = deadline_at.saturating_duration_since(Instant::now());
     let sender = lease.sender(body_bytes, time_left);
     let sender = sender.ok_or_else(stale_ticket_problem)?;
-    let response = match timeout_at(deadline_at.into(), sender.try_send_request(request)).await {
+    let response = match stop::in_time(state, deadline_at, sender.try_send_request(request)).await {
         Err(_) => return Err(unknown("the instance of the ticket did not answer in time")),
         Ok(Err(error)) if error.message().is_some() => return Err(stale_ticket_problem()),
         Ok(Err(error)) => {
--- a/bin/lh-entry/tests/world/mod.rs
+++ b/bin/lh-entry/tests/world/mod.rs
@@ -151,6 +151,11 @@
         } else {
             "memory_mb = 260\ndescriptors = 4100\n"
         };
+        let grace = if bounds.contains("grace") {
+            ""
+        } else {
+            "grace = 60s\n"
+        };
         let settings = format!(
             "[instance]\nname = {name}\nregion = {region}\ndomain = {zone}\naddress = {ip}\n\
              [entry]\ncallers = {ip}:{CALLER_PORT}\nready = {ip}:{READY_PORT}\n\
@@ -158,7 +163,7 @@
              peer_ports = {PEER_PORT}-{}\npeer_seeds = {}\npipelined_requests = 4\n\
              connect_from_address = yes\n\
              {settings}[store]\naddress = {store}\n\
-             [bounds]\ngrace = 60s\nretry_ratio = 0.2\nretry_slack = 56\n\
+             [bounds]\n{grace}retry_ratio = 0.2\nretry_slack = 56\n\
              retry_window = 10s\nshift_cap = 0.15\nlookup_ttl_most = 5s\n\
              {limits}{bounds}\
              [place zone-a]\nregion = north\n[place zone-b]\nregion = south\n",
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod departure;
 pub mod desired;
 pub mod directory;
+pub mod durations;
 pub mod fleet;
 pub mod limits;
 pub mod paths;
