Small pieces of a response are joined, and read at a limited rate

Callers saw: a server that sends its body in chunks of a few bytes kept its entry busy; on a machine with a tenth of a processor nothing else was served. Cause: each chunk was decoded, encoded and written by itself, and nothing bounded how many of them one response may bring. Change: pieces of less than 1 KiB are joined up to 8 KiB; 20,000 of them are read of a response in a second at most, its server waits with the others. Responses that are relayed, or forwarded for a ticket, are read the same way.

--- a/bin/lh-entry/src/lib.rs
+++ b/bin/lh-entry/src/lib.rs
@@ -33,6 +33,7 @@
 mod metrics;
 mod operator;
 mod paths;
+mod pieces;
 mod pool;
 mod problem;
 mod quarantine;
--- a/bin/lh-entry/src/reply.rs
+++ b/bin/lh-entry/src/reply.rs
@@ -1,11 +1,11 @@
 //! Validates responses of backend servers, and builds the entry's own responses to callers.
 
+use std::future::poll_fn;
 use std::time::Duration;
 
 use base::prelude::Outcome;
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{self, HeaderName};
 use hyper::{HeaderMap, Response, StatusCode};
 use platform::headers::ServerHeaders;
@@ -15,6 +15,7 @@
 use crate::caller::Caller;
 use crate::leased_buffer::LeasedBuffer;
 use crate::memory::MemoryLease;
+use crate::pieces::PieceReader;
 use crate::problem::Problem;
 use crate::record::RequestRecord;
 use crate::state::InstanceState;
@@ -47,7 +48,7 @@
     /// What has arrived.
     pub(crate) bytes: Bytes,
     /// The rest of a large body, or of one that there was no memory for.
-    pub(crate) rest: Option<Incoming>,
+    pub(crate) rest: Option<PieceReader>,
     /// The memory of `bytes`.
     pub(crate) lease: MemoryLease,
 }
@@ -55,12 +56,13 @@
 /// Reads a response body completely, or only its start if it is large or memory is short.
 pub(crate) async fn read_response(
     state: &InstanceState,
-    mut body: Incoming,
+    body: Incoming,
 ) -> Result<ReadResponse, hyper::Error> {
+    let mut body = PieceReader::new(body);
     let mut buffer = LeasedBuffer::new(state.memory.lease(), body.size_hint().exact());
     let mut rest = None;
     let mut unheld = None;
-    while let Some(frame) = body.frame().await {
+    while let Some(frame) = poll_fn(|context| body.poll_frame(context)).await {
         let Ok(data) = frame?.into_data() else {
             continue;
         };
--- a/bin/lh-entry/src/response_stream.rs
+++ b/bin/lh-entry/src/response_stream.rs
@@ -9,11 +9,12 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Frame, SizeHint};
 use quick_error::quick_error;
 use tokio::time::Sleep;
 
 use crate::body::next_piece;
+use crate::pieces::PieceReader;
 use crate::pool::ConnectionLease;
 use crate::reply::STREAM_BYTES;
 use crate::state::InstanceState;
@@ -115,7 +116,7 @@
 pub(crate) struct ResponseStream {
     state: Rc<InstanceState>,
     first: Option<Bytes>,
-    rest: Incoming,
+    rest: PieceReader,
     /// Keeps the connection open; dropped when the response ends.
     lease: Option<ConnectionLease>,
     limit: StreamLimit,
@@ -129,7 +130,7 @@
     pub(crate) fn new(
         state: &Rc<InstanceState>,
         first: Bytes,
-        rest: Incoming,
+        rest: PieceReader,
         lease: ConnectionLease,
         limit: StreamLimit,
     ) -> Self {
@@ -158,7 +159,7 @@
         if self.is_ended {
             return Poll::Ready(None);
         }
-        match Pin::new(&mut self.rest).poll_frame(context) {
+        match self.rest.poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(self.on_frame(frame))),
             Poll::Ready(Some(Err(error))) => {
                 self.end(StreamEnd::Broken);
--- a/bin/lh-entry/src/ticket_forward.rs
+++ b/bin/lh-entry/src/ticket_forward.rs
@@ -15,6 +15,7 @@
 use crate::body::{BodyError, RequestBody, ResponseBody, UnsentBody};
 use crate::caller::{Caller, TicketHeaders};
 use crate::handler::outcome_of;
+use crate::pieces::PieceReader;
 use crate::problem::Problem;
 use crate::record::RequestRecord;
 use crate::reply::{describe_error, incomplete, strip_hop_by_hop_headers};
@@ -112,6 +113,7 @@
     };
     lease.on_head();
     let (parts, body) = response.into_parts();
+    let body = PieceReader::new(body);
     let stream = ResponseStream::new(state, Bytes::new(), body, lease, limit);
     let mut response = Response::new(ResponseBody::streamed(stream));
     *response.status_mut() = parts.status;
--- a/bin/lh-entry/tests/unending.rs
+++ b/bin/lh-entry/tests/unending.rs
@@ -248,3 +248,23 @@
         );
     }
 }
+
+/// Chunks of a few bytes cost an entry so much processor time that the requests of others waited.
+#[tokio::test]
+async fn chunks_of_a_few_bytes_are_read_at_a_limited_rate() {
+    /// What arrives in the time of the route and a second more, in bytes.
+    const MAX_BYTES: usize = 8 * 20_000 * 2;
+    let world = short_world(1).await;
+    let entry = EntryProcess::ready(&world, "n1").await;
+    world.backends[0].set_behavior(Behavior::Endless(EndlessPart::TinyChunks));
+    let mut sender = connect(entry.callers()).await.unwrap();
+    let sent = sender.send_request(request("GET", "/board/x", "tiny"));
+    let mut received = 0;
+    if let Ok(response) = sent.await {
+        let mut body = response.into_body();
+        while let Some(Ok(frame)) = body.frame().await {
+            received += frame.data_ref().map_or(0, |data| data.len());
+        }
+    }
+    assert!(received < MAX_BYTES, "{received} bytes");
+}
