--- a/bin/lh-soak/src/cli.rs
+++ b/bin/lh-soak/src/cli.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use clap::Parser;
+use platform_standin::FaultPlan;
 
 use crate::config::SoakConfig;
 use crate::error::{Error, Result};
@@ -48,6 +49,10 @@
     /// Time in milliseconds that the store takes for each answer from the first loss of power on.
     #[arg(long, default_value_t = 0, value_name = "MS")]
     store_delay_ms: u64,
+    /// Time in milliseconds that the store works on each call from the first loss of power on, one
+    /// call after the other.
+    #[arg(long, default_value_t = 0, value_name = "MS")]
+    store_work_ms: u64,
     /// Time in milliseconds that a server works on a request.
     #[arg(long, default_value_t = 30, value_name = "MS")]
     service_ms: u64,
@@ -85,7 +90,11 @@
             restorations: self.restorations,
             power_losses: self.power_losses,
             silent_losses: self.silent_losses,
-            store_delay: Duration::from_millis(self.store_delay_ms),
+            store_plan: FaultPlan {
+                delay_ms: self.store_delay_ms,
+                work_ms: self.store_work_ms,
+                ..FaultPlan::default()
+            },
             service_time: Duration::from_millis(self.service_ms),
             processor_share: self.processor_share,
             busy_threads: self.busy,
--- a/bin/lh-soak/src/config.rs
+++ b/bin/lh-soak/src/config.rs
@@ -3,6 +3,8 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use platform_standin::FaultPlan;
+
 use crate::error::{Error, Result};
 
 /// Regions of the run. Each has two failure domains.
@@ -63,8 +65,8 @@
     pub power_losses: bool,
     /// Whether connections of machines that lose power go silent instead of being reset.
     pub silent_losses: bool,
-    /// Time that the store takes for each answer from the first loss of power on.
-    pub store_delay: Duration,
+    /// Faults of the store from the first loss of power on.
+    pub store_plan: FaultPlan,
     /// Time that a server works on a request.
     pub service_time: Duration,
     /// Share of a processor that each entry gets, more than 0 and at most 1.
--- a/bin/lh-soak/src/soak.rs
+++ b/bin/lh-soak/src/soak.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use platform_standin::FaultPlan;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::sleep;
 
@@ -110,8 +111,8 @@
         limits.abort();
         leaving.abort();
         rests.abort();
-        if !config.store_delay.is_zero() {
-            world.slow_store(config.store_delay);
+        if config.store_plan != FaultPlan::default() {
+            world.slow_store(config.store_plan);
         }
         lose_power(Arc::clone(&world), &draw_losses(config.seed)).await?;
         sleep(CALM_AFTER_RETURN).await;
--- a/bin/lh-soak/src/world.rs
+++ b/bin/lh-soak/src/world.rs
@@ -14,7 +14,7 @@
 use crate::error::{Error, Result};
 use crate::faults::FaultTarget;
 use crate::fleet::{self, EntryProcess};
-use crate::history::{RunEvent, RunRecorder, millis};
+use crate::history::{RunEvent, RunRecorder};
 use crate::operator::{DesiredStep, FIRST_VERSION, write_step};
 use crate::proxy::StoreProxy;
 use crate::servers::ServerPool;
@@ -138,12 +138,8 @@
         }
     }
 
-    /// Lets the store take `delay` for each answer until the end of the run.
-    pub(crate) fn slow_store(&self, delay: Duration) {
-        let plan = FaultPlan {
-            delay_ms: millis(delay),
-            ..FaultPlan::default()
-        };
+    /// Lets the store have the faults `plan` until the end of the run.
+    pub(crate) fn slow_store(&self, plan: FaultPlan) {
         *self.store_plan() = plan;
         self.store.set_faults(plan);
         self.record_fault("store-slow", None);
