--- a/bin/lh-entry/src/accept/caller_stream.rs
+++ b/bin/lh-entry/src/accept/caller_stream.rs
@@ -56,9 +56,10 @@
     }
 
     /// Closes this side of the connection, which tells the caller that a response was broken off,
-    /// and waits until the caller has closed the other. Closing a socket with unread bytes resets the connection, and the rest of the last response
-    /// is lost. These bytes stay unread: a request among them may be sent again elsewhere. `lease`
-    /// is for their memory, and the wait ends without it.
+    /// and waits until the caller has closed the other. Closing a socket with unread bytes resets
+    /// the connection, and the rest of the last response is lost. These bytes stay unread: a
+    /// request among them may be sent again elsewhere. `lease` is for their memory, and the wait
+    /// ends without it.
     pub(super) async fn linger(&self, lease: &MemoryLease) {
         if let Err(error) = SockRef::from(&*self.0).shutdown(Shutdown::Write) {
             log::debug!(error:%; "a caller's connection has ended already");
--- a/bin/lh-entry/src/handler.rs
+++ b/bin/lh-entry/src/handler.rs
@@ -105,15 +105,11 @@
     }
     let time_limits = [caller.deadline, route.timeout].into_iter().flatten();
     let time_limit = time_limits.min().unwrap_or(DEFAULT_TIME_LIMIT);
+    record.route = Some(Rc::clone(&route));
     if !stop::may_take(&state, &route, time_limit) {
         return respond_unavailable(&mut record, &caller, "stopping", STOPPING_RETRY_AFTER);
     }
-    let deadline_at = record.started_at + time_limit;
-    let deadline_at = state
-        .answer_by
-        .get()
-        .map_or(deadline_at, |at| at.min(deadline_at));
-    record.route = Some(Rc::clone(&route));
+    let deadline_at = stop::limit_deadline(&state, record.started_at + time_limit);
     let other_holder = ticket
         .as_ref()
         .filter(|ticket_headers| ticket_headers.ticket.node != state.node);
--- a/bin/lh-entry/src/relay/serve.rs
+++ b/bin/lh-entry/src/relay/serve.rs
@@ -59,10 +59,10 @@
     let Some((route, part)) = found else {
         return decline(&mut record, &caller, BEHIND);
     };
+    record.route = Some(Rc::clone(&route));
     if !stop::may_take(&state, &route, head.time_left) {
         return decline(&mut record, &caller, STOPPING);
     }
-    record.route = Some(Rc::clone(&route));
     record.returning = head.returning;
     let mut job = create_job(&state, record, caller, parts, (part, &head));
     let limit = state.limits.get().body_bytes;
@@ -114,10 +114,7 @@
             priority: head.priority,
             home_regions: head.home_regions.clone(),
         },
-        deadline_at: state
-            .answer_by
-            .get()
-            .map_or(deadline_at, |at| at.min(deadline_at)),
+        deadline_at: stop::limit_deadline(state, deadline_at),
         part,
         progress: JobProgress::relayed(head.attempts_left),
         turn: None,
--- a/bin/lh-entry/src/stop.rs
+++ b/bin/lh-entry/src/stop.rs
@@ -106,6 +106,13 @@
     expected <= answer_by.saturating_duration_since(now)
 }
 
+/// Returns the deadline of a request that must be answered by `deadline_at`, and before the entry
+/// exits.
+pub(crate) fn limit_deadline(state: &InstanceState, deadline_at: Instant) -> Instant {
+    let answer_by = state.answer_by.get();
+    answer_by.map_or(deadline_at, |answer_by| answer_by.min(deadline_at))
+}
+
 /// Completes with `future`. Fails at `deadline_at`, and when the entry is about to exit.
 pub(crate) async fn in_time<F: Future>(
     state: &InstanceState,
