Connections that wait to be accepted stay within the memory

Cause: up to 1,024 connections waited to be accepted, whatever the memory, and each may fill the receive buffer that the system chooses before the entry can set a smaller one. Change: the length of that queue is divided from the memory like the rest.

--- a/bin/lh-entry/src/accept.rs
+++ b/bin/lh-entry/src/accept.rs
@@ -32,8 +32,6 @@
 use crate::state::InstanceState;
 use crate::stop::StopPhase;
 
-/// Maximum number of connections that wait to be accepted.
-const LISTEN_BACKLOG: u32 = 1024;
 /// Delay after a failed accept, for example when file descriptors run out.
 pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Interval at which a connection is checked for its header and idle timeouts.
@@ -43,16 +41,22 @@
 /// Minimum size of the read buffer that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8192;
 
-/// Opens a listener on `address`; `purpose` names it in the error message.
+/// Opens a listener on `address`, where up to `most_waiting` connections wait to be accepted;
+/// `purpose` names it in the error message.
 ///
 /// # Errors
 /// Returns [`Error::Listen`] if the address can't be bound.
-pub(crate) fn listen(purpose: &'static str, address: SocketAddr) -> Result<TcpListener> {
+pub(crate) fn listen(
+    purpose: &'static str,
+    address: SocketAddr,
+    most_waiting: usize,
+) -> Result<TcpListener> {
+    let backlog = u32::try_from(most_waiting).unwrap_or(u32::MAX);
     let open = || {
         let socket = TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
         socket.bind(address)?;
-        socket.listen(LISTEN_BACKLOG)
+        socket.listen(backlog)
     };
     open().map_err(|cause| Error::Listen(purpose, address, cause))
 }
--- a/bin/lh-entry/src/app.rs
+++ b/bin/lh-entry/src/app.rs
@@ -79,7 +79,9 @@
     let metrics = EntryMetrics::new()?;
     metrics.set_instance_info(&config.instance, &config.region);
     let mut services = ServiceRegistry::new();
-    services.register("callers", accept::listen("callers", config.caller_address)?)?;
+    let waiting = config.hold.waiting_connections;
+    let callers = accept::listen("callers", config.caller_address, waiting)?;
+    services.register("callers", callers)?;
     let addresses = [
         config.ready_address,
         config.lookup_address,
@@ -87,7 +89,7 @@
         config.view_address,
     ];
     for (name, address) in INTERNAL_LISTENERS.into_iter().zip(addresses) {
-        services.register(name, accept::listen(name, address)?)?;
+        services.register(name, accept::listen(name, address, waiting)?)?;
     }
     services.register("beats", fleet::open(config.peer_address)?)?;
     services.register("state", InstanceState::new(config, metrics, incarnation))?;
--- a/bin/lh-entry/tests/crowds.rs
+++ b/bin/lh-entry/tests/crowds.rs
@@ -232,3 +232,14 @@
     let crowd = Crowd::send(world.entry.callers(), 540, &head, (filled(64 << 10), 16)).await;
     world.check(&crowd).await;
 }
+
+/// Connections that waited to be accepted filled their receive buffers beside the account.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_that_wait_to_be_accepted_stay_within_memory() {
+    let mut world = CrowdWorld::new().await;
+    let head = announced("/board/x", 10 << 30);
+    world.entry.signal("STOP");
+    let crowd = Crowd::send(world.entry.callers(), 540, &head, (filled(64 << 10), 16)).await;
+    world.entry.signal("CONT");
+    world.check(&crowd).await;
+}
