A busy store is left to the leads

Callers saw: beside a store that works 50 ms on one call after the other, 68 entries that came back refused all requests with keys as keys-stale for as long as was looked (22 s). Cause: each entry asked the store for a proof of its own as soon as the one it had was too old. The calls of leads waited behind all others', so that every proof was too old when it arrived, and all asked again. Change: an entry that has a live lead pauses for 1.5 to 3.5 times as long as the last answer took, its own or the one that a proof from others came with.

--- a/bin/lh-entry/src/watch.rs
+++ b/bin/lh-entry/src/watch.rs
@@ -11,7 +11,7 @@
 use place::catalog::CatalogSnapshot;
 use place::fleet::log::ReadScope;
 use place::fleet::reading::{ReadOutcome, RegistryRead, answer_as_of};
-use place::prelude::{FleetEvent, StorePosition};
+use place::prelude::{FleetEvent, StorePosition, WatchOutcome};
 use platform::Error;
 use platform::client::{OperatorRows, StoreClient};
 use platform::tables::PlatformClient;
@@ -56,6 +56,8 @@
     let mut reports_time = true;
     // When all rows are read again after a restoration, to find those that were deleted.
     let mut reread_at: Option<Instant> = None;
+    // When the first call began that was not answered since the last answer.
+    let mut unanswered_since: Option<Instant> = None;
     loop {
         if watching.wait_for(|watches| *watches).await.is_err() {
             return;
@@ -106,8 +108,15 @@
                 } else if is_whole {
                     reread_at = None;
                 }
-                let is_late = rows.started_at < begun;
-                state.fleet.on_event(FleetEvent::WatchFinished(!is_late));
+                unanswered_since = None;
+                let took = rows.started_at.elapsed();
+                let waited = if has_rows { Duration::ZERO } else { wait };
+                state
+                    .fleet
+                    .on_event(FleetEvent::WatchFinished(WatchOutcome {
+                        is_timely: rows.started_at >= begun,
+                        took: took.saturating_sub(waited),
+                    }));
             }
             Err(Error::HistoryGone) => {
                 log::info!("history of the operator's rows is gone; reading all");
@@ -119,7 +128,13 @@
             Err(error) => {
                 dependency.on_lost(&error);
                 on_store_unavailable(&state);
-                state.fleet.on_event(FleetEvent::WatchFinished(false));
+                let since = *unanswered_since.get_or_insert(begun);
+                state
+                    .fleet
+                    .on_event(FleetEvent::WatchFinished(WatchOutcome {
+                        is_timely: false,
+                        took: since.elapsed(),
+                    }));
                 tokio::time::sleep(backoff).await;
                 backoff = (backoff * 2).min(MAX_BACKOFF);
             }
--- a/crates/place/src/fleet/member/fetch.rs
+++ b/crates/place/src/fleet/member/fetch.rs
@@ -59,7 +59,13 @@
         if self.lead_since.is_some() {
             return self.store_reachable && self.conflict.is_due(now, self.config.drain);
         }
-        self.is_stale(now)
+        self.is_stale(now) && !self.leaves_store_to_leads(now)
+    }
+
+    /// Whether this entry has leads and leaves a slow store to them: if all called it, the calls
+    /// of the leads would wait behind the others', and every answer would arrive too late.
+    fn leaves_store_to_leads(&self, now: Instant) -> bool {
+        self.lead_since.is_none() && now < self.own_calls_due && self.has_live_lead(now)
     }
 
     /// Whether a follower's registry was not confirmed for too long although its leads
@@ -154,6 +160,9 @@
         let Some(within) = self.local_state.proof_within else {
             return false;
         };
+        if self.leaves_store_to_leads(now) {
+            return false;
+        }
         if !self.is_listed() {
             return self.lacks_usable_proof(now, within);
         }
@@ -207,10 +216,12 @@
         }
         if self.has_live_lead(now) {
             let mut substitutes = self.candidates.iter().skip(LEADS_PER_REGION);
+            let is_substitute =
+                substitutes.any(|candidate| candidate.node == self.config.candidate.node);
+            let calls = !self.leaves_store_to_leads(now);
             return ReadRole::Follower {
-                substitute: substitutes
-                    .any(|candidate| candidate.node == self.config.candidate.node),
-                stuck: self.pulls.is_stuck(now),
+                substitute: calls && is_substitute,
+                stuck: calls && self.pulls.is_stuck(now),
             };
         }
         ReadRole::Alone {
--- a/crates/place/src/fleet/member/mod.rs
+++ b/crates/place/src/fleet/member/mod.rs
@@ -42,6 +42,15 @@
 /// Interval of the periodic tasks while no lead is reachable. Short, because after a
 /// loss of all entries every delay in finding a lead delays answers to callers.
 const SEARCH_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// An answer within this time is no reason to pause.
+const PROMPT_ANSWER: Duration = Duration::from_secs(1);
+/// An entry that has leads pauses this many times as long as the store took for the last answer.
+const CALL_SPACING: f64 = 1.5;
+/// Additional times over which entries are spread.
+const CALL_SPACING_SPREAD: f64 = 2.0;
+/// Maximum pause. Entries whose leads are refused by the store rely on their own calls.
+const MAX_CALL_PAUSE: Duration = Duration::from_secs(16);
+
 /// Static configuration of an entry.
 #[derive(Debug, Clone)]
 pub struct MemberConfig {
@@ -103,8 +112,8 @@
     /// Time at which servers missing from the registry become final removals, if there
     /// are any.
     NextRemovalAt(Option<Instant>),
-    /// A watch of the operator's rows ended; whether the store answered.
-    WatchFinished(bool),
+    /// A watch of the operator's rows ended.
+    WatchFinished(WatchOutcome),
     /// Lists of entries were pulled.
     Lists(Vec<EntryList>),
     /// A pull from the lead at this address ended; whether it succeeded.
@@ -119,6 +128,16 @@
     Cleared(RequestFingerprint),
 }
 
+/// How a watch of the operator's rows ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WatchOutcome {
+    /// Whether the store answered in time.
+    pub is_timely: bool,
+    /// How long the store took, without the time for which it was allowed to wait for changes. If
+    /// it didn't answer, the time since the first call without an answer.
+    pub took: Duration,
+}
+
 /// Output of the state machine.
 #[derive(Debug)]
 pub enum FleetAction {
@@ -203,6 +222,10 @@
     listed_regions: Vec<String>,
     /// Since when the leads' proof that the operator's rows are current has been unusable.
     proof_unusable_since: Option<Instant>,
+    /// When this entry may call the store while it has leads.
+    own_calls_due: Instant,
+    /// The latest proof whose delay is known.
+    timed_proof: StoreTime,
     is_isolated: bool,
     is_watching: bool,
     heartbeat_due: Instant,
@@ -244,6 +267,8 @@
             candidates: Vec::new(),
             listed_regions: Vec::new(),
             proof_unusable_since: None,
+            own_calls_due: now,
+            timed_proof: StoreTime::default(),
             is_isolated: true,
             is_watching: false,
             heartbeat_due: now,
@@ -291,7 +316,10 @@
             }
             FleetEvent::HistoryMissed => self.pulls.on_departures_missed(),
             FleetEvent::NextRemovalAt(at) => self.read_scheduler.set_next_removal(at),
-            FleetEvent::WatchFinished(done) => self.store_reachable = done,
+            FleetEvent::WatchFinished(outcome) => {
+                self.store_reachable = outcome.is_timely;
+                self.own_calls_due = now + self.call_pause(outcome.took);
+            }
             FleetEvent::Lists(lists) => {
                 let newer = lists
                     .into_iter()
@@ -397,6 +425,28 @@
         }
     }
 
+    /// Pauses after a proof that was old when it arrived: the store is as slow for its leads.
+    fn note_proof_delay(&mut self, now: Instant) {
+        let proved = self.store_progress.proved;
+        if proved <= self.timed_proof {
+            return;
+        }
+        self.timed_proof = proved;
+        if let Some(delay) = self.proof_age(now) {
+            self.own_calls_due = self.own_calls_due.max(now + self.call_pause(delay));
+        }
+    }
+
+    /// Returns how long an entry that has leads leaves a store alone that took `delay` for an
+    /// answer.
+    fn call_pause(&self, delay: Duration) -> Duration {
+        if delay <= PROMPT_ANSWER {
+            return Duration::ZERO;
+        }
+        let spread = self.search.jitter(delay.mul_f64(CALL_SPACING_SPREAD));
+        (delay.mul_f64(CALL_SPACING) + spread).min(MAX_CALL_PAUSE)
+    }
+
     /// Drops the proof if the store's clock can't have shown its time: the clock was reset.
     fn drop_unusable_proof(&mut self, now: Instant) {
         if self.proof_age(now).is_none() {
@@ -406,6 +456,7 @@
 
     fn run_due_tasks(&mut self, now: Instant, actions: &mut Vec<FleetAction>) {
         self.last_run = now;
+        self.note_proof_delay(now);
         if now >= self.role_check_due {
             self.role_check_due = now + SEARCH_POLL_INTERVAL;
             self.leads.forget(now);
--- a/crates/place/src/prelude.rs
+++ b/crates/place/src/prelude.rs
@@ -3,7 +3,7 @@
 pub use crate::catalog::{CatalogSnapshot, ServerCatalog};
 pub use crate::desired::{DesiredState, RequestKind, RequestLimits, RouteSpec, ServiceSpec};
 pub use crate::fleet::member::{
-    FleetAction, FleetChange, FleetEvent, FleetMember, LocalEntryState,
+    FleetAction, FleetChange, FleetEvent, FleetMember, LocalEntryState, WatchOutcome,
 };
 pub use crate::fleet::position::StorePosition;
 pub use crate::placing::placer::{PlacerConfig, RequestPlacer};
--- a/crates/place/tests/fleet_world/mod.rs
+++ b/crates/place/tests/fleet_world/mod.rs
@@ -33,6 +33,8 @@
 const WATCH_DURATION: Duration = Duration::from_millis(2000);
 /// Time after which an entry gives up on a store call.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Pause after a watch without an answer.
+const RETRY_DELAY: Duration = Duration::from_millis(600);
 /// Maximum number of queued messages. A fleet whose entries answer each other endlessly
 /// exceeds it.
 const MAX_QUEUED_MESSAGES: usize = 500_000;
@@ -77,6 +79,17 @@
         operator: u64,
         time: StoreTime,
     },
+    /// The busy store worked on the watch with this number.
+    BusyAnswered {
+        number: u64,
+        started_at: Instant,
+    },
+    /// The watch with this number isn't waited for any longer.
+    WatchTimedOut {
+        number: u64,
+    },
+    /// The pause after a failed watch is over.
+    WatchAgain,
     Resume {
         span: Duration,
         suspended: bool,
@@ -140,6 +153,10 @@
     watches: bool,
     watching: bool,
     watch_started_at: Instant,
+    /// Number of the latest watch.
+    watch_number: u64,
+    /// Since when watches have had no answer in time.
+    unanswered_since: Option<Instant>,
     /// The process stands still until this time.
     paused_until: Option<Instant>,
     /// How far its clock is behind virtual time.
@@ -158,6 +175,10 @@
     pub servers: BTreeSet<u64>,
     pub operator: u64,
     pub store_down: bool,
+    /// Time that the store works on each call, one after the other; zero if it doesn't count.
+    pub store_work: Duration,
+    /// When the store will have worked on all calls so far.
+    store_free_at: Instant,
     pub calls: u64,
     /// One datagram in this many is lost.
     pub loss_interval: Option<u64>,
@@ -216,6 +237,8 @@
             servers: [10].into(),
             operator: 10,
             store_down: false,
+            store_work: Duration::ZERO,
+            store_free_at: start,
             calls: 0,
             loss_interval: None,
             delays: None,
@@ -251,6 +274,8 @@
                 watches: false,
                 watching: false,
                 watch_started_at: at,
+                watch_number: 0,
+                unanswered_since: None,
                 paused_until: None,
                 behind: Duration::ZERO,
             });
@@ -364,6 +389,15 @@
                 scope,
                 started_at,
             } => self.end_pull(to, from, scope, started_at),
+            Delivery::BusyAnswered { number, started_at } => {
+                self.end_busy_watch(to, number, started_at);
+            }
+            Delivery::WatchTimedOut { number } => self.time_out_watch(to, number),
+            Delivery::WatchAgain => {
+                if self.entries[to].watches && !self.entries[to].watching {
+                    self.begin_watch(to, Duration::ZERO);
+                }
+            }
             Delivery::Resume { span, suspended } => {
                 if suspended {
                     self.entries[to].behind += span;
@@ -459,11 +493,8 @@
                 } else {
                     Duration::ZERO
                 };
-                self.push(
-                    self.now + span + STORE_LATENCY,
-                    entry,
-                    Delivery::ReadFinished { started_at, call },
-                );
+                let at = self.call_end(span);
+                self.push(at, entry, Delivery::ReadFinished { started_at, call });
             }
             FleetAction::WatchOperator(watches) => {
                 self.entries[entry].watches = watches;
@@ -631,12 +662,63 @@
     fn begin_watch(&mut self, entry: usize, wait: Duration) {
         self.calls += 1;
         self.entries[entry].watching = true;
-        self.entries[entry].watch_started_at = self.local_time(entry, self.now);
-        self.push(
-            self.now + wait + STORE_LATENCY,
+        let started_at = self.local_time(entry, self.now);
+        self.entries[entry].watch_started_at = started_at;
+        let at = self.call_end(wait);
+        if self.store_work.is_zero() {
+            self.push(at, entry, Delivery::WatchAnswered);
+            return;
+        }
+        self.entries[entry].watch_number += 1;
+        let number = self.entries[entry].watch_number;
+        self.push(at, entry, Delivery::BusyAnswered { number, started_at });
+        let until = self.now + wait + STORE_TIMEOUT;
+        self.push(until, entry, Delivery::WatchTimedOut { number });
+    }
+
+    /// Ends a watch of a busy store. A late answer counts as of its own call.
+    fn end_busy_watch(&mut self, entry: usize, number: u64, started_at: Instant) {
+        let is_timely = self.entries[entry].watching && number == self.entries[entry].watch_number;
+        self.entries[entry].watching = false;
+        self.entries[entry].watch_started_at = started_at;
+        self.entries[entry].unanswered_since = None;
+        let (operator, time) = (self.operator, self.store_time());
+        self.learn_operator(entry, operator, time);
+        let took = self.local_time(entry, self.now) - started_at;
+        self.deliver_event(
             entry,
-            Delivery::WatchAnswered,
+            FleetEvent::WatchFinished(WatchOutcome { is_timely, took }),
         );
+        if self.entries[entry].watches && !self.entries[entry].watching {
+            let age = self.proof_age(entry).unwrap_or(WATCH_DURATION);
+            self.begin_watch(entry, WATCH_DURATION.saturating_sub(age));
+        }
+    }
+
+    fn time_out_watch(&mut self, entry: usize, number: u64) {
+        if !self.entries[entry].watching || number != self.entries[entry].watch_number {
+            return;
+        }
+        self.entries[entry].watching = false;
+        let started_at = self.entries[entry].watch_started_at;
+        let since = self.entries[entry].unanswered_since;
+        let since = since.unwrap_or(started_at);
+        self.entries[entry].unanswered_since = Some(since);
+        let outcome = WatchOutcome {
+            is_timely: false,
+            took: self.local_time(entry, self.now) - since,
+        };
+        self.deliver_event(entry, FleetEvent::WatchFinished(outcome));
+        self.push(self.now + RETRY_DELAY, entry, Delivery::WatchAgain);
+    }
+
+    /// Returns when a call that begins now ends, if the store may delay its answer by `wait`.
+    fn call_end(&mut self, wait: Duration) -> Instant {
+        if self.store_work.is_zero() {
+            return self.now + wait + STORE_LATENCY;
+        }
+        self.store_free_at = self.store_free_at.max(self.now) + self.store_work;
+        self.store_free_at + wait + STORE_LATENCY
     }
 
     fn end_watch(&mut self, entry: usize, answer: Option<(u64, StoreTime)>) {
@@ -648,7 +730,20 @@
                 self.entries[entry].registry.catalog.on_read_failed(now);
             }
         }
-        self.deliver_event(entry, FleetEvent::WatchFinished(answer.is_some()));
+        let now = self.local_time(entry, self.now);
+        let since = match answer {
+            Some(_) => self.entries[entry].unanswered_since.take(),
+            None => Some(
+                *self.entries[entry]
+                    .unanswered_since
+                    .get_or_insert(now - STORE_LATENCY),
+            ),
+        };
+        let outcome = WatchOutcome {
+            is_timely: answer.is_some(),
+            took: since.map_or(STORE_LATENCY, |since| now - since),
+        };
+        self.deliver_event(entry, FleetEvent::WatchFinished(outcome));
         if self.entries[entry].watches && !self.entries[entry].watching {
             let age = self.proof_age(entry).unwrap_or_default();
             let wait = WATCH_DURATION.saturating_sub(age);
--- a/crates/place/tests/proofs.rs
+++ b/crates/place/tests/proofs.rs
@@ -141,6 +141,27 @@
     }
 }
 
+/// All entries that received requests called a busy store at once and waited for each other, so that
+/// every proof was too old when it arrived, and all called again.
+#[test]
+fn a_busy_store_is_left_to_the_leads() {
+    let mut world = FleetWorld::new(68);
+    world.proof_within = Some(REVOKE_LIMIT);
+    world.store_work = ms(50);
+    for entry in world.live() {
+        let own = LocalEntryState {
+            rate: 20,
+            ..world.entries[entry].own.clone()
+        };
+        world.set_own(entry, own);
+    }
+    world.run(ms(15_000));
+    let used = listed(&world);
+    assert_eq!(used.len(), 68);
+    let age = max_proof_age(&mut world, &used, ms(20_000));
+    assert!(age + MARGIN < REVOKE_LIMIT, "{age:?}");
+}
+
 /// While the store is down it must not be flooded with calls, and every entry's knowledge must
 /// age. Soon after the store recovers all entries must be able to serve again.
 #[test]
