Doubts of other leads keep no server out anew

Cause: entries that start together hold runs in doubt that registered again meanwhile. Each told its doubt with its own position of the store; a later position counted as another departure, so that the 6 s began anew with every copy. Change: a doubt has no position; one that is known already adds nothing. Measured: doubts_of_other_leads_prolong_no_wait failed before. All tests of place pass.

--- a/crates/place/src/catalog/unproven.rs
+++ b/crates/place/src/catalog/unproven.rs
@@ -78,9 +78,9 @@
                     self.relisted.remove(&entry.id);
                     self.departures.on_alive(&entry.id, snapshot.position);
                 } else if !has_lapsed && !is_recorded {
-                    let departure = Departure::of(entry)
-                        .with_gap(true)
-                        .with_position(self.position);
+                    // Without a position: a doubt that another entry tells later adds nothing, and
+                    // the server isn't kept out anew.
+                    let departure = Departure::of(entry).with_gap(true);
                     self.departures.record(now, &departure);
                     self.unproven.ids.insert(entry.id.clone());
                     changes.push(CatalogChange::Unproven(entry.id.clone()));
--- a/crates/place/tests/unproven_runs.rs
+++ b/crates/place/tests/unproven_runs.rs
@@ -202,3 +202,29 @@
     assert_eq!(follower.open_count(), listed.len() + back.len());
     assert_eq!(follower.log.content(), content);
 }
+
+/// Leads that started one after the other told each other of the same doubt, and each time a server
+/// that was alive had to prove it anew. Their contents differed meanwhile, so that all entries
+/// fetched whole copies.
+#[test]
+fn doubts_of_other_leads_prolong_no_wait() {
+    const OTHER_DELAY: Duration = Duration::from_millis(300);
+    const TOLD_AT: Duration = Duration::from_millis(6000);
+    let start = Instant::now();
+    let (mut lead, mut other) = (FreshEntry::new(), FreshEntry::new());
+    let others = servers(5);
+    let mut at = Duration::ZERO;
+    while at < LISTED_AT + PROOF_TIME {
+        let is_listed = at >= LISTED_AT;
+        let rows = with(&others, is_listed.then_some(registration("x", 4)).as_slice());
+        lead.read(start + at, &rows);
+        other.read(start + at + OTHER_DELAY, &rows);
+        if at == TOLD_AT {
+            lead.receive(start + at + OTHER_DELAY, &other.log.since(0));
+        }
+        at += READ_INTERVAL;
+    }
+    assert!(lead.is_open("x"));
+    assert!(other.is_open("x"));
+    assert_eq!(lead.log.content(), other.log.content());
+}
