--- a/bin/lh-soak/src/config.rs
+++ b/bin/lh-soak/src/config.rs
@@ -100,7 +100,7 @@
             return Err(Error::Usage(text));
         }
         if !(0.0..=1.0).contains(&self.late_heartbeats) {
-            let text = "give a share from 0 to 1 with --late-words";
+            let text = "give a share from 0 to 1 with --late-heartbeats";
             return Err(Error::Usage(text.to_owned()));
         }
         if !(0.01..=1.0).contains(&self.processor_share) {
--- a/crates/place/tests/unproven_runs.rs
+++ b/crates/place/tests/unproven_runs.rs
@@ -216,7 +216,10 @@
     let mut at = Duration::ZERO;
     while at < LISTED_AT + PROOF_TIME {
         let is_listed = at >= LISTED_AT;
-        let rows = with(&others, is_listed.then_some(registration("x", 4)).as_slice());
+        let rows = with(
+            &others,
+            is_listed.then_some(registration("x", 4)).as_slice(),
+        );
         lead.read(start + at, &rows);
         other.read(start + at + OTHER_DELAY, &rows);
         if at == TOLD_AT {
