Comments of three new tests state what they guard

Cause: two of them told the course of the fault. Change: comments only, in tests/proofs.rs, unproven_runs.rs and crowds.rs.

--- a/bin/lh-entry/tests/crowds.rs
+++ b/bin/lh-entry/tests/crowds.rs
@@ -233,7 +233,7 @@
     world.check(&crowd).await;
 }
 
-/// Connections that waited to be accepted filled their receive buffers beside the account.
+/// Connections that wait to be accepted count towards the memory with their receive buffers.
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_that_wait_to_be_accepted_stay_within_memory() {
     let mut world = CrowdWorld::new().await;
--- a/crates/place/tests/proofs.rs
+++ b/crates/place/tests/proofs.rs
@@ -141,8 +141,8 @@
     }
 }
 
-/// All entries that received requests called a busy store at once and waited for each other, so that
-/// every proof was too old when it arrived, and all called again.
+/// Entries with leads leave a slow store to them: calls of all entries at once delay every proof
+/// beyond its maximum age.
 #[test]
 fn a_busy_store_is_left_to_the_leads() {
     let mut world = FleetWorld::new(68);
--- a/crates/place/tests/unproven_runs.rs
+++ b/crates/place/tests/unproven_runs.rs
@@ -203,9 +203,8 @@
     assert_eq!(follower.log.content(), content);
 }
 
-/// Leads that started one after the other told each other of the same doubt, and each time a server
-/// that was alive had to prove it anew. Their contents differed meanwhile, so that all entries
-/// fetched whole copies.
+/// A live server is taken in after one waiting time, although another lead reports the same
+/// presumed departure later.
 #[test]
 fn doubts_of_other_leads_prolong_no_wait() {
     const OTHER_DELAY: Duration = Duration::from_millis(300);
